Serve a request end to end, as separate processes

Cause: nothing ran yet; the whole path comes first.

Change: package in ports and adapters, stand-ins, command line, and a demo with six entries, a platform and engines as real processes.

Ruled out: claims before the group record. The record is written first, as an intent, so that a later leader aborts a half-claimed group by a conditional update that a paused leader then loses.

Conclusion: the thin path stands; nothing is proved under failure yet.

--- /dev/null
+++ b/balsamwind/adapters/__init__.py
@@ -0,0 +1,27 @@
+"""Adapters: one module for each library or protocol that meets a port."""
+
+from balsamwind.adapters._caller_server import make_caller_server
+from balsamwind.adapters._clock import SystemClock
+from balsamwind.adapters._engine import HttpEngine
+from balsamwind.adapters._http_client import HttpClient
+from balsamwind.adapters._metrics import Metrics
+from balsamwind.adapters._object_store import HttpObjectStore
+from balsamwind.adapters._operator_server import make_operator_server
+from balsamwind.adapters._peer_link import PeerLinks
+from balsamwind.adapters._plain_service import HttpPlainService
+from balsamwind.adapters._platform import HttpVmList
+from balsamwind.adapters._platform import HttpWeightStore
+
+__all__ = [
+    'HttpClient',
+    'HttpEngine',
+    'HttpObjectStore',
+    'HttpPlainService',
+    'HttpVmList',
+    'HttpWeightStore',
+    'Metrics',
+    'PeerLinks',
+    'SystemClock',
+    'make_caller_server',
+    'make_operator_server',
+]
--- /dev/null
+++ b/balsamwind/adapters/_platform.py
@@ -0,0 +1,71 @@
+"""VM list and weight store of the platform, over HTTP and JSON."""
+
+import json
+
+from balsamwind import exceptions
+from balsamwind import objects
+from balsamwind import ports
+
+
+class HttpVmList:
+    """Client of the VM list."""
+
+    __slots__ = ('_client', '_timeout', '_url')
+
+    def __init__(self, client, url, timeout):
+        self._client = client
+        self._url = url.rstrip('/')
+        self._timeout = timeout
+
+    async def fetch(self):
+        """All rows; a tuple of `ListedVm`.
+
+        Raises
+        ------
+        balsamwind.exceptions.StoreError
+            The platform failed or answered nonsense.
+        """
+        try:
+            response = await self._client.fetch(
+                'GET', f'{self._url}/v1/vms', timeout=self._timeout
+            )
+            if response.status != 200:
+                raise exceptions.StoreError(f'VM list: {response.status}')
+            rows = json.loads(response.body)['vms']
+            return tuple(objects.decode(ports.ListedVm, row) for row in rows)
+        except (
+            exceptions.TransportError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
+            raise exceptions.StoreError(f'VM list: {error}') from error
+
+
+class HttpWeightStore:
+    """Client of the weight store."""
+
+    __slots__ = ('_client', '_timeout', '_url')
+
+    def __init__(self, client, url, timeout):
+        self._client = client
+        self._url = url.rstrip('/')
+        self._timeout = timeout
+
+    async def take_ticket(self, model, version):
+        """Ask leave to load once; 0, or when to ask again (seconds)."""
+        body = json.dumps({'model': model, 'version': version})
+        try:
+            response = await self._client.fetch(
+                'POST',
+                f'{self._url}/v1/weights/tickets',
+                body=body.encode('utf-8'),
+                timeout=self._timeout,
+            )
+        except exceptions.TransportError as error:
+            raise exceptions.StoreError(f'weight store: {error}') from error
+        if response.status == 429:
+            return float(response.headers.get('Retry-After', '1'))
+        if response.status != 200:
+            raise exceptions.StoreError(f'weight store: {response.status}')
+        return 0.0
--- /dev/null
+++ b/balsamwind/catalogue/__init__.py
@@ -0,0 +1,5 @@
+"""Memory of the store's objects; the newest version always wins."""
+
+from balsamwind.catalogue._catalogue import Catalogue
+
+__all__ = ['Catalogue']
--- /dev/null
+++ b/balsamwind/control/_groups.py
@@ -0,0 +1,369 @@
+"""Life of the replica groups of one data centre.
+
+Every round looks at what is, and decides the next step of each group; it
+keeps no state of its own, so the next leader goes on where the last one
+stopped. The record of a group is written first, as an intent; then its VMs
+are claimed; only when the record was moved on with all claims held do the
+engines get orders.
+"""
+
+import dataclasses
+
+from balsamwind.control import _decisions
+from balsamwind import membership
+from balsamwind import objects
+from balsamwind import placement
+from balsamwind import ports
+
+DRAIN_NOTICE = 2.0
+"""Time for all entries to learn that a group is draining (seconds)."""
+
+ORPHAN_AGE = 2.0
+"""Age at which a claim without a group is deleted (seconds)."""
+
+State = objects.GroupState
+
+
+def plan_groups(view, data_centre, fencing):
+    """Decide the next steps of all groups of a data centre.
+
+    Parameters
+    ----------
+    view : View
+        What is known.
+    data_centre : str
+        The shard.
+    fencing : int
+        Fencing number of the shard's lease.
+
+    Returns
+    -------
+    list of PutObject, DeleteObject or SendOrder
+    """
+    planner = _Planner(view, data_centre, fencing)
+    planner.plan_orphans()
+    for stored in planner.groups:
+        planner.plan_group(stored)
+    planner.plan_counts()
+    return planner.decisions
+
+
+class _Planner:
+    """One round for one data centre."""
+
+    __slots__ = (
+        '_data_centre',
+        '_fencing',
+        '_free',
+        '_view',
+        'decisions',
+        'groups',
+    )
+
+    def __init__(self, view, data_centre, fencing):
+        self._view = view
+        self._data_centre = data_centre
+        self._fencing = fencing
+        self._free = placement.make_free_vms(
+            data_centre,
+            view.listed,
+            view.catalogue,
+            view.observations,
+            view.now,
+        )
+        self.groups = [
+            stored
+            for stored in view.catalogue.items('group')
+            if stored.value.data_centre == data_centre
+        ]
+        self.decisions = []
+
+    def plan_orphans(self):
+        """Delete claims that no group stands behind."""
+        view = self._view
+        for stored in view.catalogue.items('claim'):
+            row = view.listed.get(stored.name)
+            if row is None or row.data_centre != self._data_centre:
+                continue
+            group = view.catalogue.value('group', stored.value.group)
+            if group is not None and stored.name in group.vms:
+                continue
+            if view.catalogue.age(stored, view.now) >= ORPHAN_AGE:
+                self._delete(stored)
+
+    def plan_group(self, stored):
+        """Decide the next step of one group."""
+        match stored.value.state:
+            case State.FORMING:
+                self._plan_forming(stored)
+            case State.LOADING:
+                self._plan_loading(stored)
+            case State.READY:
+                self._plan_ready(stored)
+            case State.DRAINING:
+                self._plan_draining(stored)
+            case State.RELEASING:
+                self._plan_releasing(stored)
+
+    def _plan_forming(self, stored):
+        group = stored.value
+        if self._lost(group):
+            self._repair(stored)
+            return
+        missing = []
+        for member in group.members:
+            claim = self._view.catalogue.value('claim', member.vm)
+            if claim is None:
+                missing.append(member.vm)
+            elif claim.group != group.name:
+                self._move(stored, State.RELEASING, f'{member.vm} is claimed')
+                return
+        for vm in missing:
+            claim = objects.Claim(
+                vm, group.name, self._fencing, self._view.operation()
+            )
+            self._put('claim', vm, claim, 0)
+        if not missing:
+            self._move(stored, State.LOADING, group.reason)
+
+    def _plan_loading(self, stored):
+        group = stored.value
+        if self._view.contract(group.contract) is None:
+            self._move(stored, State.DRAINING, 'contract not in force')
+            return
+        if self._lost(group):
+            self._repair(stored)
+            return
+        waiting = [m for m in group.members if self._unfit(group, m.vm)]
+        if not waiting:
+            self._move(stored, State.READY, '')
+            return
+        for member in waiting:
+            self._order_load(group, member)
+
+    def _plan_ready(self, stored):
+        group = stored.value
+        view = self._view
+        if view.contract(group.contract) is None:
+            self._move(stored, State.DRAINING, 'contract not in force')
+        elif self._lost(group):
+            self._repair(stored)
+        elif self._changed(group):
+            self._put_group(
+                stored,
+                state=State.LOADING,
+                generation=group.generation + 1,
+                reason='a member lost its state',
+            )
+
+    def _plan_draining(self, stored):
+        group = stored.value
+        age = self._view.catalogue.age(stored, self._view.now)
+        if age < DRAIN_NOTICE:
+            return
+        timeout = self._view.settings.control.drain_timeout
+        head = self._view.observations.get(group.head.vm)
+        down = self._view.observations.down_for(group.head.vm, self._view.now)
+        idle = (
+            head is not None
+            and head.report is not None
+            and head.report.running + head.report.waiting == 0
+        )
+        if idle or down or age > timeout:
+            self._move(stored, State.RELEASING, group.reason)
+
+    def _plan_releasing(self, stored):
+        group = stored.value
+        held = False
+        for member in group.members:
+            claim = self._view.catalogue.get('claim', member.vm)
+            if claim is None or claim.value.group != group.name:
+                continue
+            held = True
+            if self._still_loaded(group, member.vm):
+                self._order_unload(group, member)
+            else:
+                self._delete(claim)
+        if not held:
+            self._delete(stored)
+
+    def _still_loaded(self, group, vm):
+        now = self._view.now
+        view = self._view.observations.get(vm)
+        if view is None or view.report is None:
+            return False
+        if self._view.observations.down_for(vm, now):
+            return False
+        same = view.report.group == group.name
+        return same and view.report.state is not ports.EngineState.EMPTY
+
+    def plan_counts(self):
+        """Form groups that are missing and drain those that are too many."""
+        for stored in self._view.catalogue.items('allocation'):
+            contract = self._view.contract(stored.name)
+            if contract is None:
+                continue
+            for terms in contract.models:
+                split = stored.value.replicas.get(terms.model, {})
+                wanted = split.get(self._data_centre, 0)
+                self._plan_count(contract, terms, wanted)
+
+    def _plan_count(self, contract, terms, wanted):
+        mine = [
+            stored
+            for stored in self.groups
+            if stored.value.contract == contract.customer
+            and stored.value.model == terms.model
+            and not stored.value.leaving
+        ]
+        current = [s for s in mine if _fits(s.value, terms)]
+        outdated = [s for s in mine if not _fits(s.value, terms)]
+        if len(current) > wanted:
+            current.sort(key=lambda s: s.value.state is State.READY)
+            for stored in current[: len(current) - wanted]:
+                self._move(stored, State.DRAINING, 'more than allocated')
+        elif len(current) < wanted:
+            formed = self._form(contract, terms)
+            if not formed and outdated:
+                self._move(outdated[0], State.DRAINING, 'replaced')
+        ready = sum(s.value.state is State.READY for s in current)
+        surplus = len(outdated) - max(wanted - ready, 0)
+        for stored in outdated[: max(surplus, 0)]:
+            self._move(stored, State.DRAINING, 'replaced')
+
+    def _form(self, contract, terms):
+        rows = placement.plan_members(terms, self._free)
+        if not rows:
+            return False
+        self._free.take(rows)
+        suffix = f'{self._view.rng.getrandbits(40):010x}'
+        name = f'{contract.customer}-{terms.model}-{suffix}'
+        group = objects.Group(
+            name=name,
+            contract=contract.customer,
+            model=terms.model,
+            version=terms.version,
+            data_centre=self._data_centre,
+            fabric_domain=rows[0].fabric_domain,
+            members=tuple(objects.Member(r.name, r.address) for r in rows),
+            generation=1,
+            state=State.FORMING,
+            adapters=terms.adapters,
+            role=terms.role,
+            fencing=self._fencing,
+            operation=self._view.operation(),
+        )
+        self._put('group', name, group, 0)
+        return True
+
+    def _lost(self, group):
+        wait = self._view.settings.control.repair_after
+        return [
+            vm
+            for vm in group.vms
+            if self._view.observations.down_for(vm, self._view.now) > wait
+            or self._is_leaving(vm)
+        ]
+
+    def _is_leaving(self, vm):
+        row = self._view.listed.get(vm)
+        return row is not None and row.state is ports.VmState.LEAVING
+
+    def _unfit(self, group, vm):
+        return membership.check_member(
+            group,
+            vm,
+            self._view.observations,
+            self._view.listed,
+            self._view.now,
+        )
+
+    def _changed(self, group):
+        """Whether a member that answers reports something else."""
+        for vm in group.vms:
+            view = self._view.observations.get(vm)
+            if self._view.observations.is_up(vm, self._view.now):
+                if membership.check_report(group, view.report):
+                    return True
+        return False
+
+    def _repair(self, stored):
+        group = stored.value
+        lost = self._lost(group)
+        rows = placement.plan_replacement(group, len(lost), self._free)
+        reason = 'lost ' + ', '.join(lost)
+        if not rows:
+            self._move(stored, State.RELEASING, reason)
+            return
+        self._free.take(rows)
+        kept = [m for m in group.members if m.vm not in lost]
+        added = [objects.Member(row.name, row.address) for row in rows]
+        self._put_group(
+            stored,
+            state=State.FORMING,
+            members=tuple(kept + added),
+            generation=group.generation + 1,
+            reason=reason,
+        )
+
+    def _order_load(self, group, member):
+        view = self._view.observations.get(member.vm)
+        cached = view.report.cached if view and view.report else ()
+        order = ports.Order(
+            kind='load',
+            group=group.name,
+            generation=group.generation,
+            fencing=self._fencing,
+            model=group.model,
+            version=group.version,
+            role=group.role,
+            adapters=group.adapters,
+            members=tuple(m.address for m in group.members),
+            rank=group.vms.index(member.vm),
+        )
+        weights = f'{group.model}@{group.version}'
+        self.decisions.append(
+            _decisions.SendOrder(
+                member.vm, member.address, order, weights not in cached
+            )
+        )
+
+    def _order_unload(self, group, member):
+        order = ports.Order(
+            'unload', group.name, group.generation, self._fencing
+        )
+        self.decisions.append(
+            _decisions.SendOrder(member.vm, member.address, order)
+        )
+
+    def _move(self, stored, state, reason):
+        self._put_group(stored, state=state, reason=reason)
+
+    def _put_group(self, stored, **changes):
+        value = dataclasses.replace(
+            stored.value,
+            fencing=self._fencing,
+            operation=self._view.operation(),
+            **changes,
+        )
+        self._put('group', stored.name, value, stored.revision)
+
+    def _put(self, kind, name, value, expected):
+        self.decisions.append(
+            _decisions.PutObject(kind, name, value, expected)
+        )
+
+    def _delete(self, stored):
+        self.decisions.append(
+            _decisions.DeleteObject(stored.kind, stored.name, stored.revision)
+        )
+
+
+def _fits(group, terms):
+    """Whether a group is what the contract asks for now."""
+    return (
+        group.version == terms.version
+        and group.adapters == terms.adapters
+        and group.role == terms.role
+        and len(group.members) == terms.group_size
+    )
--- /dev/null
+++ b/balsamwind/control/_lease.py
@@ -0,0 +1,151 @@
+"""Lease of one shard: when to take it, renew it, and stop acting on it.
+
+No clocks are compared between nodes. A holder counts from the moment it
+*sent* its last renewal; a candidate counts from the moment it *saw* the last
+change of the lease object. The second is never before the first.
+"""
+
+import dataclasses
+
+from balsamwind import objects
+
+RENEW_SHARE = 1.0 / 3.0
+"""Part of the duration after which the holder renews."""
+
+FOREIGN_WAIT = 2.0
+"""Durations that a node of another data centre waits longer."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class WriteLease:
+    """Write the lease object if it has the expected revision.
+
+    Parameters
+    ----------
+    value : balsamwind.objects.Lease
+        The new lease.
+    expected : int
+        Revision that the object must have (0: no object).
+    """
+
+    value: objects.Lease
+    expected: int
+
+
+class LeaseKeeper:
+    """One node's part in the lease of one shard.
+
+    Parameters
+    ----------
+    shard, node : str
+        Which shard, and this node.
+    duration, margin : float
+        How long a renewal lasts, and the safety margin (seconds).
+    extra_wait : float
+        How much longer than the duration this node waits before it takes
+        over (seconds).
+    """
+
+    __slots__ = (
+        '_deadline',
+        '_duration',
+        '_extra_wait',
+        '_fencing',
+        '_margin',
+        '_node',
+        '_renew_at',
+        '_shard',
+        '_taken_at',
+    )
+
+    def __init__(self, shard, node, duration, margin, extra_wait):
+        self._shard = shard
+        self._node = node
+        self._duration = duration
+        self._margin = margin
+        self._extra_wait = extra_wait
+        self._deadline = float('-inf')
+        self._renew_at = float('-inf')
+        self._taken_at = float('inf')
+        self._fencing = 0
+
+    @property
+    def shard(self):
+        """Name of the shard."""
+        return self._shard
+
+    @property
+    def fencing(self):
+        """Fencing number of the lease held, or last held."""
+        return self._fencing
+
+    def holds(self, now):
+        """Whether this node may act for the shard at `now`."""
+        return now < self._deadline
+
+    def held_for(self, now):
+        """How long this node has held the lease (seconds)."""
+        return now - self._taken_at if self.holds(now) else 0.0
+
+    def plan(self, stored, age, now, operation):
+        """Decide whether to write the lease.
+
+        Parameters
+        ----------
+        stored : balsamwind.objects.Stored or None
+            The lease object as known here.
+        age : float
+            Time since this version was first seen here (seconds).
+        now : float
+            Monotonic time (seconds).
+        operation : str
+            Id of the write.
+
+        Returns
+        -------
+        WriteLease or None
+        """
+        if stored is None:
+            return self._write(1, 0, operation)
+        lease = stored.value
+        if lease.holder == self._node:
+            if self.holds(now) and now < self._renew_at:
+                return None
+            fencing = lease.fencing + (0 if self.holds(now) else 1)
+            return self._write(fencing, stored.revision, operation)
+        wait = lease.duration + self._margin + self._extra_wait
+        if lease.holder and age < wait:
+            return None
+        return self._write(lease.fencing + 1, stored.revision, operation)
+
+    def _write(self, fencing, expected, operation):
+        lease = objects.Lease(
+            self._shard, self._node, fencing, self._duration, operation
+        )
+        return WriteLease(lease, expected)
+
+    def accept(self, lease, sent_at):
+        """Note that a write sent at `sent_at` took effect."""
+        if lease.fencing != self._fencing:
+            self._taken_at = sent_at
+        self._fencing = lease.fencing
+        self._deadline = sent_at + self._duration - self._margin
+        self._renew_at = sent_at + self._duration * RENEW_SHARE
+
+    def lose(self):
+        """Stop acting at once."""
+        self._deadline = float('-inf')
+
+    def plan_release(self, stored, operation):
+        """Give the lease back, if this node holds it."""
+        self.lose()
+        if stored is None or stored.value.holder != self._node:
+            return None
+        lease = objects.Lease(
+            self._shard,
+            '',
+            stored.value.fencing,
+            self._duration,
+            operation,
+        )
+        return WriteLease(lease, stored.revision)
--- /dev/null
+++ b/balsamwind/control/tests/test_lease.py
@@ -0,0 +1,29 @@
+"""A lease has one holder, and its fencing number only grows."""
+
+from balsamwind import control
+from balsamwind import objects
+
+
+def make_keeper(node, extra_wait=0.0):
+    return control.LeaseKeeper('s', node, 10.0, 1.0, extra_wait)
+
+
+def test_successor_waits_out_the_holder():
+    first, second = make_keeper('a'), make_keeper('b')
+    write = first.plan(None, 0.0, 0.0, 'op1')
+    first.accept(write.value, sent_at=0.0)
+    stored = objects.Stored('lease', 's', 1, write.value)
+    assert second.plan(stored, 10.9, 10.9, 'op2') is None
+    assert not first.holds(10.9)
+    taken = second.plan(stored, 11.0, 11.0, 'op3')
+    assert taken.expected == 1
+    assert taken.value.fencing == 2
+
+
+def test_paused_holder_takes_a_new_fencing_number():
+    keeper = make_keeper('a')
+    write = keeper.plan(None, 0.0, 0.0, 'op1')
+    keeper.accept(write.value, sent_at=0.0)
+    stored = objects.Stored('lease', 's', 1, write.value)
+    assert not keeper.holds(60.0)
+    assert keeper.plan(stored, 60.0, 60.0, 'op2').value.fencing == 2
--- /dev/null
+++ b/balsamwind/entry/_entry.py
@@ -0,0 +1,305 @@
+"""State of one entry, and what its servers and loops ask of it."""
+
+import contextlib
+import random
+
+from balsamwind import admission
+from balsamwind import catalogue
+from balsamwind import control
+from balsamwind import exceptions
+from balsamwind import membership
+from balsamwind import objects
+from balsamwind import peers
+from balsamwind import requests
+from balsamwind import routing
+
+
+class Entry:
+    """One entry: what it knows, and the request path over it.
+
+    Parameters
+    ----------
+    settings : balsamwind.settings.Settings
+        Settings of the process.
+    clock : balsamwind.ports.Clock
+        Source of time.
+    engine : balsamwind.ports.Engine
+        Model engines.
+    service : balsamwind.ports.PlainService
+        Plain services.
+    store : balsamwind.ports.ObjectStore
+        The platform's object API.
+    metrics : balsamwind.adapters.Metrics
+        Histograms and counters.
+    log : structlog.BoundLogger
+        Log.
+    random_state : int or None
+        Seed.
+    """
+
+    def __init__(
+        self,
+        settings,
+        clock,
+        engine,
+        service,
+        store,
+        metrics,
+        log,
+        random_state=None,
+    ):
+        stale_after = settings.observation.stale_after
+        self.settings = settings
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+        self.catalogue = catalogue.Catalogue()
+        self.observations = membership.Observations(stale_after)
+        self.groups = membership.GroupTable(self.catalogue, self.observations)
+        self.registry = peers.PeerRegistry(
+            settings.node.name, settings.node.data_centre, stale_after
+        )
+        self.limits = admission.LimitKeeper()
+        self.draining = False
+        self.links = None
+        self.controller = None
+        self._open_requests = 0
+        self._rng = random.Random(random_state)
+        self._keys = {}
+        self._services = {s.name: s for s in settings.services}
+        self._budget = admission.RetryBudget(settings.requests.retry_share)
+        chooser = routing.make_chooser(
+            settings.node.data_centre, self._rng.getrandbits(64)
+        )
+        self._completions = requests.Completions(
+            engine,
+            self.groups,
+            chooser,
+            self._reported_load,
+            self._budget,
+            settings.requests,
+            clock,
+            self.note_group_down,
+        )
+        self._service_calls = requests.ServiceCalls(
+            service, store, self._budget, settings.node, clock, self.make_id
+        )
+        self.catalogue.listen(self._on_object)
+
+    @property
+    def open_requests(self):
+        """Requests that callers wait for (count)."""
+        return self._open_requests
+
+    def make_id(self):
+        """A new random id."""
+        return f'{self._rng.getrandbits(96):024x}'
+
+    def make_view(self):
+        """What the control path decides from, at this moment."""
+        return control.View(
+            self.catalogue,
+            self.observations,
+            self.groups.listed,
+            self.settings,
+            self.clock.monotonic(),
+            self.clock.time(),
+            self._rng,
+        )
+
+    def _on_object(self, stored):
+        self.groups.invalidate()
+        if stored.kind == 'contract':
+            self._keys = {
+                digest: contract.name
+                for contract in self.catalogue.items('contract')
+                for digest in contract.value.api_key_hashes
+            }
+
+    @contextlib.contextmanager
+    def open_request(self):
+        """Count one request until the block ends."""
+        if self.draining:
+            raise exceptions.Draining('this entry is shutting down', 1.0)
+        self._open_requests += 1
+        try:
+            yield
+        finally:
+            self._open_requests -= 1
+
+    def find_contract(self, api_key):
+        """Contract in force that holds an API key.
+
+        Raises
+        ------
+        balsamwind.exceptions.BadKey
+            No contract holds the key.
+        balsamwind.exceptions.ContractEnded
+            The contract is not in force.
+        """
+        name = self._keys.get(objects.make_key_hash(api_key))
+        contract = self.catalogue.value('contract', name) if name else None
+        if contract is None:
+            raise exceptions.BadKey('no contract holds this API key')
+        if not contract.in_force(self.clock.time()):
+            raise exceptions.ContractEnded(
+                f'{name}: in force from {contract.starts_at} until'
+                f' {contract.ends_at}'
+            )
+        return contract
+
+    def find_service(self, contract, name):
+        """Settings of a service that the contract names."""
+        service = self._services.get(name)
+        if service is None or name not in contract.services:
+            raise exceptions.UnknownService(
+                f'service: got {name!r}, allowed:'
+                f' {", ".join(contract.services)}'
+            )
+        return service
+
+    async def complete(self, request):
+        """Run a completion within the contract's limits.
+
+        Yields
+        ------
+        list of str
+            Tokens, each once and in order.
+        """
+        started = self.clock.monotonic()
+        labels = (
+            self.metrics.customer(request.contract.customer),
+            request.model,
+        )
+        previous = None
+        with self._admit(request.contract):
+            run = self._completions.run(request)
+            async with contextlib.aclosing(run) as batches:
+                async for batch in batches:
+                    now = self.clock.monotonic()
+                    self._observe_batch(labels, batch, started, previous, now)
+                    previous = now
+                    yield batch
+        self.metrics.answer_seconds.labels(*labels).observe(
+            self.clock.monotonic() - started
+        )
+
+    def _observe_batch(self, labels, batch, started, previous, now):
+        if previous is None:
+            histogram = self.metrics.first_token_seconds
+            histogram.labels(*labels).observe(now - started)
+        else:
+            histogram = self.metrics.token_gap_seconds
+            histogram.labels(*labels).observe(now - previous)
+        self.metrics.tokens.labels(*labels).inc(len(batch))
+
+    async def call_service(self, contract, service, call, deadline):
+        """Run a service call within the contract's limits."""
+        with self._admit(contract):
+            return await self._service_calls.run(
+                contract, service, call, deadline
+            )
+
+    def _admit(self, contract):
+        now = self.clock.monotonic()
+        nodes = 1 + len(self.registry.alive(now))
+        return self.limits.admit(contract, nodes, now)
+
+    def _reported_load(self, group):
+        view = self.observations.get(group.head.vm)
+        if view is None or view.report is None:
+            return 0
+        return view.report.running + view.report.waiting
+
+    def note_group_down(self, group, reason):
+        """Take a group out of service here and at all peers."""
+        now = self.clock.monotonic()
+        if not self.groups.mark_down(
+            group.name, group.generation, reason, now
+        ):
+            return
+        self.log.warning('group_down', group=group.name, reason=reason)
+        if self.links is not None:
+            self.links.broadcast(
+                peers.GroupDown(group.name, group.generation, reason)
+            )
+
+    def note_outcome(self, customer, code, request_id):
+        """Count and log the end of a request."""
+        label = self.metrics.customer(customer) if customer else ''
+        self.metrics.outcomes.labels(label, code).inc()
+        self.log.info(
+            'request_done',
+            request_id=request_id,
+            customer=customer,
+            code=code,
+        )
+
+    def check_ready(self):
+        """Why the balancer should not send requests here; empty if it may."""
+        if self.draining:
+            return 'draining'
+        if not self._keys:
+            return 'no contracts known yet'
+        return ''
+
+    def make_status(self):
+        """What ``/status`` says, as plain values."""
+        now = self.clock.monotonic()
+        self.groups.serving('', '', now)
+        return {
+            'node': self.settings.node.name,
+            'data_centre': self.settings.node.data_centre,
+            'revision': self.catalogue.revision,
+            'store_restored': self.catalogue.restored,
+            'shards': self.controller.shards_held(now),
+            'open_requests': self._open_requests,
+            'nodes': self._status_of_nodes(now),
+            'groups': [
+                self._status_of_group(stored)
+                for stored in self.catalogue.items('group')
+            ],
+            'short': {
+                stored.name: stored.value.short
+                for stored in self.catalogue.items('allocation')
+                if stored.value.short
+            },
+        }
+
+    def _status_of_nodes(self, now):
+        own = {
+            'name': self.settings.node.name,
+            'data_centre': self.settings.node.data_centre,
+            'revision': self.catalogue.revision,
+            'alive': True,
+            'draining': self.draining,
+        }
+        alive = {peer.name for peer in self.registry.alive(now)}
+        others = [
+            {
+                'name': peer.name,
+                'data_centre': peer.data_centre,
+                'revision': peer.revision,
+                'alive': peer.name in alive,
+                'draining': peer.draining,
+            }
+            for peer in self.registry.peers
+        ]
+        return sorted([own, *others], key=lambda node: node['name'])
+
+    def _status_of_group(self, stored):
+        group = stored.value
+        reason = self.groups.reasons.get(group.name, 'not checked')
+        return {
+            'name': group.name,
+            'contract': group.contract,
+            'model': group.model,
+            'version': group.version,
+            'data_centre': group.data_centre,
+            'fabric_domain': group.fabric_domain,
+            'generation': group.generation,
+            'state': group.state.value,
+            'serving': not reason,
+            'reason': reason or group.reason,
+            'members': list(group.vms),
+        }
--- /dev/null
+++ b/balsamwind/objects/__init__.py
@@ -0,0 +1,47 @@
+"""Kinds of objects that the platform's object API keeps."""
+
+from balsamwind.objects._allocation import Allocation
+from balsamwind.objects._call import Answer
+from balsamwind.objects._call import CallRecord
+from balsamwind.objects._claim import Claim
+from balsamwind.objects._codec import decode
+from balsamwind.objects._codec import encode
+from balsamwind.objects._contract import check_contract
+from balsamwind.objects._contract import Contract
+from balsamwind.objects._contract import Limits
+from balsamwind.objects._contract import load_instant
+from balsamwind.objects._contract import make_key_hash
+from balsamwind.objects._contract import ModelTerms
+from balsamwind.objects._group import Group
+from balsamwind.objects._group import GroupState
+from balsamwind.objects._group import Member
+from balsamwind.objects._lease import Lease
+from balsamwind.objects._node import Node
+from balsamwind.objects._stored import KINDS
+from balsamwind.objects._stored import load_stored
+from balsamwind.objects._stored import Stored
+from balsamwind.objects._stored import WATCHED_KINDS
+
+__all__ = [
+    'KINDS',
+    'WATCHED_KINDS',
+    'Allocation',
+    'Answer',
+    'CallRecord',
+    'Claim',
+    'Contract',
+    'Group',
+    'GroupState',
+    'Lease',
+    'Limits',
+    'Member',
+    'ModelTerms',
+    'Node',
+    'Stored',
+    'check_contract',
+    'decode',
+    'encode',
+    'load_instant',
+    'load_stored',
+    'make_key_hash',
+]
--- /dev/null
+++ b/balsamwind/objects/_stored.py
@@ -0,0 +1,74 @@
+"""An object together with its place in the store's history."""
+
+import dataclasses
+
+from balsamwind.objects import _allocation
+from balsamwind.objects import _call
+from balsamwind.objects import _claim
+from balsamwind.objects import _codec
+from balsamwind.objects import _contract
+from balsamwind.objects import _group
+from balsamwind.objects import _lease
+from balsamwind.objects import _node
+
+KINDS = {
+    'allocation': _allocation.Allocation,
+    'call': _call.CallRecord,
+    'claim': _claim.Claim,
+    'contract': _contract.Contract,
+    'group': _group.Group,
+    'lease': _lease.Lease,
+    'node': _node.Node,
+}
+"""Data class of each kind of object."""
+
+WATCHED_KINDS = ('allocation', 'claim', 'contract', 'group', 'lease', 'node')
+"""Kinds that every node keeps in memory."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stored:
+    """One version of an object.
+
+    Parameters
+    ----------
+    kind : str
+        A key of `KINDS`.
+    name : str
+        Unique within the kind.
+    revision : int
+        Store revision of the write that made this version. It grows with
+        every write to any object, so the larger of two is the newer.
+    value : object or None
+        The data class; None says that the object was deleted.
+    """
+
+    kind: str
+    name: str
+    revision: int
+    value: object
+
+    @property
+    def key(self):
+        """Kind and name."""
+        return self.kind, self.name
+
+    @property
+    def deleted(self):
+        """Whether this version is a tombstone."""
+        return self.value is None
+
+
+def load_stored(data):
+    """Build a `Stored` from a plain mapping.
+
+    Raises
+    ------
+    TypeError, ValueError, KeyError
+        The mapping does not describe an object of a known kind.
+    """
+    kind = data['kind']
+    value = data.get('value')
+    if value is not None:
+        value = _codec.decode(KINDS[kind], value)
+    return Stored(kind, data['name'], int(data['revision']), value)
--- /dev/null
+++ b/balsamwind/ports/__init__.py
@@ -0,0 +1,43 @@
+"""Ports: what the decisions need from outside, as protocols.
+
+Each port is met by a module of :mod:`balsamwind.adapters` and, in tests, by a
+small fake.
+"""
+
+from balsamwind.ports._engine import Engine
+from balsamwind.ports._engine import EngineReport
+from balsamwind.ports._engine import EngineState
+from balsamwind.ports._engine import EngineStream
+from balsamwind.ports._engine import Finished
+from balsamwind.ports._engine import Generate
+from balsamwind.ports._engine import Order
+from balsamwind.ports._engine import Token
+from balsamwind.ports._platform import ListedVm
+from balsamwind.ports._platform import ObjectStore
+from balsamwind.ports._platform import Snapshot
+from balsamwind.ports._platform import VmList
+from balsamwind.ports._platform import VmState
+from balsamwind.ports._platform import WeightStore
+from balsamwind.ports._service import PlainService
+from balsamwind.ports._service import ServiceCall
+from balsamwind.ports._time import Clock
+
+__all__ = [
+    'Clock',
+    'Engine',
+    'EngineReport',
+    'EngineState',
+    'EngineStream',
+    'Finished',
+    'Generate',
+    'ListedVm',
+    'ObjectStore',
+    'Order',
+    'PlainService',
+    'ServiceCall',
+    'Snapshot',
+    'Token',
+    'VmList',
+    'VmState',
+    'WeightStore',
+]
--- /dev/null
+++ b/build_tools/cluster.py
@@ -0,0 +1,299 @@
+"""Start stand-ins and entries as separate processes over loopback."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+DATA_CENTRES = ('tbilisi-a', 'tbilisi-b', 'tbilisi-c')
+
+WAIT = 30.0
+"""Longest wait for a condition (seconds)."""
+
+
+class Cluster:
+    """Processes of one demonstration or test.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Folder for settings and logs.
+    domains : int
+        Fabric domains in each data centre (count).
+    vms_per_domain : int
+        VMs in each of them (count).
+    overrides : dict
+        Sections of the entries' settings to change.
+    """
+
+    def __init__(self, folder, domains=2, vms_per_domain=3, overrides=None):
+        self.folder = folder
+        self._overrides = overrides or {}
+        self._held = []
+        self.processes = {}
+        self.platform = self._address()
+        self.admin = {place: self._address() for place in DATA_CENTRES}
+        self.service = {place: self._address() for place in DATA_CENTRES}
+        self.vms = [
+            {
+                'name': f'{place}-d{domain}-v{number}',
+                'address': self._address(),
+                'data_centre': place,
+                'fabric_domain': f'{place}-d{domain}',
+                'accelerators': 2,
+                'state': 'live',
+            }
+            for place in DATA_CENTRES
+            for domain in range(domains)
+            for number in range(vms_per_domain)
+        ]
+        self.entries = {
+            f'entry-{place[-1]}{number}': {
+                'data_centre': place,
+                'callers': self._address(),
+                'operators': self._address(),
+                'peers': self._address(),
+            }
+            for place in DATA_CENTRES
+            for number in (1, 2)
+        }
+
+    def _address(self):
+        """A free loopback address, held until the processes start."""
+        holder = socket.socket()
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(('127.0.0.1', 0))
+        self._held.append(holder)
+        return f'127.0.0.1:{holder.getsockname()[1]}'
+
+    def settings(self, name):
+        """Settings of one entry."""
+        entry = self.entries[name]
+        settings = {
+            'node': {'name': name, 'data_centre': entry['data_centre']},
+            'listen': {
+                key: entry[key] for key in ('callers', 'operators', 'peers')
+            },
+            'platform': {
+                'url': f'http://{self.platform}',
+                'vm_list_interval': 0.5,
+            },
+            'peers': [
+                {
+                    'name': other,
+                    'data_centre': peer['data_centre'],
+                    'address': peer['peers'],
+                }
+                for other, peer in self.entries.items()
+                if other != name
+            ],
+            'services': [
+                {
+                    'name': 'circle-ledger',
+                    'backends': [
+                        {
+                            'name': f'ledger-{place}',
+                            'data_centre': place,
+                            'address': self.service[place],
+                        }
+                        for place in DATA_CENTRES
+                    ],
+                }
+            ],
+            'observation': {
+                'interval': 0.25,
+                'timeout': 0.5,
+                'stale_after': 1.5,
+            },
+            'control': {
+                'lease_duration': 2.0,
+                'lease_margin': 0.2,
+                'interval': 0.1,
+                'order_interval': 0.5,
+                'repair_after': 0.3,
+            },
+        }
+        for section, values in self._overrides.items():
+            settings.setdefault(section, {}).update(values)
+        return settings
+
+    def start(self):
+        """Start all processes."""
+        vms = self.folder / 'vms.json'
+        vms.write_text(json.dumps(self.vms), encoding='utf-8')
+        for holder in self._held:
+            holder.close()
+        self._spawn(
+            'platform',
+            'standins.platform',
+            '--port',
+            _port(self.platform),
+            '--vms',
+            vms,
+        )
+        for place in DATA_CENTRES:
+            self._spawn(
+                f'engines-{place}',
+                'standins.engines',
+                '--admin-port',
+                _port(self.admin[place]),
+                '--vms',
+                vms,
+                '--data-centre',
+                place,
+            )
+            self._spawn(
+                f'service-{place}',
+                'standins.services',
+                '--port',
+                _port(self.service[place]),
+            )
+        for name in self.entries:
+            self.start_entry(name)
+
+    def start_entry(self, name):
+        """Start one entry."""
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(self.settings(name)), encoding='utf-8')
+        self._spawn(name, 'balsamwind', 'entry', '--settings', path)
+
+    def _spawn(self, name, module, *arguments):
+        log = open(self.folder / f'{name}.log', 'ab')
+        with log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, '-m', module, *map(str, arguments)],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+            )
+
+    def stop(self):
+        """Stop all processes and wait for them."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def log(self, name):
+        """Log of one process."""
+        path = self.folder / f'{name}.log'
+        return path.read_text(encoding='utf-8', errors='replace')
+
+    def status(self, name):
+        """Status of one entry; None if it does not answer."""
+        try:
+            address = self.entries[name]['operators']
+            return get_json(f'http://{address}/status')
+        except (OSError, ValueError):
+            return None
+
+    def groups(self, name):
+        """Groups as one entry sees them."""
+        status = self.status(name)
+        return status['groups'] if status else []
+
+    def fault(self, vm, fault, value=None):
+        """Give a VM a fault."""
+        place = next(r['data_centre'] for r in self.vms if r['name'] == vm)
+        post_json(
+            f'http://{self.admin[place]}/admin/{vm}',
+            {'fault': fault, 'value': value},
+        )
+
+    def effects(self):
+        """Effects recorded by all plain services."""
+        return [
+            effect
+            for address in self.service.values()
+            for effect in get_json(f'http://{address}/admin')['effects']
+        ]
+
+    def command(self, *arguments):
+        """Run the command line; its completed process."""
+        environment = {
+            **os.environ,
+            'BALSAMWIND_PLATFORM': f'http://{self.platform}',
+        }
+        return subprocess.run(
+            [sys.executable, '-m', 'balsamwind', *map(str, arguments)],
+            cwd=ROOT,
+            env=environment,
+            capture_output=True,
+            text=True,
+            timeout=WAIT * 2,
+        )
+
+    def request(self, name, path, body=None, key='', headers=None):
+        """Send a caller's request to one entry; (status, headers, body)."""
+        url = f'http://{self.entries[name]["callers"]}{path}'
+        data = None if body is None else json.dumps(body).encode('utf-8')
+        request = urllib.request.Request(url, data)
+        request.add_header('Authorization', f'Bearer {key}')
+        request.add_header('Content-Type', 'application/json')
+        for field, value in (headers or {}).items():
+            request.add_header(field, value)
+        try:
+            with urllib.request.urlopen(request, timeout=WAIT) as answer:
+                return answer.status, dict(answer.headers), answer.read()
+        except urllib.error.HTTPError as error:
+            return error.code, dict(error.headers), error.read()
+
+
+@contextlib.contextmanager
+def open_cluster(**arguments):
+    """Run a cluster until the block ends."""
+    with tempfile.TemporaryDirectory() as folder:
+        cluster = Cluster(pathlib.Path(folder), **arguments)
+        try:
+            cluster.start()
+            yield cluster
+        finally:
+            cluster.stop()
+
+
+def _port(address):
+    return address.rsplit(':', 1)[1]
+
+
+def get_json(url):
+    """Fetch a JSON value."""
+    with urllib.request.urlopen(url, timeout=5.0) as answer:
+        return json.load(answer)
+
+
+def post_json(url, value):
+    """Send a JSON value."""
+    data = json.dumps(value).encode('utf-8')
+    with urllib.request.urlopen(url, data, timeout=5.0) as answer:
+        return json.load(answer)
+
+
+def wait_for(check, what, timeout=WAIT):
+    """Wait until `check()` is true; its value.
+
+    Raises
+    ------
+    AssertionError
+        It did not become true in time.
+    """
+    deadline = time.monotonic() + timeout
+    while True:
+        value = check()
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise AssertionError(f'not seen within {timeout} s: {what}')
+        time.sleep(0.05)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the backend servers, for tests and demo."""
--- /dev/null
+++ b/standins/services.py
@@ -0,0 +1,100 @@
+"""Stand-in of a plain service that records the effects of its calls.
+
+Faults are set by ``POST /admin``: ``refuse`` says "not run" that many
+times, ``lose_answers`` takes effect that many times and closes the
+connection, ``delay`` answers late (seconds).
+"""
+
+import argparse
+import asyncio
+import json
+
+from tornado import httpserver
+from tornado import web
+
+from standins import platform
+
+
+class Service:
+    """State of the service."""
+
+    def __init__(self):
+        self.effects = []
+        self.faults = {'refuse': 0, 'lose_answers': 0, 'delay': 0.0}
+
+    def balance(self, circle):
+        """Sum of the payouts of a circle."""
+        return sum(
+            effect['amount']
+            for effect in self.effects
+            if effect['circle'] == circle
+        )
+
+
+class _CallHandler(web.RequestHandler):
+    def initialize(self, service):
+        self.service = service
+
+    async def _answer(self, path):
+        faults = self.service.faults
+        if faults['refuse']:
+            faults['refuse'] -= 1
+            self.set_status(503)
+            self.finish({'not_run': True})
+            return
+        if self.request.method == 'POST':
+            effect = json.loads(self.request.body)
+            effect['key'] = self.request.headers.get('Idempotency-Key', '')
+            self.service.effects.append(effect)
+            body = {'recorded': len(self.service.effects)}
+        else:
+            circle = path.rsplit('/', 1)[-1]
+            body = {'balance': self.service.balance(circle)}
+        if faults['delay']:
+            await asyncio.sleep(faults['delay'])
+        if faults['lose_answers']:
+            faults['lose_answers'] -= 1
+            self.request.connection.stream.close()
+            return
+        self.finish(body)
+
+    get = post = _answer
+
+
+class _AdminHandler(web.RequestHandler):
+    def initialize(self, service):
+        self.service = service
+
+    def get(self):
+        self.write({'effects': self.service.effects})
+
+    def post(self):
+        self.service.faults.update(json.loads(self.request.body))
+        self.write({})
+
+
+def make_server(service):
+    """HTTP server of a service; it does not listen yet."""
+    arguments = {'service': service}
+    return httpserver.HTTPServer(
+        web.Application(
+            [
+                ('/admin', _AdminHandler, arguments),
+                ('/(.*)', _CallHandler, arguments),
+            ],
+            log_function=lambda handler: None,
+        )
+    )
+
+
+async def main():
+    """Run the service until it is killed."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--port', type=int, required=True)
+    arguments = parser.parse_args()
+    platform.listen(make_server(Service()), arguments.port)
+    await asyncio.Event().wait()
+
+
+if __name__ == '__main__':
+    asyncio.run(main())
