Resume streams by a plan, and route by wait

Cause: a reset before the headers was seen only at the time-out; the connection layer ends its reader without telling the delegate. A crash of a handler in mid-stream ended the body cleanly, because tornado finishes it. A silent engine was taken for a lost one and its group left service at all nodes. The wait for the first token ran twice, and events of an abandoned attempt kept it alive. The last chunk was awaited before the caller got its end.

Ruled out: raising time-outs (hides the reset), and marking groups down for any error (one bad event would stop a group everywhere).

Change: one pure plan (requests/_resume.py) decides between the same engine, the import of a KV cache, prefilling again, a short wait and an explicit error. Routing takes the shortest expected time to first token over a few candidates: holders of the prefix, its homes on a hash ring under a load bound, two random near groups and one far. Outliers are ejected by comparison with peers. The client repeats a request on a new connection only where the port allows it.

--- a/balsamwind/adapters/_caller_server.py
+++ b/balsamwind/adapters/_caller_server.py
@@ -84,15 +84,23 @@
                 customer = contract.customer
                 await run(contract)
         except exceptions.BalsamwindError as error:
-            code = error.code
-            if self._headers_written:
-                await self.break_off(error)
-            else:
-                self.write_error_body(error)
+            code = await self._answer_error(error)
         except (asyncio.CancelledError, iostream.StreamClosedError):
             code = 'caller_gone'
+        except Exception as error:
+            self.entry.log.exception('request_crashed')
+            code = await self._answer_error(
+                exceptions.BalsamwindError(type(error).__name__)
+            )
         self.entry.note_outcome(customer, code, self.request_id)
 
+    async def _answer_error(self, error):
+        if self._headers_written:
+            await self.break_off(error)
+        else:
+            self.write_error_body(error)
+        return error.code
+
     async def break_off(self, error):
         """End a body that has begun with an error, and without its end."""
         data = json.dumps(make_error(error, self.request_id))
--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -26,6 +26,12 @@
 CHUNK_SIZE = 65536
 """Largest body chunk (bytes)."""
 
+CONNECT_TIMEOUT = 2.0
+"""Longest wait for a connection (seconds)."""
+
+RELEASE_TIMEOUT = 1.0
+"""Longest wait for the end of a body that is no longer read (seconds)."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Response:
@@ -50,54 +56,93 @@
     """Collects what the connection reads, with back-pressure."""
 
     def __init__(self):
-        self.start = asyncio.get_running_loop().create_future()
+        self._loop = asyncio.get_running_loop()
+        self.start = self._loop.create_future()
         self.chunks = collections.deque()
         self.finished = False
         self.closed = False
-        self._arrived = asyncio.Event()
-        self._drained = asyncio.Event()
-        self._drained.set()
+        self.on_finish = None
+        self._arrived = None
+        self._drained = None
 
     def headers_received(self, start_line, headers):
         if not self.start.done():
             self.start.set_result((start_line.code, headers))
 
-    async def data_received(self, chunk):
+    def data_received(self, chunk):
         self.chunks.append(chunk)
-        self._arrived.set()
-        if len(self.chunks) >= MAX_BUFFERED_CHUNKS:
-            self._drained.clear()
-            await self._drained.wait()
+        self._wake()
+        if len(self.chunks) < MAX_BUFFERED_CHUNKS:
+            return None
+        self._drained = self._loop.create_future()
+        return self._drained
 
     def finish(self):
         self.finished = True
-        self._arrived.set()
+        self._wake()
+        if self.on_finish is not None:
+            self.on_finish()
 
     def on_connection_close(self):
         self.closed = True
-        self._arrived.set()
-        self._drained.set()
+        self._wake()
+        self._resume()
         if not self.start.done():
             self.start.set_exception(iostream.StreamClosedError())
             self.start.exception()
 
-    async def take(self):
-        """Next chunk; empty bytes at the end; None if it was cut."""
-        while not self.chunks:
-            if self.finished:
-                return b''
-            if self.closed:
-                return None
-            self._arrived.clear()
-            await self._arrived.wait()
-        chunk = self.chunks.popleft()
-        self._drained.set()
-        return chunk
+    def note_reader_done(self, task):
+        """Note that nothing more is read, for whatever reason."""
+        if not task.cancelled():
+            task.exception()
+        if not self.finished and not self.closed:
+            self.on_connection_close()
+
+    def _wake(self):
+        if self._arrived is not None and not self._arrived.done():
+            self._arrived.set_result(None)
+
+    def _resume(self):
+        if self._drained is not None and not self._drained.done():
+            self._drained.set_result(None)
+        self._drained = None
+
+    async def wait(self, timeout):
+        """Wait until there is something to take.
+
+        Raises
+        ------
+        TimeoutError
+            Nothing came within `timeout` seconds.
+        """
+        if self.chunks or self.finished or self.closed:
+            return
+        self._arrived = self._loop.create_future()
+        timer = self._loop.call_later(timeout, _set_timeout, self._arrived)
+        try:
+            await self._arrived
+        finally:
+            timer.cancel()
+            self._arrived = None
+
+    def take(self):
+        """All that has arrived; empty bytes at the end; None if cut."""
+        if self.chunks:
+            data = b''.join(self.chunks)
+            self.chunks.clear()
+            self._resume()
+            return data
+        return b'' if self.finished else None
 
     def discard(self):
         """Let the reader go on without a consumer."""
         self.chunks.clear()
-        self._drained.set()
+        self._resume()
+
+
+def _set_timeout(future):
+    if not future.done():
+        future.set_exception(TimeoutError())
 
 
 class StreamedResponse:
@@ -129,22 +174,19 @@
         balsamwind.exceptions.TransportError
             The body was cut, or nothing came within `timeout` seconds.
         """
-        if self._receiver.chunks:
-            return await self._receiver.take()
         try:
-            async with asyncio.timeout(timeout):
-                chunk = await self._receiver.take()
+            await self._receiver.wait(timeout)
         except TimeoutError:
             self.close()
-            raise exceptions.TransportError(
+            raise exceptions.AnswerTimeout(
                 f'{self._place}: no data for {timeout:.1f} s'
             ) from None
+        chunk = self._receiver.take()
         if chunk is None:
             self.close()
             raise exceptions.TransportError(f'{self._place}: body was cut')
         if not chunk:
-            self._client.give_back(self._place, self._connection, self._reader)
-            self._connection = None
+            self._keep()
         return chunk
 
     async def read_all(self, timeout):
@@ -154,6 +196,32 @@
             parts.append(part)
         return b''.join(parts)
 
+    def release(self):
+        """Keep the connection if the body ends soon, and without data."""
+        if self._connection is None:
+            return
+        if self._receiver.chunks or self._receiver.closed:
+            self.close()
+        elif self._receiver.finished:
+            self._keep()
+        else:
+            loop = asyncio.get_running_loop()
+            timer = loop.call_later(RELEASE_TIMEOUT, self.close)
+            self._receiver.on_finish = lambda: self._end_release(timer)
+
+    def _end_release(self, timer):
+        timer.cancel()
+        if self._connection is None:
+            return
+        if self._receiver.chunks:
+            self.close()
+        else:
+            self._keep()
+
+    def _keep(self):
+        connection, self._connection = self._connection, None
+        self._client.give_back(self._place, connection, self._reader)
+
     def close(self):
         """Close the connection, unless the body was read to its end."""
         if self._connection is not None:
@@ -180,7 +248,15 @@
         self.opened = 0
 
     async def fetch(
-        self, method, url, *, headers=(), body=b'', timeout, fresh=False
+        self,
+        method,
+        url,
+        *,
+        headers=(),
+        body=b'',
+        timeout,
+        fresh=False,
+        repeat=False,
     ):
         """Send a request and read the whole answer.
 
@@ -196,6 +272,7 @@
             body=body,
             timeout=timeout,
             fresh=fresh,
+            repeat=repeat,
         )
         try:
             content = await response.read_all(timeout)
@@ -204,7 +281,15 @@
         return Response(response.status, response.headers, content)
 
     async def open(
-        self, method, url, *, headers=(), body=b'', timeout, fresh=False
+        self,
+        method,
+        url,
+        *,
+        headers=(),
+        body=b'',
+        timeout,
+        fresh=False,
+        repeat=False,
     ):
         """Send a request and wait for the headers of the answer.
 
@@ -221,16 +306,44 @@
         fresh : bool
             Whether to use a new connection, so that an idle connection
             closed by the server can't leave the outcome in doubt.
+        repeat : bool
+            Whether the request may be sent again, on a new connection, if
+            an idle one proves closed before the answer begins.
 
         Returns
         -------
         StreamedResponse
+
+        Raises
+        ------
+        balsamwind.exceptions.TransportError
+            `sent` says whether a byte may have left.
         """
         parts = urllib.parse.urlsplit(url)
         place = f'{parts.hostname}:{parts.port}'
+        exchange = (place, method, parts, headers, body, timeout)
         stream = None if fresh else self._take_idle(place)
-        if stream is None:
-            stream = await self._connect(parts, place, timeout)
+        reused = stream is not None
+        if reused:
+            try:
+                return await self._exchange(stream, *exchange)
+            except exceptions.AnswerTimeout:
+                raise
+            except exceptions.TransportError:
+                if not repeat:
+                    raise
+        try:
+            stream = await self._connect(
+                parts, place, min(timeout, CONNECT_TIMEOUT)
+            )
+        except exceptions.TransportError as error:
+            error.sent = reused
+            raise
+        return await self._exchange(stream, *exchange)
+
+    async def _exchange(
+        self, stream, place, method, parts, headers, body, timeout
+    ):
         connection = http1connection.HTTP1Connection(
             stream,
             True,
@@ -238,13 +351,6 @@
                 chunk_size=CHUNK_SIZE, max_body_size=1 << 40
             ),
         )
-        return await self._exchange(
-            connection, place, method, parts, headers, body, timeout
-        )
-
-    async def _exchange(
-        self, connection, place, method, parts, headers, body, timeout
-    ):
         receiver = _Receiver()
         path = parts.path or '/'
         if parts.query:
@@ -261,12 +367,12 @@
             written.add_done_callback(lambda future: future.exception())
             connection.finish()
             reader = asyncio.ensure_future(connection.read_response(receiver))
-            reader.add_done_callback(_take_exception)
+            reader.add_done_callback(receiver.note_reader_done)
             async with asyncio.timeout(timeout):
                 await receiver.start
         except TimeoutError:
             connection.close()
-            raise exceptions.TransportError(
+            raise exceptions.AnswerTimeout(
                 f'{place}: no answer within {timeout:.1f} s'
             ) from None
         except (OSError, iostream.StreamClosedError) as error:
@@ -325,8 +431,3 @@
             for stream in idle:
                 stream.close()
         self._idle.clear()
-
-
-def _take_exception(task):
-    if not task.cancelled():
-        task.exception()
--- a/balsamwind/adapters/_metrics.py
+++ b/balsamwind/adapters/_metrics.py
@@ -33,8 +33,10 @@
         '_customers',
         'answer_seconds',
         'first_token_seconds',
+        'late_events',
         'outcomes',
         'registry',
+        'resumptions',
         'token_gap_seconds',
         'tokens',
     )
@@ -76,6 +78,17 @@
             ('customer', 'code'),
             registry=self.registry,
         )
+        self.late_events = prometheus_client.Counter(
+            'balsamwind_late_events',
+            'Events of abandoned attempts, dropped.',
+            registry=self.registry,
+        )
+        self.resumptions = prometheus_client.Counter(
+            'balsamwind_resumptions',
+            'Attempts after the first, by how they began.',
+            ('way',),
+            registry=self.registry,
+        )
 
     def customer(self, name):
         """Label of a customer; ``other`` once there are too many."""
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -1,6 +1,7 @@
 """State of one entry, and what its servers and loops ask of it."""
 
 import contextlib
+import dataclasses
 import random
 
 from balsamwind import admission
@@ -68,18 +69,19 @@
         self._keys = {}
         self._services = {s.name: s for s in settings.services}
         self._budget = admission.RetryBudget(settings.requests.retry_share)
-        chooser = routing.make_chooser(
-            settings.node.data_centre, self._rng.getrandbits(64)
+        self.router = routing.make_router(
+            settings.node.data_centre,
+            self._load_report,
+            self._rng.getrandbits(64),
         )
         self._completions = requests.Completions(
             engine,
             self.groups,
-            chooser,
-            self._reported_load,
+            self.router,
             self._budget,
             settings.requests,
             clock,
-            self.note_group_down,
+            self,
         )
         self._service_calls = requests.ServiceCalls(
             service, store, self._budget, settings.node, clock, self.make_id
@@ -203,13 +205,29 @@
     def _admit(self, contract):
         now = self.clock.monotonic()
         nodes = 1 + len(self.registry.alive(now))
+        self.router.loads.nodes = nodes
         return self.limits.admit(contract, nodes, now)
 
-    def _reported_load(self, group):
+    def _load_report(self, group):
         view = self.observations.get(group.head.vm)
-        if view is None or view.report is None:
-            return 0
-        return view.report.running + view.report.waiting
+        return None if view is None else view.report
+
+    def take_cache_events(self, report):
+        """Keep the cache events of a report here; the report without."""
+        if report is None or not report.cache_events:
+            return report
+        self.router.prefixes.apply_events(
+            report.group, report.generation, report.cache_events
+        )
+        return dataclasses.replace(report, cache_events=())
+
+    def note_late_events(self, count):
+        """Count events of abandoned attempts."""
+        self.metrics.late_events.inc(count)
+
+    def note_resumption(self, way):
+        """Count an attempt after the first, by its kind."""
+        self.metrics.resumptions.labels(way).inc()
 
     def note_group_down(self, group, reason):
         """Take a group out of service here and at all peers."""
--- a/balsamwind/entry/_observer.py
+++ b/balsamwind/entry/_observer.py
@@ -90,7 +90,7 @@
         except exceptions.BalsamwindError as error:
             self._note(vm, None, error)
         else:
-            self._note(vm, report, None)
+            self._note(vm, self._entry.take_cache_events(report), None)
         finally:
             self._polling.discard(vm)
 
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -175,6 +175,19 @@
         return OUTCOME_UNKNOWN if self.sent else NOT_RUN
 
 
+class AnswerTimeout(TransportError):
+    """A backend server was silent for too long; its connection holds."""
+
+    code = 'answer_timeout'
+    status = 504
+
+
+class BadAnswer(TransportError):
+    """An answer is malformed, or not the one that was expected."""
+
+    code = 'bad_answer'
+
+
 class BackendRefused(BalsamwindError):
     """A backend server itself says that it did not run the request."""
 
--- a/balsamwind/ports/__init__.py
+++ b/balsamwind/ports/__init__.py
@@ -4,12 +4,14 @@
 small fake.
 """
 
+from balsamwind.ports._engine import CacheEvent
 from balsamwind.ports._engine import Engine
 from balsamwind.ports._engine import EngineReport
 from balsamwind.ports._engine import EngineState
 from balsamwind.ports._engine import EngineStream
 from balsamwind.ports._engine import Finished
 from balsamwind.ports._engine import Generate
+from balsamwind.ports._engine import KvExport
 from balsamwind.ports._engine import Order
 from balsamwind.ports._engine import Token
 from balsamwind.ports._platform import ListedVm
@@ -23,6 +25,7 @@
 from balsamwind.ports._time import Clock
 
 __all__ = [
+    'CacheEvent',
     'Clock',
     'Engine',
     'EngineReport',
@@ -30,6 +33,7 @@
     'EngineStream',
     'Finished',
     'Generate',
+    'KvExport',
     'ListedVm',
     'ObjectStore',
     'Order',
--- a/balsamwind/ports/_engine.py
+++ b/balsamwind/ports/_engine.py
@@ -15,6 +15,23 @@
     DRAINING = 'draining'
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CacheEvent:
+    """Change of the prompt prefixes that an engine has in its cache.
+
+    Parameters
+    ----------
+    sequence : int
+        Place among the events of the engine, without gaps, from 1.
+    stored, removed : tuple of int
+        Hashes of prompt blocks, see :func:`balsamwind.routing.hash_blocks`.
+    """
+
+    sequence: int
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineReport:
     """Load report of one engine; it lags.
@@ -37,6 +54,12 @@
         Largest fencing number of an order it obeyed.
     cached : tuple of str
         ``model@version`` whose weights the VM holds.
+    slots : int
+        Requests that fit in the batch (count); 0 if not said.
+    prefill_rate : float
+        Prompt tokens prefilled a second (1/s); 0 if not said.
+    cache_events : tuple of CacheEvent
+        Last events of the prefix cache, in order; what is older is lost.
     """
 
     vm: str
@@ -49,6 +72,9 @@
     waiting: int = 0
     fencing: int = 0
     cached: tuple[str, ...] = ()
+    slots: int = 0
+    prefill_rate: float = 0.0
+    cache_events: tuple[CacheEvent, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -163,6 +189,32 @@
     tokens: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class KvExport:
+    """KV cache of one request that an engine holds ready to be fetched.
+
+    Parameters
+    ----------
+    source : str
+        Address of the engine that holds it.
+    handle : str
+        Name of it there.
+    model, version : str
+        What produced it; only the same can import it.
+    tokens : int
+        Tokens that it covers, the prompt included (count).
+    size : int
+        Size (bytes).
+    """
+
+    source: str
+    handle: str
+    model: str
+    version: str
+    tokens: int
+    size: int
+
+
 class EngineStream(typing.Protocol):
     """Answer of one attempt, as it is generated."""
 
@@ -200,3 +252,21 @@
         balsamwind.exceptions.TransportError
             `sent` says whether a byte may have left.
         """
+
+    async def export_kv(self, address, request_id, timeout):
+        """Ask for the KV cache of a request; a `KvExport`.
+
+        Raises
+        ------
+        balsamwind.exceptions.BackendRefused
+            The engine does not hold it.
+        """
+
+    async def import_kv(self, address, request_id, export, timeout):
+        """Have the engine at `address` fetch a `KvExport` from its source.
+
+        Raises
+        ------
+        balsamwind.exceptions.BackendRefused
+            It does not fit, or the source no longer holds it.
+        """
--- a/balsamwind/requests/__init__.py
+++ b/balsamwind/requests/__init__.py
@@ -3,13 +3,35 @@
 from balsamwind.requests._answers import AnswerChecker
 from balsamwind.requests._completions import CompletionRequest
 from balsamwind.requests._completions import Completions
+from balsamwind.requests._resume import Candidate
+from balsamwind.requests._resume import classify_failure
+from balsamwind.requests._resume import EngineRates
+from balsamwind.requests._resume import Failure
+from balsamwind.requests._resume import GiveUp
+from balsamwind.requests._resume import ImportCache
+from balsamwind.requests._resume import plan_attempt
+from balsamwind.requests._resume import Prefill
+from balsamwind.requests._resume import Progress
+from balsamwind.requests._resume import Reattach
+from balsamwind.requests._resume import Wait
 from balsamwind.requests._service_calls import load_body
 from balsamwind.requests._service_calls import ServiceCalls
 
 __all__ = [
     'AnswerChecker',
+    'Candidate',
     'CompletionRequest',
     'Completions',
+    'EngineRates',
+    'Failure',
+    'GiveUp',
+    'ImportCache',
+    'Prefill',
+    'Progress',
+    'Reattach',
     'ServiceCalls',
+    'Wait',
+    'classify_failure',
     'load_body',
+    'plan_attempt',
 ]
--- a/balsamwind/requests/_answers.py
+++ b/balsamwind/requests/_answers.py
@@ -39,7 +39,7 @@
 
         Raises
         ------
-        balsamwind.exceptions.TransportError
+        balsamwind.exceptions.BadAnswer
             A token is missing, repeated, or comes after the finish mark.
         """
         tokens = []
@@ -48,7 +48,7 @@
                 self.late += 1
                 continue
             if self._finished is not None:
-                raise exceptions.TransportError('event after the finish mark')
+                raise exceptions.BadAnswer('event after the finish mark')
             match event:
                 case ports.Token(index=index, text=text):
                     self._check_index(index)
@@ -61,6 +61,6 @@
 
     def _check_index(self, index):
         if index != self._next_index:
-            raise exceptions.TransportError(
+            raise exceptions.BadAnswer(
                 f'got token {index}, expected {self._next_index}'
             )
--- a/balsamwind/requests/_completions.py
+++ b/balsamwind/requests/_completions.py
@@ -1,5 +1,6 @@
 """One completion: choose a group, relay its tokens, resume if it breaks."""
 
+import asyncio
 import contextlib
 import dataclasses
 
@@ -7,12 +8,13 @@
 from balsamwind import objects
 from balsamwind import ports
 from balsamwind.requests import _answers
+from balsamwind.requests import _resume
 
 RETRY_AFTER = 2.0
 """When a caller may come back if no group serves (seconds)."""
 
-MAX_ATTEMPTS = 4
-"""Attempts for one request (count)."""
+CACHE_TIMEOUT = 2.0
+"""Time-out of one export or import of a KV cache (seconds)."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -52,52 +54,51 @@
         Model engines.
     groups : balsamwind.membership.GroupTable
         Groups that may serve.
-    chooser : balsamwind.routing.Chooser
+    router : balsamwind.routing.Router
         Choice among them.
-    reported_load : callable
-        Group -> requests there as last reported (count).
     budget : balsamwind.admission.RetryBudget
         Retries allowed.
     settings : balsamwind.settings.RequestSettings
         Time-outs.
     clock : balsamwind.ports.Clock
         Source of time.
-    note_down : callable
-        Called with (group, reason) when a group proves broken.
+    listener : object
+        Told of what is seen: ``note_group_down(group, reason)``,
+        ``note_late_events(count)`` and ``note_resumption(way)``.
+    rates : EngineRates
+        What the cost of a resumption is worked out from.
     """
 
     __slots__ = (
         '_budget',
-        '_chooser',
         '_clock',
         '_engine',
         '_groups',
-        '_note_down',
-        '_reported_load',
+        '_listener',
+        '_rates',
+        '_router',
         '_settings',
-        'late_events',
     )
 
     def __init__(
         self,
         engine,
         groups,
-        chooser,
-        reported_load,
+        router,
         budget,
         settings,
         clock,
-        note_down,
+        listener,
+        rates=None,
     ):
         self._engine = engine
         self._groups = groups
-        self._chooser = chooser
-        self._reported_load = reported_load
+        self._router = router
         self._budget = budget
         self._settings = settings
         self._clock = clock
-        self._note_down = note_down
-        self.late_events = 0
+        self._listener = listener
+        self._rates = rates or _resume.EngineRates()
 
     async def run(self, request):
         """Generate the answer.
@@ -115,46 +116,93 @@
             The answer is not whole and can not be resumed. If the
             generator ends without an error, the answer is whole.
         """
-        received = []
-        tried = []
-        sent = False
-        error = None
+        run = _Run(request, self._router.hash_prompt(request))
         self._budget.note_first_try()
         while True:
-            group = self._choose(request, tried)
-            if group is None or len(tried) >= MAX_ATTEMPTS:
-                raise self._give_up(request, received, sent, error)
-            if tried and not self._budget.take():
-                raise self._give_up(request, received, sent, error)
-            tried.append(group.name)
-            attempt = self._attempt(group, request, received, len(tried))
+            choice = await self._next_choice(run)
+            attempt = self._attempt(choice, run)
             try:
                 async with contextlib.aclosing(attempt) as batches:
                     async for batch in batches:
-                        sent = True
-                        received.extend(batch)
+                        run.take(batch, choice.group)
                         yield batch
                 return
-            except exceptions.BackendRefused as refused:
-                error = refused
-            except exceptions.TransportError as broken:
-                sent = sent or broken.sent
-                error = broken
-            self._note_failure(group, error)
-
-    def _choose(self, request, tried):
+            except (
+                exceptions.BackendRefused,
+                exceptions.TransportError,
+            ) as error:
+                run.fail(error)
+                self._note_failure(choice.group, run.failure, error)
+
+    async def _next_choice(self, run):
+        """Group of the next attempt; raises if the request is given up."""
+        while True:
+            step = self._plan(run)
+            match step:
+                case _resume.GiveUp(error=error):
+                    raise run.make_error(error)
+                case _resume.Wait(delay=delay):
+                    run.start_waiting(self._clock.monotonic())
+                    await asyncio.sleep(delay)
+                    continue
+                case _resume.ImportCache(source=source, group=group):
+                    await self._move_cache(run, source, group)
+            if run.failure is not None:
+                self._pay(run)
+                self._listener.note_resumption(type(step).__name__)
+            run.waiting_since = None
+            return self._router.admit(step.group, run.blocks)
+
+    def _plan(self, run):
         now = self._clock.monotonic()
-        if now >= request.deadline:
-            return None
+        request = run.request
         serving = self._groups.serving(
             request.contract.customer, request.model, now
         )
-        return self._chooser.choose(serving, self._reported_load, tried)
+        choice = self._router.choose(serving, run.blocks, now, run.tried)
+        target = choice and _resume.Candidate(choice.group, choice.wait)
+        source = None
+        if run.source is not None and run.failure is not None:
+            wait = self._router.expected_wait(run.source, (), now)
+            source = _resume.Candidate(run.source, wait)
+        can_export = source is not None and run.may_export
+        if source is not None and run.source not in serving:
+            source = source if can_export else None
+        return _resume.plan_attempt(
+            run.progress(now), target, source, can_export, self._rates
+        )
 
-    async def _attempt(self, group, request, received, number):
+    def _pay(self, run):
+        """Spend a retry, unless the group was lost or left."""
+        if run.failure.takes_group_down:
+            return
+        if not self._budget.take():
+            progress = run.progress(self._clock.monotonic())
+            raise run.make_error(_resume.choose_error(progress))
+
+    async def _move_cache(self, run, source, group):
+        request_id = run.request.request_id
+        left = run.request.deadline - self._clock.monotonic()
+        timeout = min(CACHE_TIMEOUT, left)
+        try:
+            export = await self._engine.export_kv(
+                source.head.address, request_id, timeout
+            )
+            await self._engine.import_kv(
+                group.head.address, request_id, export, timeout
+            )
+        except exceptions.BalsamwindError:
+            # The group prefills what it could not import.
+            run.cache_lost = True
+
+    async def _attempt(self, choice, run):
+        request = run.request
+        group = choice.group
+        number = run.begin(group.name)
         attempt_id = f'{request.request_id}.{number}'
-        checker = _answers.AnswerChecker(attempt_id, len(received))
-        left = request.deadline - self._clock.monotonic()
+        checker = _answers.AnswerChecker(attempt_id, len(run.received))
+        now = self._clock.monotonic()
+        left = request.deadline - now
         call = ports.Generate(
             request_id=request.request_id,
             attempt_id=attempt_id,
@@ -164,52 +212,146 @@
             prompt=request.prompt,
             max_tokens=request.max_tokens,
             priority=request.contract.priority,
-            resume=tuple(received),
+            resume=tuple(run.received),
             timeout=left,
         )
-        timeout = min(self._settings.first_token_timeout, left)
-        with self._chooser.track(group.name):
+        patience = self._settings.first_token_timeout + choice.wait
+        limit = min(now + patience, request.deadline)
+        with self._router.track(choice, now) as tracker:
             stream = await self._engine.generate(
-                group.head.address, call, timeout
+                group.head.address, call, limit - now
             )
             try:
-                async for tokens in self._relay(stream, checker, request):
+                relay = self._relay(stream, checker, request, limit, tracker)
+                async for tokens in relay:
                     yield tokens
             finally:
-                self.late_events += checker.late
+                if checker.late:
+                    self._listener.note_late_events(checker.late)
                 stream.close()
 
-    async def _relay(self, stream, checker, request):
-        timeout = self._settings.first_token_timeout
-        while True:
-            left = request.deadline - self._clock.monotonic()
-            if left <= 0:
-                raise exceptions.DeadlineExceeded('the deadline has passed')
-            events = await stream.read(min(timeout, left))
+    async def _relay(self, stream, checker, request, limit, tracker):
+        clock = self._clock.monotonic
+        while checker.finished is None:
+            now = clock()
+            if now >= limit:
+                raise exceptions.AnswerTimeout('no token of this attempt')
+            events = await stream.read(limit - now)
             if not events:
-                break
+                raise exceptions.BadAnswer('body ended before the answer')
             tokens = checker.accept(events)
             if tokens:
+                now = clock()
+                tracker.note_tokens(len(tokens), now)
+                limit = min(
+                    now + self._settings.token_timeout, request.deadline
+                )
                 yield tokens
-            timeout = self._settings.token_timeout
-        if checker.finished is None:
-            raise exceptions.TransportError('body ended before the answer')
-
-    def _note_failure(self, group, error):
-        match error:
-            case exceptions.BackendRefused(reason='wrong_group'):
-                self._note_down(group, str(error))
-            case exceptions.TransportError():
-                self._note_down(group, str(error))
-
-    def _give_up(self, request, received, sent, error):
-        if received:
-            return exceptions.StreamBroken(f'answer broke off: {error}')
-        if self._clock.monotonic() >= request.deadline:
-            return exceptions.DeadlineExceeded('no answer in time')
-        if sent:
-            return exceptions.OutcomeUnknown(f'no answer: {error}')
-        return exceptions.NoCapacity(
-            f'no replica group serves {request.model} now',
-            retry_after=RETRY_AFTER,
+
+    def _note_failure(self, group, failure, error):
+        self._router.note_failure(group, self._clock.monotonic())
+        if failure.takes_group_down:
+            self._listener.note_group_down(group, str(error))
+
+
+class _Run:
+    """Where one request stands."""
+
+    __slots__ = (
+        'blocks',
+        'cache_lost',
+        'error',
+        'failure',
+        'failures',
+        'received',
+        'request',
+        'resumptions',
+        'sent',
+        'source',
+        'tried',
+        'waiting_since',
+    )
+
+    def __init__(self, request, blocks):
+        self.request = request
+        self.blocks = blocks
+        self.received = []
+        self.tried = []
+        self.source = None
+        self.sent = False
+        self.error = None
+        self.failure = None
+        self.failures = 0
+        self.resumptions = 0
+        self.waiting_since = None
+        self.cache_lost = False
+
+    @property
+    def may_export(self):
+        """Whether the engine of the last tokens may still hold the cache."""
+        if self.cache_lost or not self.received:
+            return False
+        return self.failure in (
+            _resume.Failure.LEFT,
+            _resume.Failure.SILENT,
+            _resume.Failure.BAD_ANSWER,
+        )
+
+    def begin(self, group):
+        """Note an attempt at `group`; its number."""
+        self.tried.append(group)
+        return len(self.tried)
+
+    def take(self, tokens, group):
+        """Note that the caller gets `tokens` of `group`."""
+        self.received.extend(tokens)
+        self.source = group
+        self.sent = True
+        self.failures = 0
+        self.cache_lost = False
+
+    def fail(self, error):
+        """Note that an attempt ended with `error`."""
+        self.error = error
+        self.failure = _resume.classify_failure(error)
+        self.failures += 1
+        self.resumptions += 1
+        if isinstance(error, exceptions.TransportError) and error.sent:
+            self.sent = True
+
+    def start_waiting(self, now):
+        """Note that no group serves."""
+        if self.waiting_since is None:
+            self.waiting_since = now
+
+    def progress(self, now):
+        """What the decision on the next attempt needs."""
+        waited = 0.0
+        if self.waiting_since is not None:
+            waited = now - self.waiting_since
+        return _resume.Progress(
+            tokens=len(self.received),
+            prompt_tokens=(
+                len(self.request.prompt) / _resume.CHARACTERS_PER_TOKEN
+            ),
+            failures=self.failures,
+            resumptions=self.resumptions,
+            sent=self.sent,
+            failure=self.failure,
+            time_left=self.request.deadline - now,
+            waited=waited,
         )
+
+    def make_error(self, cls):
+        """Error of class `cls` for the caller."""
+        if self.error is None:
+            message = f'no replica group serves {self.request.model} now'
+        else:
+            message = f'gave up after {len(self.tried)} tries: {self.error}'
+        retry_after = getattr(self.error, 'retry_after', None) or RETRY_AFTER
+        if not issubclass(cls, exceptions.RequestNotRun):
+            retry_after = None
+        error = cls(message, retry_after)
+        if self.received:
+            error.run = exceptions.RUN
+        return error
--- /dev/null
+++ b/balsamwind/routing/_loads.py
@@ -0,0 +1,145 @@
+"""Expected wait at a group, from lagged reports and own requests."""
+
+DEFAULT_SLOTS = 32
+"""Requests that fit in a batch, where an engine does not say (count)."""
+
+DEFAULT_PREFILL_RATE = 4000.0
+"""Prompt tokens prefilled a second, where an engine does not say (1/s)."""
+
+DEFAULT_ANSWER_TIME = 5.0
+"""Time a request keeps its slot, until answers were seen (seconds)."""
+
+LOAD_COST = 0.001
+"""Time that each request in the batch adds to the first token (seconds)."""
+
+ANSWER_TIME_WEIGHT = 0.05
+"""Weight of the newest answer in the mean answer time."""
+
+
+class _GroupLoad:
+    """Own requests at one group, and the report they correct."""
+
+    __slots__ = (
+        'finished_since',
+        'in_flight',
+        'report',
+        'started_since',
+        'started_tokens',
+    )
+
+    def __init__(self):
+        self.report = None
+        self.in_flight = 0
+        self.started_since = 0
+        self.started_tokens = 0.0
+        self.finished_since = 0
+
+
+class LoadTable:
+    """Load of each group, as reported and corrected.
+
+    A report says nothing of what was sent since it was made. Own requests
+    since then are added; as the balancer spreads callers evenly, the other
+    nodes are taken to have sent as many each, scaled by `peer_share`.
+
+    Parameters
+    ----------
+    load_report : callable
+        Group -> last report of its head, or None.
+    peer_share : float
+        Part of the other nodes' requests since the report that own ones
+        stand for, 0 to 1.
+    """
+
+    __slots__ = (
+        '_answer_time',
+        '_groups',
+        '_load_report',
+        '_peer_share',
+        'nodes',
+    )
+
+    def __init__(self, load_report, peer_share=0.5):
+        self._load_report = load_report
+        self._peer_share = peer_share
+        self._groups = {}
+        self._answer_time = DEFAULT_ANSWER_TIME
+        self.nodes = 1
+
+    @property
+    def in_flight(self):
+        """Own requests sent and not yet answered (count)."""
+        return sum(load.in_flight for load in self._groups.values())
+
+    def start(self, group, tokens):
+        """Note an own request that has `tokens` to prefill."""
+        load = self._refresh(group)
+        load.in_flight += 1
+        load.started_since += 1
+        load.started_tokens += tokens
+
+    def finish(self, group, answer_time):
+        """Note the end of an own request after `answer_time` seconds."""
+        load = self._refresh(group)
+        load.in_flight -= 1
+        load.finished_since += 1
+        if answer_time is not None:
+            step = answer_time - self._answer_time
+            self._answer_time += ANSWER_TIME_WEIGHT * step
+
+    def forget(self, names):
+        """Drop idle groups that are not in `names`."""
+        for name, load in list(self._groups.items()):
+            if not load.in_flight and name not in names:
+                del self._groups[name]
+
+    def load(self, group):
+        """Requests at a group (count), as far as can be told."""
+        load = self._refresh(group)
+        reported = 0
+        if load.report is not None:
+            reported = load.report.running + load.report.waiting
+        sent = load.started_since * self._factor
+        gone = load.finished_since * self._factor
+        return max(reported + sent - gone, load.in_flight)
+
+    def wait(self, group):
+        """Expected time until a new request is prefilled (seconds)."""
+        load = self._refresh(group)
+        report = load.report
+        slots, rate, waiting = DEFAULT_SLOTS, DEFAULT_PREFILL_RATE, 0
+        if report is not None:
+            slots = report.slots or slots
+            rate = report.prefill_rate or rate
+            waiting = report.waiting
+        count = self.load(group)
+        backlog = load.started_tokens * self._factor / rate
+        queue = 0.0
+        if count >= slots:
+            queue = (count - slots + 1) * self._answer_time / slots
+        elif waiting:
+            queue = waiting * LOAD_COST
+        return backlog + queue + count * LOAD_COST
+
+    def prefill_rate(self, group):
+        """Prompt tokens prefilled a second at a group (1/s)."""
+        report = self._refresh(group).report
+        if report is None or not report.prefill_rate:
+            return DEFAULT_PREFILL_RATE
+        return report.prefill_rate
+
+    @property
+    def _factor(self):
+        return 1.0 + (self.nodes - 1) * self._peer_share
+
+    def _refresh(self, group):
+        load = self._groups.get(group.name)
+        if load is None:
+            load = self._groups[group.name] = _GroupLoad()
+        report = self._load_report(group)
+        if report is not load.report:
+            load.report = report
+            load.started_since = 0
+            load.started_tokens = 0.0
+            load.finished_since = 0
+        return load
--- /dev/null
+++ b/balsamwind/routing/_pool.py
@@ -0,0 +1,72 @@
+"""Groups that serve one model, arranged for quick choices."""
+
+import bisect
+
+import xxhash
+
+VIRTUAL_NODES = 16
+"""Points of one group on the hash ring (count)."""
+
+
+class Pool:
+    """Groups by data centre, and a hash ring over the near ones.
+
+    Parameters
+    ----------
+    groups : sequence of balsamwind.objects.Group
+        Groups that may serve.
+    data_centre : str
+        Own data centre.
+
+    References
+    ----------
+    D. Karger et al., "Consistent hashing and random trees", Proceedings of
+    the 29th ACM Symposium on Theory of Computing, 1997.
+    """
+
+    __slots__ = (
+        '_points',
+        '_ring',
+        'by_name',
+        'far',
+        'groups',
+        'mean_load',
+        'near',
+    )
+
+    def __init__(self, groups, data_centre):
+        self.groups = groups
+        self.mean_load = 0.0
+        self.by_name = {group.name: group for group in groups}
+        self.near = [g for g in groups if g.data_centre == data_centre]
+        self.far = [g for g in groups if g.data_centre != data_centre]
+        self._points = []
+        self._ring = []
+        self._make_ring()
+
+    def _make_ring(self):
+        points = sorted(
+            (xxhash.xxh64_intdigest(group.name.encode(), number), group.name)
+            for group in self.near or self.far
+            for number in range(VIRTUAL_NODES)
+        )
+        self._points = [point for point, _ in points]
+        self._ring = [name for _, name in points]
+
+    def measure(self, load):
+        """Work out the mean of `load` over the groups."""
+        total = sum(load(group) for group in self.groups)
+        self.mean_load = total / len(self.groups)
+
+    def homes(self, key, count):
+        """First `count` groups on the ring after `key`, as names."""
+        names = []
+        size = len(self._ring)
+        start = bisect.bisect_left(self._points, key)
+        for offset in range(size):
+            name = self._ring[(start + offset) % size]
+            if name not in names:
+                names.append(name)
+                if len(names) >= count:
+                    break
+        return names
