Export and import KV caches at the engine port

Cause: an answer that broke off was prefilled again in full, though a silent or draining engine still holds its cache.

The cache goes from engine to engine; the entry carries only its handle.

Ruled out: carrying the bytes through the entry (160 KB a token).

--- a/balsamwind/adapters/tests/test_caller_streams.py
+++ b/balsamwind/adapters/tests/test_caller_streams.py
@@ -79,7 +79,8 @@
         engine = scripted.ScriptedEngine([script])
         async with open_caller(engine) as (caller, port):
             reader, writer = await send(port)
-            data = await reader.read()
+            async with asyncio.timeout(5.0):
+                data = await reader.read()
             writer.close()
             return caller.outcomes, data
 
@@ -101,9 +102,10 @@
             caller.log = _Log()
             caller.complete = _crash
             reader, writer = await send(port, stream=stream)
-            data = await reader.read(65536)
-            if stream:
-                data += await reader.read()
+            async with asyncio.timeout(5.0):
+                data = await reader.read(65536)
+                if stream:
+                    data += await reader.read()
             writer.close()
             return caller, data
 
--- a/standins/engines.py
+++ b/standins/engines.py
@@ -4,22 +4,44 @@
 the whole answer is. Faults are set by ``POST /admin/<vm>`` at the control
 listener: ``kill`` closes the listener and all connections, ``revive`` opens
 it again with the state it had, ``wipe`` revives it empty, ``stall`` stops
-all answers, ``slow`` stretches the time between tokens.
+all answers, ``slow`` stretches the time between tokens, ``drain`` refuses
+new requests, ``lose_events`` drops cache events and so leaves a gap.
+
+Published formats: cache events in the load report (hashes as made by
+:func:`balsamwind.routing.hash_blocks`); ``POST /engine/kv/export`` with
+``{"request_id"}`` answers a `KvExport`; ``POST /engine/kv/import`` with
+``{"request_id", "export"}`` fetches it from its source by ``GET
+/engine/kv/<handle>``.
 """
 
 import argparse
 import asyncio
+import collections
 import dataclasses
 import json
 
+from tornado import httpclient
 from tornado import httpserver
 from tornado import iostream
 from tornado import web
 
 from balsamwind import objects
 from balsamwind import ports
+from balsamwind import routing
 from standins import platform
 
+MAX_BLOCKS = 256
+"""Prompt blocks in the cache of one engine (count)."""
+
+MAX_EVENTS = 16
+"""Cache events in a report (count)."""
+
+MAX_KV = 100
+"""Requests whose KV cache an engine keeps (count)."""
+
+KV_TOKEN_SIZE = 160000
+"""KV cache of one token (bytes)."""
+
 
 def make_answer(prompt, count):
     """Tokens of the whole answer to a prompt."""
@@ -48,6 +70,35 @@
         return next(vm for vm in self.vms.values() if vm.name == name)
 
 
+class PrefixCache:
+    """Prompt blocks in the cache of one engine, and what changed."""
+
+    def __init__(self):
+        self.blocks = collections.OrderedDict()
+        self.events = collections.deque(maxlen=MAX_EVENTS)
+        self.sequence = 0
+
+    def take(self, blocks):
+        """Prefill the blocks that are missing; how many were (count)."""
+        missing = [block for block in blocks if block not in self.blocks]
+        for block in blocks:
+            self.blocks[block] = None
+            self.blocks.move_to_end(block)
+        removed = []
+        while len(self.blocks) > MAX_BLOCKS:
+            removed.append(self.blocks.popitem(last=False)[0])
+        if missing or removed:
+            self.sequence += 1
+            self.events.append(
+                ports.CacheEvent(self.sequence, tuple(missing), tuple(removed))
+            )
+        return len(missing)
+
+    def clear(self):
+        """Lose everything."""
+        self.__init__()
+
+
 class Vm:
     """One VM and its engine."""
 
@@ -65,6 +116,9 @@
         self.running = 0
         self.started = 0
         self.attempts = []
+        self.cache = PrefixCache()
+        self.kv = collections.OrderedDict()
+        self.draining = False
         self._server = None
 
     @property
@@ -80,6 +134,9 @@
                 ('/engine/report', _ReportHandler, arguments),
                 ('/engine/orders', _OrderHandler, arguments),
                 ('/engine/generate', _GenerateHandler, arguments),
+                ('/engine/kv/export', _ExportHandler, arguments),
+                ('/engine/kv/import', _ImportHandler, arguments),
+                ('/engine/kv/([^/]+)', _KvHandler, arguments),
             ],
             log_function=lambda handler: None,
         )
@@ -102,9 +159,32 @@
         self.order = None
         self.state = ports.EngineState.EMPTY
         self.cached = set()
+        self.cache.clear()
+        self.kv.clear()
         if not self.alive:
             self.revive()
 
+    def keep_kv(self, request_id, tokens):
+        """Keep the KV cache of a request, for a while."""
+        self.kv[request_id] = tokens
+        self.kv.move_to_end(request_id)
+        if len(self.kv) > MAX_KV:
+            self.kv.popitem(last=False)
+
+    def export_kv(self, request_id):
+        """What another engine may fetch; None if it is not held."""
+        if request_id not in self.kv or not self.whole():
+            return None
+        tokens = self.kv[request_id]
+        return ports.KvExport(
+            source=self.address,
+            handle=request_id,
+            model=self.order.model,
+            version=self.order.version,
+            tokens=tokens,
+            size=tokens * KV_TOKEN_SIZE,
+        )
+
     def whole(self):
         """Whether every member of this VM's group is here and well."""
         if self.order is None:
@@ -123,6 +203,8 @@
         state = self.state
         if state is ports.EngineState.READY and not self.whole():
             state = ports.EngineState.BROKEN
+        elif state is ports.EngineState.READY and self.draining:
+            state = ports.EngineState.DRAINING
         return ports.EngineReport(
             vm=self.name,
             state=state,
@@ -133,6 +215,7 @@
             running=self.running,
             fencing=self.fencing,
             cached=tuple(sorted(self.cached)),
+            cache_events=tuple(self.cache.events),
         )
 
     def take_order(self, order):
@@ -152,6 +235,8 @@
         ):
             return ''
         self.order = order
+        self.cache.clear()
+        self.kv.clear()
         self.state = ports.EngineState.LOADING
         asyncio.ensure_future(self._load(order))
         return ''
@@ -209,6 +294,7 @@
             self.refuse(503, report.state.value)
             return
         vm.started += 1
+        vm.cache.take(routing.hash_blocks(call.model, call.prompt))
         vm.attempts.append(call.attempt_id)
         vm.running += 1
         try:
@@ -236,6 +322,7 @@
                     'text': tokens[index],
                 }
             )
+            self.vm.keep_kv(call.request_id, len(tokens) + index + 1)
         await self._write(
             {
                 'attempt': call.attempt_id,
@@ -250,6 +337,44 @@
         await self.flush()
 
 
+class _ExportHandler(_Handler):
+    def post(self):
+        request_id = json.loads(self.request.body)['request_id']
+        export = self.vm.export_kv(request_id)
+        if export is None:
+            self.refuse(404, 'no_cache')
+        else:
+            self.finish(json.dumps(objects.encode(export)))
+
+
+class _KvHandler(_Handler):
+    def get(self, handle):
+        export = self.vm.export_kv(handle)
+        if export is None:
+            self.refuse(404, 'no_cache')
+        else:
+            self.finish({'tokens': export.tokens})
+
+
+class _ImportHandler(_Handler):
+    async def post(self):
+        vm = self.vm
+        data = json.loads(self.request.body)
+        export = objects.decode(ports.KvExport, data['export'])
+        own = vm.order and (vm.order.model, vm.order.version)
+        if own != (export.model, export.version):
+            self.refuse(409, 'other_model')
+            return
+        url = f'http://{export.source}/engine/kv/{export.handle}'
+        try:
+            answer = await httpclient.AsyncHTTPClient().fetch(url)
+        except (OSError, httpclient.HTTPError):
+            self.refuse(404, 'no_cache')
+            return
+        vm.keep_kv(data['request_id'], json.loads(answer.body)['tokens'])
+        self.finish({})
+
+
 class _AdminHandler(web.RequestHandler):
     def initialize(self, fleet):
         self.fleet = fleet
@@ -273,6 +398,10 @@
                 vm.stalled = data['value']
             case 'slow':
                 vm.slow = data['value']
+            case 'drain':
+                vm.draining = data['value']
+            case 'lose_events':
+                vm.cache.events.clear()
         self.write({})
 
 
