--- a/balsamwind/routing/_router.py
+++ b/balsamwind/routing/_router.py
@@ -32,6 +32,13 @@
 NEAR_EQUAL = 0.002
 """Difference of expected times that is left to chance (seconds)."""
 
+MAX_SPARE = 8
+"""Groups compared where no drawn one will do (count)."""
+
+HOME_CREDIT = 0.5
+"""Part of the prefilling that the first home of a prefix is spared, in
+expectation that others sent the prefix there."""
+
 MAX_POOLS = 1000
 """Pools kept (count)."""
 
@@ -161,10 +168,8 @@
         pool = self._find_pool(groups, now)
         names = self._candidates(pool, blocks, now, excluded)
         if not names:
-            names = [g.name for g in groups if g.name not in excluded]
-        if not names:
-            names = list(pool.by_name)
-        return self._pick(pool, names[:8], blocks)
+            names = self._any(pool, now, excluded)
+        return self._pick(pool, names, blocks)
 
     def expected_wait(self, group, blocks, now):
         """Expected time until a request at `group` is prefilled."""
@@ -222,6 +227,16 @@
             and self.health.admits(name, now, self._rng)
         ]
 
+    def _any(self, pool, now, excluded):
+        """Some groups, where no drawn one will do."""
+        names = list(pool.by_name)
+        fresh = [name for name in names if name not in excluded] or names
+        admitted = [
+            name for name in fresh if self.health.admits(name, now, self._rng)
+        ]
+        start = int(self._rng.random() * len(fresh))
+        return admitted[:MAX_SPARE] or [fresh[start]]
+
     def _draw(self, groups, count):
         size = len(groups)
         if size <= count:
@@ -242,10 +257,13 @@
     def _pick(self, pool, names, blocks):
         best = None
         best_time = 0.0
+        home = pool.homes(blocks[0], 1)[0] if blocks else None
         for name in names:
             choice = self._estimate(pool.by_name[name], blocks)
             time = choice.wait + choice.prefill
             time += self._rng.random() * NEAR_EQUAL
+            if name == home:
+                time -= choice.prefill * HOME_CREDIT
             if best is None or time < best_time:
                 best, best_time = choice, time
         return best
