--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -34,10 +34,20 @@
         VMs in each of them (count).
     overrides : dict
         Sections of the entries' settings to change.
+    token_delay : float
+        Time between the tokens of an engine (seconds).
     """
 
-    def __init__(self, folder, domains=2, vms_per_domain=3, overrides=None):
+    def __init__(
+        self,
+        folder,
+        domains=2,
+        vms_per_domain=3,
+        overrides=None,
+        token_delay=0.02,
+    ):
         self.folder = folder
+        self._token_delay = token_delay
         self._overrides = overrides or {}
         self._held = []
         self.processes = {}
@@ -151,6 +161,8 @@
                 vms,
                 '--data-centre',
                 place,
+                '--token-delay',
+                self._token_delay,
             )
             self._spawn(
                 f'service-{place}',
--- a/standins/engines.py
+++ b/standins/engines.py
@@ -421,8 +421,9 @@
     parser.add_argument('--admin-port', type=int, required=True)
     parser.add_argument('--vms', required=True)
     parser.add_argument('--data-centre', required=True)
+    parser.add_argument('--token-delay', type=float, default=0.02)
     arguments = parser.parse_args()
-    fleet = Fleet()
+    fleet = Fleet(arguments.token_delay)
     with open(arguments.vms, encoding='utf-8') as file:
         rows = json.load(file)
     for row in rows:
