Write events at once and from a template

Cause: headers and first event went out as two small writes, and the second waited for the caller's delayed acknowledgement (Nagle). Each event was encoded as a whole; metrics looked up their labels and a timer was made and cancelled for each token. The resolver of the TCP client ran a second thread, though addresses are IP numbers.

Change: TCP_NODELAY towards callers, headers with the first event, the text alone encoded between fixed parts, awaiting only a write that did not fit, bound metrics, one timer a stream, a numeric resolver.

--- a/balsamwind/adapters/_caller_server.py
+++ b/balsamwind/adapters/_caller_server.py
@@ -12,6 +12,8 @@
 from balsamwind import ports
 from balsamwind import requests
 
+_encode_text = json.JSONEncoder(ensure_ascii=False).encode
+
 MAX_KEY = 256
 """Longest idempotency key (characters)."""
 
@@ -112,6 +114,11 @@
         self.request.connection.close()
 
 
+def _encode_event(value):
+    data = json.dumps(value, ensure_ascii=False, separators=(',', ':'))
+    return f'data: {data}\n\n'
+
+
 def make_error(error, request_id):
     """JSON value of an error."""
     return {
@@ -212,17 +219,34 @@
     async def _stream(self, request, batches):
         self.set_header('Content-Type', 'text/event-stream; charset=utf-8')
         self.set_header('Cache-Control', 'no-store')
+        before, after = self._make_frame(request)
+        connection = self.request.connection
+        connection.stream.set_nodelay(True)
         async for batch in batches:
-            for token in batch:
-                self._write_event(self._make_chunk(request, token, None))
-            await self.flush()
+            data = ''.join(
+                [f'{before}{_encode_text(token)}{after}' for token in batch]
+            ).encode('utf-8')
+            if not self._headers_written:
+                self.write(data)
+                await self.flush()
+                continue
+            written = connection.write(data)
+            if connection.stream.writing():
+                await written
         self._write_event(self._make_chunk(request, '', 'stop'))
         self.write('data: [DONE]\n\n')
         await self.finish()
 
+    def _make_frame(self, request):
+        """What stands before and after the text in each event."""
+        mark = '\0'
+        value = self._make_chunk(request, mark, None)
+        event = _encode_event(value)
+        before, after = event.split(_encode_text(mark))
+        return before, after
+
     def _write_event(self, value):
-        data = json.dumps(value, ensure_ascii=False, separators=(',', ':'))
-        self.write(f'data: {data}\n\n')
+        self.write(_encode_event(value))
 
     def _make_chunk(self, request, text, finish, whole=False):
         if self._chat:
--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -8,11 +8,13 @@
 import asyncio
 import collections
 import dataclasses
+import socket
 import urllib.parse
 
 from tornado import http1connection
 from tornado import httputil
 from tornado import iostream
+from tornado import netutil
 from tornado import tcpclient
 
 from balsamwind import exceptions
@@ -52,6 +54,20 @@
     body: bytes
 
 
+class _NumericResolver(netutil.Resolver):
+    """Takes IP numbers only, so that no thread has to look up names."""
+
+    async def resolve(self, host, port, family=socket.AF_UNSPEC):
+        rows = socket.getaddrinfo(
+            host,
+            port,
+            family,
+            socket.SOCK_STREAM,
+            flags=socket.AI_NUMERICHOST,
+        )
+        return [(row[0], row[4]) for row in rows]
+
+
 class _Receiver(httputil.HTTPMessageDelegate):
     """Collects what the connection reads, with back-pressure."""
 
@@ -64,6 +80,8 @@
         self.on_finish = None
         self._arrived = None
         self._drained = None
+        self._deadline = 0.0
+        self._timer = None
 
     def headers_received(self, start_line, headers):
         if not self.start.done():
@@ -79,12 +97,14 @@
 
     def finish(self):
         self.finished = True
+        self.stop_timer()
         self._wake()
         if self.on_finish is not None:
             self.on_finish()
 
     def on_connection_close(self):
         self.closed = True
+        self.stop_timer()
         self._wake()
         self._resume()
         if not self.start.done():
@@ -118,13 +138,34 @@
         if self.chunks or self.finished or self.closed:
             return
         self._arrived = self._loop.create_future()
-        timer = self._loop.call_later(timeout, _set_timeout, self._arrived)
+        self._deadline = self._loop.time() + timeout
+        if self._timer is None or self._deadline < self._timer.when():
+            self._set_timer()
         try:
             await self._arrived
         finally:
-            timer.cancel()
             self._arrived = None
 
+    def _set_timer(self):
+        """Keep one timer; it is seldom moved, as it looks again itself."""
+        self.stop_timer()
+        self._timer = self._loop.call_at(self._deadline, self._check_deadline)
+
+    def _check_deadline(self):
+        self._timer = None
+        if self._arrived is None or self._arrived.done():
+            return
+        if self._loop.time() < self._deadline:
+            self._set_timer()
+        else:
+            self._arrived.set_exception(TimeoutError())
+
+    def stop_timer(self):
+        """Drop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def take(self):
         """All that has arrived; empty bytes at the end; None if cut."""
         if self.chunks:
@@ -140,11 +181,6 @@
         self._resume()
 
 
-def _set_timeout(future):
-    if not future.done():
-        future.set_exception(TimeoutError())
-
-
 class StreamedResponse:
     """Answer whose body is read as it comes."""
 
@@ -242,7 +278,7 @@
     __slots__ = ('_idle', '_ssl_context', '_tcp', 'opened')
 
     def __init__(self, ssl_context=None):
-        self._tcp = tcpclient.TCPClient()
+        self._tcp = tcpclient.TCPClient(_NumericResolver())
         self._idle = {}
         self._ssl_context = ssl_context
         self.opened = 0
--- a/balsamwind/adapters/_metrics.py
+++ b/balsamwind/adapters/_metrics.py
@@ -1,5 +1,7 @@
 """Metrics by prometheus_client, with bounded label sets."""
 
+import dataclasses
+
 import prometheus_client
 
 BUCKETS = (
@@ -26,6 +28,24 @@
 """Customers with a label of their own (count)."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CompletionMetrics:
+    """Metrics with the labels of one customer and model.
+
+    Parameters
+    ----------
+    first_token, token_gap, answer : prometheus_client.Histogram
+        Times (seconds).
+    tokens : prometheus_client.Counter
+        Tokens relayed.
+    """
+
+    first_token: prometheus_client.Histogram
+    token_gap: prometheus_client.Histogram
+    answer: prometheus_client.Histogram
+    tokens: prometheus_client.Counter
+
+
 class Metrics:
     """Histograms and counters of one entry."""
 
@@ -90,6 +110,16 @@
             registry=self.registry,
         )
 
+    def bind(self, customer, model):
+        """Metrics of one customer and model; a `CompletionMetrics`."""
+        labels = (self.customer(customer), model)
+        return CompletionMetrics(
+            self.first_token_seconds.labels(*labels),
+            self.token_gap_seconds.labels(*labels),
+            self.answer_seconds.labels(*labels),
+            self.tokens.labels(*labels),
+        )
+
     def customer(self, name):
         """Label of a customer; ``other`` once there are too many."""
         if name in self._customers:
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -168,32 +168,23 @@
         list of str
             Tokens, each once and in order.
         """
-        started = self.clock.monotonic()
-        labels = (
-            self.metrics.customer(request.contract.customer),
-            request.model,
-        )
+        clock = self.clock.monotonic
+        started = clock()
+        observed = self.metrics.bind(request.contract.customer, request.model)
         previous = None
         with self._admit(request.contract):
             run = self._completions.run(request)
             async with contextlib.aclosing(run) as batches:
                 async for batch in batches:
-                    now = self.clock.monotonic()
-                    self._observe_batch(labels, batch, started, previous, now)
+                    now = clock()
+                    if previous is None:
+                        observed.first_token.observe(now - started)
+                    else:
+                        observed.token_gap.observe(now - previous)
+                    observed.tokens.inc(len(batch))
                     previous = now
                     yield batch
-        self.metrics.answer_seconds.labels(*labels).observe(
-            self.clock.monotonic() - started
-        )
-
-    def _observe_batch(self, labels, batch, started, previous, now):
-        if previous is None:
-            histogram = self.metrics.first_token_seconds
-            histogram.labels(*labels).observe(now - started)
-        else:
-            histogram = self.metrics.token_gap_seconds
-            histogram.labels(*labels).observe(now - previous)
-        self.metrics.tokens.labels(*labels).inc(len(batch))
+        observed.answer.observe(clock() - started)
 
     async def call_service(self, contract, service, call, deadline):
         """Run a service call within the contract's limits."""
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -1,6 +1,8 @@
 """Cost of an entry's relay, against the same client without it.
 
-Run: ``python -m benchmarks.relay [--streams 60 300] [--token-delay 0.02]``.
+Run: ``python -m benchmarks.relay [--streams 60 300] [--token-delay 0.02]``;
+``--streams 320 --token-delay 0.078 --tokens 100 --duration 16`` is the load
+that the target needs of a node, with more requests.
 All parts are separate processes on this machine; the load goes to one entry
 of six. The client sends the same requests straight to the stand-in's engines
 and through the entry, and the processor time of the entry is read around
@@ -11,6 +13,8 @@
 import asyncio
 import hashlib
 import json
+import os
+import random
 import sys
 import time
 
@@ -51,9 +55,13 @@
         Address, path and body of the requests, taken in turn.
     tokens : int
         Tokens of one answer (count).
+    spread : float
+        Time over which the streams begin (seconds).
     """
 
-    def __init__(self, targets, tokens):
+    def __init__(self, targets, tokens, spread):
+        self.spread = spread
+        self._rng = random.Random(1)
         self.targets = targets
         self.tokens = tokens
         self.first = histogram.HdrHistogram(1, 60_000_000, 3)
@@ -67,8 +75,7 @@
         await asyncio.gather(*map(self._stream, range(streams)))
 
     async def _stream(self, number):
-        # Streams begin spread over the first half second.
-        await asyncio.sleep(number % 50 * 0.01)
+        await asyncio.sleep(self._rng.random() * self.spread)
         address, path, body = self.targets[number % len(self.targets)]
         host, port = address.split(':')
         reader, writer = await asyncio.open_connection(host, int(port))
@@ -164,8 +171,12 @@
 
 def measure(targets, streams, arguments, process=None):
     """Run a load; a row of figures."""
-    load = Load(targets, arguments.tokens)
+    spread = min(
+        arguments.duration / 2, arguments.tokens * arguments.token_delay
+    )
+    load = Load(targets, arguments.tokens, spread)
     before = process.cpu_times() if process else None
+    own = time.process_time()
     started = time.monotonic()
     asyncio.run(load.run(streams, arguments.duration))
     elapsed = time.monotonic() - started
@@ -174,6 +185,9 @@
         'requests/s': load.requests / elapsed,
         'tokens/s': load.received / elapsed,
         'failed': load.failed,
+        'client us/token': (time.process_time() - own)
+        / max(load.received, 1)
+        * 1e6,
     }
     for share in (50, 95, 99):
         row[f'p{share} ms'] = load.first.get_value_at_percentile(share) / 1e3
@@ -204,7 +218,7 @@
         time.sleep(2.0)
         after = process.cpu_times()
         used = after.user + after.system - idle.user - idle.system
-        print(f'idle: {used / 2.0:.3f} cores')
+        print(f'idle: {used / 2.0:.3f} cores, load average', os.getloadavg())
         for streams in arguments.streams:
             direct = make_direct(cluster, entry, arguments.tokens)
             relayed = make_relayed(cluster, entry, arguments.tokens)
