Build one file that runs as one process

Cause: the one-file modes of PyInstaller and Nuitka fork a loader, which the frame forbids; a zipapp needs an interpreter on the VM.

A shell launcher would start children.

Change: a folder build appended to a small launcher that unpacks it once into TMPDIR and replaces itself by the program; TLS contexts that are re-read; a test that counts processes and drains on SIGTERM.

Conclusion: kept; no interpreter is needed on the VM.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: demo test format lint clean
+.PHONY: binary demo test format lint clean
 
 $(VENV)/demo.stamp: requirements.txt
 	$(PYTHON) -m venv $(VENV)
@@ -20,6 +20,9 @@
 test: $(VENV)/dev.stamp
 	$(BIN)/python build_tools/run_tests.py
 
+binary: $(VENV)/dev.stamp
+	$(BIN)/python build_tools/make_binary.py
+
 format: $(VENV)/dev.stamp
 	$(BIN)/ruff format .
 
--- a/balsamwind/adapters/__init__.py
+++ b/balsamwind/adapters/__init__.py
@@ -11,6 +11,8 @@
 from balsamwind.adapters._plain_service import HttpPlainService
 from balsamwind.adapters._platform import HttpVmList
 from balsamwind.adapters._platform import HttpWeightStore
+from balsamwind.adapters._tls import make_tls_contexts
+from balsamwind.adapters._tls import TlsContexts
 
 __all__ = [
     'HttpClient',
@@ -22,6 +24,8 @@
     'Metrics',
     'PeerLinks',
     'SystemClock',
+    'TlsContexts',
     'make_caller_server',
     'make_operator_server',
+    'make_tls_contexts',
 ]
--- a/balsamwind/adapters/_engine.py
+++ b/balsamwind/adapters/_engine.py
@@ -16,17 +16,20 @@
     ----------
     client : HttpClient
         Connections.
+    scheme : str
+        ``http`` or ``https``.
     """
 
-    __slots__ = ('_client',)
+    __slots__ = ('_client', '_scheme')
 
-    def __init__(self, client):
+    def __init__(self, client, scheme='http'):
         self._client = client
+        self._scheme = scheme
 
     async def report(self, address, timeout):
         """Load report of the engine at `address`."""
         response = await self._client.fetch(
-            'GET', f'http://{address}/engine/report', timeout=timeout
+            'GET', f'{self._scheme}://{address}/engine/report', timeout=timeout
         )
         if response.status != 200:
             raise exceptions.BackendRefused(
@@ -44,7 +47,7 @@
         """Give an order to the engine at `address`."""
         response = await self._client.fetch(
             'POST',
-            f'http://{address}/engine/orders',
+            f'{self._scheme}://{address}/engine/orders',
             body=json.dumps(objects.encode(order)).encode('utf-8'),
             timeout=timeout,
         )
@@ -55,7 +58,7 @@
         """Start an attempt at the engine at `address`."""
         response = await self._client.open(
             'POST',
-            f'http://{address}/engine/generate',
+            f'{self._scheme}://{address}/engine/generate',
             body=json.dumps(
                 objects.encode(request), ensure_ascii=False
             ).encode('utf-8'),
--- a/balsamwind/adapters/_plain_service.py
+++ b/balsamwind/adapters/_plain_service.py
@@ -21,7 +21,7 @@
     def __init__(self, client):
         self._client = client
 
-    async def call(self, address, call, timeout):
+    async def call(self, address, call, timeout, tls=False):
         """Send one call, once, on a connection of its own.
 
         Raises
@@ -31,6 +31,7 @@
         balsamwind.exceptions.TransportError
             `sent` says whether a byte may have left.
         """
+        scheme = 'https' if tls else 'http'
         headers = [
             ('Content-Type', call.content_type),
             ('X-Request-Id', call.request_id),
@@ -39,7 +40,7 @@
             headers.append(('Idempotency-Key', call.idempotency_key))
         response = await self._client.fetch(
             call.method,
-            f'http://{address}{call.path}',
+            f'{scheme}://{address}{call.path}',
             headers=headers,
             body=call.body,
             timeout=timeout,
--- /dev/null
+++ b/balsamwind/adapters/tests/test_tls.py
@@ -0,0 +1,130 @@
+"""Without the right certificate nothing is told; files are re-read."""
+
+import asyncio
+import socket
+import ssl
+
+import pytest
+import structlog
+import trustme
+import websockets
+from websockets.asyncio import client as ws_client
+
+from balsamwind import adapters
+from balsamwind import exceptions
+from balsamwind import peers
+from balsamwind import settings
+
+
+def make_files(folder, authority, name, trusted=None):
+    """Certificate files signed by `authority`, trusting `trusted`."""
+    issued = authority.issue_cert('127.0.0.1')
+    base = folder / name
+    issued.private_key_and_cert_chain_pem.write_to_path(f'{base}.pem')
+    (trusted or authority).cert_pem.write_to_path(f'{base}-ca.pem')
+    return settings.CertificateSettings(f'{base}.pem', '', f'{base}-ca.pem')
+
+
+def free_address():
+    with socket.socket() as holder:
+        holder.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{holder.getsockname()[1]}'
+
+
+class Receiver:
+    """Notes who has connected."""
+
+    def __init__(self):
+        self.connected = []
+        self.seen = asyncio.Event()
+
+    def on_connect(self, hello):
+        self.connected.append(hello.node)
+        self.seen.set()
+        return []
+
+    def on_message(self, hello, message):
+        pass
+
+    def on_disconnect(self, hello):
+        pass
+
+
+def make_links(name, receiver, files):
+    contexts = adapters.make_tls_contexts(settings.TlsSettings(peers=files))
+    return adapters.PeerLinks(
+        peers.Hello(name, 'd', 'i'),
+        receiver,
+        structlog.get_logger(),
+        contexts.peers_server,
+        contexts.peers_client,
+    )
+
+
+async def dial(address, context):
+    scheme = 'ws' if context is None else 'wss'
+    async with ws_client.connect(
+        f'{scheme}://{address}/', ssl=context, proxy=None
+    ) as connection:
+        return await connection.recv()
+
+
+def test_peer_with_the_right_certificate(tmp_path):
+    authority = trustme.CA()
+
+    async def run():
+        address = free_address()
+        receivers = Receiver(), Receiver()
+        first = make_links(
+            'a', receivers[0], make_files(tmp_path, authority, 'a')
+        )
+        second = make_links(
+            'b', receivers[1], make_files(tmp_path, authority, 'b')
+        )
+        async with first.listen(free_address()), second.listen(address):
+            first.reach('b', address)
+            await asyncio.wait_for(receivers[0].seen.wait(), 10)
+            await asyncio.wait_for(receivers[1].seen.wait(), 10)
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('kind', ['plain', 'no certificate', 'foreign'])
+def test_stranger_gets_nothing(tmp_path, kind):
+    authority = trustme.CA()
+
+    async def run():
+        address = free_address()
+        receiver = Receiver()
+        links = make_links('b', receiver, make_files(tmp_path, authority, 'b'))
+        context = None
+        if kind != 'plain':
+            context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+            context.check_hostname = False
+            context.load_verify_locations(tmp_path / 'b-ca.pem')
+        if kind == 'foreign':
+            files = make_files(tmp_path, trustme.CA(), 'x', authority)
+            context.load_cert_chain(files.certificate)
+        async with links.listen(address):
+            with pytest.raises((OSError, websockets.WebSocketException)):
+                await dial(address, context)
+        assert receiver.connected == []
+
+    asyncio.run(run())
+
+
+def test_changed_certificate_is_read_again(tmp_path):
+    authority = trustme.CA()
+    files = make_files(tmp_path, authority, 'a')
+    contexts = adapters.make_tls_contexts(settings.TlsSettings(callers=files))
+    assert contexts.reload() == []
+    make_files(tmp_path, authority, 'a')
+    assert contexts.reload() == [files.certificate]
+    (tmp_path / 'a.pem').write_text('not a certificate', encoding='utf-8')
+    assert contexts.reload() == []
+
+
+def test_missing_certificate_is_an_error(tmp_path):
+    files = settings.CertificateSettings(str(tmp_path / 'none.pem'), '', '')
+    with pytest.raises(exceptions.BadRequest):
+        adapters.make_tls_contexts(settings.TlsSettings(callers=files))
--- /dev/null
+++ b/balsamwind/cli/tests/test_binary.py
@@ -0,0 +1,40 @@
+"""The one-file build runs as one process and drains on SIGTERM."""
+
+import pathlib
+import signal
+
+import callers
+import cluster as cluster_module
+import make_binary
+import psutil
+import pytest
+
+BINARY = make_binary.BUILD / 'balsamwind'
+
+
+@pytest.fixture(scope='module')
+def binary():
+    make_binary.main()
+    return pathlib.Path(BINARY)
+
+
+def test_one_process_that_drains(binary):
+    with cluster_module.open_cluster(binary=binary) as cluster:
+        cluster_module.wait_for(
+            lambda: all(cluster.status(name) for name in cluster.entries),
+            'all entries answer',
+        )
+        cluster.apply(callers.make_contract())
+        cluster.wait_until_serving(3)
+        for name in cluster.entries:
+            process = psutil.Process(cluster.processes[name].pid)
+            assert process.children(recursive=True) == []
+        stream = callers.Stream(cluster, 'entry-a1', 'one two three', 150)
+        stream.start()
+        cluster_module.wait_for(lambda: stream.tokens, 'the first token')
+        entry = cluster.processes['entry-a1']
+        entry.send_signal(signal.SIGTERM)
+        stream.join(cluster_module.WAIT)
+        assert (stream.done, len(stream.tokens)) == (True, 150)
+        assert entry.wait(cluster_module.WAIT) == 0
+        assert '"drained"' in cluster.log('entry-a1')
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -70,21 +70,25 @@
         self._rng = random.Random(random_state)
         self._log = structlog.get_logger().bind(node=settings.node.name)
         self._clock = adapters.SystemClock()
-        self._client = adapters.HttpClient()
+        self._tls = adapters.make_tls_contexts(settings.tls)
+        self._client = adapters.HttpClient(self._tls.backends)
+        self._platform_client = adapters.HttpClient(self._tls.platform)
         platform = settings.platform
         self._store = adapters.HttpObjectStore(
-            self._client,
+            self._platform_client,
             platform.url,
             platform.timeout,
             platform.watch_timeout,
         )
         self._vm_list = adapters.HttpVmList(
-            self._client, platform.url, platform.timeout
+            self._platform_client, platform.url, platform.timeout
         )
         self._weights = adapters.HttpWeightStore(
-            self._client, platform.url, platform.timeout
+            self._platform_client, platform.url, platform.timeout
+        )
+        self._engine = adapters.HttpEngine(
+            self._client, 'https' if settings.tls.engines_use_tls else 'http'
         )
-        self._engine = adapters.HttpEngine(self._client)
         self.entry = _entry.Entry(
             settings,
             self._clock,
@@ -101,7 +105,13 @@
         hello = peers.Hello(
             settings.node.name, settings.node.data_centre, self._incarnation
         )
-        self.entry.links = adapters.PeerLinks(hello, self._peering, self._log)
+        self.entry.links = adapters.PeerLinks(
+            hello,
+            self._peering,
+            self._log,
+            self._tls.peers_server,
+            self._tls.peers_client,
+        )
         self._executor = control.Executor(
             self._store,
             self._engine,
@@ -114,7 +124,9 @@
         self.entry.controller = control.Controller(
             self.entry.make_view, self._executor, settings, self._rng
         )
-        self._callers = adapters.make_caller_server(self.entry)
+        self._callers = adapters.make_caller_server(
+            self.entry, self._tls.callers
+        )
         self._operators = adapters.make_operator_server(self.entry)
         self._tasks = []
 
@@ -141,6 +153,9 @@
                 self.entry.controller.run_round,
             )
         )
+        self._spawn(
+            self._repeat(self._settings.tls.reload_interval, self._reload)
+        )
         self._log.info('started', incarnation=self._incarnation)
 
     def _spawn(self, coroutine):
@@ -149,6 +164,10 @@
     async def _observe(self):
         self._observer.run_round()
 
+    async def _reload(self):
+        for path in self._tls.reload():
+            self._log.info('certificate_reloaded', path=path)
+
     async def _beat(self):
         self._peering.beat()
 
@@ -230,3 +249,4 @@
         await self._callers.close_all_connections()
         await self._operators.close_all_connections()
         self._client.close()
+        self._platform_client.close()
--- a/balsamwind/ports/_service.py
+++ b/balsamwind/ports/_service.py
@@ -33,7 +33,7 @@
 class PlainService(typing.Protocol):
     """Backend servers of plain services, each reached by its address."""
 
-    async def call(self, address, call, timeout):
+    async def call(self, address, call, timeout, tls=False):
         """Send once.
 
         Returns
--- a/balsamwind/requests/_service_calls.py
+++ b/balsamwind/requests/_service_calls.py
@@ -140,7 +140,10 @@
                 break
             try:
                 return await self._service.call(
-                    backend.address, call, min(left, service.timeout)
+                    backend.address,
+                    call,
+                    min(left, service.timeout),
+                    backend.tls,
                 )
             except exceptions.BackendRefused as refused:
                 error = refused
--- a/balsamwind/settings/__init__.py
+++ b/balsamwind/settings/__init__.py
@@ -8,6 +8,7 @@
 from balsamwind.settings._load import load_settings
 from balsamwind.settings._load import make_schema
 from balsamwind.settings._sections import BackendSettings
+from balsamwind.settings._sections import CertificateSettings
 from balsamwind.settings._sections import ControlSettings
 from balsamwind.settings._sections import ListenSettings
 from balsamwind.settings._sections import NodeSettings
@@ -18,9 +19,11 @@
 from balsamwind.settings._sections import RequestSettings
 from balsamwind.settings._sections import ServiceSettings
 from balsamwind.settings._sections import Settings
+from balsamwind.settings._sections import TlsSettings
 
 __all__ = [
     'BackendSettings',
+    'CertificateSettings',
     'ControlSettings',
     'Finding',
     'ListenSettings',
@@ -32,6 +35,7 @@
     'RequestSettings',
     'ServiceSettings',
     'Settings',
+    'TlsSettings',
     'check_settings',
     'load_json',
     'load_settings',
--- a/balsamwind/settings/_sections.py
+++ b/balsamwind/settings/_sections.py
@@ -59,6 +59,31 @@
     address: str = _required('Its address for peers.', pattern=r':\d+$')
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CertificateSettings:
+    """Certificate, key and trusted authorities of one kind of link."""
+
+    certificate: str = _setting('', 'PEM file of the certificate chain.')
+    key: str = _setting('', 'PEM file of the private key.')
+    authorities: str = _setting('', 'PEM file of the trusted authorities.')
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TlsSettings:
+    """TLS; a link whose section is absent is not encrypted."""
+
+    callers: CertificateSettings | None = None
+    peers: CertificateSettings | None = None
+    backends: CertificateSettings | None = None
+    platform: CertificateSettings | None = None
+    engines_use_tls: bool = _setting(
+        False, 'Whether engines are reached by TLS.'
+    )
+    reload_interval: float = _setting(
+        60.0, 'Time between looks at changed files.', 's', minimum=0.1
+    )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class BackendSettings:
     """One backend server of a plain service."""
@@ -66,6 +91,7 @@
     name: str = _required('Name of the backend server.', minLength=1)
     data_centre: str = _required('Its data centre.', minLength=1)
     address: str = _required('Its address.', pattern=r':\d+$')
+    tls: bool = _setting(False, 'Whether it is reached by TLS.')
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -179,3 +205,4 @@
     control: ControlSettings = _section(ControlSettings)
     placement: PlacementSettings = _section(PlacementSettings)
     requests: RequestSettings = _section(RequestSettings)
+    tls: TlsSettings = _section(TlsSettings)
--- /dev/null
+++ b/benchmarks/start_cost.py
@@ -0,0 +1,96 @@
+"""Start time, memory and process count of an entry, by way of shipping.
+
+Run ``make binary`` first. Prints one line for each way: the sources in a
+virtual environment, and the one-file build with and without its folder
+unpacked before.
+"""
+
+import os
+import pathlib
+import shutil
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+
+import psutil
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT / 'build_tools'))
+
+import callers  # noqa: E402
+import cluster as cluster_module  # noqa: E402
+
+RUNS = 7
+BINARY = ROOT / 'build' / 'balsamwind'
+
+
+def measure_start(command, environment, clean=None):
+    """Median time of ``version`` (seconds)."""
+    times = []
+    for _ in range(RUNS):
+        if clean is not None:
+            shutil.rmtree(clean, ignore_errors=True)
+            clean.mkdir()
+        began = time.perf_counter()
+        subprocess.run(
+            [*command, 'version'],
+            check=True,
+            cwd=ROOT,
+            env=environment,
+            stdout=subprocess.DEVNULL,
+        )
+        times.append(time.perf_counter() - began)
+    return statistics.median(times)
+
+
+def measure_entries(binary):
+    """Median memory (MB) and largest process count of six idle entries."""
+    with cluster_module.open_cluster(binary=binary) as cluster:
+        cluster_module.wait_for(
+            lambda: all(cluster.status(name) for name in cluster.entries),
+            'all entries answer',
+        )
+        cluster.apply(callers.make_contract())
+        cluster.wait_until_serving(3)
+        memory = []
+        processes = []
+        for name in cluster.entries:
+            process = psutil.Process(cluster.processes[name].pid)
+            memory.append(process.memory_info().rss / 1e6)
+            processes.append(1 + len(process.children(recursive=True)))
+        return statistics.median(memory), max(processes)
+
+
+def main():
+    """Measure and print."""
+    with tempfile.TemporaryDirectory() as folder:
+        unpacked = pathlib.Path(folder) / 'unpacked'
+        unpacked.mkdir()
+        environment = {**os.environ, 'TMPDIR': str(unpacked)}
+        source = [sys.executable, '-m', 'balsamwind']
+        rows = [
+            ('sources', measure_start(source, environment)),
+            (
+                'one file, first start',
+                measure_start([BINARY], environment, clean=unpacked),
+            ),
+            ('one file, later starts', measure_start([BINARY], environment)),
+        ]
+        files = [path for path in unpacked.rglob('*') if path.is_file()]
+        size = sum(path.stat().st_size for path in files)
+    for name, seconds in rows:
+        print(f'{name}: start {seconds:.2f} s (median of {RUNS})')
+    print(f'one file: {BINARY.stat().st_size / 1e6:.1f} MB')
+    print(f'one file: {size / 1e6:.1f} MB unpacked')
+    for name, binary in (('sources', None), ('one file', BINARY)):
+        memory, processes = measure_entries(binary)
+        print(
+            f'{name}: {memory:.1f} MB resident an entry (median of 6),'
+            f' {processes} process'
+        )
+
+
+if __name__ == '__main__':
+    main()
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -34,9 +34,19 @@
         VMs in each of them (count).
     overrides : dict
         Sections of the entries' settings to change.
+    binary : pathlib.Path or None
+        One-file build to run the entries from, instead of the sources.
     """
 
-    def __init__(self, folder, domains=2, vms_per_domain=3, overrides=None):
+    def __init__(
+        self,
+        folder,
+        domains=2,
+        vms_per_domain=3,
+        overrides=None,
+        binary=None,
+    ):
+        self._binary = binary
         self.folder = folder
         self._overrides = overrides or {}
         self._held = []
@@ -165,13 +175,18 @@
         """Start one entry."""
         path = self.folder / f'{name}.json'
         path.write_text(json.dumps(self.settings(name)), encoding='utf-8')
-        self._spawn(name, 'balsamwind', 'entry', '--settings', path)
+        command = [sys.executable, '-m', 'balsamwind']
+        if self._binary is not None:
+            command = [self._binary]
+        self._run(name, [*command, 'entry', '--settings', path])
 
     def _spawn(self, name, module, *arguments):
-        log = open(self.folder / f'{name}.log', 'ab')
-        with log:
+        self._run(name, [sys.executable, '-m', module, *arguments])
+
+    def _run(self, name, command):
+        with open(self.folder / f'{name}.log', 'ab') as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, '-m', module, *map(str, arguments)],
+                [str(part) for part in command],
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
@@ -192,6 +207,29 @@
         path = self.folder / f'{name}.log'
         return path.read_text(encoding='utf-8', errors='replace')
 
+    def apply(self, contract):
+        """Write a contract and wait until it is in force everywhere."""
+        path = self.folder / 'contract.json'
+        path.write_text(json.dumps(contract), encoding='utf-8')
+        entry = next(iter(self.entries.values()))['operators']
+        done = self.command(
+            'contract', 'apply', path, '--wait', '--entry', entry
+        )
+        if done.returncode:
+            raise AssertionError(done.stderr)
+        return ' '.join(done.stdout.split())
+
+    def serving(self, name):
+        """Groups that serve, as one entry sees them."""
+        return [group for group in self.groups(name) if group['serving']]
+
+    def wait_until_serving(self, count):
+        """Wait until every entry sees `count` groups serve."""
+        wait_for(
+            lambda: all(len(self.serving(n)) == count for n in self.entries),
+            f'{count} groups serve at every entry',
+        )
+
     def status(self, name):
         """Status of one entry; None if it does not answer."""
         try:
--- a/build_tools/demo.py
+++ b/build_tools/demo.py
@@ -1,16 +1,11 @@
 """The main job, end to end, with real processes on this machine."""
 
-import hashlib
-import http.client
 import json
-import pathlib
 import sys
-import threading
 
+import callers
 import cluster as cluster_module
 
-KEY = 'rotagzeli-demo-key'
-
 ROTA_QUESTION = 'ვისი რიგია შემდეგ თვეში, თუ ნინომ და გიორგიმ უკვე მიიღეს?'
 BED_QUESTION = 'Къде има свободно легло тази нощ за двама души в Пловдив?'
 
@@ -35,55 +30,6 @@
         sys.stdout.flush()
 
 
-class Stream(threading.Thread):
-    """A caller that reads a streamed completion."""
-
-    def __init__(self, cluster, entry, prompt, max_tokens):
-        super().__init__(daemon=True)
-        self.tokens = []
-        self.done = False
-        self.error = None
-        self._address = cluster.entries[entry]['callers']
-        self._body = {
-            'model': 'rota-model',
-            'prompt': prompt,
-            'max_tokens': max_tokens,
-            'stream': True,
-        }
-
-    def run(self):
-        """Read the whole answer."""
-        connection = http.client.HTTPConnection(self._address, timeout=30)
-        connection.request(
-            'POST',
-            '/v1/completions',
-            json.dumps(self._body).encode('utf-8'),
-            {'Authorization': f'Bearer {KEY}'},
-        )
-        try:
-            for line in connection.getresponse():
-                self._take(line.decode('utf-8').strip())
-        except (OSError, http.client.HTTPException) as error:
-            self.error = str(error)
-        finally:
-            connection.close()
-
-    def _take(self, line):
-        if not line.startswith('data: '):
-            return
-        data = line.removeprefix('data: ')
-        if data == '[DONE]':
-            self.done = True
-            return
-        value = json.loads(data)
-        if 'error' in value:
-            self.error = value['error']['code']
-            return
-        text = value['choices'][0]['text']
-        if text:
-            self.tokens.append(text)
-
-
 class Demo:
     """Steps of the demonstration."""
 
@@ -106,35 +52,18 @@
 
     def apply_contract(self):
         """The contract is written and in force everywhere."""
-        example = cluster_module.ROOT / 'examples/rotagzeli-contract.json'
-        contract = json.loads(example.read_text(encoding='utf-8'))
-        contract['api_key_hashes'] = [hashlib.sha256(KEY.encode()).hexdigest()]
-        path = pathlib.Path(self._cluster.folder) / 'contract.json'
-        path.write_text(json.dumps(contract), encoding='utf-8')
-        entry = self._cluster.entries[self._names[0]]['operators']
-        done = self._cluster.command(
-            'contract', 'apply', path, '--wait', '--entry', entry
-        )
-        if done.returncode:
-            raise AssertionError(done.stderr)
-        return ' '.join(done.stdout.split())
-
-    def _serving(self, name):
-        return [g for g in self._cluster.groups(name) if g['serving']]
+        return self._cluster.apply(callers.make_contract())
 
     def wait_for_groups(self):
         """Three groups serve, as every entry sees it."""
-        cluster_module.wait_for(
-            lambda: all(len(self._serving(n)) == 3 for n in self._names),
-            'three groups serve at every entry',
-        )
-        groups = self._serving(self._names[0])
+        self._cluster.wait_until_serving(3)
+        groups = self._cluster.serving(self._names[0])
         places = sorted(group['data_centre'] for group in groups)
         return f'3 groups of 2 VMs serve, in {", ".join(places)}'
 
     def ask(self, entry, question):
         """A streamed completion comes whole and in order."""
-        stream = Stream(self._cluster, entry, question, 12)
+        stream = callers.Stream(self._cluster, entry, question, 12)
         stream.start()
         stream.join(30)
         words = question.split()
@@ -151,7 +80,7 @@
                 name,
                 '/services/circle-ledger/payouts',
                 body,
-                KEY,
+                callers.KEY,
                 {'Idempotency-Key': 'payout-2026-12'},
             )
             for name in (self._names[0], self._names[3])
@@ -166,7 +95,7 @@
         status, _, body = self._cluster.request(
             self._names[0],
             '/services/circle-ledger/balance/varketili',
-            key=KEY,
+            key=callers.KEY,
         )
         if status != 200 or json.loads(body)['balance'] != 250:
             raise AssertionError(f'{status} {body}')
@@ -174,7 +103,7 @@
 
     def kill_member(self):
         """A group that loses a VM stops serving and is repaired."""
-        group = self._serving(self._names[0])[0]
+        group = self._cluster.serving(self._names[0])[0]
         victim = group['members'][1]
         self._cluster.fault(victim, 'kill')
 
@@ -183,19 +112,16 @@
                 not any(
                     g['name'] == group['name']
                     and g['generation'] == group['generation']
-                    for g in self._serving(name)
+                    for g in self._cluster.serving(name)
                 )
                 for name in self._names
             )
 
         cluster_module.wait_for(stopped, 'the group stops everywhere')
-        cluster_module.wait_for(
-            lambda: all(len(self._serving(n)) == 3 for n in self._names),
-            'three groups serve again',
-        )
+        self._cluster.wait_until_serving(3)
         now = next(
             g
-            for g in self._serving(self._names[0])
+            for g in self._cluster.serving(self._names[0])
             if g['data_centre'] == group['data_centre']
         )
         return (
@@ -205,7 +131,9 @@
 
     def end_contract(self):
         """The contract ends; the stream in flight finishes."""
-        stream = Stream(self._cluster, self._names[2], ROTA_QUESTION, 150)
+        stream = callers.Stream(
+            self._cluster, self._names[2], ROTA_QUESTION, 150
+        )
         stream.start()
         cluster_module.wait_for(lambda: stream.tokens, 'the first token')
         done = self._cluster.command('contract', 'end', 'rotagzeli')
@@ -214,7 +142,7 @@
 
         def refused():
             status, _, _ = self._cluster.request(
-                self._names[2], '/v1/models', key=KEY
+                self._names[2], '/v1/models', key=callers.KEY
             )
             return status == 403
 
