--- a/balsamwind/adapters/_caller_server.py
+++ b/balsamwind/adapters/_caller_server.py
@@ -296,9 +296,8 @@
     def prepare(self):
         """Answer with an error."""
         super().prepare()
-        error = exceptions.BadRequest(f'no such path: {self.request.path}')
+        error = exceptions.NoSuchPath(f'no such path: {self.request.path}')
         self.write_error_body(error)
-        self.set_status(404)
 
 
 def make_caller_server(entry, ssl_context=None):
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -50,6 +50,13 @@
     status = 400
 
 
+class NoSuchPath(RequestNotRun):
+    """The path is not one that callers may use."""
+
+    code = 'no_such_path'
+    status = 404
+
+
 class BodyTooLarge(RequestNotRun):
     """The caller's body is over the limit."""
 
