--- a/build_tools/callers.py
+++ b/build_tools/callers.py
@@ -44,8 +44,13 @@
             {'Authorization': f'Bearer {KEY}'},
         )
         try:
-            for line in connection.getresponse():
-                self._take(line.decode('utf-8').strip())
+            response = connection.getresponse()
+            rest = b''
+            # read1, unlike iteration, raises if the body is cut.
+            while part := response.read1():
+                *lines, rest = (rest + part).split(b'\n')
+                for line in lines:
+                    self._take(line.decode('utf-8').strip())
         except (OSError, http.client.HTTPException) as error:
             self.error = str(error)
         finally:
