Refuse malformed stored objects and contracts

Cause: fuzzing the codec raised AttributeError on a mapping where a list stood, and a contract written past the command line could hold an instant that later broke every request of its customer.

Ruled out: checking at each use; objects are checked once, when read.

Change: shapes are checked by the codec; stored contracts by the same schema as the command line, unknown keys of newer versions ignored.

--- a/balsamwind/adapters/tests/test_tls.py
+++ b/balsamwind/adapters/tests/test_tls.py
@@ -13,7 +13,10 @@
 from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind import peers
+from balsamwind import ports
 from balsamwind import settings
+from standins import platform
+from standins import services
 
 
 def make_files(folder, authority, name, trusted=None):
@@ -113,6 +116,38 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize('own', [True, False])
+def test_backend_that_asks_for_a_certificate(tmp_path, own):
+    authority = trustme.CA()
+    files = make_files(tmp_path, authority, 'backend')
+    backend = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    backend.load_cert_chain(files.certificate)
+    backend.load_verify_locations(files.authorities)
+    backend.verify_mode = ssl.CERT_REQUIRED
+    signer = authority if own else trustme.CA()
+    entry = make_files(tmp_path, signer, 'entry', authority)
+    contexts = adapters.make_tls_contexts(settings.TlsSettings(backends=entry))
+
+    async def run():
+        service = services.Service()
+        server = services.make_server(service, backend)
+        port = platform.listen(server)
+        client = adapters.HttpClient(contexts.backends)
+        call = ports.ServiceCall('POST', '/payouts', b'{"circle": "v"}')
+        plain = adapters.HttpPlainService(client)
+        try:
+            await plain.call(f'127.0.0.1:{port}', call, 10.0, tls=True)
+        except exceptions.TransportError:
+            pass
+        finally:
+            client.close()
+            server.stop()
+            await server.close_all_connections()
+        return len(service.effects)
+
+    assert asyncio.run(run()) == (1 if own else 0)
+
+
 def test_changed_certificate_is_read_again(tmp_path):
     authority = trustme.CA()
     files = make_files(tmp_path, authority, 'a')
--- a/balsamwind/objects/_codec.py
+++ b/balsamwind/objects/_codec.py
@@ -57,8 +57,10 @@
     origin = typing.get_origin(cls)
     args = typing.get_args(cls)
     if origin is tuple:
+        _check_shape(data, (list, tuple))
         return tuple(decode(args[0], item) for item in data)
     if origin is dict:
+        _check_shape(data, dict)
         return {key: decode(args[1], item) for key, item in data.items()}
     if origin is types.UnionType:
         return None if data is None else decode(args[0], data)
@@ -69,9 +71,13 @@
     return _decode_scalar(cls, data)
 
 
+def _check_shape(data, allowed):
+    if not isinstance(data, allowed):
+        raise TypeError(f'got {type(data).__name__}, allowed is {allowed}')
+
+
 def _decode_class(cls, data):
-    if not isinstance(data, dict):
-        raise TypeError(f'{cls.__name__}: got {type(data).__name__}')
+    _check_shape(data, dict)
     hints = _hints(cls)
     known = {
         name: decode(hint, data[name])
--- a/balsamwind/objects/_contract.py
+++ b/balsamwind/objects/_contract.py
@@ -171,7 +171,10 @@
     return hashlib.sha256(api_key.encode('utf-8')).hexdigest()
 
 
-def check_contract(data, place='contract'):
+_VALIDATOR = jsonschema.Draft202012Validator(CONTRACT_SCHEMA)
+
+
+def check_contract(data, place='contract', allow_unknown=False):
     """Check what an operator wrote and build the contract.
 
     Parameters
@@ -180,6 +183,9 @@
         Parsed JSON.
     place : str
         File or object that `data` came from.
+    allow_unknown : bool
+        Whether keys that this version does not know are ignored, as in a
+        contract that a newer version wrote.
 
     Returns
     -------
@@ -190,8 +196,8 @@
     balsamwind.exceptions.InvalidInput
         With all findings.
     """
-    validator = jsonschema.Draft202012Validator(CONTRACT_SCHEMA)
-    findings = _findings.make_findings(validator, data, place)
+    ignored = ('additionalProperties',) if allow_unknown else ()
+    findings = _findings.make_findings(_VALIDATOR, data, place, ignored)
     if not findings:
         findings = _check_meaning(data, place)
     _findings.raise_findings(findings)
--- a/balsamwind/objects/_stored.py
+++ b/balsamwind/objects/_stored.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from balsamwind import exceptions
 from balsamwind.objects import _allocation
 from balsamwind.objects import _call
 from balsamwind.objects import _claim
@@ -70,5 +71,17 @@
     kind = data['kind']
     value = data.get('value')
     if value is not None:
-        value = _codec.decode(KINDS[kind], value)
+        value = _load_value(kind, data['name'], value)
     return Stored(kind, data['name'], int(data['revision']), value)
+
+
+def _load_value(kind, name, value):
+    if kind != 'contract':
+        return _codec.decode(KINDS[kind], value)
+    # Operators may write a contract past the command line's check.
+    try:
+        return _contract.check_contract(
+            value, f'contract {name}', allow_unknown=True
+        )
+    except exceptions.InvalidInput as error:
+        raise ValueError(str(error)) from None
--- a/balsamwind/settings/_findings.py
+++ b/balsamwind/settings/_findings.py
@@ -33,14 +33,31 @@
         )
 
 
-def make_findings(validator, data, place):
-    """List all that a JSON schema validator finds wrong in `data`."""
+def make_findings(validator, data, place, ignored=()):
+    """List all that a JSON schema validator finds wrong in `data`.
+
+    Parameters
+    ----------
+    validator : jsonschema.Draft202012Validator
+        Checks the data.
+    data : object
+        Parsed JSON.
+    place : str
+        File or object that it came from.
+    ignored : container of str
+        Keywords of the schema whose errors are left out.
+
+    Returns
+    -------
+    list of Finding
+    """
     errors = sorted(
         validator.iter_errors(data), key=lambda error: error.json_path
     )
     return [
         Finding(place, _pointer(error), error.instance, _allowed(error))
         for error in errors
+        if error.validator not in ignored
     ]
 
 
--- a/standins/services.py
+++ b/standins/services.py
@@ -73,7 +73,7 @@
         self.write({})
 
 
-def make_server(service):
+def make_server(service, ssl_context=None):
     """HTTP server of a service; it does not listen yet."""
     arguments = {'service': service}
     return httpserver.HTTPServer(
@@ -83,7 +83,8 @@
                 ('/(.*)', _CallHandler, arguments),
             ],
             log_function=lambda handler: None,
-        )
+        ),
+        ssl_options=ssl_context,
     )
 
 
