--- a/examples/embed_relay.py
+++ b/examples/embed_relay.py
@@ -56,11 +56,28 @@
 
 
 class FakeGroups:
-    """Two groups that serve."""
+    """Two groups that serve until they prove broken."""
+
+    def __init__(self):
+        self._groups = [
+            embed_routing.make_group(name) for name in ('blue', 'green')
+        ]
 
     def serving(self, contract, model, now):
-        """Both."""
-        return [embed_routing.make_group(n) for n in ('blue', 'green')]
+        """Groups that serve."""
+        return self._groups
+
+    def note_group_down(self, group, reason):
+        """A group proved broken."""
+        print(f'{group.name} is down: {reason}')
+        self._groups = [g for g in self._groups if g.name != group.name]
+
+    def note_late_events(self, count):
+        """Events of an abandoned attempt were dropped."""
+
+    def note_resumption(self, way):
+        """The answer goes on at another attempt."""
+        print('resumed by', way)
 
 
 class FakeContract:
@@ -73,16 +90,16 @@
 async def run():
     """Run one request; the answer and the groups asked."""
     engine = FakeEngine()
+    groups = FakeGroups()
     clock = adapters.SystemClock()
     completions = requests.Completions(
         engine,
-        FakeGroups(),
-        routing.make_chooser('tbilisi-a', random_state=3),
-        lambda group: 0,
+        groups,
+        routing.make_router('tbilisi-a', lambda group: None, random_state=3),
         admission.RetryBudget(0.2),
         settings.RequestSettings(),
         clock,
-        lambda group, reason: print(f'{group.name} is down: {reason}'),
+        groups,
     )
     request = requests.CompletionRequest(
         'r1', FakeContract(), 'rota-model', 'who?', 5, clock.monotonic() + 9
--- a/examples/embed_routing.py
+++ b/examples/embed_routing.py
@@ -54,9 +54,12 @@
             seen.update(vm, True, make_report(group, vm), 'me', now=0.0)
 
     before = table.serving('rotagzeli', 'rota-model', now=0.5)
-    chooser = routing.make_chooser('tbilisi-a', random_state=7)
+    router = routing.make_router(
+        'tbilisi-a', load_report=lambda group: None, random_state=7
+    )
+    choice = router.choose(before, blocks=(), now=0.5)
     print('offered:', [group.name for group in before])
-    print('chosen:', chooser.choose(before, lambda group: 0).name)
+    print('chosen:', choice.group.name)
 
     seen.update('blue-1', False, None, 'me', now=1.0)
     after = table.serving('rotagzeli', 'rota-model', now=1.0)
