Choose repairs and room by one cost function

Cause: repair took any spare of the domain or released the group, by group name and not by priority; allocations moved at the first second that a VM was down; a member that was loading got its order, and so took a ticket of the weight store, again every order_interval; a member that paused for less than repair_after cost its group the generation.

Change: placement weighs spare, spare of a leaving group, new group, taking a group apart, and waiting, as downtime and stranded accelerator-seconds under the weights of the deployment; the reason is written in the group record. Allocations keep whole groups where they are, move only from VMs down for longer than confirm_time, and preempt lower priorities. Loads go through one queue a node.

Not owned and touched: control/_groups.py (the index of groups, the sort of surplus groups, _changed while a member is down, no second order to a member that is loading, one write an object a round), build_tools/ cluster.py (expected load times of the stand-ins).

--- a/balsamwind/catalogue/_catalogue.py
+++ b/balsamwind/catalogue/_catalogue.py
@@ -9,10 +9,19 @@
     revision wins, and a deletion is a version like any other.
     """
 
-    __slots__ = ('_entries', '_listeners', '_revision', 'restored')
+    __slots__ = (
+        '_entries',
+        '_kinds',
+        '_listeners',
+        '_revision',
+        '_sorted',
+        'restored',
+    )
 
     def __init__(self):
         self._entries = {}
+        self._kinds = {}
+        self._sorted = {}
         self._revision = 0
         self._listeners = []
         self.restored = False
@@ -44,11 +53,20 @@
         known = self._entries.get(stored.key)
         if known is not None and known[0].revision >= stored.revision:
             return False
-        self._entries[stored.key] = (stored, now)
+        self._keep(stored, now)
         for listener in self._listeners:
             listener(stored)
         return True
 
+    def _keep(self, stored, now):
+        self._entries[stored.key] = (stored, now)
+        existing = self._kinds.setdefault(stored.kind, {})
+        if stored.deleted:
+            existing.pop(stored.name, None)
+        else:
+            existing[stored.name] = stored
+        self._sorted.pop(stored.kind, None)
+
     def apply_changes(self, snapshot, now):
         """Take in the answer of a watch."""
         for stored in snapshot.items:
@@ -71,7 +89,7 @@
         for stored, _ in list(self._entries.values()):
             missing = stored.kind in kinds and stored.key not in listed
             if missing and stored.revision <= snapshot.revision:
-                self._entries[stored.key] = (
+                self._keep(
                     type(stored)(
                         stored.kind, stored.name, snapshot.revision, None
                     ),
@@ -120,12 +138,10 @@
         return 0.0 if entry is None else now - entry[1]
 
     def items(self, kind):
-        """All objects of `kind` that exist, sorted by name."""
-        return sorted(
-            (
-                stored
-                for stored, _ in self._entries.values()
-                if stored.kind == kind and not stored.deleted
-            ),
-            key=lambda stored: stored.name,
-        )
+        """All objects of `kind` that exist, sorted by name; a tuple."""
+        known = self._sorted.get(kind)
+        if known is None:
+            existing = self._kinds.get(kind, {})
+            known = tuple(existing[name] for name in sorted(existing))
+            self._sorted[kind] = known
+        return known
--- a/balsamwind/control/_executor.py
+++ b/balsamwind/control/_executor.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from balsamwind.control import _decisions
+from balsamwind.control import _loads
 from balsamwind import exceptions
 
 WRITES_AT_ONCE = 16
@@ -35,13 +36,14 @@
         '_catalogue',
         '_clock',
         '_engine',
+        '_loads',
         '_log',
         '_not_before',
+        '_pump',
         '_settings',
         '_slots',
         '_store',
         '_tasks',
-        '_weights',
     )
 
     def __init__(
@@ -49,7 +51,6 @@
     ):
         self._store = store
         self._engine = engine
-        self._weights = weights
         self._catalogue = catalogue
         self._clock = clock
         self._settings = settings
@@ -58,6 +59,10 @@
         self._not_before = {}
         self._slots = asyncio.Semaphore(WRITES_AT_ONCE)
         self._tasks = set()
+        self._loads = _loads.LoadQueue(catalogue)
+        self._pump = _loads.LoadPump(
+            self._loads, weights, clock, self._spawn, self._note_weights
+        )
 
     def start(self, decisions, keeper):
         """Start carrying out `decisions`; one at a time for each target."""
@@ -67,15 +72,22 @@
                 continue
             if self._not_before.get(target, 0.0) > self._clock.monotonic():
                 continue
-            self._busy.add(target)
-            task = asyncio.ensure_future(
-                self._carry_out(decision, target, keeper)
-            )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            if getattr(decision, 'needs_ticket', False):
+                now = self._clock.monotonic()
+                self._loads.offer(target, decision, keeper, now)
+                continue
+            self._spawn(target, decision, keeper)
+        self._pump.start()
+
+    def _spawn(self, target, decision, keeper):
+        self._busy.add(target)
+        task = asyncio.ensure_future(self._carry_out(decision, target, keeper))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def close(self):
         """Stop what is under way."""
+        await self._pump.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -99,6 +111,9 @@
         finally:
             self._busy.discard(target)
 
+    def _note_weights(self, error):
+        self._log.warning('weight_store_failed', error=str(error))
+
     async def put(self, decision):
         """Write an object; a lost answer is resolved by reading back.
 
@@ -144,13 +159,6 @@
         self._take_in(stored)
 
     async def _order(self, decision, target, keeper):
-        if decision.needs_ticket:
-            wait = await self._weights.take_ticket(
-                decision.order.model, decision.order.version
-            )
-            if wait:
-                self._not_before[target] = self._clock.monotonic() + wait
-                return
         now = self._clock.monotonic()
         if not keeper.holds(now):
             return
--- a/balsamwind/control/_groups.py
+++ b/balsamwind/control/_groups.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 
+from balsamwind.control import _choices
 from balsamwind.control import _decisions
 from balsamwind import membership
 from balsamwind import objects
@@ -52,10 +53,12 @@
     """One round for one data centre."""
 
     __slots__ = (
+        '_choices',
         '_data_centre',
         '_fencing',
         '_free',
         '_view',
+        '_written',
         'decisions',
         'groups',
     )
@@ -76,6 +79,10 @@
             for stored in view.catalogue.items('group')
             if stored.value.data_centre == data_centre
         ]
+        self._choices = _choices.Choices(
+            view, data_centre, self.groups, self._free, self._lost
+        )
+        self._written = set()
         self.decisions = []
 
     def plan_orphans(self):
@@ -209,17 +216,16 @@
                 self._plan_count(contract, terms, wanted)
 
     def _plan_count(self, contract, terms, wanted):
-        mine = [
-            stored
-            for stored in self.groups
-            if stored.value.contract == contract.customer
-            and stored.value.model == terms.model
-            and not stored.value.leaving
-        ]
-        current = [s for s in mine if _fits(s.value, terms)]
-        outdated = [s for s in mine if not _fits(s.value, terms)]
+        mine = self._choices.staying(contract.customer, terms.model)
+        current = [s for s in mine if _choices.fits(s.value, terms)]
+        outdated = [s for s in mine if not _choices.fits(s.value, terms)]
         if len(current) > wanted:
-            current.sort(key=lambda s: s.value.state is State.READY)
+            current.sort(
+                key=lambda s: (
+                    not self._lost(s.value),
+                    s.value.state is State.READY,
+                )
+            )
             for stored in current[: len(current) - wanted]:
                 self._move(stored, State.DRAINING, 'more than allocated')
         elif len(current) < wanted:
@@ -232,10 +238,9 @@
             self._move(stored, State.DRAINING, 'replaced')
 
     def _form(self, contract, terms):
-        rows = placement.plan_members(terms, self._free)
+        rows = self._choices.members(contract, terms)
         if not rows:
             return False
-        self._free.take(rows)
         suffix = f'{self._view.rng.getrandbits(40):010x}'
         name = f'{contract.customer}-{terms.model}-{suffix}'
         group = objects.Group(
@@ -279,7 +284,14 @@
         )
 
     def _changed(self, group):
-        """Whether a member that answers reports something else."""
+        """Whether a member that answers reports something else.
+
+        While a member is down, the others report a broken group; they are
+        whole again if it comes back as it was.
+        """
+        observations = self._view.observations
+        if any(observations.down_for(v, self._view.now) for v in group.vms):
+            return False
         for vm in group.vms:
             view = self._view.observations.get(vm)
             if self._view.observations.is_up(vm, self._view.now):
@@ -289,25 +301,47 @@
 
     def _repair(self, stored):
         group = stored.value
-        lost = self._lost(group)
-        rows = placement.plan_replacement(group, len(lost), self._free)
-        reason = 'lost ' + ', '.join(lost)
-        if not rows:
-            self._move(stored, State.RELEASING, reason)
-            return
-        self._free.take(rows)
-        kept = [m for m in group.members if m.vm not in lost]
-        added = [objects.Member(row.name, row.address) for row in rows]
-        self._put_group(
-            stored,
-            state=State.FORMING,
-            members=tuple(kept + added),
-            generation=group.generation + 1,
-            reason=reason,
-        )
+        repair = self._choices.repair(stored)
+        match repair.way:
+            case placement.Way.SPARE:
+                kept = [m for m in group.members if m.vm not in repair.lost]
+                added = [
+                    objects.Member(row.name, row.address)
+                    for row in repair.rows
+                ]
+                self._put_group(
+                    stored,
+                    state=State.FORMING,
+                    members=tuple(kept + added),
+                    generation=group.generation + 1,
+                    reason=repair.reason,
+                )
+            case placement.Way.REFORM | placement.Way.YIELD:
+                self._move(stored, State.RELEASING, repair.reason)
+            case placement.Way.BREAK:
+                self._break(stored, repair)
+                self._explain(stored, repair)
+            case placement.Way.WAIT | placement.Way.COMING:
+                self._explain(stored, repair)
+
+    def _break(self, stored, repair):
+        """Drain a group whose member another one is to take."""
+        if repair.victim_serves:
+            victim = self._view.catalogue.get('group', repair.victim)
+            reason = f'taken apart for {stored.name}: {repair.reason}'
+            self._move(victim, State.DRAINING, reason)
+
+    def _explain(self, stored, repair):
+        """Tell operators what a broken group waits for, once."""
+        head = ', '.join(repair.lost)
+        known = f'lost {head}; {repair.way.value}'
+        if not stored.value.reason.startswith(known):
+            self._move(stored, stored.value.state, repair.reason)
 
     def _order_load(self, group, member):
         view = self._view.observations.get(member.vm)
+        if _is_loading(group, view):
+            return
         cached = view.report.cached if view and view.report else ()
         order = ports.Order(
             kind='load',
@@ -349,6 +383,9 @@
         self._put('group', stored.name, value, stored.revision)
 
     def _put(self, kind, name, value, expected):
+        if (kind, name) in self._written:
+            return
+        self._written.add((kind, name))
         self.decisions.append(
             _decisions.PutObject(kind, name, value, expected)
         )
@@ -359,11 +396,13 @@
         )
 
 
-def _fits(group, terms):
-    """Whether a group is what the contract asks for now."""
+def _is_loading(group, view):
+    """Whether the engine says that it obeys the order already."""
     return (
-        group.version == terms.version
-        and group.adapters == terms.adapters
-        and group.role == terms.role
-        and len(group.members) == terms.group_size
+        view is not None
+        and view.report is not None
+        and view.reachable
+        and view.report.state is ports.EngineState.LOADING
+        and view.report.group == group.name
+        and view.report.generation == group.generation
     )
--- a/balsamwind/placement/__init__.py
+++ b/balsamwind/placement/__init__.py
@@ -2,7 +2,30 @@
 
 from balsamwind.placement._capacity import FreeVms
 from balsamwind.placement._capacity import make_free_vms
+from balsamwind.placement._cost import Cost
+from balsamwind.placement._cost import LoadModel
+from balsamwind.placement._place import Need
+from balsamwind.placement._place import plan_formations
 from balsamwind.placement._place import plan_members
-from balsamwind.placement._place import plan_replacement
+from balsamwind.placement._repair import BrokenGroup
+from balsamwind.placement._repair import plan_repairs
+from balsamwind.placement._repair import plan_surplus
+from balsamwind.placement._repair import Repair
+from balsamwind.placement._repair import Victim
+from balsamwind.placement._repair import Way
 
-__all__ = ['FreeVms', 'make_free_vms', 'plan_members', 'plan_replacement']
+__all__ = [
+    'BrokenGroup',
+    'Cost',
+    'FreeVms',
+    'LoadModel',
+    'Need',
+    'Repair',
+    'Victim',
+    'Way',
+    'make_free_vms',
+    'plan_formations',
+    'plan_members',
+    'plan_repairs',
+    'plan_surplus',
+]
--- a/balsamwind/settings/_sections.py
+++ b/balsamwind/settings/_sections.py
@@ -132,7 +132,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PlacementSettings:
-    """Weights of the placement cost function."""
+    """Placement: weights and expected times of its cost function."""
 
     downtime_weight: float = _setting(
         1.0, 'Cost of group downtime.', '1/s', minimum=0
@@ -140,6 +140,27 @@
     stranded_weight: float = _setting(
         0.1, 'Cost of a stranded accelerator.', '1/s', minimum=0
     )
+    load_time: float = _setting(
+        60.0, 'Expected time of a load.', 's', minimum=0, maximum=86400
+    )
+    cached_load_time: float = _setting(
+        5.0, 'Expected time of a load of weights held.', 's', minimum=0
+    )
+    ticket_interval: float = _setting(
+        1.0, 'Expected time between two loads granted.', 's', minimum=0
+    )
+    return_share: float = _setting(
+        0.8, 'Share of lost VMs that come back.', '', minimum=0, maximum=1
+    )
+    return_time: float = _setting(
+        30.0, 'Mean time until they do.', 's', minimum=0.1, maximum=86400
+    )
+    replace_time: float = _setting(
+        900.0, 'Mean time until the others are replaced.', 's', minimum=1
+    )
+    confirm_time: float = _setting(
+        60.0, 'How long a VM is down before groups move away.', 's', minimum=0
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -122,6 +122,11 @@
                 'order_interval': 0.5,
                 'repair_after': 0.3,
             },
+            'placement': {
+                'load_time': 0.2,
+                'cached_load_time': 0.1,
+                'ticket_interval': 0.05,
+            },
         }
         for section, values in self._overrides.items():
             settings.setdefault(section, {}).update(values)
