--- a/build_tools/callers.py
+++ b/build_tools/callers.py
@@ -37,13 +37,13 @@
     def run(self):
         """Read the whole answer."""
         connection = http.client.HTTPConnection(self._address, timeout=30)
-        connection.request(
-            'POST',
-            '/v1/completions',
-            json.dumps(self._body).encode('utf-8'),
-            {'Authorization': f'Bearer {KEY}'},
-        )
         try:
+            connection.request(
+                'POST',
+                '/v1/completions',
+                json.dumps(self._body).encode('utf-8'),
+                {'Authorization': f'Bearer {KEY}'},
+            )
             response = connection.getresponse()
             rest = b''
             # read1, unlike iteration, raises if the body is cut.
