Count the control traffic of a node

Cause: what control costs could not be read anywhere, so the budget of 1.1 % of a core and 7 KB/s a node was not checkable.

--- a/balsamwind/adapters/__init__.py
+++ b/balsamwind/adapters/__init__.py
@@ -2,6 +2,7 @@
 
 from balsamwind.adapters._caller_server import make_caller_server
 from balsamwind.adapters._clock import SystemClock
+from balsamwind.adapters._control_metrics import ControlCollector
 from balsamwind.adapters._engine import HttpEngine
 from balsamwind.adapters._http_client import HttpClient
 from balsamwind.adapters._metrics import Metrics
@@ -13,6 +14,7 @@
 from balsamwind.adapters._platform import HttpWeightStore
 
 __all__ = [
+    'ControlCollector',
     'HttpClient',
     'HttpEngine',
     'HttpObjectStore',
--- a/balsamwind/adapters/_object_store.py
+++ b/balsamwind/adapters/_object_store.py
@@ -25,7 +25,14 @@
         Longest wait of one watch (seconds).
     """
 
-    __slots__ = ('_client', '_timeout', '_url', '_watch_timeout', 'calls')
+    __slots__ = (
+        '_client',
+        '_timeout',
+        '_url',
+        '_watch_timeout',
+        'bytes_received',
+        'calls',
+    )
 
     def __init__(self, client, url, timeout, watch_timeout):
         self._client = client
@@ -33,6 +40,7 @@
         self._timeout = timeout
         self._watch_timeout = watch_timeout
         self.calls = 0
+        self.bytes_received = 0
 
     async def get(self, kind, name):
         """Read one object; None if there is none."""
@@ -84,6 +92,7 @@
                 body=body,
                 timeout=timeout or self._timeout,
             )
+            self.bytes_received += len(response.body)
             return response.status, json.loads(response.body or b'null')
         except (exceptions.TransportError, ValueError) as error:
             raise exceptions.StoreError(f'{method} {path}: {error}') from error
--- a/balsamwind/adapters/_peer_link.py
+++ b/balsamwind/adapters/_peer_link.py
@@ -60,6 +60,8 @@
         '_ssl_server',
         'bytes_received',
         'bytes_sent',
+        'messages_received',
+        'messages_sent',
     )
 
     def __init__(self, hello, receiver, log, ssl_server=None, ssl_client=None):
@@ -72,6 +74,8 @@
         self._dialers = {}
         self.bytes_received = 0
         self.bytes_sent = 0
+        self.messages_received = 0
+        self.messages_sent = 0
 
     @property
     def connected(self):
@@ -168,6 +172,7 @@
         try:
             async for data in connection:
                 self.bytes_received += len(data)
+                self.messages_received += 1
                 message = peers.decode_message(data)
                 self._receiver.on_message(hello, message)
         finally:
@@ -182,5 +187,6 @@
                 data = await link.queue.get()
                 await link.connection.send(data)
                 self.bytes_sent += len(data)
+                self.messages_sent += 1
         except websockets.WebSocketException:
             return
--- a/balsamwind/adapters/_platform.py
+++ b/balsamwind/adapters/_platform.py
@@ -10,12 +10,14 @@
 class HttpVmList:
     """Client of the VM list."""
 
-    __slots__ = ('_client', '_timeout', '_url')
+    __slots__ = ('_client', '_timeout', '_url', 'bytes_received', 'calls')
 
     def __init__(self, client, url, timeout):
         self._client = client
         self._url = url.rstrip('/')
         self._timeout = timeout
+        self.bytes_received = 0
+        self.calls = 0
 
     async def fetch(self):
         """All rows; a tuple of `ListedVm`.
@@ -25,10 +27,12 @@
         balsamwind.exceptions.StoreError
             The platform failed or answered nonsense.
         """
+        self.calls += 1
         try:
             response = await self._client.fetch(
                 'GET', f'{self._url}/v1/vms', timeout=self._timeout
             )
+            self.bytes_received += len(response.body)
             if response.status != 200:
                 raise exceptions.StoreError(f'VM list: {response.status}')
             rows = json.loads(response.body)['vms']
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -63,6 +63,8 @@
         self.draining = False
         self.links = None
         self.controller = None
+        self.make_counters = dict
+        self.make_gauges = dict
         self._open_requests = 0
         self._rng = random.Random(random_state)
         self._keys = {}
@@ -254,6 +256,7 @@
             'store_restored': self.catalogue.restored,
             'shards': self.controller.shards_held(now),
             'open_requests': self._open_requests,
+            'control': {**self.make_counters(), **self.make_gauges()},
             'nodes': self._status_of_nodes(now),
             'groups': [
                 self._status_of_group(stored)
--- a/balsamwind/entry/_observer.py
+++ b/balsamwind/entry/_observer.py
@@ -18,7 +18,14 @@
         Model engines.
     """
 
-    __slots__ = ('_assigned', '_engine', '_entry', '_failures', '_polling')
+    __slots__ = (
+        '_assigned',
+        '_engine',
+        '_entry',
+        '_failures',
+        '_polling',
+        'polls',
+    )
 
     def __init__(self, entry, engine):
         self._entry = entry
@@ -26,6 +33,12 @@
         self._assigned = {}
         self._failures = {}
         self._polling = set()
+        self.polls = 0
+
+    @property
+    def observed(self):
+        """VMs that are this node's part (count)."""
+        return len(self._assigned)
 
     def report_age(self, now):
         """Age of the oldest own observation (seconds)."""
@@ -85,6 +98,7 @@
 
     async def _poll(self, vm, address):
         timeout = self._entry.settings.observation.timeout
+        self.polls += 1
         try:
             report = await self._engine.report(address, timeout)
         except exceptions.BalsamwindError as error:
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -114,10 +114,36 @@
         self.entry.controller = control.Controller(
             self.entry.make_view, self._executor, settings, self._rng
         )
+        self.entry.make_counters = self._make_counters
+        self.entry.make_gauges = self._make_gauges
+        self.entry.metrics.registry.register(
+            adapters.ControlCollector(self._make_counters, self._make_gauges)
+        )
         self._callers = adapters.make_caller_server(self.entry)
         self._operators = adapters.make_operator_server(self.entry)
         self._tasks = []
 
+    def _make_counters(self):
+        links = self.entry.links
+        store, vm_list = self._store, self._vm_list
+        return {
+            'peer_bytes_sent': links.bytes_sent,
+            'peer_bytes_received': links.bytes_received,
+            'peer_messages_sent': links.messages_sent,
+            'peer_messages_received': links.messages_received,
+            'platform_bytes_received': (
+                store.bytes_received + vm_list.bytes_received
+            ),
+            'platform_calls': store.calls + vm_list.calls,
+            'engine_reports': self._observer.polls,
+        }
+
+    def _make_gauges(self):
+        return {
+            'peers_connected': len(self.entry.links.connected),
+            'vms_observed': self._observer.observed,
+        }
+
     async def start(self, stack):
         """Listen, and start the loops."""
         listen = self._settings.listen
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module is a script."""
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -137,7 +137,7 @@
             'platform',
             'standins.platform',
             '--port',
-            _port(self.platform),
+            get_port(self.platform),
             '--vms',
             vms,
         )
@@ -146,7 +146,7 @@
                 f'engines-{place}',
                 'standins.engines',
                 '--admin-port',
-                _port(self.admin[place]),
+                get_port(self.admin[place]),
                 '--vms',
                 vms,
                 '--data-centre',
@@ -156,7 +156,7 @@
                 f'service-{place}',
                 'standins.services',
                 '--port',
-                _port(self.service[place]),
+                get_port(self.service[place]),
             )
         for name in self.entries:
             self.start_entry(name)
@@ -264,7 +264,8 @@
             cluster.stop()
 
 
-def _port(address):
+def get_port(address):
+    """Port of ``host:port``."""
     return address.rsplit(':', 1)[1]
 
 
