--- a/balsamwind/adapters/_object_store.py
+++ b/balsamwind/adapters/_object_store.py
@@ -118,10 +118,16 @@
     def _load_snapshot(self, status, data):
         if status != 200:
             raise exceptions.StoreError(f'object API answered {status}')
+        try:
+            revision = objects.check_revision(data['revision'])
+            rows = [(row['kind'], row['name'], row) for row in data['items']]
+        except (TypeError, ValueError, KeyError) as error:
+            raise exceptions.StoreError(f'malformed list: {error}') from None
         items = []
-        for item in data['items']:
+        unreadable = []
+        for kind, name, row in rows:
             try:
-                items.append(objects.load_stored(item))
+                items.append(objects.load_stored(row))
             except (TypeError, ValueError, KeyError):
-                continue
-        return ports.Snapshot(int(data['revision']), tuple(items))
+                unreadable.append((kind, name))
+        return ports.Snapshot(revision, tuple(items), tuple(unreadable))
--- a/balsamwind/catalogue/tests/test_catalogue.py
+++ b/balsamwind/catalogue/tests/test_catalogue.py
@@ -44,3 +44,10 @@
     known.apply_list(ports.Snapshot(4, ()), ('lease',), 1.0)
     assert known.value('lease', 's') is None
     assert known.revision == 4
+
+
+def test_list_at_the_known_revision_is_followed():
+    known = catalogue.Catalogue()
+    known.apply_from_peer(0, 4, (make_stored(2, 'a'),), 0.0)
+    assert known.apply_list(ports.Snapshot(4, ()), ('lease',), 1.0)
+    assert known.value('lease', 's') is None
--- a/balsamwind/objects/__init__.py
+++ b/balsamwind/objects/__init__.py
@@ -12,17 +12,21 @@
 from balsamwind.objects._contract import load_instant
 from balsamwind.objects._contract import make_key_hash
 from balsamwind.objects._contract import ModelTerms
+from balsamwind.objects._epoch import Epoch
+from balsamwind.objects._epoch import EPOCH_NAME
 from balsamwind.objects._group import Group
 from balsamwind.objects._group import GroupState
 from balsamwind.objects._group import Member
 from balsamwind.objects._lease import Lease
 from balsamwind.objects._node import Node
+from balsamwind.objects._stored import check_revision
 from balsamwind.objects._stored import KINDS
 from balsamwind.objects._stored import load_stored
 from balsamwind.objects._stored import Stored
 from balsamwind.objects._stored import WATCHED_KINDS
 
 __all__ = [
+    'EPOCH_NAME',
     'KINDS',
     'WATCHED_KINDS',
     'Allocation',
@@ -30,6 +34,7 @@
     'CallRecord',
     'Claim',
     'Contract',
+    'Epoch',
     'Group',
     'GroupState',
     'Lease',
@@ -39,6 +44,7 @@
     'Node',
     'Stored',
     'check_contract',
+    'check_revision',
     'decode',
     'encode',
     'load_instant',
--- a/balsamwind/objects/_stored.py
+++ b/balsamwind/objects/_stored.py
@@ -7,6 +7,7 @@
 from balsamwind.objects import _claim
 from balsamwind.objects import _codec
 from balsamwind.objects import _contract
+from balsamwind.objects import _epoch
 from balsamwind.objects import _group
 from balsamwind.objects import _lease
 from balsamwind.objects import _node
@@ -16,16 +17,29 @@
     'call': _call.CallRecord,
     'claim': _claim.Claim,
     'contract': _contract.Contract,
+    'epoch': _epoch.Epoch,
     'group': _group.Group,
     'lease': _lease.Lease,
     'node': _node.Node,
 }
 """Data class of each kind of object."""
 
-WATCHED_KINDS = ('allocation', 'claim', 'contract', 'group', 'lease', 'node')
+WATCHED_KINDS = (
+    'allocation',
+    'claim',
+    'contract',
+    'epoch',
+    'group',
+    'lease',
+    'node',
+)
 """Kinds that every node keeps in memory."""
 
 
+MAX_REVISION = 2**53
+"""Largest store revision that JSON carries without loss (count)."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Stored:
     """One version of an object.
@@ -59,6 +73,19 @@
         return self.value is None
 
 
+def check_revision(value):
+    """Check that a value can be a store revision; the value.
+
+    Raises
+    ------
+    ValueError
+        It is not an integer from 0 to `MAX_REVISION`.
+    """
+    if type(value) is not int or not 0 <= value <= MAX_REVISION:
+        raise ValueError(f'revision: got {value!r}, allowed is an integer')
+    return value
+
+
 def load_stored(data):
     """Build a `Stored` from a plain mapping.
 
@@ -71,4 +98,5 @@
     value = data.get('value')
     if value is not None:
         value = _codec.decode(KINDS[kind], value)
-    return Stored(kind, data['name'], int(data['revision']), value)
+    revision = check_revision(data['revision'])
+    return Stored(kind, data['name'], revision, value)
--- a/balsamwind/ports/_platform.py
+++ b/balsamwind/ports/_platform.py
@@ -15,10 +15,13 @@
         Store revision up to which the answer is complete.
     items : tuple of balsamwind.objects.Stored
         Objects; for a watch, changes in the order of their revisions.
+    unreadable : tuple of (str, str)
+        Kind and name of each object that could not be decoded.
     """
 
     revision: int
     items: tuple
+    unreadable: tuple = ()
 
 
 class ObjectStore(typing.Protocol):
