Tell peers one status a well group, in one frame

Cause: every report of every member went to every peer in a frame of its own, every node listed and watched the store and the VM list, a silent or half open link stood for ever, and a message with NaN, huge or negative values was taken in. Change: a group whose members are all well is one status (generation, checksum of members, rounded load); frames carry the heartbeat and the reports of one interval as CBOR arrays without key names; one node of a data centre follows the platform and tells the others; who is behind is helped by one node; links are ended after stale_after of silence; nodes register as objects and are dialled by them; control stops while the store may have been restored; an inconclusive poll stops vouching for that VM only, where it aged all views of its observer.

--- a/balsamwind/adapters/_peer_link.py
+++ b/balsamwind/adapters/_peer_link.py
@@ -1,7 +1,8 @@
-"""Links between entries: websockets that carry CBOR messages."""
+"""Links between entries: websockets that carry CBOR frames."""
 
 import asyncio
 import contextlib
+import random
 
 import websockets
 from websockets.asyncio import client as ws_client
@@ -10,32 +11,43 @@
 from balsamwind import exceptions
 from balsamwind import peers
 
-MAX_MESSAGE = 16 * 1024 * 1024
-"""Largest message (bytes)."""
+MAX_FRAME = 16 * 1024 * 1024
+"""Largest frame (bytes)."""
 
-MAX_QUEUED = 1024
-"""Messages that wait for a slow peer; more ends the link (count)."""
+MAX_BUFFERED = 16 * 1024 * 1024
+"""Bytes that wait for a slow peer; more ends the link."""
 
-RECONNECT_DELAY = 0.5
-"""Time between attempts to reach a peer (seconds)."""
+OPEN_TIMEOUT = 2.0
+"""Time-out of the opening of a link, first message included (seconds)."""
+
+RECONNECT_DELAY = 0.4
+"""Shortest time between attempts to reach a peer (seconds)."""
+
+MAX_RECONNECT_DELAY = 5.0
+"""Longest time between attempts to reach a peer (seconds)."""
 
 
 class _Link:
     """One connected peer."""
 
-    __slots__ = ('connection', 'hello', 'queue')
+    __slots__ = ('connection', 'heard_at', 'hello')
 
-    def __init__(self, connection, hello):
+    def __init__(self, connection, hello, now):
         self.connection = connection
         self.hello = hello
-        self.queue = asyncio.Queue(MAX_QUEUED)
+        self.heard_at = now
+
+    def abort(self):
+        """End the link without waiting for the peer."""
+        self.connection.transport.abort()
 
 
 class PeerLinks:
     """Keeps a link to every peer.
 
-    Of two nodes, the one whose name sorts first dials. On each new link
-    both sides send all they know; after that, changes.
+    Of two nodes, the one whose name sorts first dials. A frame is handed to
+    the connection at once; what a peer does not read is bounded by
+    `MAX_BUFFERED`. Whatever goes wrong with a peer ends its link only.
 
     Parameters
     ----------
@@ -48,6 +60,10 @@
         Log.
     ssl_server, ssl_client : ssl.SSLContext or None
         For mutual TLS.
+    max_silence : float
+        Time without a frame after which a link is ended (seconds).
+    random_state : int or None
+        Seed of the delays.
     """
 
     __slots__ = (
@@ -55,27 +71,42 @@
         '_hello',
         '_links',
         '_log',
+        '_max_silence',
         '_receiver',
+        '_rng',
         '_ssl_client',
         '_ssl_server',
         'bytes_received',
         'bytes_sent',
         'messages_received',
         'messages_sent',
+        'port',
     )
 
-    def __init__(self, hello, receiver, log, ssl_server=None, ssl_client=None):
+    def __init__(
+        self,
+        hello,
+        receiver,
+        log,
+        ssl_server=None,
+        ssl_client=None,
+        max_silence=3.0,
+        random_state=None,
+    ):
         self._hello = hello
         self._receiver = receiver
         self._log = log
         self._ssl_server = ssl_server
         self._ssl_client = ssl_client
+        self._max_silence = max_silence
+        self._rng = random.Random(random_state)
         self._links = {}
         self._dialers = {}
         self.bytes_received = 0
         self.bytes_sent = 0
         self.messages_received = 0
         self.messages_sent = 0
+        self.port = 0
 
     @property
     def connected(self):
@@ -92,13 +123,19 @@
             int(port),
             ssl=self._ssl_server,
             compression=None,
-            max_size=MAX_MESSAGE,
-        ):
+            max_size=MAX_FRAME,
+            open_timeout=OPEN_TIMEOUT,
+            close_timeout=OPEN_TIMEOUT,
+            ping_interval=None,
+        ) as server:
+            self.port = server.sockets[0].getsockname()[1]
             try:
                 yield self
             finally:
                 for task, _ in self._dialers.values():
                     task.cancel()
+                for link in list(self._links.values()):
+                    link.abort()
 
     def reach(self, name, address):
         """Keep dialling a peer, if it is this node's part to dial."""
@@ -112,81 +149,115 @@
         task = asyncio.ensure_future(self._dial(name, address))
         self._dialers[name] = (task, address)
 
-    def send(self, name, message):
-        """Queue a message for one peer; nothing if it is not connected."""
+    def leave(self, name):
+        """Stop dialling a peer that is gone."""
+        known = self._dialers.pop(name, None)
+        if known is not None:
+            known[0].cancel()
+
+    def send(self, name, *messages):
+        """Send one frame to a peer; nothing if it is not connected."""
         link = self._links.get(name)
         if link is not None:
-            self._enqueue(link, peers.encode_message(message))
+            self._write([link], peers.encode_frame(messages))
 
-    def broadcast(self, message):
-        """Queue a message for all connected peers."""
-        data = peers.encode_message(message)
-        for link in list(self._links.values()):
-            self._enqueue(link, data)
+    def broadcast(self, *messages, data_centre=None):
+        """Send one frame to all peers, or to those of one data centre."""
+        links = [
+            link
+            for link in self._links.values()
+            if data_centre is None or link.hello.data_centre == data_centre
+        ]
+        if links:
+            self._write(links, peers.encode_frame(messages))
 
-    def _enqueue(self, link, data):
-        try:
-            link.queue.put_nowait(data)
-        except asyncio.QueueFull:
-            self._log.warning('peer_too_slow', peer=link.hello.node)
-            link.connection.transport.abort()
+    def _write(self, links, data):
+        connections = [link.connection for link in links]
+        ws_server.broadcast(connections, data)
+        self.bytes_sent += len(data) * len(links)
+        self.messages_sent += len(links)
+        for link in links:
+            transport = link.connection.transport
+            if transport.get_write_buffer_size() > MAX_BUFFERED:
+                self._log.warning('peer_too_slow', peer=link.hello.node)
+                link.abort()
+
+    def close_silent(self):
+        """End the links over which nothing came for too long."""
+        oldest = asyncio.get_running_loop().time() - self._max_silence
+        for link in list(self._links.values()):
+            if link.heard_at < oldest:
+                self._log.warning('peer_silent', peer=link.hello.node)
+                link.abort()
 
     async def _dial(self, name, address):
-        scheme = 'wss' if self._ssl_client else 'ws'
+        delay = RECONNECT_DELAY
         while True:
+            began = asyncio.get_running_loop().time()
             try:
-                async with ws_client.connect(
-                    f'{scheme}://{address}/',
-                    ssl=self._ssl_client,
-                    compression=None,
-                    max_size=MAX_MESSAGE,
-                    open_timeout=2.0,
-                    proxy=None,
-                ) as connection:
-                    await self._serve(connection)
+                await self._open(address)
             except (OSError, TimeoutError, websockets.WebSocketException):
                 pass
-            await asyncio.sleep(RECONNECT_DELAY)
+            except Exception:
+                self._log.exception('peer_dial_failed', peer=name)
+            if asyncio.get_running_loop().time() - began > OPEN_TIMEOUT * 2:
+                delay = RECONNECT_DELAY
+            await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
+            delay = min(MAX_RECONNECT_DELAY, delay * 1.5)
+
+    async def _open(self, address):
+        scheme = 'wss' if self._ssl_client else 'ws'
+        async with ws_client.connect(
+            f'{scheme}://{address}/',
+            ssl=self._ssl_client,
+            compression=None,
+            max_size=MAX_FRAME,
+            open_timeout=OPEN_TIMEOUT,
+            close_timeout=OPEN_TIMEOUT,
+            ping_interval=None,
+            proxy=None,
+        ) as connection:
+            await self._serve(connection)
 
     async def _serve(self, connection):
         try:
-            await connection.send(peers.encode_message(self._hello))
-            hello = peers.decode_message(await connection.recv())
-            if not isinstance(hello, peers.Hello):
-                return
+            await connection.send(peers.encode_frame([self._hello]))
+            async with asyncio.timeout(OPEN_TIMEOUT):
+                data = await connection.recv()
+            hello = self._check_hello(peers.decode_frame(data))
             await self._run_link(connection, hello)
         except exceptions.TransportError as error:
             self._log.warning('peer_malformed', error=str(error))
+        except TimeoutError:
+            self._log.warning('peer_silent', peer='')
         except (OSError, websockets.WebSocketException):
             return
+        except Exception:
+            self._log.exception('peer_link_failed')
+
+    def _check_hello(self, messages):
+        if len(messages) == 1 and isinstance(messages[0], peers.Hello):
+            if messages[0].node not in ('', self._hello.node):
+                return messages[0]
+        raise exceptions.TransportError('malformed peer message: no hello')
 
     async def _run_link(self, connection, hello):
+        loop = asyncio.get_running_loop()
         old = self._links.get(hello.node)
         if old is not None:
-            old.connection.transport.abort()
-        link = _Link(connection, hello)
+            old.abort()
+        link = _Link(connection, hello, loop.time())
         self._links[hello.node] = link
-        for message in self._receiver.on_connect(hello):
-            self._enqueue(link, peers.encode_message(message))
-        sender = asyncio.ensure_future(self._send_queued(link))
         try:
+            first = self._receiver.on_connect(hello)
+            self._write([link], peers.encode_frame(first))
             async for data in connection:
+                link.heard_at = loop.time()
                 self.bytes_received += len(data)
                 self.messages_received += 1
-                message = peers.decode_message(data)
-                self._receiver.on_message(hello, message)
+                for message in peers.decode_frame(data):
+                    self._receiver.on_message(hello, message)
         finally:
-            sender.cancel()
             if self._links.get(hello.node) is link:
                 del self._links[hello.node]
                 self._receiver.on_disconnect(hello)
-
-    async def _send_queued(self, link):
-        try:
-            while True:
-                data = await link.queue.get()
-                await link.connection.send(data)
-                self.bytes_sent += len(data)
-                self.messages_sent += 1
-        except websockets.WebSocketException:
-            return
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -6,6 +6,7 @@
 from balsamwind import admission
 from balsamwind import catalogue
 from balsamwind import control
+from balsamwind.entry import _node_status
 from balsamwind import exceptions
 from balsamwind import membership
 from balsamwind import objects
@@ -97,6 +98,13 @@
         """A new random id."""
         return f'{self._rng.getrandbits(96):024x}'
 
+    def is_platform_reader(self):
+        """Whether this node is the one to follow the platform."""
+        place = self.settings.node.data_centre
+        now = self.clock.monotonic()
+        chosen = self.registry.platform_reader(place, now)
+        return chosen == self.settings.node.name
+
     def make_view(self):
         """What the control path decides from, at this moment."""
         return control.View(
@@ -254,10 +262,11 @@
             'data_centre': self.settings.node.data_centre,
             'revision': self.catalogue.revision,
             'store_restored': self.catalogue.restored,
+            'store': _node_status.make_store_status(self.catalogue),
             'shards': self.controller.shards_held(now),
             'open_requests': self._open_requests,
             'control': {**self.make_counters(), **self.make_gauges()},
-            'nodes': self._status_of_nodes(now),
+            'nodes': _node_status.make_node_rows(self, now),
             'groups': [
                 self._status_of_group(stored)
                 for stored in self.catalogue.items('group')
@@ -269,27 +278,6 @@
             },
         }
 
-    def _status_of_nodes(self, now):
-        own = {
-            'name': self.settings.node.name,
-            'data_centre': self.settings.node.data_centre,
-            'revision': self.catalogue.revision,
-            'alive': True,
-            'draining': self.draining,
-        }
-        alive = {peer.name for peer in self.registry.alive(now)}
-        others = [
-            {
-                'name': peer.name,
-                'data_centre': peer.data_centre,
-                'revision': peer.revision,
-                'alive': peer.name in alive,
-                'draining': peer.draining,
-            }
-            for peer in self.registry.peers
-        ]
-        return sorted([own, *others], key=lambda node: node['name'])
-
     def _status_of_group(self, stored):
         group = stored.value
         reason = self.groups.reasons.get(group.name, 'not checked')
--- a/balsamwind/entry/_observer.py
+++ b/balsamwind/entry/_observer.py
@@ -8,7 +8,7 @@
 
 
 class Observer:
-    """Polls engines and tells the peers what changed.
+    """Polls engines and decides what to tell the peers.
 
     Parameters
     ----------
@@ -16,6 +16,8 @@
         Takes in what is seen.
     engine : balsamwind.ports.Engine
         Model engines.
+    rng : random.Random
+        Spreads repeated reports.
     """
 
     __slots__ = (
@@ -24,12 +26,14 @@
         '_entry',
         '_failures',
         '_polling',
+        '_publisher',
         'polls',
     )
 
-    def __init__(self, entry, engine):
+    def __init__(self, entry, engine, rng):
         self._entry = entry
         self._engine = engine
+        self._publisher = peers.Publisher(rng)
         self._assigned = {}
         self._failures = {}
         self._polling = set()
@@ -42,15 +46,38 @@
 
     def report_age(self, now):
         """Age of the oldest own observation (seconds)."""
-        node = self._entry.settings.node.name
-        observations = self._entry.observations
-        ages = [
-            now - view.seen_at
-            for view in observations.views_of(node)
-            if view.vm in self._assigned
-        ]
+        ages = [now - view.seen_at for view in self._own_views().values()]
         return max(ages, default=0.0)
 
+    def _own_views(self):
+        """Views of the VMs that are this node's part, by VM."""
+        node = self._entry.settings.node.name
+        views = {}
+        for vm in self._assigned:
+            view = self._entry.observations.get(vm)
+            if view is not None and view.observer == node:
+                views[vm] = view
+        return views
+
+    def plan_reports(self, now):
+        """What to tell the peers now; a `Reports` or None."""
+        groups = [s.value for s in self._entry.catalogue.items('group')]
+        return self._publisher.plan(groups, self._own_views(), now)
+
+    def make_all_reports(self):
+        """All that a new peer has to know."""
+        views = self._own_views().values()
+        return peers.Reports(
+            tuple(
+                peers.Observation(view.vm, view.reachable, view.report)
+                for view in views
+            )
+        )
+
+    def on_dropped(self, vm):
+        """Note that a peer no longer observes `vm`."""
+        self._publisher.forget(vm)
+
     def run_round(self):
         """Start polling every assigned VM that is not being polled."""
         self._assign()
@@ -62,24 +89,25 @@
     def _assign(self):
         entry = self._entry
         now = entry.clock.monotonic()
-        units = self._units()
         observers = {}
         assigned = {}
-        for vm, (unit, address, data_centre) in units.items():
+        chosen = {}
+        for vm, (unit, address, data_centre) in self._units().items():
             if data_centre not in observers:
                 observers[data_centre] = entry.registry.observers(
                     data_centre, now
                 )
-            chosen = membership.choose_observer(unit, observers[data_centre])
-            if chosen == entry.settings.node.name:
+            if unit not in chosen:
+                chosen[unit] = membership.choose_observer(
+                    unit, observers[data_centre]
+                )
+            if chosen[unit] == entry.settings.node.name:
                 assigned[vm] = address
         dropped = tuple(vm for vm in self._assigned if vm not in assigned)
         self._assigned = assigned
-        if dropped:
-            for vm in dropped:
-                self._failures.pop(vm, None)
-                entry.observations.drop(vm, entry.settings.node.name)
-            entry.links.broadcast(peers.Reports((), dropped))
+        for vm in dropped:
+            self._failures.pop(vm, None)
+        self._drop(dropped)
 
     def _units(self):
         """VM -> (what is observed together, address, data centre)."""
@@ -96,6 +124,15 @@
                 )
         return units
 
+    def _drop(self, vms):
+        """Stop vouching for some VMs."""
+        entry = self._entry
+        for vm in vms:
+            entry.observations.drop(vm, entry.settings.node.name)
+            self._publisher.forget(vm)
+        if vms:
+            entry.links.broadcast(peers.Reports((), tuple(vms)))
+
     async def _poll(self, vm, address):
         timeout = self._entry.settings.observation.timeout
         self.polls += 1
@@ -113,19 +150,28 @@
             return
         entry = self._entry
         reachable = self._check_reachable(vm, error)
-        before = entry.observations.get(vm)
-        old = before and (before.reachable, before.report, before.observer)
         if report is None and reachable:
+            self._drop((vm,))
             return
         node = entry.settings.node.name
         now = entry.clock.monotonic()
+        before = entry.observations.get(vm)
+        was = None
+        if before is not None and before.observer == node:
+            was = _health(before.reachable, before.report)
+        else:
+            self._publisher.forget(vm)
         entry.observations.update(vm, reachable, report, node, now)
         view = entry.observations.get(vm)
-        if old == (view.reachable, view.report, node):
-            return
-        entry.groups.invalidate()
-        item = peers.Observation(vm, view.reachable, view.report)
-        entry.links.broadcast(peers.Reports((item,)))
+        if was != _health(view.reachable, view.report):
+            entry.groups.invalidate()
+            self._tell(now)
+
+    def _tell(self, now):
+        """Tell the peers at once what changed."""
+        reports = self.plan_reports(now)
+        if reports is not None:
+            self._entry.links.broadcast(reports)
 
     def _check_reachable(self, vm, error):
         """Whether a VM still counts as reachable after a poll.
@@ -142,3 +188,17 @@
         )
         limit = self._entry.settings.observation.failures_to_down
         return not refused and failures < limit
+
+
+def _health(reachable, report):
+    """What of a view decides whether a group may serve."""
+    if report is None:
+        return (reachable, None)
+    return (
+        reachable,
+        report.state,
+        report.group,
+        report.generation,
+        report.model,
+        report.version,
+    )
--- a/balsamwind/entry/_peering.py
+++ b/balsamwind/entry/_peering.py
@@ -2,6 +2,12 @@
 
 from balsamwind import peers
 
+VM_LIST_HELP_AGE = 60.0
+"""Age of its VM list at which another data centre is helped (seconds)."""
+
+NEVER_READ = 1e8
+"""Age from which on a VM list was never read (seconds)."""
+
 
 class Peering:
     """Receiver of a node's peer links.
@@ -11,39 +17,44 @@
     entry : balsamwind.entry.Entry
         Takes in what peers say.
     observer : balsamwind.entry.Observer
-        Knows how old the node's own observations are.
+        Knows what the node itself observes.
+    store_follower : StoreFollower
+        Knows whether the node follows the store.
+    vm_follower : VmListFollower
+        Keeps the VM list.
     """
 
-    __slots__ = ('_entry', '_observer', '_revision_before')
+    __slots__ = (
+        '_entry',
+        '_observer',
+        '_revision_before',
+        '_statuses',
+        '_store_follower',
+        '_vm_follower',
+    )
 
-    def __init__(self, entry, observer):
+    def __init__(self, entry, observer, store_follower, vm_follower):
         self._entry = entry
         self._observer = observer
+        self._store_follower = store_follower
+        self._vm_follower = vm_follower
         self._revision_before = 0
+        self._statuses = {}
+        entry.catalogue.listen(self._on_object)
 
     def on_connect(self, hello):
-        """First messages to a peer: all that this node knows."""
+        """First messages to a peer."""
         entry = self._entry
+        now = entry.clock.monotonic()
         entry.log.info('peer_connected', peer=hello.node)
-        entry.registry.hear(
-            hello.node, hello.data_centre, entry.clock.monotonic()
-        )
-        node = entry.settings.node.name
-        views = tuple(
-            peers.Observation(view.vm, view.reachable, view.report)
-            for view in entry.observations.views_of(node)
-        )
-        return [
-            self._make_changes(0),
-            peers.VmRows(tuple(entry.groups.listed.values())),
-            peers.Reports(views),
-            self.make_heartbeat(),
-        ]
+        peer = entry.registry.hear(hello.node, hello.data_centre, now)
+        peer.connected_at = now
+        return [self._observer.make_all_reports(), self.make_heartbeat()]
 
     def on_disconnect(self, hello):
         """Note that a peer's link has ended."""
         self._entry.log.info('peer_disconnected', peer=hello.node)
-        self._entry.registry.forget(hello.node)
+        self._entry.registry.disconnect(hello.node)
 
     def on_message(self, hello, message):
         """Take in a message of a peer."""
@@ -52,54 +63,142 @@
         match message:
             case peers.Heartbeat():
                 self._on_heartbeat(hello, message, now)
-            case peers.Reports(items=items, dropped=dropped):
-                for item in items:
-                    entry.observations.update(
-                        item.vm, item.reachable, item.report, hello.node, now
-                    )
-                for vm in dropped:
-                    entry.observations.drop(vm, hello.node)
-                entry.groups.invalidate()
-            case peers.ObjectChanges(
-                since=since, revision=revision, items=items
-            ):
-                entry.catalogue.apply_from_peer(since, revision, items, now)
+            case peers.Reports():
+                self._on_reports(hello, message, now)
+            case peers.ObjectChanges():
+                entry.catalogue.apply_from_peer(
+                    message.since,
+                    message.revision,
+                    message.items,
+                    now,
+                    message.complete,
+                )
             case peers.GroupDown(
                 group=group, generation=generation, reason=reason
             ):
                 entry.groups.mark_down(group, generation, reason, now)
-            case peers.VmRows(rows=rows):
-                for row in rows:
-                    entry.groups.listed.setdefault(row.name, row)
-                entry.groups.invalidate()
+            case peers.VmRows():
+                self._vm_follower.take(message, now)
+
+    def _on_reports(self, hello, message, now):
+        entry = self._entry
+        for status in message.groups:
+            self._statuses[status.group] = (status, hello.node, now)
+            self._take_status(status.group)
+        for item in message.items:
+            entry.observations.update(
+                item.vm, item.reachable, item.report, hello.node, now
+            )
+        for vm in message.dropped:
+            entry.observations.drop(vm, hello.node)
+            self._observer.on_dropped(vm)
+        entry.groups.invalidate()
+
+    def _on_object(self, stored):
+        """Use a group's status that came before the group's record."""
+        if stored.kind == 'group':
+            if stored.deleted:
+                self._statuses.pop(stored.name, None)
+            else:
+                self._take_status(stored.name)
+
+    def _take_status(self, name):
+        entry = self._entry
+        group = entry.catalogue.value('group', name)
+        known = self._statuses.get(name)
+        if group is None or known is None:
+            return
+        status, observer, at = known
+        reports = peers.make_reports(group, status)
+        for report in reports:
+            entry.observations.update(report.vm, True, report, observer, at)
+        if reports:
+            del self._statuses[name]
 
     def _on_heartbeat(self, hello, message, now):
         entry = self._entry
-        state = entry.registry.hear(hello.node, hello.data_centre, now)
-        state.revision = message.revision
-        state.draining = message.draining
-        state.in_flight = message.in_flight
+        peer = entry.registry.hear(hello.node, hello.data_centre, now)
+        peer.revision = message.revision
+        peer.draining = message.draining
+        peer.in_flight = message.in_flight
+        peer.reads_store = message.reads_store
+        peer.epoch = message.epoch
+        peer.vm_list_age = message.vm_list_age
         entry.observations.hear(hello.node, now, message.report_age)
-        if message.revision < self._revision_before:
-            entry.links.send(hello.node, self._make_changes(message.revision))
+        self._help_with_objects(peer, now)
+        self._help_with_vms(peer, now)
+        place = entry.settings.node.data_centre
+        if peer.data_centre == place and peer.name == (
+            entry.registry.platform_reader(place, now)
+        ):
+            self._vm_follower.hear_reader(peer, message.vm_list_age, now)
+
+    def _help_with_objects(self, peer, now):
+        """Bring a peer up to date whose objects are behind."""
+        catalogue = self._entry.catalogue
+        older = peer.epoch < catalogue.epoch
+        if peer.epoch > catalogue.epoch or not (
+            older or peer.revision < self._revision_before
+        ):
+            peer.behind = 0
+            return
+        peer.behind += 1
+        if self._entry.registry.is_helper(peer, catalogue.revision, now):
+            peer.behind = 0
+            since = 0 if older else peer.revision
+            self._entry.links.send(peer.name, self._make_changes(since))
+
+    def _make_changes(self, since):
+        catalogue = self._entry.catalogue
+        since = catalogue.start_of_changes(since)
+        return peers.ObjectChanges(
+            since,
+            catalogue.revision,
+            catalogue.changes_since(since),
+            not catalogue.unreadable,
+        )
+
+    def _help_with_vms(self, peer, now):
+        """Send the VM list to a peer that can't read it."""
+        entry = self._entry
+        age = self._vm_follower.age(now)
+        if peer.vm_list_age < max(VM_LIST_HELP_AGE, age + peers.VM_LIST_GAIN):
+            return
+        never = peer.vm_list_age >= NEVER_READ
+        reader = entry.registry.platform_reader(peer.data_centre, now)
+        if not never and peer.name != reader:
+            return
+        if entry.registry.is_vm_list_helper(peer, now):
+            rows = tuple(entry.groups.listed.values())
+            entry.links.send(peer.name, peers.VmRows(rows, (), True, age))
 
     def beat(self):
-        """Send a heartbeat to all peers."""
-        self._entry.links.broadcast(self.make_heartbeat())
-        self._revision_before = self._entry.catalogue.revision
+        """Send a heartbeat, and what was observed, to all peers."""
+        entry = self._entry
+        now = entry.clock.monotonic()
+        entry.links.close_silent()
+        reports = self._observer.plan_reports(now)
+        heartbeat = self.make_heartbeat()
+        if reports is None:
+            entry.links.broadcast(heartbeat)
+        else:
+            entry.links.broadcast(reports, heartbeat)
+        catalogue = entry.catalogue
+        self._revision_before = catalogue.revision
+        catalogue.prune(
+            entry.registry.lowest_revision(catalogue.revision, now), now
+        )
 
     def make_heartbeat(self):
         """Heartbeat of this moment."""
         entry = self._entry
+        now = entry.clock.monotonic()
         return peers.Heartbeat(
             revision=entry.catalogue.revision,
-            report_age=self._observer.report_age(entry.clock.monotonic()),
+            report_age=self._observer.report_age(now),
             draining=entry.draining,
             in_flight=dict(entry.limits.in_flight),
-        )
-
-    def _make_changes(self, since):
-        catalogue = self._entry.catalogue
-        return peers.ObjectChanges(
-            since, catalogue.revision, catalogue.changes_since(since)
+            reads_store=self._store_follower.reading,
+            epoch=entry.catalogue.epoch,
+            vm_list_age=self._vm_follower.age(now),
         )
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -12,16 +12,12 @@
 from balsamwind.entry import _entry
 from balsamwind.entry import _observer
 from balsamwind.entry import _peering
+from balsamwind.entry import _platform_follower
+from balsamwind.entry import _registration
 from balsamwind import exceptions
 from balsamwind import objects
 from balsamwind import peers
 
-RETRY_DELAY = 0.3
-"""Shortest wait before the platform is asked again (seconds)."""
-
-RETRY_JITTER = 0.7
-"""Random part added to that wait (seconds)."""
-
 DRAIN_NOTICE = 0.5
 """Time between the first sign of a shutdown and the last new request
 (seconds)."""
@@ -95,13 +91,35 @@
             self._log,
             self._rng.getrandbits(64),
         )
-        self._observer = _observer.Observer(self.entry, self._engine)
-        self._peering = _peering.Peering(self.entry, self._observer)
+        self._observer = _observer.Observer(
+            self.entry, self._engine, self._rng
+        )
+        self._store_follower = _platform_follower.StoreFollower(
+            self.entry, self._store, self._rng
+        )
+        self._vm_follower = _platform_follower.VmListFollower(
+            self.entry, self._vm_list, self._rng
+        )
+        self._peering = _peering.Peering(
+            self.entry,
+            self._observer,
+            self._store_follower,
+            self._vm_follower,
+        )
         self._incarnation = self.entry.make_id()
         hello = peers.Hello(
             settings.node.name, settings.node.data_centre, self._incarnation
         )
-        self.entry.links = adapters.PeerLinks(hello, self._peering, self._log)
+        self.entry.links = adapters.PeerLinks(
+            hello,
+            self._peering,
+            self._log,
+            max_silence=settings.observation.stale_after,
+            random_state=self._rng.getrandbits(64),
+        )
+        self._registrar = _registration.Registrar(
+            self.entry, self._store, self._make_node(), self._rng
+        )
         self._executor = control.Executor(
             self._store,
             self._engine,
@@ -123,6 +141,15 @@
         self._operators = adapters.make_operator_server(self.entry)
         self._tasks = []
 
+    def _make_node(self):
+        settings = self._settings
+        return objects.Node(
+            settings.node.name,
+            settings.node.data_centre,
+            settings.listen.peers,
+            self._incarnation,
+        )
+
     def _make_counters(self):
         links = self.entry.links
         store, vm_list = self._store, self._vm_list
@@ -139,9 +166,14 @@
         }
 
     def _make_gauges(self):
+        catalogue = self.entry.catalogue
         return {
             'peers_connected': len(self.entry.links.connected),
             'vms_observed': self._observer.observed,
+            'store_revision': catalogue.revision,
+            'store_restored': int(catalogue.restored),
+            'tombstones': catalogue.tombstones,
+            'objects_unreadable': len(catalogue.unreadable),
         }
 
     async def start(self, stack):
@@ -157,15 +189,13 @@
         for peer in self._settings.peers:
             self.entry.links.reach(peer.name, peer.address)
         observation = self._settings.observation
-        self._spawn(self._follow_store())
-        self._spawn(self._follow_vm_list())
+        self._spawn(self._store_follower.run())
+        self._spawn(self._vm_follower.run())
+        self._spawn(self._registrar.run())
         self._spawn(self._repeat(observation.interval, self._observe))
         self._spawn(self._repeat(observation.interval, self._beat))
         self._spawn(
-            self._repeat(
-                self._settings.control.interval,
-                self.entry.controller.run_round,
-            )
+            self._repeat(self._settings.control.interval, self._control)
         )
         self._log.info('started', incarnation=self._incarnation)
 
@@ -188,47 +218,10 @@
                 self._log.exception('round_crashed')
             await asyncio.sleep(interval * self._rng.uniform(0.9, 1.1))
 
-    async def _follow_store(self):
-        catalogue = self.entry.catalogue
-        listed = False
-        while True:
-            try:
-                if not listed:
-                    snapshot = await self._store.list(objects.WATCHED_KINDS)
-                    now = self._clock.monotonic()
-                    catalogue.apply_list(snapshot, objects.WATCHED_KINDS, now)
-                    listed = True
-                snapshot = await self._store.watch(
-                    objects.WATCHED_KINDS, catalogue.revision
-                )
-                catalogue.apply_changes(snapshot, self._clock.monotonic())
-            except exceptions.HistoryGone:
-                listed = False
-            except exceptions.BalsamwindError as error:
-                listed = False
-                self._log.warning('store_unavailable', error=str(error))
-                await self._pause()
-            except Exception:
-                listed = False
-                self._log.exception('store_loop_crashed')
-                await self._pause()
-
-    async def _pause(self):
-        await asyncio.sleep(RETRY_DELAY + self._rng.uniform(0.0, RETRY_JITTER))
-
-    async def _follow_vm_list(self):
-        while True:
-            try:
-                rows = await self._vm_list.fetch()
-                self.entry.groups.listed = {row.name: row for row in rows}
-                self.entry.groups.invalidate()
-            except exceptions.BalsamwindError as error:
-                self._log.warning('vm_list_unavailable', error=str(error))
-                await self._pause()
-            await asyncio.sleep(
-                self._settings.platform.vm_list_interval
-                * self._rng.uniform(0.9, 1.1)
-            )
+    async def _control(self):
+        """Run a control round, unless the store may have been restored."""
+        if not self.entry.catalogue.restored:
+            await self.entry.controller.run_round()
 
     async def drain(self):
         """Finish what callers wait for; take nothing new."""
@@ -236,6 +229,7 @@
         self.entry.draining = True
         self._peering.beat()
         await self.entry.controller.release()
+        await self._registrar.withdraw()
         await asyncio.sleep(DRAIN_NOTICE)
         self._callers.stop()
         deadline = (
--- a/balsamwind/objects/_codec.py
+++ b/balsamwind/objects/_codec.py
@@ -11,6 +11,9 @@
 import types
 import typing
 
+MAX_NUMBER = 2**53
+"""Largest number that JSON carries without loss."""
+
 
 @functools.cache
 def _hints(cls):
@@ -70,9 +73,11 @@
 
 
 def _decode_class(cls, data):
+    hints = _hints(cls)
+    if isinstance(data, list):
+        data = dict(zip(hints, data, strict=False))
     if not isinstance(data, dict):
         raise TypeError(f'{cls.__name__}: got {type(data).__name__}')
-    hints = _hints(cls)
     known = {
         name: decode(hint, data[name])
         for name, hint in hints.items()
@@ -82,8 +87,16 @@
 
 
 def _decode_scalar(cls, data):
-    if cls is float and isinstance(data, int):
-        return float(data)
-    if cls in (str, int, float, bool) and not isinstance(data, cls):
+    if cls is float and type(data) is int:
+        data = float(_check_number(data))
+    if cls in (str, int, float, bool) and type(data) is not cls:
         raise TypeError(f'got {data!r}, allowed is {cls.__name__}')
+    if cls in (int, float):
+        return _check_number(data)
     return data
+
+
+def _check_number(value):
+    if not -MAX_NUMBER <= value <= MAX_NUMBER:
+        raise ValueError(f'got {value!r}, allowed is a number to 2**53')
+    return value
--- a/balsamwind/peers/__init__.py
+++ b/balsamwind/peers/__init__.py
@@ -1,27 +1,45 @@
 """Messages between entries, and the state a node keeps of its peers."""
 
-from balsamwind.peers._messages import decode_message
-from balsamwind.peers._messages import encode_message
+from balsamwind.peers._group_status import LOAD_FIELDS
+from balsamwind.peers._group_status import make_reports
+from balsamwind.peers._group_status import make_status
+from balsamwind.peers._group_status import quantise
 from balsamwind.peers._messages import GroupDown
+from balsamwind.peers._messages import GroupStatus
 from balsamwind.peers._messages import Heartbeat
 from balsamwind.peers._messages import Hello
 from balsamwind.peers._messages import ObjectChanges
 from balsamwind.peers._messages import Observation
 from balsamwind.peers._messages import Reports
 from balsamwind.peers._messages import VmRows
+from balsamwind.peers._publisher import Publisher
+from balsamwind.peers._registry import HELP_PATIENCE
 from balsamwind.peers._registry import PeerRegistry
 from balsamwind.peers._registry import PeerState
+from balsamwind.peers._registry import VM_LIST_GAIN
+from balsamwind.peers._registry import VM_LIST_STALE
+from balsamwind.peers._wire import decode_frame
+from balsamwind.peers._wire import encode_frame
 
 __all__ = [
+    'HELP_PATIENCE',
+    'LOAD_FIELDS',
+    'VM_LIST_GAIN',
+    'VM_LIST_STALE',
     'GroupDown',
+    'GroupStatus',
     'Heartbeat',
     'Hello',
     'ObjectChanges',
     'Observation',
     'PeerRegistry',
     'PeerState',
+    'Publisher',
     'Reports',
     'VmRows',
-    'decode_message',
-    'encode_message',
+    'decode_frame',
+    'encode_frame',
+    'make_reports',
+    'make_status',
+    'quantise',
 ]
--- /dev/null
+++ b/balsamwind/peers/_group_status.py
@@ -0,0 +1,111 @@
+"""One status for a group that is well, in place of a report a member."""
+
+import dataclasses
+
+import xxhash
+
+from balsamwind.peers import _messages
+from balsamwind import ports
+
+_OTHER_FIELDS = frozenset(
+    {
+        'vm',
+        'state',
+        'group',
+        'generation',
+        'model',
+        'version',
+        'fencing',
+        'cached',
+        'cache_events',
+    }
+)
+
+LOAD_FIELDS = tuple(
+    field.name
+    for field in dataclasses.fields(ports.EngineReport)
+    if field.name not in _OTHER_FIELDS
+)
+"""Fields of an engine's report that a group's status carries, in order."""
+
+_COUNTS = frozenset({'running', 'waiting'})
+
+EXACT_BELOW = 8
+"""Counts that are not rounded (count)."""
+
+
+def quantise(count):
+    """Round a count to three significant bits, halves up.
+
+    Examples
+    --------
+    >>> [quantise(count) for count in (0, 7, 9, 17, 100)]
+    [0, 7, 10, 16, 96]
+    """
+    if count < EXACT_BELOW:
+        return count
+    step = 1 << (count.bit_length() - 3)
+    return (count + step // 2) // step * step
+
+
+def make_checksum(names):
+    """Checksum of the names of a group's members."""
+    return xxhash.xxh32_intdigest('/'.join(names).encode())
+
+
+def make_status(group, report):
+    """Status of a group that is well.
+
+    Parameters
+    ----------
+    group : balsamwind.objects.Group
+        Its record.
+    report : balsamwind.ports.EngineReport
+        Report of its first member.
+
+    Returns
+    -------
+    GroupStatus
+    """
+    load = [getattr(report, name) for name in LOAD_FIELDS]
+    for place, name in enumerate(LOAD_FIELDS):
+        if name in _COUNTS:
+            load[place] = quantise(load[place])
+    return _messages.GroupStatus(
+        group.name, group.generation, make_checksum(group.vms), tuple(load)
+    )
+
+
+def make_reports(group, status):
+    """Reports of the members that a status stands for.
+
+    Returns
+    -------
+    tuple of balsamwind.ports.EngineReport
+        Empty if the status is of other members or another generation than
+        the record.
+    """
+    if status.generation != group.generation:
+        return ()
+    if status.members != make_checksum(group.vms):
+        return ()
+    return tuple(
+        _make_report(group, member.vm, status.load if rank == 0 else ())
+        for rank, member in enumerate(group.members)
+    )
+
+
+def _make_report(group, vm, load):
+    values = {}
+    for name, value in zip(LOAD_FIELDS, load, strict=False):
+        values[name] = int(value) if name in _COUNTS else value
+    return ports.EngineReport(
+        vm=vm,
+        state=ports.EngineState.READY,
+        group=group.name,
+        generation=group.generation,
+        model=group.model,
+        version=group.version,
+        cached=(f'{group.model}@{group.version}',),
+        **values,
+    )
--- a/balsamwind/peers/_messages.py
+++ b/balsamwind/peers/_messages.py
@@ -1,11 +1,7 @@
-"""Messages between entries: typed, carried as CBOR arrays."""
+"""Messages between entries."""
 
 import dataclasses
 
-import cbor2
-
-from balsamwind import exceptions
-from balsamwind import objects
 from balsamwind import ports
 
 
@@ -32,14 +28,17 @@
     ----------
     since, revision : int
         The items are all versions after the first store revision and up to
-        the second.
+        the second. If `since` is 0, what the items lack does not exist.
     items : tuple of balsamwind.objects.Stored
         Versions, deletions included.
+    complete : bool
+        Whether the sender could read all versions.
     """
 
     since: int
     revision: int
     items: tuple
+    complete: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -61,6 +60,31 @@
     report: ports.EngineReport | None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class GroupStatus:
+    """Every member of a group was seen to be well.
+
+    It stands for one observation of each member: reachable, ready, in this
+    group and generation, with the model and version of the group's record.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    generation : int
+        Its generation.
+    members : int
+        Checksum of the members' names.
+    load : tuple of float
+        Values of `LOAD_FIELDS` in the report of the first member.
+    """
+
+    group: str
+    generation: int
+    members: int
+    load: tuple[float, ...] = ()
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reports:
     """Observations that changed.
@@ -68,13 +92,16 @@
     Parameters
     ----------
     items : tuple of Observation
-        What the sender saw.
+        What the sender saw of single VMs.
     dropped : tuple of str
         VMs that the sender no longer observes.
+    groups : tuple of GroupStatus
+        Groups whose members are all well.
     """
 
     items: tuple[Observation, ...]
     dropped: tuple[str, ...] = ()
+    groups: tuple[GroupStatus, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -91,12 +118,21 @@
         Whether the sender is shutting down.
     in_flight : dict of str to int
         Customer -> requests open at the sender (count).
+    reads_store : bool
+        Whether the sender follows the store itself, with success.
+    epoch : int
+        Number of the store's history that the sender follows.
+    vm_list_age : float
+        Age of the VM list that the sender goes by (seconds).
     """
 
     revision: int
     report_age: float
     draining: bool
     in_flight: dict[str, int]
+    reads_store: bool = False
+    epoch: int = 0
+    vm_list_age: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -120,71 +156,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class VmRows:
-    """The VM list as the sender last read it.
+    """The VM list, or what changed in it.
 
     Parameters
     ----------
     rows : tuple of balsamwind.ports.ListedVm
-        All rows.
+        All rows, or those that changed.
+    gone : tuple of str
+        VMs that the list no longer has.
+    complete : bool
+        Whether these are all rows.
+    age : float
+        Time since the list was read (seconds).
     """
 
     rows: tuple[ports.ListedVm, ...]
-
-
-_TYPES = {
-    1: Hello,
-    2: ObjectChanges,
-    3: Reports,
-    4: Heartbeat,
-    5: GroupDown,
-    6: VmRows,
-}
-_TAGS = {cls: tag for tag, cls in _TYPES.items()}
-
-
-def encode_message(message):
-    """Bytes of a message."""
-    match message:
-        case ObjectChanges(since=since, revision=revision, items=items):
-            rows = [
-                [s.kind, s.name, s.revision, objects.encode(s.value)]
-                for s in items
-            ]
-            body = [since, revision, rows]
-        case _:
-            body = objects.encode(message)
-    return cbor2.dumps([_TAGS[type(message)], body])
-
-
-def decode_message(data):
-    """Message of some bytes.
-
-    Raises
-    ------
-    balsamwind.exceptions.TransportError
-        The bytes are not a message.
-    """
-    try:
-        tag, body = cbor2.loads(data)
-        cls = _TYPES[tag]
-        if cls is ObjectChanges:
-            since, revision, rows = body
-            items = tuple(_load_stored(row) for row in rows)
-            return ObjectChanges(since, revision, items)
-        return objects.decode(cls, body)
-    except (
-        cbor2.CBORDecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ) as error:
-        raise exceptions.TransportError(
-            f'malformed peer message: {error}'
-        ) from None
-
-
-def _load_stored(item):
-    kind, name, revision, value = item
-    return objects.load_stored(
-        {'kind': kind, 'name': name, 'revision': revision, 'value': value}
-    )
+    gone: tuple[str, ...] = ()
+    complete: bool = True
+    age: float = 0.0
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -10,6 +10,8 @@
 import json
 import os
 import pathlib
+import random
+import socket
 import statistics
 import sys
 import tempfile
@@ -42,6 +44,9 @@
 
 TARGET = {'nodes': 370, 'data_centres': 8, 'engines': 3200}
 
+PORTS = range(10000, 32000)
+"""Ports to choose from, below those of outgoing connections."""
+
 STARTING = 20
 """Entries started at one time (count)."""
 
@@ -76,6 +81,20 @@
             for number in range(entries)
         }
 
+    def _address(self):
+        """A free loopback address that no outgoing connection takes."""
+        while True:
+            holder = socket.socket()
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            address = ('127.0.0.1', random.choice(PORTS))
+            try:
+                holder.bind(address)
+            except OSError:
+                holder.close()
+                continue
+            self._held.append(holder)
+            return f'127.0.0.1:{address[1]}'
+
     def settings(self, name):
         """Settings of one entry, intervals by default."""
         settings = super().settings(name)
@@ -276,7 +295,11 @@
     print(f'{os.cpu_count()} cores; {arguments.seconds} s a size')
     points = []
     for entries, engines, data_centres in sizes:
-        rates = measure(entries, engines, data_centres, arguments.seconds)
+        try:
+            rates = measure(entries, engines, data_centres, arguments.seconds)
+        except AssertionError as error:
+            print(f'{entries} entries {engines} engines: failed: {error}')
+            continue
         print_size(entries, engines, data_centres, rates)
         points.append((entries, engines, rates))
     if len(points) >= 4:
