--- a/balsamwind/catalogue/_catalogue.py
+++ b/balsamwind/catalogue/_catalogue.py
@@ -40,13 +40,17 @@
         '_entries',
         '_floor',
         '_guard',
+        '_kinds',
         '_listeners',
         '_revision',
+        '_sorted',
         '_unreadable',
     )
 
     def __init__(self):
         self._entries = {}
+        self._kinds = {}
+        self._sorted = {}
         self._revision = 0
         self._floor = 0
         self._guard = _store_guard.StoreGuard()
@@ -126,12 +130,22 @@
                 known.from_store or not from_store or known.stored == stored
             ):
                 return False
-        self._entries[stored.key] = _Entry(stored, now, from_store)
-        self._unreadable.discard(stored.key)
+        self._keep(_Entry(stored, now, from_store))
         for listener in self._listeners:
             listener(stored)
         return True
 
+    def _keep(self, entry):
+        stored = entry.stored
+        self._entries[stored.key] = entry
+        self._unreadable.discard(stored.key)
+        existing = self._kinds.setdefault(stored.kind, {})
+        if stored.deleted:
+            existing.pop(stored.name, None)
+        else:
+            existing[stored.name] = stored
+        self._sorted.pop(stored.kind, None)
+
     def apply_changes(self, snapshot, now, since=None):
         """Take in the answer of a watch.
 
@@ -238,6 +252,8 @@
             if not entry.stored.deleted and entry.stored.key not in listed
         ]
         self._entries = {}
+        self._kinds = {}
+        self._sorted = {}
         self._revision = 0
         self._floor = 0
         self._guard.reset()
@@ -354,15 +370,13 @@
         return 0.0 if entry is None else now - entry.seen_at
 
     def items(self, kind):
-        """All objects of `kind` that exist, sorted by name."""
-        return sorted(
-            (
-                entry.stored
-                for entry in self._entries.values()
-                if entry.stored.kind == kind and not entry.stored.deleted
-            ),
-            key=lambda stored: stored.name,
-        )
+        """All objects of `kind` that exist, sorted by name; a tuple."""
+        known = self._sorted.get(kind)
+        if known is None:
+            existing = self._kinds.get(kind, {})
+            known = tuple(existing[name] for name in sorted(existing))
+            self._sorted[kind] = known
+        return known
 
 
 def _find_epoch(items, default):
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -66,21 +66,25 @@
         self._rng = random.Random(random_state)
         self._log = structlog.get_logger().bind(node=settings.node.name)
         self._clock = adapters.SystemClock()
-        self._client = adapters.HttpClient()
+        self._tls = adapters.make_tls_contexts(settings.tls)
+        self._client = adapters.HttpClient(self._tls.backends)
+        self._platform_client = adapters.HttpClient(self._tls.platform)
         platform = settings.platform
         self._store = adapters.HttpObjectStore(
-            self._client,
+            self._platform_client,
             platform.url,
             platform.timeout,
             platform.watch_timeout,
         )
         self._vm_list = adapters.HttpVmList(
-            self._client, platform.url, platform.timeout
+            self._platform_client, platform.url, platform.timeout
         )
         self._weights = adapters.HttpWeightStore(
-            self._client, platform.url, platform.timeout
+            self._platform_client, platform.url, platform.timeout
+        )
+        self._engine = adapters.HttpEngine(
+            self._client, 'https' if settings.tls.engines_use_tls else 'http'
         )
-        self._engine = adapters.HttpEngine(self._client)
         self.entry = _entry.Entry(
             settings,
             self._clock,
@@ -114,6 +118,8 @@
             hello,
             self._peering,
             self._log,
+            self._tls.peers_server,
+            self._tls.peers_client,
             max_silence=settings.observation.stale_after,
             random_state=self._rng.getrandbits(64),
         )
@@ -137,7 +143,9 @@
         self.entry.metrics.registry.register(
             adapters.ControlCollector(self._make_counters, self._make_gauges)
         )
-        self._callers = adapters.make_caller_server(self.entry)
+        self._callers = adapters.make_caller_server(
+            self.entry, self._tls.callers
+        )
         self._operators = adapters.make_operator_server(self.entry)
         self._tasks = []
 
@@ -197,6 +205,9 @@
         self._spawn(
             self._repeat(self._settings.control.interval, self._control)
         )
+        self._spawn(
+            self._repeat(self._settings.tls.reload_interval, self._reload)
+        )
         self._log.info('started', incarnation=self._incarnation)
 
     def _spawn(self, coroutine):
@@ -205,6 +216,10 @@
     async def _observe(self):
         self._observer.run_round()
 
+    async def _reload(self):
+        for path in self._tls.reload():
+            self._log.info('certificate_reloaded', path=path)
+
     async def _beat(self):
         self._peering.beat()
 
@@ -250,3 +265,4 @@
         await self._callers.close_all_connections()
         await self._operators.close_all_connections()
         self._client.close()
+        self._platform_client.close()
--- a/balsamwind/objects/_codec.py
+++ b/balsamwind/objects/_codec.py
@@ -60,8 +60,10 @@
     origin = typing.get_origin(cls)
     args = typing.get_args(cls)
     if origin is tuple:
+        _check_shape(data, (list, tuple))
         return tuple(decode(args[0], item) for item in data)
     if origin is dict:
+        _check_shape(data, dict)
         return {key: decode(args[1], item) for key, item in data.items()}
     if origin is types.UnionType:
         return None if data is None else decode(args[0], data)
@@ -72,12 +74,16 @@
     return _decode_scalar(cls, data)
 
 
+def _check_shape(data, allowed):
+    if not isinstance(data, allowed):
+        raise TypeError(f'got {type(data).__name__}, allowed is {allowed}')
+
+
 def _decode_class(cls, data):
     hints = _hints(cls)
     if isinstance(data, list):
         data = dict(zip(hints, data, strict=False))
-    if not isinstance(data, dict):
-        raise TypeError(f'{cls.__name__}: got {type(data).__name__}')
+    _check_shape(data, dict)
     known = {
         name: decode(hint, data[name])
         for name, hint in hints.items()
