--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -7,6 +7,7 @@
 from balsamwind import admission
 from balsamwind import catalogue
 from balsamwind import control
+from balsamwind.entry import _node_status
 from balsamwind import exceptions
 from balsamwind import membership
 from balsamwind import objects
@@ -64,6 +65,8 @@
         self.draining = False
         self.links = None
         self.controller = None
+        self.make_counters = dict
+        self.make_gauges = dict
         self._open_requests = 0
         self._rng = random.Random(random_state)
         self._keys = {}
@@ -97,6 +100,13 @@
         """A new random id."""
         return f'{self._rng.getrandbits(96):024x}'
 
+    def is_platform_reader(self):
+        """Whether this node is the one to follow the platform."""
+        place = self.settings.node.data_centre
+        now = self.clock.monotonic()
+        chosen = self.registry.platform_reader(place, now)
+        return chosen == self.settings.node.name
+
     def make_view(self):
         """What the control path decides from, at this moment."""
         return control.View(
@@ -270,9 +280,11 @@
             'data_centre': self.settings.node.data_centre,
             'revision': self.catalogue.revision,
             'store_restored': self.catalogue.restored,
+            'store': _node_status.make_store_status(self.catalogue),
             'shards': self.controller.shards_held(now),
             'open_requests': self._open_requests,
-            'nodes': self._status_of_nodes(now),
+            'control': {**self.make_counters(), **self.make_gauges()},
+            'nodes': _node_status.make_node_rows(self, now),
             'groups': [
                 self._status_of_group(stored)
                 for stored in self.catalogue.items('group')
@@ -284,27 +296,6 @@
             },
         }
 
-    def _status_of_nodes(self, now):
-        own = {
-            'name': self.settings.node.name,
-            'data_centre': self.settings.node.data_centre,
-            'revision': self.catalogue.revision,
-            'alive': True,
-            'draining': self.draining,
-        }
-        alive = {peer.name for peer in self.registry.alive(now)}
-        others = [
-            {
-                'name': peer.name,
-                'data_centre': peer.data_centre,
-                'revision': peer.revision,
-                'alive': peer.name in alive,
-                'draining': peer.draining,
-            }
-            for peer in self.registry.peers
-        ]
-        return sorted([own, *others], key=lambda node: node['name'])
-
     def _status_of_group(self, stored):
         group = stored.value
         reason = self.groups.reasons.get(group.name, 'not checked')
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -152,7 +152,7 @@
             'platform',
             'standins.platform',
             '--port',
-            _port(self.platform),
+            get_port(self.platform),
             '--vms',
             vms,
         )
@@ -161,7 +161,7 @@
                 f'engines-{place}',
                 'standins.engines',
                 '--admin-port',
-                _port(self.admin[place]),
+                get_port(self.admin[place]),
                 '--vms',
                 vms,
                 '--data-centre',
@@ -171,7 +171,7 @@
                 f'service-{place}',
                 'standins.services',
                 '--port',
-                _port(self.service[place]),
+                get_port(self.service[place]),
             )
         for name in self.entries:
             self.start_entry(name)
@@ -307,7 +307,8 @@
             cluster.stop()
 
 
-def _port(address):
+def get_port(address):
+    """Port of ``host:port``."""
     return address.rsplit(':', 1)[1]
 
 
