Load weights ahead on free VMs

Cause: a repair by a spare took a load of 90 s where the VM held no weights, and waiting for a paused member could not beat it either. Change: free VMs load the weights of their domain's groups ahead, last in the queue of loads, up to the setting preloads (default 0: none). A VM stays free meanwhile. Queued orders that the records no longer support are dropped. The cost of acting after a wait in vain counts the longer absence that is then to be expected.

--- a/balsamwind/control/_choices.py
+++ b/balsamwind/control/_choices.py
@@ -72,6 +72,29 @@
             )
         return self._formations.get((contract.customer, terms.model), ())
 
+    def preloads(self):
+        """Loads ahead on VMs that the round has left free."""
+        most = self._view.settings.placement.preloads
+        if not most:
+            return []
+        wanted = {'': {}}
+        for stored in self._groups:
+            group = stored.value
+            if not group.leaving:
+                weights = placement.Weights(group.model, group.version)
+                for key in (group.fabric_domain, ''):
+                    counts = wanted.setdefault(key, {})
+                    counts[weights] = counts.get(weights, 0) + 1
+        return [
+            preload
+            for preload in placement.plan_preloads(self._free, wanted, most)
+            if not self._is_loading(preload.row.name)
+        ]
+
+    def _is_loading(self, vm):
+        report = self._view.observations.get(vm).report
+        return report.state is ports.EngineState.LOADING
+
     def _load_model(self):
         if self._loads is None:
             self._loads = placement.LoadModel(
--- a/balsamwind/control/_groups.py
+++ b/balsamwind/control/_groups.py
@@ -22,6 +22,9 @@
 ORPHAN_AGE = 2.0
 """Age at which a claim without a group is deleted (seconds)."""
 
+PRELOAD_PREFIX = 'preload/'
+"""Begins the group in the order of a load ahead; no group is named so."""
+
 State = objects.GroupState
 
 
@@ -46,6 +49,7 @@
     for stored in planner.groups:
         planner.plan_group(stored)
     planner.plan_counts()
+    planner.plan_preloads()
     return planner.decisions
 
 
@@ -362,6 +366,25 @@
             )
         )
 
+    def plan_preloads(self):
+        """Let free VMs load weights ahead; they stay free."""
+        for preload in self._choices.preloads():
+            weights = preload.weights
+            order = ports.Order(
+                kind='load',
+                group=f'{PRELOAD_PREFIX}{weights.label}',
+                generation=0,
+                fencing=self._fencing,
+                model=weights.model,
+                version=weights.version,
+                members=(preload.row.address,),
+            )
+            self.decisions.append(
+                _decisions.SendOrder(
+                    preload.row.name, preload.row.address, order, True
+                )
+            )
+
     def _order_unload(self, group, member):
         order = ports.Order(
             'unload', group.name, group.generation, self._fencing
--- a/balsamwind/control/_loads.py
+++ b/balsamwind/control/_loads.py
@@ -51,10 +51,11 @@
         """Most urgent order; ``(target, decision, keeper)`` or None.
 
         Urgent is the contract with the higher priority, then the group that
-        fewer loads make whole.
+        fewer loads make whole; loads ahead come last.
         """
-        for target, (_, keeper, offered) in list(self._offers.items()):
-            if now - offered > OFFER_AGE or not keeper.holds(now):
+        for target, (decision, keeper, offered) in list(self._offers.items()):
+            old = now - offered > OFFER_AGE or not keeper.holds(now)
+            if old or not self._is_current(decision):
                 del self._offers[target]
         if not self._offers or now < self.not_before:
             return None
@@ -66,6 +67,15 @@
         decision, keeper, _ = self._offers[target]
         return target, decision, keeper
 
+    def _is_current(self, decision):
+        """Whether the VM is still to load this, as far as is known."""
+        order = decision.order
+        group = self._catalogue.value('group', order.group)
+        if group is None:
+            return self._catalogue.get('claim', decision.vm) is None
+        same = group.generation == order.generation
+        return same and decision.vm in group.vms
+
     def done(self, target):
         """Remove an order that was given or refused."""
         self._offers.pop(target, None)
@@ -78,12 +88,14 @@
         return missing
 
     def _urgency(self, target, missing):
-        order = self._offers[target][0].order
+        decision = self._offers[target][0]
+        order = decision.order
         group = self._catalogue.value('group', order.group)
-        name = '' if group is None else group.contract
-        contract = self._catalogue.value('contract', name)
+        if group is None:
+            return 1, 0, order.group, decision.vm
+        contract = self._catalogue.value('contract', group.contract)
         priority = 0 if contract is None else contract.priority
-        return -priority, missing[order.group], order.group, order.rank
+        return -priority, missing[order.group], order.group, decision.vm
 
 
 class LoadPump:
--- a/balsamwind/control/tests/test_loads.py
+++ b/balsamwind/control/tests/test_loads.py
@@ -55,11 +55,11 @@
     for name in sorted({group for group, _ in loads}):
         priority = int(name[1])
         made.contract(f'c{name}', priority, 1)
-        made.group(name, f'c{name}', ['a-d0-0'])
+        made.group(name, f'c{name}', ['a-d0-0', 'a-d0-1'])
     for group, rank in loads:
         order = ports.Order('load', group, 1, 1, 'm', 'v1', rank=rank)
-        decision = _decisions.SendOrder(f'{group}-{rank}', 'h:1', order, True)
-        queue.offer(decision.vm, decision, FakeKeeper(), 0.0)
+        decision = _decisions.SendOrder(f'a-d0-{rank}', 'h:1', order, True)
+        queue.offer(f'{group}-{rank}', decision, FakeKeeper(), 0.0)
     return queue
 
 
@@ -101,6 +101,23 @@
     assert len(queue) == 0
 
 
+@pytest.mark.parametrize(
+    'order, wanted',
+    [
+        (ports.Order('load', 'g1', 1, 1), True),
+        (ports.Order('load', 'g1', 2, 1), False),
+        (ports.Order('load', 'preload/m@v1', 0, 1), False),
+    ],
+)
+def test_outdated_orders_are_dropped(order, wanted):
+    """A VM that was claimed since must not be loaded with other weights."""
+    queue = make_queue([('g1', 0)])
+    queue.done('g1-0')
+    decision = _decisions.SendOrder('a-d0-0', 'h:1', order, True)
+    queue.offer('new', decision, FakeKeeper(), 0.0)
+    assert (queue.next(0.0) is not None) is wanted
+
+
 @pytest.mark.parametrize(
     'answers, given, calls, errors',
     [
--- a/balsamwind/placement/__init__.py
+++ b/balsamwind/placement/__init__.py
@@ -13,6 +13,9 @@
 from balsamwind.placement._repair import Repair
 from balsamwind.placement._repair import Victim
 from balsamwind.placement._repair import Way
+from balsamwind.placement._spares import plan_preloads
+from balsamwind.placement._spares import Preload
+from balsamwind.placement._spares import Weights
 
 __all__ = [
     'BrokenGroup',
@@ -20,12 +23,15 @@
     'FreeVms',
     'LoadModel',
     'Need',
+    'Preload',
     'Repair',
     'Victim',
     'Way',
+    'Weights',
     'make_free_vms',
     'plan_formations',
     'plan_members',
+    'plan_preloads',
     'plan_repairs',
     'plan_surplus',
 ]
--- a/balsamwind/placement/_repair.py
+++ b/balsamwind/placement/_repair.py
@@ -97,6 +97,9 @@
         Group to be taken apart (`Way.BREAK`).
     victim_serves : bool
         Whether it has to be drained first.
+    rest : int
+        VMs in the rest of the fabric domain until the lost ones are back
+        (count).
     """
 
     way: Way
@@ -106,6 +109,7 @@
     rows: tuple = ()
     victim: str = ''
     victim_serves: bool = False
+    rest: int = 0
 
 
 def plan_repairs(broken, victims, free, loads):
@@ -202,18 +206,22 @@
     def _healthy(self):
         return self._size - len(self._item.lost)
 
-    def _stranded(self, load, rest):
-        """Accelerator-seconds: a loading group, and a rest meanwhile.
+    def _cost(self, downtime, load, rest):
+        """Cost of a group that loads, and of a rest until the VM is back.
 
         When the lost VM is back, the rests are the same in all ways.
         """
-        vms = load * self._size + self._absence * rest
-        return vms * self._item.accelerators
-
-    @property
-    def _absence(self):
-        """Expected time until the lost VM is back or replaced."""
-        return self._loads.absence(self._item.down_for)
+        absence = self._loads.absence(self._item.down_for)
+        vms = load * self._size + absence * rest
+        return _cost.Cost(downtime, vms * self._item.accelerators)
+
+    def _cost_later(self, repair, wait):
+        """Cost of another way after a wait that was in vain."""
+        down_for = self._item.down_for
+        more = self._loads.absence(down_for + wait)
+        more -= self._loads.absence(down_for)
+        rest = more * repair.rest * self._item.accelerators
+        return _cost.Cost(repair.cost.downtime, repair.cost.stranded + rest)
 
     def _spare(self):
         group = self._item.group
@@ -239,9 +247,10 @@
         return Repair(
             way,
             item.lost,
-            _cost.Cost(time, self._stranded(time, rest)),
+            self._cost(time, time, rest),
             f'{names} of the fabric domain, {missing} of them without weights',
             tuple(chosen),
+            rest=rest,
         )
 
     def _reform(self):
@@ -259,9 +268,10 @@
         return Repair(
             Way.REFORM,
             item.lost,
-            _cost.Cost(time, self._stranded(time, rest)),
+            self._cost(time, time, rest),
             f'a new group in {rows[0].fabric_domain}',
             tuple(rows),
+            rest=rest,
         )
 
     def _may_break(self, victim):
@@ -294,11 +304,12 @@
         return Repair(
             Way.BREAK,
             item.lost,
-            _cost.Cost(downtime, self._stranded(time, rest)),
+            self._cost(downtime, time, rest),
             f'a member of {victim.group.name} (priority {victim.priority},'
             f' {"broken" if victim.broken else "to be drained"})',
             victim=victim.group.name,
             victim_serves=victim.broken is None,
+            rest=rest,
         )
 
     def _victim_downtime(self, victim):
@@ -340,7 +351,7 @@
         cost = _cost.wait_cost(
             share,
             wait,
-            None if best is None else best.cost,
+            None if best is None else self._cost_later(best, wait),
             self._healthy * per_vm,
             rest,
             self._settings,
--- a/balsamwind/settings/_sections.py
+++ b/balsamwind/settings/_sections.py
@@ -161,6 +161,9 @@
     confirm_time: float = _setting(
         60.0, 'How long a VM is down before groups move away.', 's', minimum=0
     )
+    preloads: int = _setting(
+        0, 'Sets of weights a free VM loads ahead.', 'count', minimum=0
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
