Keep cache hashes within 52 bits

Ruled out: a wider bound in the codec; the report is JSON.

Change: hashes of prompt blocks are cut to 52 bits; ports of test clusters come from below the ephemeral range.

Measured: test_cache_events_are_numbered failed, now the whole suite passes.

--- a/balsamwind/routing/_prefixes.py
+++ b/balsamwind/routing/_prefixes.py
@@ -17,6 +17,10 @@
 """Groups that a look-up returns (count)."""
 
 
+HASH_SHIFT = 12
+"""Bits of a 64-bit hash that are left out (count)."""
+
+
 def hash_blocks(model, prompt):
     """Hash the leading blocks of a prompt.
 
@@ -34,7 +38,8 @@
     Returns
     -------
     tuple of int
-        64-bit hashes, at most `MAX_BLOCKS`.
+        52-bit hashes, which JSON carries without loss; at most
+        `MAX_BLOCKS`.
 
     Examples
     --------
@@ -52,7 +57,7 @@
     for start in range(0, count * BLOCK_SIZE, BLOCK_SIZE):
         block = prompt[start : start + BLOCK_SIZE]
         seed = xxhash.xxh64_intdigest(block.encode(), seed)
-        hashes.append(seed)
+        hashes.append(seed >> HASH_SHIFT)
     return tuple(hashes)
 
 
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,10 @@
 
 DATA_CENTRES = ('tbilisi-a', 'tbilisi-b', 'tbilisi-c')
 
+PORTS = (10000, 32000)
+"""Listeners' ports: below those that the system gives to connections, so
+that no connection can sit on the port of a process that restarts."""
+
 WAIT = 30.0
 """Longest wait for a condition (seconds)."""
 
@@ -80,11 +85,18 @@
 
     def _address(self):
         """A free loopback address, held until the processes start."""
-        holder = socket.socket()
-        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind(('127.0.0.1', 0))
-        self._held.append(holder)
-        return f'127.0.0.1:{holder.getsockname()[1]}'
+        while True:
+            holder = socket.socket()
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                holder.bind(
+                    ('127.0.0.1', random.SystemRandom().randrange(*PORTS))
+                )
+            except OSError:
+                holder.close()
+                continue
+            self._held.append(holder)
+            return f'127.0.0.1:{holder.getsockname()[1]}'
 
     def settings(self, name):
         """Settings of one entry."""
