--- a/balsamwind/adapters/__init__.py
+++ b/balsamwind/adapters/__init__.py
@@ -2,6 +2,7 @@
 
 from balsamwind.adapters._caller_server import make_caller_server
 from balsamwind.adapters._clock import SystemClock
+from balsamwind.adapters._control_metrics import ControlCollector
 from balsamwind.adapters._engine import HttpEngine
 from balsamwind.adapters._http_client import HttpClient
 from balsamwind.adapters._metrics import Metrics
@@ -11,8 +12,11 @@
 from balsamwind.adapters._plain_service import HttpPlainService
 from balsamwind.adapters._platform import HttpVmList
 from balsamwind.adapters._platform import HttpWeightStore
+from balsamwind.adapters._tls import make_tls_contexts
+from balsamwind.adapters._tls import TlsContexts
 
 __all__ = [
+    'ControlCollector',
     'HttpClient',
     'HttpEngine',
     'HttpObjectStore',
@@ -22,6 +26,8 @@
     'Metrics',
     'PeerLinks',
     'SystemClock',
+    'TlsContexts',
     'make_caller_server',
     'make_operator_server',
+    'make_tls_contexts',
 ]
--- a/balsamwind/adapters/_engine.py
+++ b/balsamwind/adapters/_engine.py
@@ -19,18 +19,21 @@
     ----------
     client : HttpClient
         Connections.
+    scheme : str
+        ``http`` or ``https``.
     """
 
-    __slots__ = ('_client',)
+    __slots__ = ('_client', '_scheme')
 
-    def __init__(self, client):
+    def __init__(self, client, scheme='http'):
         self._client = client
+        self._scheme = scheme
 
     async def report(self, address, timeout):
         """Load report of the engine at `address`."""
         response = await self._client.fetch(
             'GET',
-            f'http://{address}/engine/report',
+            f'{self._scheme}://{address}/engine/report',
             timeout=timeout,
             repeat=True,
         )
@@ -50,7 +53,7 @@
         """Give an order to the engine at `address`."""
         response = await self._client.fetch(
             'POST',
-            f'http://{address}/engine/orders',
+            f'{self._scheme}://{address}/engine/orders',
             body=json.dumps(objects.encode(order)).encode('utf-8'),
             timeout=timeout,
         )
@@ -61,7 +64,7 @@
         """Start an attempt at the engine at `address`."""
         response = await self._client.open(
             'POST',
-            f'http://{address}/engine/generate',
+            f'{self._scheme}://{address}/engine/generate',
             body=json.dumps(
                 objects.encode(request), ensure_ascii=False
             ).encode('utf-8'),
@@ -80,7 +83,7 @@
         """Ask the engine at `address` for the KV cache of a request."""
         response = await self._client.fetch(
             'POST',
-            f'http://{address}/engine/kv/export',
+            f'{self._scheme}://{address}/engine/kv/export',
             body=json.dumps({'request_id': request_id}).encode('utf-8'),
             timeout=timeout,
         )
@@ -98,7 +101,7 @@
         value = {'request_id': request_id, 'export': objects.encode(export)}
         response = await self._client.fetch(
             'POST',
-            f'http://{address}/engine/kv/import',
+            f'{self._scheme}://{address}/engine/kv/import',
             body=json.dumps(value).encode('utf-8'),
             timeout=timeout,
         )
--- a/balsamwind/routing/tests/test_router.py
+++ b/balsamwind/routing/tests/test_router.py
@@ -148,6 +148,16 @@
     assert 'g0' not in {fleet.choose(BLOCKS) for _ in range(50)}
 
 
+def test_prefixes_are_spread_over_the_ring():
+    pool = routing.Pool(Fleet(20).groups, 'a')
+    homes = collections.Counter(
+        pool.homes(routing.hash_blocks('m', f'{number} ' * 1024)[0], 1)[0]
+        for number in range(400)
+    )
+    assert len(homes) == 20
+    assert max(homes.values()) <= 60
+
+
 def test_tracker_counts_and_learns():
     fleet = Fleet(3)
     choice = fleet.router.choose(fleet.groups, (), 0.0)
--- a/balsamwind/settings/_sections.py
+++ b/balsamwind/settings/_sections.py
@@ -59,6 +59,31 @@
     address: str = _required('Its address for peers.', pattern=r':\d+$')
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CertificateSettings:
+    """Certificate, key and trusted authorities of one kind of link."""
+
+    certificate: str = _setting('', 'PEM file of the certificate chain.')
+    key: str = _setting('', 'PEM file of the private key.')
+    authorities: str = _setting('', 'PEM file of the trusted authorities.')
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TlsSettings:
+    """TLS; a link whose section is absent is not encrypted."""
+
+    callers: CertificateSettings | None = None
+    peers: CertificateSettings | None = None
+    backends: CertificateSettings | None = None
+    platform: CertificateSettings | None = None
+    engines_use_tls: bool = _setting(
+        False, 'Whether engines are reached by TLS.'
+    )
+    reload_interval: float = _setting(
+        60.0, 'Time between looks at changed files.', 's', minimum=0.1
+    )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class BackendSettings:
     """One backend server of a plain service."""
@@ -66,6 +91,7 @@
     name: str = _required('Name of the backend server.', minLength=1)
     data_centre: str = _required('Its data centre.', minLength=1)
     address: str = _required('Its address.', pattern=r':\d+$')
+    tls: bool = _setting(False, 'Whether it is reached by TLS.')
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -132,7 +158,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PlacementSettings:
-    """Weights of the placement cost function."""
+    """Placement: weights and expected times of its cost function."""
 
     downtime_weight: float = _setting(
         1.0, 'Cost of group downtime.', '1/s', minimum=0
@@ -140,6 +166,30 @@
     stranded_weight: float = _setting(
         0.1, 'Cost of a stranded accelerator.', '1/s', minimum=0
     )
+    load_time: float = _setting(
+        60.0, 'Expected time of a load.', 's', minimum=0, maximum=86400
+    )
+    cached_load_time: float = _setting(
+        5.0, 'Expected time of a load of weights held.', 's', minimum=0
+    )
+    ticket_interval: float = _setting(
+        1.0, 'Expected time between two loads granted.', 's', minimum=0
+    )
+    return_share: float = _setting(
+        0.8, 'Share of lost VMs that come back.', '', minimum=0, maximum=1
+    )
+    return_time: float = _setting(
+        30.0, 'Mean time until they do.', 's', minimum=0.1, maximum=86400
+    )
+    replace_time: float = _setting(
+        900.0, 'Mean time until the others are replaced.', 's', minimum=1
+    )
+    confirm_time: float = _setting(
+        60.0, 'How long a VM is down before groups move away.', 's', minimum=0
+    )
+    preloads: int = _setting(
+        0, 'Sets of weights a free VM loads ahead.', 'count', minimum=0
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -179,3 +229,4 @@
     control: ControlSettings = _section(ControlSettings)
     placement: PlacementSettings = _section(PlacementSettings)
     requests: RequestSettings = _section(RequestSettings)
+    tls: TlsSettings = _section(TlsSettings)
