--- a/balsamwind/requests/__init__.py
+++ b/balsamwind/requests/__init__.py
@@ -4,6 +4,7 @@
 from balsamwind.requests._completions import CompletionRequest
 from balsamwind.requests._completions import Completions
 from balsamwind.requests._resume import Candidate
+from balsamwind.requests._resume import CHARACTERS_PER_TOKEN
 from balsamwind.requests._resume import classify_failure
 from balsamwind.requests._resume import EngineRates
 from balsamwind.requests._resume import Failure
@@ -14,10 +15,13 @@
 from balsamwind.requests._resume import Progress
 from balsamwind.requests._resume import Reattach
 from balsamwind.requests._resume import Wait
+from balsamwind.requests._run import plan_next
+from balsamwind.requests._run import Run
 from balsamwind.requests._service_calls import load_body
 from balsamwind.requests._service_calls import ServiceCalls
 
 __all__ = [
+    'CHARACTERS_PER_TOKEN',
     'AnswerChecker',
     'Candidate',
     'CompletionRequest',
@@ -29,9 +33,11 @@
     'Prefill',
     'Progress',
     'Reattach',
+    'Run',
     'ServiceCalls',
     'Wait',
     'classify_failure',
     'load_body',
     'plan_attempt',
+    'plan_next',
 ]
--- a/balsamwind/requests/_completions.py
+++ b/balsamwind/requests/_completions.py
@@ -9,9 +9,7 @@
 from balsamwind import ports
 from balsamwind.requests import _answers
 from balsamwind.requests import _resume
-
-RETRY_AFTER = 2.0
-"""When a caller may come back if no group serves (seconds)."""
+from balsamwind.requests import _run
 
 CACHE_TIMEOUT = 2.0
 """Time-out of one export or import of a KV cache (seconds)."""
@@ -116,7 +114,7 @@
             The answer is not whole and can not be resumed. If the
             generator ends without an error, the answer is whole.
         """
-        run = _Run(request, self._router.hash_prompt(request))
+        run = _run.Run(request, self._router.hash_prompt(request))
         self._budget.note_first_try()
         while True:
             choice = await self._next_choice(run)
@@ -159,18 +157,7 @@
         serving = self._groups.serving(
             request.contract.customer, request.model, now
         )
-        choice = self._router.choose(serving, run.blocks, now, run.tried)
-        target = choice and _resume.Candidate(choice.group, choice.wait)
-        source = None
-        if run.source is not None and run.failure is not None:
-            wait = self._router.expected_wait(run.source, (), now)
-            source = _resume.Candidate(run.source, wait)
-        can_export = source is not None and run.may_export
-        if source is not None and run.source not in serving:
-            source = source if can_export else None
-        return _resume.plan_attempt(
-            run.progress(now), target, source, can_export, self._rates
-        )
+        return _run.plan_next(run, serving, self._router, self._rates, now)
 
     def _pay(self, run):
         """Spend a retry, unless the group was lost or left."""
@@ -252,106 +239,3 @@
         self._router.note_failure(group, self._clock.monotonic())
         if failure.takes_group_down:
             self._listener.note_group_down(group, str(error))
-
-
-class _Run:
-    """Where one request stands."""
-
-    __slots__ = (
-        'blocks',
-        'cache_lost',
-        'error',
-        'failure',
-        'failures',
-        'received',
-        'request',
-        'resumptions',
-        'sent',
-        'source',
-        'tried',
-        'waiting_since',
-    )
-
-    def __init__(self, request, blocks):
-        self.request = request
-        self.blocks = blocks
-        self.received = []
-        self.tried = []
-        self.source = None
-        self.sent = False
-        self.error = None
-        self.failure = None
-        self.failures = 0
-        self.resumptions = 0
-        self.waiting_since = None
-        self.cache_lost = False
-
-    @property
-    def may_export(self):
-        """Whether the engine of the last tokens may still hold the cache."""
-        if self.cache_lost or not self.received:
-            return False
-        return self.failure in (
-            _resume.Failure.LEFT,
-            _resume.Failure.SILENT,
-            _resume.Failure.BAD_ANSWER,
-        )
-
-    def begin(self, group):
-        """Note an attempt at `group`; its number."""
-        self.tried.append(group)
-        return len(self.tried)
-
-    def take(self, tokens, group):
-        """Note that the caller gets `tokens` of `group`."""
-        self.received.extend(tokens)
-        self.source = group
-        self.sent = True
-        self.failures = 0
-        self.cache_lost = False
-
-    def fail(self, error):
-        """Note that an attempt ended with `error`."""
-        self.error = error
-        self.failure = _resume.classify_failure(error)
-        self.failures += 1
-        self.resumptions += 1
-        if isinstance(error, exceptions.TransportError) and error.sent:
-            self.sent = True
-
-    def start_waiting(self, now):
-        """Note that no group serves."""
-        if self.waiting_since is None:
-            self.waiting_since = now
-
-    def progress(self, now):
-        """What the decision on the next attempt needs."""
-        waited = 0.0
-        if self.waiting_since is not None:
-            waited = now - self.waiting_since
-        return _resume.Progress(
-            tokens=len(self.received),
-            prompt_tokens=(
-                len(self.request.prompt) / _resume.CHARACTERS_PER_TOKEN
-            ),
-            failures=self.failures,
-            resumptions=self.resumptions,
-            sent=self.sent,
-            failure=self.failure,
-            time_left=self.request.deadline - now,
-            waited=waited,
-        )
-
-    def make_error(self, cls):
-        """Error of class `cls` for the caller."""
-        if self.error is None:
-            message = f'no replica group serves {self.request.model} now'
-        else:
-            message = f'gave up after {len(self.tried)} tries: {self.error}'
-        retry_after = getattr(self.error, 'retry_after', None) or RETRY_AFTER
-        if not issubclass(cls, exceptions.RequestNotRun):
-            retry_after = None
-        error = cls(message, retry_after)
-        if self.received:
-            error.run = exceptions.RUN
-        return error
