Forget groups that are gone; show ejections

Cause: groups have new names for ever, and loads, health and caches of groups that are gone were kept. Ejections could not be seen.

Change: the deletion of a group's object drops all that is known of it, after its last request. A counter and a log line tell of each ejection.

--- a/balsamwind/adapters/_metrics.py
+++ b/balsamwind/adapters/_metrics.py
@@ -52,6 +52,7 @@
     __slots__ = (
         '_customers',
         'answer_seconds',
+        'ejections',
         'first_token_seconds',
         'late_events',
         'outcomes',
@@ -103,6 +104,11 @@
             'Events of abandoned attempts, dropped.',
             registry=self.registry,
         )
+        self.ejections = prometheus_client.Counter(
+            'balsamwind_ejections',
+            'Groups ejected as outliers.',
+            registry=self.registry,
+        )
         self.resumptions = prometheus_client.Counter(
             'balsamwind_resumptions',
             'Attempts after the first, by how they began.',
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -77,6 +77,7 @@
             self._load_report,
             self._rng.getrandbits(64),
         )
+        self.router.on_ejection = self.note_ejection
         self._completions = requests.Completions(
             engine,
             self.groups,
@@ -121,6 +122,8 @@
 
     def _on_object(self, stored):
         self.groups.invalidate()
+        if stored.kind == 'group' and stored.value is None:
+            self.router.forget(stored.name)
         if stored.kind == 'contract':
             self._keys = {
                 digest: contract.name
@@ -222,6 +225,11 @@
         )
         return dataclasses.replace(report, cache_events=())
 
+    def note_ejection(self, groups):
+        """Count and log groups that are ejected as outliers."""
+        self.metrics.ejections.inc(len(groups))
+        self.log.warning('groups_ejected', groups=groups)
+
     def note_late_events(self, count):
         """Count events of abandoned attempts."""
         self.metrics.late_events.inc(count)
--- a/balsamwind/routing/_health.py
+++ b/balsamwind/routing/_health.py
@@ -98,7 +98,9 @@
 
     def note_gap(self, name, seconds):
         """Note the mean time between tokens of one answer."""
-        health = self.get(name)
+        health = self._groups.get(name)
+        if health is None:
+            return
         if not health.token_gap:
             health.token_gap = seconds
         health.token_gap += SAMPLE_WEIGHT * (seconds - health.token_gap)
@@ -162,10 +164,9 @@
             self._eject(known[name], now)
         return ejected
 
-    def forget(self, names):
-        """Drop groups that are not in `names`."""
-        for name in [name for name in self._groups if name not in names]:
-            del self._groups[name]
+    def forget(self, name):
+        """Drop a group that is gone."""
+        self._groups.pop(name, None)
 
     def _eject(self, health, now):
         if now - health.ejected_until > FORGIVE_AFTER:
--- a/balsamwind/routing/_loads.py
+++ b/balsamwind/routing/_loads.py
@@ -21,6 +21,7 @@
 
     __slots__ = (
         'finished_since',
+        'gone',
         'in_flight',
         'report',
         'started_since',
@@ -29,6 +30,7 @@
 
     def __init__(self):
         self.report = None
+        self.gone = False
         self.in_flight = 0
         self.started_since = 0
         self.started_tokens = 0.0
@@ -98,15 +100,20 @@
         load = self._refresh(group)
         load.in_flight -= 1
         load.finished_since += 1
+        if load.gone and not load.in_flight:
+            del self._groups[group.name]
         if answer_time is not None:
             step = answer_time - self._answer_time
             self._answer_time += SAMPLE_WEIGHT * step
 
-    def forget(self, names):
-        """Drop idle groups that are not in `names`."""
-        for name, load in list(self._groups.items()):
-            if not load.in_flight and name not in names:
-                del self._groups[name]
+    def forget(self, name):
+        """Drop a group that is gone, when its last request has ended."""
+        load = self._groups.get(name)
+        if load is None:
+            return
+        load.gone = True
+        if not load.in_flight:
+            del self._groups[name]
 
     def load(self, group):
         """Requests at a group (count), as far as can be told."""
--- a/balsamwind/routing/_router.py
+++ b/balsamwind/routing/_router.py
@@ -112,6 +112,11 @@
     rng : random.Random
         Source of chance.
 
+    Attributes
+    ----------
+    on_ejection : callable or None
+        Told the names of the groups that were ejected.
+
     References
     ----------
     M. Mitzenmacher, "The power of two choices in randomized load
@@ -129,6 +134,7 @@
         '_rng',
         'health',
         'loads',
+        'on_ejection',
         'prefixes',
     )
 
@@ -136,6 +142,7 @@
         self._data_centre = data_centre
         self._rng = rng
         self._pools = {}
+        self.on_ejection = None
         self.loads = loads
         self.health = health
         self.prefixes = prefixes
@@ -186,6 +193,12 @@
         self.prefixes.note_sent(group.name, group.generation, blocks)
         return choice
 
+    def forget(self, name):
+        """Drop all that is known of a group that is gone."""
+        self.loads.forget(name)
+        self.health.forget(name)
+        self.prefixes.forget(name)
+
     def note_failure(self, group, now):
         """Note that an attempt at `group` failed."""
         del now
@@ -213,7 +226,9 @@
             pool = _pool.Pool(groups, self._data_centre)
             self._pools[key] = pool
         pool.groups = groups
-        self.health.evaluate(key, pool.by_name, now)
+        ejected = self.health.evaluate(key, pool.by_name, now)
+        if ejected and self.on_ejection is not None:
+            self.on_ejection(ejected)
         pool.measure(self.loads.load, self._rng)
         return pool
 
--- a/balsamwind/routing/tests/test_router.py
+++ b/balsamwind/routing/tests/test_router.py
@@ -141,6 +141,32 @@
     assert 'g0' not in {fleet.choose(now=2.0) for _ in range(100)}
 
 
+def test_group_that_is_gone_leaves_nothing():
+    fleet = Fleet(3)
+    choice = fleet.router.choose(fleet.groups, BLOCKS, 0.0)
+    choice = fleet.router.admit(choice.group, BLOCKS)
+    name = choice.group.name
+    with fleet.router.track(choice, 0.0) as tracker:
+        tracker.note_tokens(1, 1.0)
+        fleet.router.forget(name)
+        assert fleet.router.in_flight == 1
+    assert fleet.router.in_flight == 0
+    assert name not in fleet.router.loads._groups
+    assert name not in fleet.router.prefixes._groups
+
+
+def test_ejection_is_told():
+    fleet = Fleet(10)
+    told = []
+    fleet.router.on_ejection = told.extend
+    for _ in range(10):
+        for group in fleet.groups:
+            ratio = 20.0 if group.name == 'g0' else 1.0
+            fleet.router.health.note_first_token(group.name, ratio)
+    fleet.choose(now=1.0)
+    assert told == ['g0']
+
+
 def test_pool_follows_the_groups():
     fleet = Fleet(3)
     fleet.choose()
