--- a/balsamwind/cli/_contracts.py
+++ b/balsamwind/cli/_contracts.py
@@ -9,6 +9,7 @@
 import click
 
 from balsamwind import adapters
+from balsamwind.cli import _in_force
 from balsamwind.cli import _output
 from balsamwind.cli import _status
 from balsamwind import exceptions
@@ -18,6 +19,9 @@
 STORE_TIMEOUT = 5.0
 """Time-out of one call of the object API (seconds)."""
 
+WAIT_TIMEOUT = 30.0
+"""Longest wait of ``--wait`` (seconds)."""
+
 COLUMNS = ('customer', 'priority', 'starts_at', 'ends_at', 'revision')
 
 
@@ -176,13 +180,16 @@
 def _wait(entry, stored):
     if not entry:
         raise exceptions.BadRequest('--wait needs --entry')
-    deadline = time.monotonic() + 30.0
-    while time.monotonic() < deadline:
+    deadline = time.monotonic() + WAIT_TIMEOUT
+    while True:
         status = _status.fetch(entry)
-        nodes = [node for node in status['nodes'] if node['alive']]
-        ready = [n for n in nodes if n['revision'] >= stored.revision]
-        if len(ready) == len(nodes):
-            click.echo(f'in force at {len(ready)} of {len(nodes)} nodes')
+        seen = _in_force.check_in_force(status['nodes'], stored.revision)
+        current = status['store']['state'] == 'current'
+        if current and seen.everywhere:
+            click.echo(str(seen))
             return
+        if (current and seen.decided) or time.monotonic() > deadline:
+            break
         time.sleep(0.1)
-    raise exceptions.StoreError('not in force everywhere after 30 s')
+    reason = '' if current else f'; the store is {status["store"]["state"]}'
+    raise exceptions.StoreError(f'{seen}{reason}')
--- a/balsamwind/cli/_main.py
+++ b/balsamwind/cli/_main.py
@@ -11,6 +11,7 @@
 from balsamwind.cli import _contracts
 from balsamwind.cli import _output
 from balsamwind.cli import _status
+from balsamwind.cli import _store
 from balsamwind import entry as entry_package
 from balsamwind import exceptions
 from balsamwind import settings as settings_package
@@ -55,6 +56,7 @@
 
 cli.add_command(_contracts.contract)
 cli.add_command(_status.status)
+cli.add_command(_store.store)
 
 
 def _configure_logs():
--- a/balsamwind/cli/_status.py
+++ b/balsamwind/cli/_status.py
@@ -20,7 +20,14 @@
     'members',
     'reason',
 )
-NODE_COLUMNS = ('name', 'data_centre', 'alive', 'draining', 'revision')
+NODE_COLUMNS = (
+    'name',
+    'data_centre',
+    'alive',
+    'heard_ago',
+    'draining',
+    'revision',
+)
 
 TIMEOUT = 5.0
 """Time-out of the question to the entry (seconds)."""
@@ -54,6 +61,11 @@
         click.echo(json.dumps(data, ensure_ascii=False, indent=2))
         return
     click.echo(f'node {data["node"]}, revision {data["revision"]}')
+    store = data['store']
+    if store['state'] != 'current':
+        click.echo(f'ALARM store {store["state"]}: {store["reason"]}')
+    if store['unreadable']:
+        click.echo(f'ALARM unreadable: {", ".join(store["unreadable"])}')
     click.echo(f'leases held: {data["shards"] or "none"}')
     _output.print_rows(data['nodes'], NODE_COLUMNS, False)
     rows = [
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -107,6 +107,11 @@
         chosen = self.registry.platform_reader(place, now)
         return chosen == self.settings.node.name
 
+    def is_store_restored(self):
+        """Whether this node or a living peer saw the store restored."""
+        alive = self.registry.alive(self.clock.monotonic())
+        return self.catalogue.restored or any(p.store_diverged for p in alive)
+
     def make_view(self):
         """What the control path decides from, at this moment."""
         return control.View(
@@ -279,7 +284,7 @@
             'node': self.settings.node.name,
             'data_centre': self.settings.node.data_centre,
             'revision': self.catalogue.revision,
-            'store_restored': self.catalogue.restored,
+            'store_restored': self.is_store_restored(),
             'store': _node_status.make_store_status(self.catalogue),
             'shards': self.controller.shards_held(now),
             'open_requests': self._open_requests,
--- a/balsamwind/entry/_peering.py
+++ b/balsamwind/entry/_peering.py
@@ -1,5 +1,6 @@
 """What an entry tells its peers, and what it takes from them."""
 
+from balsamwind import catalogue
 from balsamwind import peers
 
 VM_LIST_HELP_AGE = 60.0
@@ -124,6 +125,7 @@
         peer.reads_store = message.reads_store
         peer.epoch = message.epoch
         peer.vm_list_age = message.vm_list_age
+        peer.store_diverged = message.store_diverged
         entry.observations.hear(hello.node, now, message.report_age)
         self._help_with_objects(peer, now)
         self._help_with_vms(peer, now)
@@ -135,27 +137,27 @@
 
     def _help_with_objects(self, peer, now):
         """Bring a peer up to date whose objects are behind."""
-        catalogue = self._entry.catalogue
-        older = peer.epoch < catalogue.epoch
-        if peer.epoch > catalogue.epoch or not (
+        known = self._entry.catalogue
+        older = peer.epoch < known.epoch
+        if peer.epoch > known.epoch or not (
             older or peer.revision < self._revision_before
         ):
             peer.behind = 0
             return
         peer.behind += 1
-        if self._entry.registry.is_helper(peer, catalogue.revision, now):
+        if self._entry.registry.is_helper(peer, known.revision, now):
             peer.behind = 0
             since = 0 if older else peer.revision
             self._entry.links.send(peer.name, self._make_changes(since))
 
     def _make_changes(self, since):
-        catalogue = self._entry.catalogue
-        since = catalogue.start_of_changes(since)
+        known = self._entry.catalogue
+        since = known.start_of_changes(since)
         return peers.ObjectChanges(
             since,
-            catalogue.revision,
-            catalogue.changes_since(since),
-            not catalogue.unreadable,
+            known.revision,
+            known.changes_since(since),
+            not known.unreadable,
         )
 
     def _help_with_vms(self, peer, now):
@@ -183,11 +185,10 @@
             entry.links.broadcast(heartbeat)
         else:
             entry.links.broadcast(reports, heartbeat)
-        catalogue = entry.catalogue
-        self._revision_before = catalogue.revision
-        catalogue.prune(
-            entry.registry.lowest_revision(catalogue.revision, now), now
-        )
+        revision = entry.catalogue.revision
+        self._revision_before = revision
+        lowest = entry.registry.lowest_revision(revision, now)
+        entry.catalogue.prune(lowest, now)
 
     def make_heartbeat(self):
         """Heartbeat of this moment."""
@@ -201,4 +202,7 @@
             reads_store=self._store_follower.reading,
             epoch=entry.catalogue.epoch,
             vm_list_age=self._vm_follower.age(now),
+            store_diverged=(
+                entry.catalogue.store_state is catalogue.StoreState.DIVERGED
+            ),
         )
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -235,7 +235,7 @@
 
     async def _control(self):
         """Run a control round, unless the store may have been restored."""
-        if not self.entry.catalogue.restored:
+        if not self.entry.is_store_restored():
             await self.entry.controller.run_round()
 
     async def drain(self):
--- /dev/null
+++ b/balsamwind/entry/tests/test_processes_configuration.py
@@ -0,0 +1,83 @@
+"""Configuration in force, with real processes."""
+
+import hashlib
+import json
+import pathlib
+
+import cluster as cluster_module
+
+KEY = 'configuration-key'
+
+
+def write_contract(cluster):
+    example = cluster_module.ROOT / 'examples/rotagzeli-contract.json'
+    contract = json.loads(example.read_text(encoding='utf-8'))
+    contract['api_key_hashes'] = [hashlib.sha256(KEY.encode()).hexdigest()]
+    path = pathlib.Path(cluster.folder) / 'contract.json'
+    path.write_text(json.dumps(contract), encoding='utf-8')
+    return path
+
+
+def apply(cluster, path, entry):
+    address = cluster.entries[entry]['operators']
+    return cluster.command(
+        'contract', 'apply', path, '--wait', '--entry', address
+    )
+
+
+def set_platform(cluster, down):
+    url = f'http://{cluster.platform}/admin/faults'
+    cluster_module.post_json(url, {'down': down})
+
+
+def knows_contract(cluster, entry):
+    try:
+        status, _, _ = cluster.request(entry, '/v1/models', key=KEY)
+    except OSError:
+        return False
+    return status == 200
+
+
+def all_alive(cluster):
+    states = [cluster.status(name) for name in cluster.entries]
+    return all(
+        state and sum(node['alive'] for node in state['nodes']) == 6
+        for state in states
+    )
+
+
+def count_serving(cluster, entry):
+    return sum(group['serving'] for group in cluster.groups(entry))
+
+
+def test_configuration_outlives_outage_and_restart():
+    with cluster_module.open_cluster() as cluster:
+        wait_for = cluster_module.wait_for
+        wait_for(lambda: all_alive(cluster), 'six nodes see each other')
+        path = write_contract(cluster)
+        done = apply(cluster, path, 'entry-a1')
+        assert done.returncode == 0, done.stderr
+        assert 'in force at 6 of 6 nodes' in done.stdout
+        wait_for(
+            lambda: count_serving(cluster, 'entry-a1') == 3, 'groups serve'
+        )
+
+        set_platform(cluster, True)
+        cluster.processes['entry-a1'].kill()
+        cluster.processes['entry-a1'].wait()
+        cluster.start_entry('entry-a1')
+        wait_for(
+            lambda: knows_contract(cluster, 'entry-a1'),
+            'the restarted entry takes the contract from its peers',
+        )
+        wait_for(
+            lambda: count_serving(cluster, 'entry-a1') == 3,
+            'groups serve at the restarted entry',
+        )
+        set_platform(cluster, False)
+
+        cluster.processes['entry-b2'].kill()
+        done = apply(cluster, path, 'entry-a1')
+        assert done.returncode != 0
+        assert 'in force at 5 of 6 nodes' in done.stderr
+        assert 'entry-b2 not heard for' in done.stderr
--- a/balsamwind/peers/_messages.py
+++ b/balsamwind/peers/_messages.py
@@ -124,6 +124,8 @@
         Number of the store's history that the sender follows.
     vm_list_age : float
         Age of the VM list that the sender goes by (seconds).
+    store_diverged : bool
+        Whether the sender saw that the store was restored.
     """
 
     revision: int
@@ -133,6 +135,7 @@
     reads_store: bool = False
     epoch: int = 0
     vm_list_age: float = 0.0
+    store_diverged: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/peers/_registry.py
+++ b/balsamwind/peers/_registry.py
@@ -36,6 +36,8 @@
         Number of the store's history that it follows.
     vm_list_age : float
         Age of the VM list that it goes by (seconds).
+    store_diverged : bool
+        Whether it saw that the store was restored.
     behind : int
         Heartbeats in a row in which it was behind this node (count).
     connected : bool
@@ -53,6 +55,7 @@
     reads_store: bool = False
     epoch: int = 0
     vm_list_age: float = 0.0
+    store_diverged: bool = False
     behind: int = 0
     connected: bool = True
     connected_at: float = 0.0
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import collections
 import json
 import os
 import pathlib
@@ -85,7 +86,6 @@
         """A free loopback address that no outgoing connection takes."""
         while True:
             holder = socket.socket()
-            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             address = ('127.0.0.1', random.choice(PORTS))
             try:
                 holder.bind(address)
@@ -156,6 +156,25 @@
         if done.returncode:
             raise AssertionError(done.stderr)
 
+    def describe(self):
+        """What the entries say, for a fleet that does not settle."""
+        states = [self.status(name) for name in self.entries]
+        said = [state for state in states if state]
+        alive = _count(
+            sum(node['alive'] for node in state['nodes']) for state in said
+        )
+        groups = _count(
+            (group['state'], group['reason'])
+            for state in said
+            for group in state['groups']
+        )
+        shards = [state['shards'] for state in said if state['shards']]
+        short = said[0]['short'] if said else ''
+        return (
+            f'{len(said)} of {len(states)} answer; nodes alive {alive};'
+            f' groups {groups}; leases {shards}; short {short}'
+        )
+
     def is_settled(self):
         """Whether all nodes see all nodes, and all groups serve."""
         wanted = len(self.vms) // GROUP_SIZE
@@ -170,6 +189,10 @@
         return True
 
 
+def _count(values):
+    return dict(collections.Counter(values))
+
+
 def sample(fleet):
     """CPU seconds, memory and counters of every entry."""
     rows = {}
@@ -195,7 +218,10 @@
                 lambda: fleet.status('entry-000'), 'an entry answers', 60
             )
             fleet.apply_contract()
-            cluster_module.wait_for(fleet.is_settled, 'fleet settles', 120)
+            try:
+                cluster_module.wait_for(fleet.is_settled, 'fleet settles', 60)
+            except AssertionError as error:
+                raise AssertionError(f'{error}; {fleet.describe()}') from None
             time.sleep(5.0)
             before = sample(fleet)
             time.sleep(seconds)
