--- a/balsamwind/entry/_platform_follower.py
+++ b/balsamwind/entry/_platform_follower.py
@@ -32,10 +32,9 @@
 class _Backoff:
     """Waits between failed calls, longer each time, with jitter."""
 
-    __slots__ = ('_delay', '_registry', '_rng')
+    __slots__ = ('_delay', '_rng')
 
-    def __init__(self, registry, rng):
-        self._registry = registry
+    def __init__(self, rng):
         self._rng = rng
         self._delay = RETRY_DELAY
 
@@ -68,7 +67,7 @@
     def __init__(self, entry, store, rng):
         self._entry = entry
         self._store = store
-        self._backoff = _Backoff(entry.registry, rng)
+        self._backoff = _Backoff(rng)
         self._listed = False
         self.reading = False
 
@@ -162,7 +161,7 @@
         self._entry = entry
         self._vms = vm_list
         self._rng = rng
-        self._backoff = _Backoff(entry.registry, rng)
+        self._backoff = _Backoff(rng)
         self._read_at = -NEVER
         self._full_at = 0.0
 
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -170,8 +170,10 @@
         )
         shards = [state['shards'] for state in said if state['shards']]
         short = said[0]['short'] if said else ''
+        ended = [n for n, p in self.processes.items() if p.poll() is not None]
         return (
-            f'{len(said)} of {len(states)} answer; nodes alive {alive};'
+            f'processes ended {ended}; {len(said)} of {len(states)} answer;'
+            f' nodes alive {alive};'
             f' groups {groups}; leases {shards}; short {short}'
         )
 
