Cache what a node decides each second

Cause: at the target's size an observation round hashed every unit over every node each second, each heartbeat looked for the data centre's reader again, and the group table checked 3,200 members ten times a second. Ruled out: a longer interval of the group table (a member's silence would be seen later). Change: the assignment is planned when the VM list, the groups or the living nodes change; living nodes are looked up every 0.2 s; a group found complete is checked again when its views change or grow old.

--- a/balsamwind/entry/_observer.py
+++ b/balsamwind/entry/_observer.py
@@ -25,8 +25,14 @@
         '_engine',
         '_entry',
         '_failures',
+        '_groups',
+        '_inputs',
+        '_known_units',
+        '_listed',
+        '_places',
         '_polling',
         '_publisher',
+        '_version',
         'polls',
     )
 
@@ -36,6 +42,12 @@
         self._publisher = peers.Publisher(rng)
         self._assigned = {}
         self._failures = {}
+        self._groups = None
+        self._inputs = None
+        self._known_units = {}
+        self._listed = None
+        self._version = 0
+        self._places = frozenset()
         self._polling = set()
         self.polls = 0
 
@@ -87,27 +99,49 @@
                 asyncio.ensure_future(self._poll(vm, address))
 
     def _assign(self):
+        inputs = self._make_inputs()
+        if inputs == self._inputs:
+            return
+        self._inputs = inputs
+        assigned = self._plan_assigned(inputs)
+        dropped = tuple(vm for vm in self._assigned if vm not in assigned)
+        self._assigned = assigned
+        for vm in dropped:
+            self._failures.pop(vm, None)
+        self._drop(dropped)
+
+    def _make_inputs(self):
+        """What the assignment follows from."""
         entry = self._entry
         now = entry.clock.monotonic()
-        observers = {}
+        listed = entry.groups.listed
+        groups = entry.catalogue.items('group')
+        if listed is not self._listed or groups is not self._groups:
+            self._listed, self._groups = listed, groups
+            self._known_units = self._units()
+            self._places = {unit[2] for unit in self._known_units.values()}
+            self._version += 1
+        observers = {
+            place: tuple(entry.registry.observers(place, now))
+            for place in self._places
+        }
+        return self._version, observers
+
+    def _plan_assigned(self, inputs):
+        node = self._entry.settings.node.name
+        _, observers = inputs
         assigned = {}
         chosen = {}
-        for vm, (unit, address, data_centre) in self._units().items():
-            if data_centre not in observers:
-                observers[data_centre] = entry.registry.observers(
-                    data_centre, now
-                )
+        for vm, (unit, address, place) in self._known_units.items():
+            if node not in observers[place]:
+                continue
             if unit not in chosen:
                 chosen[unit] = membership.choose_observer(
-                    unit, observers[data_centre]
+                    unit, observers[place]
                 )
-            if chosen[unit] == entry.settings.node.name:
+            if chosen[unit] == node:
                 assigned[vm] = address
-        dropped = tuple(vm for vm in self._assigned if vm not in assigned)
-        self._assigned = assigned
-        for vm in dropped:
-            self._failures.pop(vm, None)
-        self._drop(dropped)
+        return assigned
 
     def _units(self):
         """VM -> (what is observed together, address, data centre)."""
--- a/balsamwind/entry/_peering.py
+++ b/balsamwind/entry/_peering.py
@@ -97,7 +97,8 @@
         for vm in message.dropped:
             entry.observations.drop(vm, hello.node)
             self._observer.on_dropped(vm)
-        entry.groups.invalidate()
+        if message.items or message.dropped:
+            entry.groups.invalidate()
 
     def _on_object(self, stored):
         """Use a group's status that came before the group's record."""
@@ -119,11 +120,20 @@
             return
         group = entry.catalogue.value('group', name)
         status, observer, at = known
-        reports = peers.make_reports(group, status)
-        for report in reports:
-            entry.observations.update(report.vm, True, report, observer, at)
+        for report in peers.make_reports(group, status):
+            self._take_report(report, observer, at)
         del self._statuses[digest]
 
+    def _take_report(self, report, observer, at):
+        view = self._entry.observations.get(report.vm)
+        same = view is not None and view.observer == observer
+        if same and view.reachable and view.report == report:
+            view.seen_at = max(view.seen_at, at)
+            return
+        if not same or not view.reachable or _differs(view.report, report):
+            self._entry.groups.invalidate()
+        self._entry.observations.update(report.vm, True, report, observer, at)
+
     def _on_heartbeat(self, hello, message, now):
         entry = self._entry
         peer = entry.registry.hear(hello.node, hello.data_centre, now)
@@ -222,3 +232,20 @@
                 entry.catalogue.store_state is catalogue.StoreState.DIVERGED
             ),
         )
+
+
+def _differs(first, second):
+    """Whether two reports differ in what decides if a group may serve."""
+    return first is None or (
+        first.state,
+        first.group,
+        first.generation,
+        first.model,
+        first.version,
+    ) != (
+        second.state,
+        second.group,
+        second.generation,
+        second.model,
+        second.version,
+    )
--- a/balsamwind/entry/_platform_follower.py
+++ b/balsamwind/entry/_platform_follower.py
@@ -207,9 +207,9 @@
         gone = tuple(name for name in known if name not in listed)
         first = self._read_at == -NEVER
         self._read_at = read_at
-        entry.groups.listed = listed
         if not changed and not gone:
             return
+        entry.groups.listed = listed
         entry.groups.invalidate()
         if entry.is_platform_reader() and not first:
             age = max(0.0, entry.clock.monotonic() - read_at)
@@ -224,10 +224,11 @@
             if message.age + peers.VM_LIST_GAIN <= self.age(now):
                 self._replace(message.rows, now - message.age)
             return
-        listed = self._entry.groups.listed
+        listed = dict(self._entry.groups.listed)
         listed.update({row.name: row for row in message.rows})
         for name in message.gone:
             listed.pop(name, None)
+        self._entry.groups.listed = listed
         self._entry.groups.invalidate()
 
     def hear_reader(self, peer, age, now):
--- a/balsamwind/membership/_groups.py
+++ b/balsamwind/membership/_groups.py
@@ -1,9 +1,14 @@
 """Which replica groups are complete, and so may serve."""
 
+import dataclasses
+
 from balsamwind import objects
 from balsamwind import ports
 
 REFRESH_INTERVAL = 0.1
+"""Longest time between two checks of what grows old (seconds)."""
+
+FULL_INTERVAL = 1.0
 """Longest time between two checks of all groups (seconds)."""
 
 
@@ -65,6 +70,27 @@
     return ''
 
 
+@dataclasses.dataclass(slots=True)
+class _Verdict:
+    """Evidence on which a group was found complete."""
+
+    group: objects.Group
+    listed: dict
+    views: tuple
+    until: float
+
+    def holds(self, group, listed, observations, now):
+        """Whether the same evidence still counts."""
+        if self.group is not group or self.listed is not listed:
+            return False
+        if now > self.until:
+            return False
+        return all(
+            observations.get(view.vm) is view and view.reachable
+            for view in self.views
+        )
+
+
 class GroupTable:
     """Groups that may serve, by contract and model.
 
@@ -82,8 +108,11 @@
         '_dirty',
         '_down',
         '_groups',
+        '_incomplete',
         '_observations',
         '_reasons',
+        '_refreshed_at',
+        '_verdicts',
         'listed',
     )
 
@@ -92,6 +121,9 @@
         self._observations = observations
         self._groups = {}
         self._reasons = {}
+        self._verdicts = {}
+        self._incomplete = []
+        self._refreshed_at = float('-inf')
         self._down = {}
         self._dirty = True
         self._checked_at = float('-inf')
@@ -124,27 +156,65 @@
 
     def serving(self, contract, model, now):
         """Records of the groups that may serve `model` now."""
-        if self._dirty or now - self._checked_at > REFRESH_INTERVAL:
+        if self._dirty or now - self._refreshed_at > FULL_INTERVAL:
             self._refresh(now)
+        elif now - self._checked_at > REFRESH_INTERVAL:
+            self._recheck(now)
         return self._groups.get((contract, model), ())
 
+    def _recheck(self, now):
+        """Check what time alone can change."""
+        self._checked_at = now
+        old = [v.group for v in self._verdicts.values() if now > v.until]
+        if any(self._check(group, now) for group in old) or not all(
+            self._check_down(group, now) or self._check(group, now)
+            for group in self._incomplete
+        ):
+            self._refresh(now)
+
     def _refresh(self, now):
         groups = {}
         reasons = {}
+        incomplete = []
         for stored in self._catalogue.items('group'):
             group = stored.value
-            reason = self._check_down(group, now) or check_group(
-                group, self._observations, self.listed, now
-            )
+            reason = self._check_down(group, now) or self._check(group, now)
             reasons[group.name] = reason
-            if not reason:
+            if reason:
+                incomplete.append(group)
+            else:
                 for model in (group.model, *group.adapters):
                     key = (group.contract, model)
                     groups.setdefault(key, []).append(group)
         self._groups = groups
         self._reasons = reasons
+        for name in set(self._verdicts) - set(reasons):
+            del self._verdicts[name]
+        self._incomplete = incomplete
         self._dirty = False
         self._checked_at = now
+        self._refreshed_at = now
+
+    def _check(self, group, now):
+        """Like `check_group`, unless earlier evidence still counts."""
+        verdict = self._verdicts.get(group.name)
+        if verdict is not None and verdict.holds(
+            group, self.listed, self._observations, now
+        ):
+            return ''
+        reason = check_group(group, self._observations, self.listed, now)
+        if reason:
+            self._verdicts.pop(group.name, None)
+            return reason
+        views = tuple(self._observations.get(vm) for vm in group.vms)
+        oldest = min(self._observations.seen_at(view) for view in views)
+        self._verdicts[group.name] = _Verdict(
+            group,
+            self.listed,
+            views,
+            oldest + self._observations.stale_after,
+        )
+        return ''
 
     def _check_down(self, group, now):
         known = self._down.get(group.name)
--- a/balsamwind/membership/_observations.py
+++ b/balsamwind/membership/_observations.py
@@ -49,6 +49,11 @@
         self._views = {}
         self._heartbeats = {}
 
+    @property
+    def stale_after(self):
+        """Age at which a view no longer counts (seconds)."""
+        return self._stale_after
+
     def update(self, vm, reachable, report, observer, now):
         """Take in what `observer` saw of `vm` at `now`."""
         known = self._views.get(vm)
--- a/balsamwind/peers/_registry.py
+++ b/balsamwind/peers/_registry.py
@@ -14,6 +14,10 @@
 """How much younger a peer's VM list must be to be sent (seconds)."""
 
 
+PLACES_AGE = 0.2
+"""Time for which the living nodes are not looked up again (seconds)."""
+
+
 @dataclasses.dataclass(slots=True)
 class PeerState:
     """One peer.
@@ -72,13 +76,14 @@
         Age of the last heartbeat at which a peer counts as gone (seconds).
     """
 
-    __slots__ = ('_data_centre', '_name', '_peers', '_stale_after')
+    __slots__ = ('_data_centre', '_name', '_peers', '_places', '_stale_after')
 
     def __init__(self, name, data_centre, stale_after):
         self._name = name
         self._data_centre = data_centre
         self._stale_after = stale_after
         self._peers = {}
+        self._places = (float('-inf'), {}, {})
 
     @property
     def peers(self):
@@ -95,6 +100,9 @@
         if state is None:
             state = PeerState(name, data_centre, now)
             self._peers[name] = state
+            self._forget_places()
+        elif not self.is_alive(state, now):
+            self._forget_places()
         state.heard_at = now
         state.data_centre = data_centre
         state.connected = True
@@ -105,10 +113,12 @@
         state = self._peers.get(name)
         if state is not None:
             state.connected = False
+            self._forget_places()
 
     def forget(self, name):
         """Drop a peer that is gone for good."""
         self._peers.pop(name, None)
+        self._forget_places()
 
     def is_alive(self, peer, now):
         """Whether a peer was heard lately, over a link that stands."""
@@ -123,17 +133,35 @@
 
         Its own nodes; if none is alive, every node.
         """
-        nodes = {self._name: self._data_centre}
+        _, places, _ = self._find_places(now)
+        return places.get(data_centre) or places['']
+
+    def _find_places(self, now):
+        """Living nodes by data centre; under no name, all."""
+        if now - self._places[0] <= PLACES_AGE:
+            return self._places
+        places = {'': [self._name], self._data_centre: [self._name]}
         for peer in self.alive(now):
             if not peer.draining:
-                nodes[peer.name] = peer.data_centre
-        local = [name for name, place in nodes.items() if place == data_centre]
-        return sorted(local or nodes)
+                places[''].append(peer.name)
+                places.setdefault(peer.data_centre, []).append(peer.name)
+        for names in places.values():
+            names.sort()
+        self._places = (now, places, {})
+        return self._places
+
+    def _forget_places(self):
+        self._places = (float('-inf'), {}, {})
 
     def platform_reader(self, data_centre, now):
         """Name of the node that follows the platform for a data centre."""
-        nodes = self.observers(data_centre, now)
-        return membership.choose_observer('platform', nodes)
+        _, _, readers = self._find_places(now)
+        if data_centre not in readers:
+            nodes = self.observers(data_centre, now)
+            readers[data_centre] = membership.choose_observer(
+                'platform', nodes
+            )
+        return readers[data_centre]
 
     def is_store_reader(self, now):
         """Whether this node should follow the platform itself.
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -170,7 +170,11 @@
         )
         shards = [state['shards'] for state in said if state['shards']]
         short = said[0]['short'] if said else ''
-        ended = [n for n, p in self.processes.items() if p.poll() is not None]
+        ended = {
+            name: self.log(name)[-300:]
+            for name, process in self.processes.items()
+            if process.poll() is not None
+        }
         return (
             f'processes ended {ended}; {len(said)} of {len(states)} answer;'
             f' nodes alive {alive};'
@@ -216,11 +220,11 @@
         fleet = Fleet(pathlib.Path(folder), entries, engines, data_centres)
         try:
             fleet.start()
-            cluster_module.wait_for(
-                lambda: fleet.status('entry-000'), 'an entry answers', 60
-            )
-            fleet.apply_contract()
             try:
+                cluster_module.wait_for(
+                    lambda: fleet.status('entry-000'), 'an entry answers', 30
+                )
+                fleet.apply_contract()
                 cluster_module.wait_for(fleet.is_settled, 'fleet settles', 60)
             except AssertionError as error:
                 raise AssertionError(f'{error}; {fleet.describe()}') from None
