Take in a group's status by its head only

Cause: each status built the reports of all 16 members and hashed the group's record again. Change: StatusBook keeps the members' reports by digest; only the head is built, and an unchanged view is only made fresh.

--- a/balsamwind/entry/_peering.py
+++ b/balsamwind/entry/_peering.py
@@ -26,12 +26,10 @@
     """
 
     __slots__ = (
-        '_digests',
+        '_book',
         '_entry',
-        '_names',
         '_observer',
         '_revision_before',
-        '_statuses',
         '_store_follower',
         '_vm_follower',
     )
@@ -42,9 +40,7 @@
         self._store_follower = store_follower
         self._vm_follower = vm_follower
         self._revision_before = 0
-        self._digests = {}
-        self._names = {}
-        self._statuses = {}
+        self._book = peers.StatusBook(entry.settings.observation.stale_after)
         entry.catalogue.listen(self._on_object)
 
     def on_connect(self, hello):
@@ -88,8 +84,7 @@
     def _on_reports(self, hello, message, now):
         entry = self._entry
         for status in message.groups:
-            self._statuses[status.digest] = (status, hello.node, now)
-            self._take_status(status.digest)
+            self._take_evidence(self._book.take(status, hello.node, now))
         for item in message.items:
             entry.observations.update(
                 item.vm, item.reachable, item.report, hello.node, now
@@ -102,34 +97,23 @@
 
     def _on_object(self, stored):
         """Use a group's status that came before the group's record."""
-        if stored.kind != 'group':
-            return
-        digest = self._digests.pop(stored.name, None)
-        self._names.pop(digest, None)
-        if not stored.deleted:
-            digest = peers.make_digest(stored.value)
-            self._digests[stored.name] = digest
-            self._names[digest] = stored.name
-            self._take_status(digest)
-
-    def _take_status(self, digest):
-        entry = self._entry
-        name = self._names.get(digest)
-        known = self._statuses.get(digest)
-        if name is None or known is None:
-            return
-        group = entry.catalogue.value('group', name)
-        status, observer, at = known
-        for report in peers.make_reports(group, status):
-            self._take_report(report, observer, at)
-        del self._statuses[digest]
+        if stored.kind == 'group':
+            self._take_evidence(
+                self._book.set_group(stored.name, stored.value)
+            )
+
+    def _take_evidence(self, evidence):
+        if evidence is not None:
+            for report in evidence.reports:
+                self._take_report(report, evidence.observer, evidence.at)
 
     def _take_report(self, report, observer, at):
         view = self._entry.observations.get(report.vm)
         same = view is not None and view.observer == observer
-        if same and view.reachable and view.report == report:
-            view.seen_at = max(view.seen_at, at)
-            return
+        if same and view.reachable:
+            if view.report is report or view.report == report:
+                view.seen_at = max(view.seen_at, at)
+                return
         if not same or not view.reachable or _differs(view.report, report):
             self._entry.groups.invalidate()
         self._entry.observations.update(report.vm, True, report, observer, at)
@@ -207,14 +191,7 @@
         self._revision_before = revision
         lowest = entry.registry.lowest_revision(revision, now)
         entry.catalogue.prune(lowest, now)
-        self._forget_statuses(now)
-
-    def _forget_statuses(self, now):
-        """Drop statuses whose record did not come in time."""
-        limit = self._entry.settings.observation.stale_after
-        for digest, (_, _, at) in list(self._statuses.items()):
-            if now - at > limit:
-                del self._statuses[digest]
+        self._book.prune(now)
 
     def make_heartbeat(self):
         """Heartbeat of this moment."""
--- a/balsamwind/peers/__init__.py
+++ b/balsamwind/peers/__init__.py
@@ -2,7 +2,6 @@
 
 from balsamwind.peers._group_status import LOAD_FIELDS
 from balsamwind.peers._group_status import make_digest
-from balsamwind.peers._group_status import make_reports
 from balsamwind.peers._group_status import make_status
 from balsamwind.peers._group_status import quantise
 from balsamwind.peers._messages import GroupDown
@@ -19,6 +18,8 @@
 from balsamwind.peers._registry import PeerState
 from balsamwind.peers._registry import VM_LIST_GAIN
 from balsamwind.peers._registry import VM_LIST_STALE
+from balsamwind.peers._status_book import Evidence
+from balsamwind.peers._status_book import StatusBook
 from balsamwind.peers._wire import decode_frame
 from balsamwind.peers._wire import encode_frame
 
@@ -27,6 +28,7 @@
     'LOAD_FIELDS',
     'VM_LIST_GAIN',
     'VM_LIST_STALE',
+    'Evidence',
     'GroupDown',
     'GroupStatus',
     'Heartbeat',
@@ -37,11 +39,11 @@
     'PeerState',
     'Publisher',
     'Reports',
+    'StatusBook',
     'VmRows',
     'decode_frame',
     'encode_frame',
     'make_digest',
-    'make_reports',
     'make_status',
     'quantise',
 ]
--- a/balsamwind/peers/_group_status.py
+++ b/balsamwind/peers/_group_status.py
@@ -91,21 +91,26 @@
     return _messages.GroupStatus(make_digest(group), tuple(load))
 
 
-def make_reports(group, status):
-    """Reports of the members that a status stands for.
+def make_head(group, load):
+    """Report of the first member that a status stands for.
+
+    Parameters
+    ----------
+    group : balsamwind.objects.Group
+        Its record.
+    load : tuple of float
+        Load of the status.
 
     Returns
     -------
-    tuple of balsamwind.ports.EngineReport
-        Empty if the status is of another group, generation, model, version
-        or other members than the record.
+    balsamwind.ports.EngineReport
     """
-    if status.digest != make_digest(group):
-        return ()
-    return tuple(
-        _make_report(group, member.vm, status.load if rank == 0 else ())
-        for rank, member in enumerate(group.members)
-    )
+    return _make_report(group, group.vms[0], load)
+
+
+def make_others(group):
+    """Reports of the other members, in rank order; a tuple."""
+    return tuple(_make_report(group, vm, ()) for vm in group.vms[1:])
 
 
 def _make_report(group, vm, load):
--- a/balsamwind/peers/_publisher.py
+++ b/balsamwind/peers/_publisher.py
@@ -95,7 +95,10 @@
         known, sent_at, until = self._groups.get(group.name, (None, 0.0, 0.0))
         keys = {
             member.vm: _key(True, member, group)
-            for member in _group_status.make_reports(group, status)
+            for member in (
+                _group_status.make_head(group, status.load),
+                *_group_status.make_others(group),
+            )
         }
         told = all(self._vms.get(vm, ('',))[0] == keys[vm] for vm in keys)
         if told and known is not None and now < until:
