Read and send only what changed of the platform

Cause: the whole VM list was read every 2 s, each renewed lease went to the data centre in a frame of its own, and objects went to peers with their keys' names. Change: the VM list is asked for by entity tag; renewed leases go with the next heartbeat, other changes at once; objects other than contracts go as arrays.

--- a/balsamwind/adapters/_peer_link.py
+++ b/balsamwind/adapters/_peer_link.py
@@ -159,19 +159,36 @@
         """Send one frame to a peer; nothing if it is not connected."""
         link = self._links.get(name)
         if link is not None:
-            self._write([link], peers.encode_frame(messages))
-
-    def broadcast(self, *messages, data_centre=None):
-        """Send one frame to all peers, or to those of one data centre."""
-        links = [
-            link
-            for link in self._links.values()
-            if data_centre is None or link.hello.data_centre == data_centre
-        ]
-        if links:
-            self._write(links, peers.encode_frame(messages))
-
-    def _write(self, links, data):
+            self._write([link], messages)
+
+    def broadcast(self, *messages, data_centre=None, own_data_centre=None):
+        """Send one frame to all peers, or to those of one data centre.
+
+        Parameters
+        ----------
+        messages : balsamwind.peers messages
+            What the frame carries.
+        data_centre : str or None
+            Only peers of this data centre get it.
+        own_data_centre : list or None
+            What the frame carries to peers of this node's data centre.
+        """
+        own, other = [], []
+        for link in self._links.values():
+            place = link.hello.data_centre
+            if data_centre in (None, place):
+                is_own = place == self._hello.data_centre
+                (own if is_own else other).append(link)
+        if own_data_centre is None:
+            self._write(own + other, messages)
+        else:
+            self._write(own, own_data_centre)
+            self._write(other, messages)
+
+    def _write(self, links, messages):
+        if not links or not messages:
+            return
+        data = peers.encode_frame(messages)
         connections = [link.connection for link in links]
         ws_server.broadcast(connections, data)
         self.bytes_sent += len(data) * len(links)
@@ -250,7 +267,7 @@
         self._links[hello.node] = link
         try:
             first = self._receiver.on_connect(hello)
-            self._write([link], peers.encode_frame(first))
+            self._write([link], first)
             async for data in connection:
                 link.heard_at = loop.time()
                 self.bytes_received += len(data)
--- a/balsamwind/adapters/_platform.py
+++ b/balsamwind/adapters/_platform.py
@@ -8,19 +8,33 @@
 
 
 class HttpVmList:
-    """Client of the VM list."""
+    """Client of the VM list.
 
-    __slots__ = ('_client', '_timeout', '_url', 'bytes_received', 'calls')
+    A platform that gives an entity tag is asked only for a list that
+    changed.
+    """
+
+    __slots__ = (
+        '_client',
+        '_rows',
+        '_tag',
+        '_timeout',
+        '_url',
+        'bytes_received',
+        'calls',
+    )
 
     def __init__(self, client, url, timeout):
         self._client = client
         self._url = url.rstrip('/')
         self._timeout = timeout
+        self._rows = ()
+        self._tag = ''
         self.bytes_received = 0
         self.calls = 0
 
     async def fetch(self):
-        """All rows; a tuple of `ListedVm`.
+        """All rows; a tuple of `ListedVm`, the same one if nothing changed.
 
         Raises
         ------
@@ -30,13 +44,22 @@
         self.calls += 1
         try:
             response = await self._client.fetch(
-                'GET', f'{self._url}/v1/vms', timeout=self._timeout
+                'GET',
+                f'{self._url}/v1/vms',
+                headers=(('If-None-Match', self._tag),) if self._tag else (),
+                timeout=self._timeout,
             )
             self.bytes_received += len(response.body)
+            if response.status == 304 and self._tag:
+                return self._rows
             if response.status != 200:
                 raise exceptions.StoreError(f'VM list: {response.status}')
             rows = json.loads(response.body)['vms']
-            return tuple(objects.decode(ports.ListedVm, row) for row in rows)
+            self._rows = tuple(
+                objects.decode(ports.ListedVm, row) for row in rows
+            )
+            self._tag = response.headers.get('Etag', '')
+            return self._rows
         except (
             exceptions.TransportError,
             KeyError,
--- a/balsamwind/entry/_peering.py
+++ b/balsamwind/entry/_peering.py
@@ -183,10 +183,11 @@
         entry.links.close_silent()
         reports = self._observer.plan_reports(now)
         heartbeat = self.make_heartbeat()
-        if reports is None:
-            entry.links.broadcast(heartbeat)
-        else:
-            entry.links.broadcast(reports, heartbeat)
+        told = [heartbeat] if reports is None else [reports, heartbeat]
+        changes = self._store_follower.take_changes()
+        entry.links.broadcast(
+            *told, own_data_centre=[*changes, *told] if changes else None
+        )
         revision = entry.catalogue.revision
         self._revision_before = revision
         lowest = entry.registry.lowest_revision(revision, now)
--- a/balsamwind/entry/_platform_follower.py
+++ b/balsamwind/entry/_platform_follower.py
@@ -62,13 +62,21 @@
         Source of jitter.
     """
 
-    __slots__ = ('_backoff', '_entry', '_listed', '_store', 'reading')
+    __slots__ = (
+        '_backoff',
+        '_entry',
+        '_listed',
+        '_store',
+        '_told',
+        'reading',
+    )
 
     def __init__(self, entry, store, rng):
         self._entry = entry
         self._store = store
         self._backoff = _Backoff(rng)
         self._listed = False
+        self._told = None
         self.reading = False
 
     async def run(self):
@@ -105,6 +113,7 @@
     async def _list(self):
         entry = self._entry
         snapshot = await self._store.list(objects.WATCHED_KINDS)
+        self._told = None
         before = entry.catalogue.store_state
         self._listed = entry.catalogue.apply_list(
             snapshot, objects.WATCHED_KINDS, entry.clock.monotonic()
@@ -129,18 +138,37 @@
         )
         if goes_on:
             self._backoff.reset()
-        if goes_on and snapshot.items:
-            entry.links.broadcast(
-                peers.ObjectChanges(
-                    since,
-                    entry.catalogue.revision,
-                    entry.catalogue.changes_since(since),
-                    not entry.catalogue.unreadable,
-                ),
-                data_centre=entry.settings.node.data_centre,
-            )
+            if self._told is None:
+                self._told = since
+            if any(stored.kind != 'lease' for stored in snapshot.items):
+                place = entry.settings.node.data_centre
+                changes = self.take_changes()
+                entry.links.broadcast(*changes, data_centre=place)
         return goes_on
 
+    def take_changes(self):
+        """What the data centre's other nodes have not been told.
+
+        Renewed leases wait for the next heartbeat, which takes them along.
+
+        Returns
+        -------
+        list of balsamwind.peers.ObjectChanges
+            One, or none.
+        """
+        catalogue = self._entry.catalogue
+        since, self._told = self._told, None
+        if since is None or since >= catalogue.revision:
+            return []
+        return [
+            peers.ObjectChanges(
+                since,
+                catalogue.revision,
+                catalogue.changes_since(since),
+                not catalogue.unreadable,
+            )
+        ]
+
 
 class VmListFollower:
     """Follows the VM list.
@@ -155,13 +183,22 @@
         Source of jitter.
     """
 
-    __slots__ = ('_backoff', '_entry', '_full_at', '_read_at', '_rng', '_vms')
+    __slots__ = (
+        '_backoff',
+        '_entry',
+        '_full_at',
+        '_read_at',
+        '_rng',
+        '_rows',
+        '_vms',
+    )
 
     def __init__(self, entry, vm_list, rng):
         self._entry = entry
         self._vms = vm_list
         self._rng = rng
         self._backoff = _Backoff(rng)
+        self._rows = None
         self._read_at = -NEVER
         self._full_at = 0.0
 
@@ -201,6 +238,10 @@
     def _replace(self, rows, read_at):
         """Take a whole list, and tell the data centre what changed."""
         entry = self._entry
+        if rows is self._rows:
+            self._read_at = read_at
+            return
+        self._rows = rows
         known = entry.groups.listed
         listed = {row.name: row for row in rows}
         changed = tuple(r for r in rows if known.get(r.name) != r)
@@ -224,6 +265,7 @@
             if message.age + peers.VM_LIST_GAIN <= self.age(now):
                 self._replace(message.rows, now - message.age)
             return
+        self._rows = None
         listed = dict(self._entry.groups.listed)
         listed.update({row.name: row for row in message.rows})
         for name in message.gone:
--- a/balsamwind/entry/tests/parts.py
+++ b/balsamwind/entry/tests/parts.py
@@ -55,11 +55,16 @@
     def close_silent(self):
         """Nothing is silent here."""
 
-    def broadcast(self, *messages, data_centre=None):
+    def broadcast(self, *messages, data_centre=None, own_data_centre=None):
         self.frames.append(messages)
         for other in self._fleet.joined(self._node):
-            if data_centre in (None, other.hello.data_centre):
-                self._fleet.deliver(self._node, other, messages)
+            place = other.hello.data_centre
+            if data_centre in (None, place):
+                own = place == self._node.hello.data_centre
+                frame = (
+                    own_data_centre if own and own_data_centre else messages
+                )
+                self._fleet.deliver(self._node, other, frame)
 
     def send(self, name, *messages):
         for other in self._fleet.joined(self._node):
--- a/balsamwind/entry/tests/test_registration.py
+++ b/balsamwind/entry/tests/test_registration.py
@@ -102,6 +102,26 @@
         assert any(is_reader(fleet[n]) for n in others)
 
 
+def test_renewed_leases_wait_for_the_heartbeat():
+    fleet = parts.Fleet(a='dc1', b='dc1', c='dc2')
+    for node in fleet.nodes.values():
+        node.list_store(5)
+    fleet.connect()
+    reader = fleet['a'].store
+    lease = objects.Stored('lease', 's', 6, objects.Lease('s', 'a', 1, 1.0))
+    for stored, told in ((lease, 5), (make_node('x', 7), 7)):
+        reader._store = FakeStore(ports.Snapshot(stored.revision, (stored,)))
+        assert asyncio.run(reader._watch())
+        assert fleet['b'].entry.catalogue.revision == told
+    assert fleet['b'].entry.catalogue.value('lease', 's') == lease.value
+    assert fleet['c'].entry.catalogue.revision == 5
+    lease = objects.Stored('lease', 's', 8, objects.Lease('s', 'b', 2, 1.0))
+    reader._store = FakeStore(ports.Snapshot(8, (lease,)))
+    assert asyncio.run(reader._watch())
+    fleet.beat()
+    assert fleet['b'].entry.catalogue.value('lease', 's') == lease.value
+
+
 def is_reader(node):
     return node.entry.registry.is_store_reader(node.entry.clock.now)
 
--- a/balsamwind/peers/_wire.py
+++ b/balsamwind/peers/_wire.py
@@ -66,17 +66,25 @@
     if type(message) is not _messages.ObjectChanges:
         return _pack(message)
     rows = [
-        [s.kind, s.name, s.revision, objects.encode(s.value)]
-        for s in message.items
+        [s.kind, s.name, s.revision, _pack_value(s)] for s in message.items
     ]
     return [message.since, message.revision, rows, message.complete]
 
 
+def _pack_value(stored):
+    # A contract is checked against its schema, which names its keys.
+    if stored.kind == 'contract':
+        return objects.encode(stored.value)
+    return _pack(stored.value)
+
+
 def _pack(value):
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, tuple):
         return [_pack(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _pack(item) for key, item in value.items()}
     if not dataclasses.is_dataclass(value):
         return value
     fields = dataclasses.fields(value)
