Leave out what a status's load lacks

Cause: zero and whole floats took 9 bytes each in a status. Change: whole values as integers, zeros at the end left out.

--- a/balsamwind/peers/_group_status.py
+++ b/balsamwind/peers/_group_status.py
@@ -88,6 +88,10 @@
     for place, name in enumerate(LOAD_FIELDS):
         if name in _COUNTS:
             load[place] = quantise(load[place])
+        elif load[place] == int(load[place]):
+            load[place] = int(load[place])
+    while load and not load[-1]:
+        load.pop()
     return _messages.GroupStatus(make_digest(group), tuple(load))
 
 
