Cut a data centre off in a test of processes

Cause: no test cut a data centre off from the platform and its peers.

Ruled out: an isolation tool of the system; a small forwarder tells where a connection comes from by the User-Agent of its first request.

Seen on the way: one entry held the leases of all three data centres, since the first to write takes them.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -237,11 +237,14 @@
     ----------
     ssl_context : ssl.SSLContext or None
         For addresses that are reached by TLS.
+    user_agent : str
+        Who asks, for the logs of the other side.
     """
 
-    __slots__ = ('_idle', '_ssl_context', '_tcp', 'opened')
+    __slots__ = ('_idle', '_ssl_context', '_tcp', '_user_agent', 'opened')
 
-    def __init__(self, ssl_context=None):
+    def __init__(self, ssl_context=None, user_agent='balsamwind'):
+        self._user_agent = user_agent
         self._tcp = tcpclient.TCPClient()
         self._idle = {}
         self._ssl_context = ssl_context
@@ -355,7 +358,9 @@
         path = parts.path or '/'
         if parts.query:
             path = f'{path}?{parts.query}'
-        fields = httputil.HTTPHeaders({'Host': place})
+        fields = httputil.HTTPHeaders(
+            {'Host': place, 'User-Agent': self._user_agent}
+        )
         if body or method in ('POST', 'PUT', 'PATCH'):
             fields['Content-Length'] = str(len(body))
         for name, value in headers:
--- a/balsamwind/adapters/_peer_link.py
+++ b/balsamwind/adapters/_peer_link.py
@@ -216,6 +216,7 @@
             close_timeout=OPEN_TIMEOUT,
             ping_interval=None,
             proxy=None,
+            user_agent_header=f'balsamwind {self._hello.node}',
         ) as connection:
             await self._serve(connection)
 
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -67,8 +67,11 @@
         self._log = structlog.get_logger().bind(node=settings.node.name)
         self._clock = adapters.SystemClock()
         self._tls = adapters.make_tls_contexts(settings.tls)
-        self._client = adapters.HttpClient(self._tls.backends)
-        self._platform_client = adapters.HttpClient(self._tls.platform)
+        user_agent = f'balsamwind {settings.node.name}'
+        self._client = adapters.HttpClient(self._tls.backends, user_agent)
+        self._platform_client = adapters.HttpClient(
+            self._tls.platform, user_agent
+        )
         platform = settings.platform
         self._store = adapters.HttpObjectStore(
             self._platform_client,
@@ -154,7 +157,7 @@
         return objects.Node(
             settings.node.name,
             settings.node.data_centre,
-            settings.listen.peers,
+            settings.listen.advertised_peers or settings.listen.peers,
             self._incarnation,
         )
 
--- a/balsamwind/settings/_sections.py
+++ b/balsamwind/settings/_sections.py
@@ -32,6 +32,9 @@
     callers: str = _required('Address for callers.', pattern=r':\d+$')
     operators: str = _required('Address for operators.', pattern=r':\d+$')
     peers: str = _required('Address for peers.', pattern=r':\d+$')
+    advertised_peers: str = _setting(
+        '', 'Address at which peers reach it, if it is another.'
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -39,6 +39,8 @@
         VMs in each of them (count).
     overrides : dict
         Sections of the entries' settings to change.
+    links : bool
+        Whether data centres can be cut off, by `cut`.
     binary : pathlib.Path or None
         One-file build to run the entries from, instead of the sources.
     """
@@ -49,14 +51,19 @@
         domains=2,
         vms_per_domain=3,
         overrides=None,
+        links=False,
         binary=None,
     ):
+        self._links = links
+        self._forwards = []
+        self._forwarded = {}
         self._binary = binary
         self.folder = folder
         self._overrides = overrides or {}
         self._held = []
         self.processes = {}
         self.platform = self._address()
+        self.network = self._address()
         self.admin = {place: self._address() for place in DATA_CENTRES}
         self.service = {place: self._address() for place in DATA_CENTRES}
         self.vms = [
@@ -98,23 +105,53 @@
             self._held.append(holder)
             return f'127.0.0.1:{holder.getsockname()[1]}'
 
+    def _via(self, place, target):
+        """Address by which other places reach a target in `place`."""
+        if not self._links:
+            return target
+        if target not in self._forwarded:
+            self._forwarded[target] = self._address()
+            self._forwards.append(
+                {
+                    'place': place,
+                    'port': int(get_port(self._forwarded[target])),
+                    'target': target,
+                }
+            )
+        return self._forwarded[target]
+
+    def cut(self, *places):
+        """Cut data centres off from the others and from the platform."""
+        post_json(f'http://{self.network}/admin/cut', {'places': list(places)})
+        for place, address in self.admin.items():
+            far = [
+                name
+                for name, entry in self.entries.items()
+                if (entry['data_centre'] in places) != (place in places)
+            ]
+            post_json(f'http://{address}/admin/cut', {'entries': far})
+
     def settings(self, name):
         """Settings of one entry."""
         entry = self.entries[name]
+        platform = self._via('platform', self.platform)
         settings = {
             'node': {'name': name, 'data_centre': entry['data_centre']},
             'listen': {
-                key: entry[key] for key in ('callers', 'operators', 'peers')
+                **{k: entry[k] for k in ('callers', 'operators', 'peers')},
+                'advertised_peers': self._via(
+                    entry['data_centre'], entry['peers']
+                ),
             },
             'platform': {
-                'url': f'http://{self.platform}',
+                'url': f'http://{platform}',
                 'vm_list_interval': 0.5,
             },
             'peers': [
                 {
                     'name': other,
                     'data_centre': peer['data_centre'],
-                    'address': peer['peers'],
+                    'address': self._via(peer['data_centre'], peer['peers']),
                 }
                 for other, peer in self.entries.items()
                 if other != name
@@ -158,8 +195,11 @@
         """Start all processes."""
         vms = self.folder / 'vms.json'
         vms.write_text(json.dumps(self.vms), encoding='utf-8')
+        settings = {name: self.settings(name) for name in self.entries}
         for holder in self._held:
             holder.close()
+        if self._links:
+            self._start_links()
         self._spawn(
             'platform',
             'standins.platform',
@@ -186,12 +226,27 @@
                 get_port(self.service[place]),
             )
         for name in self.entries:
+            path = self.folder / f'{name}.json'
+            path.write_text(json.dumps(settings[name]), encoding='utf-8')
             self.start_entry(name)
 
+    def _start_links(self):
+        path = self.folder / 'forwards.json'
+        places = {n: e['data_centre'] for n, e in self.entries.items()}
+        value = {'forwards': self._forwards, 'places': places}
+        path.write_text(json.dumps(value), encoding='utf-8')
+        self._spawn(
+            'link',
+            'standins.link',
+            '--admin-port',
+            get_port(self.network),
+            '--forwards',
+            path,
+        )
+
     def start_entry(self, name):
         """Start one entry."""
         path = self.folder / f'{name}.json'
-        path.write_text(json.dumps(self.settings(name)), encoding='utf-8')
         command = [sys.executable, '-m', 'balsamwind']
         if self._binary is not None:
             command = [self._binary]
--- a/standins/engines.py
+++ b/standins/engines.py
@@ -2,7 +2,8 @@
 
 An answer is made of the words of the prompt, so that a test can tell what
 the whole answer is. Faults are set by ``POST /admin/<vm>`` at the control
-listener: ``kill`` closes the listener and all connections, ``revive`` opens
+listener (``POST /admin/cut`` takes names of entries that get no answer):
+``kill`` closes the listener and all connections, ``revive`` opens
 it again with the state it had, ``wipe`` revives it empty, ``stall`` stops
 all answers, ``slow`` stretches the time between tokens, ``drain`` refuses
 new requests, ``lose_events`` drops cache events and so leaves a gap.
@@ -54,6 +55,7 @@
 
     def __init__(self, token_delay=0.02, load_delay=0.2, check_fencing=True):
         self.vms = {}
+        self.cut = frozenset()
         self.token_delay = token_delay
         self.load_delay = load_delay
         self.check_fencing = check_fencing
@@ -255,7 +257,8 @@
         self.vm = vm
 
     async def prepare(self):
-        while self.vm.stalled:
+        entry = self.request.headers.get('User-Agent', '').split()[-1:]
+        while self.vm.stalled or self.vm.fleet.cut.intersection(entry):
             await asyncio.sleep(0.05)
 
     def refuse(self, status, code):
@@ -385,8 +388,12 @@
         self.write({**report, 'started': vm.started, 'attempts': vm.attempts})
 
     async def post(self, name):
-        vm = self.fleet.find(name)
         data = json.loads(self.request.body)
+        if name == 'cut':
+            self.fleet.cut = frozenset(data['entries'])
+            self.write({})
+            return
+        vm = self.fleet.find(name)
         match data['fault']:
             case 'kill':
                 await vm.kill()
