--- a/balsamwind/peers/_group_status.py
+++ b/balsamwind/peers/_group_status.py
@@ -48,9 +48,26 @@
     return (count + step // 2) // step * step
 
 
-def make_checksum(names):
-    """Checksum of the names of a group's members."""
-    return xxhash.xxh32_intdigest('/'.join(names).encode())
+def make_digest(group):
+    """Hash of what a status says of a group, 8 bytes.
+
+    Parameters
+    ----------
+    group : balsamwind.objects.Group
+        Its record.
+
+    Returns
+    -------
+    bytes
+    """
+    parts = (
+        group.name,
+        str(group.generation),
+        group.model,
+        group.version,
+        *group.vms,
+    )
+    return xxhash.xxh64_digest('/'.join(parts).encode())
 
 
 def make_status(group, report):
@@ -71,28 +88,33 @@
     for place, name in enumerate(LOAD_FIELDS):
         if name in _COUNTS:
             load[place] = quantise(load[place])
-    return _messages.GroupStatus(
-        group.name, group.generation, make_checksum(group.vms), tuple(load)
-    )
+        elif load[place] == int(load[place]):
+            load[place] = int(load[place])
+    while load and not load[-1]:
+        load.pop()
+    return _messages.GroupStatus(make_digest(group), tuple(load))
 
 
-def make_reports(group, status):
-    """Reports of the members that a status stands for.
+def make_head(group, load):
+    """Report of the first member that a status stands for.
+
+    Parameters
+    ----------
+    group : balsamwind.objects.Group
+        Its record.
+    load : tuple of float
+        Load of the status.
 
     Returns
     -------
-    tuple of balsamwind.ports.EngineReport
-        Empty if the status is of other members or another generation than
-        the record.
+    balsamwind.ports.EngineReport
     """
-    if status.generation != group.generation:
-        return ()
-    if status.members != make_checksum(group.vms):
-        return ()
-    return tuple(
-        _make_report(group, member.vm, status.load if rank == 0 else ())
-        for rank, member in enumerate(group.members)
-    )
+    return _make_report(group, group.vms[0], load)
+
+
+def make_others(group):
+    """Reports of the other members, in rank order; a tuple."""
+    return tuple(_make_report(group, vm, ()) for vm in group.vms[1:])
 
 
 def _make_report(group, vm, load):
