Drop groups at once, and start clusters reliably

Test clusters failed to start in about one run of eight: two ports of one cluster could be the same, since SO_REUSEADDR lets two sockets that do not listen share one.

Ruled out: a fault of the observers; their views named the engines of one data centre as unreachable, and that stand-in had not started.

Change: the group table sees by a counter that observations changed; ports are held without SO_REUSEADDR; status lists the VMs with observer and age.

--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -294,6 +294,10 @@
                 self._status_of_group(stored)
                 for stored in self.catalogue.items('group')
             ],
+            'vms': [
+                self._status_of_vm(view, now)
+                for view in self.observations.items()
+            ],
             'short': {
                 stored.name: stored.value.short
                 for stored in self.catalogue.items('allocation')
@@ -301,6 +305,18 @@
             },
         }
 
+    def _status_of_vm(self, view, now):
+        report = view.report
+        return {
+            'name': view.vm,
+            'up': self.observations.is_up(view.vm, now),
+            'reachable': view.reachable,
+            'state': report.state.value if report else 'unknown',
+            'group': report.group if report else '',
+            'observer': view.observer,
+            'age': round(now - self.observations.seen_at(view), 3),
+        }
+
     def _status_of_group(self, stored):
         group = stored.value
         reason = self.groups.reasons.get(group.name, 'not checked')
--- a/balsamwind/membership/_groups.py
+++ b/balsamwind/membership/_groups.py
@@ -112,6 +112,7 @@
         '_observations',
         '_reasons',
         '_refreshed_at',
+        '_seen_changes',
         '_verdicts',
         'listed',
     )
@@ -126,6 +127,7 @@
         self._refreshed_at = float('-inf')
         self._down = {}
         self._dirty = True
+        self._seen_changes = 0
         self._checked_at = float('-inf')
         self.listed = {}
 
@@ -156,7 +158,8 @@
 
     def serving(self, contract, model, now):
         """Records of the groups that may serve `model` now."""
-        if self._dirty or now - self._refreshed_at > FULL_INTERVAL:
+        changed = self._seen_changes != self._observations.changes
+        if self._dirty or changed or now - self._refreshed_at > FULL_INTERVAL:
             self._refresh(now)
         elif now - self._checked_at > REFRESH_INTERVAL:
             self._recheck(now)
@@ -192,6 +195,7 @@
             del self._verdicts[name]
         self._incomplete = incomplete
         self._dirty = False
+        self._seen_changes = self._observations.changes
         self._checked_at = now
         self._refreshed_at = now
 
--- a/balsamwind/membership/_observations.py
+++ b/balsamwind/membership/_observations.py
@@ -42,13 +42,19 @@
         Age at which a view no longer counts (seconds).
     """
 
-    __slots__ = ('_heartbeats', '_stale_after', '_views')
+    __slots__ = ('_changes', '_heartbeats', '_stale_after', '_views')
 
     def __init__(self, stale_after):
         self._stale_after = stale_after
+        self._changes = 0
         self._views = {}
         self._heartbeats = {}
 
+    @property
+    def changes(self):
+        """How often what is known of a VM has changed (count)."""
+        return self._changes
+
     @property
     def stale_after(self):
         """Age at which a view no longer counts (seconds)."""
@@ -64,6 +70,12 @@
                 down_since = known.down_since
             if report is None and known is not None:
                 report = known.report
+        if (
+            known is None
+            or known.reachable != reachable
+            or known.report != report
+        ):
+            self._changes += 1
         self._views[vm] = VmView(
             vm, report, reachable, observer, now, down_since
         )
@@ -105,6 +117,10 @@
             return 0.0
         return max(now - view.down_since, 1e-9)
 
+    def items(self):
+        """All views, sorted by the name of the VM."""
+        return [self._views[vm] for vm in sorted(self._views)]
+
     def views_of(self, observer):
         """Views that `observer` saw itself."""
         return [v for v in self._views.values() if v.observer == observer]
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -93,8 +93,8 @@
     def _address(self):
         """A free loopback address, held until the processes start."""
         while True:
+            # Without SO_REUSEADDR, which would let two holders share a port.
             holder = socket.socket()
-            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 holder.bind(
                     ('127.0.0.1', random.SystemRandom().randrange(*PORTS))
@@ -230,6 +230,12 @@
             path.write_text(json.dumps(settings[name]), encoding='utf-8')
             self.start_entry(name)
 
+    def check_running(self):
+        """Check that no stand-in has ended by itself."""
+        for name, process in self.processes.items():
+            if name not in self.entries and process.poll() is not None:
+                raise AssertionError(f'{name} ended: {self.log(name)[-2000:]}')
+
     def _start_links(self):
         path = self.folder / 'forwards.json'
         places = {n: e['data_centre'] for n, e in self.entries.items()}
@@ -297,6 +303,7 @@
 
     def wait_until_serving(self, count):
         """Wait until every entry sees `count` groups serve."""
+        self.check_running()
         wait_for(
             lambda: all(len(self.serving(n)) == count for n in self.entries),
             f'{count} groups serve at every entry',
