Replay control traces; distrust a cut observer

Cause: the control path had no proof under failure. The replay runs the Controller, Executor, planner and lease keepers as they are over ports in memory, on an event loop whose time moves only when nothing is left to run. Ruled out: a second, synchronous executor for replays, since it would prove other code than the one that runs.

Faults that the traces found: - The heartbeat carries the age of the oldest own view, so one VM that did not answer made all views of its observer stale and took their groups out of service by turns. The observer now stops vouching for just that VM (trace stall-free-vm). - An observer cut from the engines reported them all down and its groups were torn down. It is suspect now: what it alone sees down is not repaired until another node agrees or 20 s pass (trace blind-observer), and other nodes observe its VMs meanwhile.

entry/_observer.py is changed by a few lines for both.

--- a/balsamwind/cli/_main.py
+++ b/balsamwind/cli/_main.py
@@ -10,6 +10,7 @@
 import balsamwind
 from balsamwind.cli import _contracts
 from balsamwind.cli import _output
+from balsamwind.cli import _replay
 from balsamwind.cli import _status
 from balsamwind import entry as entry_package
 from balsamwind import exceptions
@@ -54,6 +55,7 @@
 
 
 cli.add_command(_contracts.contract)
+cli.add_command(_replay.replay)
 cli.add_command(_status.status)
 
 
--- a/balsamwind/control/_view.py
+++ b/balsamwind/control/_view.py
@@ -26,6 +26,8 @@
         Seconds since the epoch, UTC.
     rng : random.Random
         Source of names and of ties.
+    group_in_flight : dict of str to int
+        Group -> requests open at all entries, by their own count (count).
     """
 
     catalogue: catalogue.Catalogue
@@ -35,6 +37,7 @@
     now: float
     time: float
     rng: object
+    group_in_flight: dict = dataclasses.field(default_factory=dict)
 
     def contract(self, name):
         """Contract `name` if it is in force, else None."""
--- a/balsamwind/entry/_observer.py
+++ b/balsamwind/entry/_observer.py
@@ -34,7 +34,7 @@
         ages = [
             now - view.seen_at
             for view in observations.views_of(node)
-            if view.vm in self._assigned
+            if view.vm in self._assigned and view.reachable
         ]
         return max(ages, default=0.0)
 
@@ -54,8 +54,8 @@
         assigned = {}
         for vm, (unit, address, data_centre) in units.items():
             if data_centre not in observers:
-                observers[data_centre] = entry.registry.observers(
-                    data_centre, now
+                observers[data_centre] = entry.observations.trusted(
+                    entry.registry.observers(data_centre, now), now
                 )
             chosen = membership.choose_observer(unit, observers[data_centre])
             if chosen == entry.settings.node.name:
@@ -102,6 +102,7 @@
         before = entry.observations.get(vm)
         old = before and (before.reachable, before.report, before.observer)
         if report is None and reachable:
+            self._doubt(vm)
             return
         node = entry.settings.node.name
         now = entry.clock.monotonic()
@@ -113,6 +114,12 @@
         item = peers.Observation(vm, view.reachable, view.report)
         entry.links.broadcast(peers.Reports((item,)))
 
+    def _doubt(self, vm):
+        """Stop vouching for a VM that did not answer once."""
+        entry = self._entry
+        entry.observations.drop(vm, entry.settings.node.name)
+        entry.links.broadcast(peers.Reports((), (vm,)))
+
     def _check_reachable(self, vm, error):
         """Whether a VM still counts as reachable after a poll.
 
--- a/balsamwind/membership/_observations.py
+++ b/balsamwind/membership/_observations.py
@@ -4,6 +4,16 @@
 
 from balsamwind import ports
 
+SUSPECT_MINIMUM = 2
+"""VMs that an observer must see down to become suspect (count)."""
+
+SUSPECT_TIME = 30.0
+"""How long an observer stays suspect (seconds)."""
+
+CONFIRM_TIME = 20.0
+"""Time that a VM seen down by suspect observers alone counts as up
+(seconds)."""
+
 
 @dataclasses.dataclass(slots=True)
 class VmView:
@@ -23,6 +33,11 @@
         Monotonic time to which the view holds (seconds).
     down_since : float or None
         Monotonic time at which it was first seen down (seconds).
+    witnesses : frozenset of str
+        Nodes that saw it down since then.
+    changed_at : float
+        Monotonic time at which the report last named another group,
+        generation or state (seconds).
     """
 
     vm: str
@@ -31,6 +46,8 @@
     observer: str
     seen_at: float
     down_since: float | None = None
+    witnesses: frozenset = frozenset()
+    changed_at: float = 0.0
 
 
 class Observations:
@@ -40,33 +57,76 @@
     ----------
     stale_after : float
         Age at which a view no longer counts (seconds).
+
+    Notes
+    -----
+    An observer that sees most of its VMs down at once is more likely cut
+    off itself. It becomes suspect: its VMs stop serving all the same, but
+    they count as down, which is what repair asks, only when another
+    observer has seen them down too, or after `CONFIRM_TIME`.
     """
 
-    __slots__ = ('_heartbeats', '_stale_after', '_views')
+    __slots__ = ('_heartbeats', '_stale_after', '_suspects', '_views')
 
     def __init__(self, stale_after):
         self._stale_after = stale_after
         self._views = {}
         self._heartbeats = {}
+        self._suspects = {}
 
     def update(self, vm, reachable, report, observer, now):
         """Take in what `observer` saw of `vm` at `now`."""
         known = self._views.get(vm)
-        down_since = None
+        if not reachable and self._is_contradicted(known, observer, now):
+            return
+        if report is None and known is not None and not reachable:
+            report = known.report
+        view = VmView(vm, report, reachable, observer, now)
+        view.changed_at = now
+        if known is not None and _key(known.report) == _key(report):
+            view.changed_at = known.changed_at
         if not reachable:
-            down_since = now
+            view.down_since = now
+            view.witnesses = frozenset((observer,))
             if known is not None and known.down_since is not None:
-                down_since = known.down_since
-            if report is None and known is not None:
-                report = known.report
-        self._views[vm] = VmView(
-            vm, report, reachable, observer, now, down_since
-        )
+                view.down_since = known.down_since
+                view.witnesses |= known.witnesses
+        self._views[vm] = view
+        if not reachable and known is not None and known.reachable:
+            self._judge(observer, now)
+
+    def _is_contradicted(self, known, observer, now):
+        """Whether a suspect observer differs from a trusted one."""
+        if known is None or not known.reachable or known.observer == observer:
+            return False
+        if not self.is_suspect(observer, now):
+            return False
+        trusted = not self.is_suspect(known.observer, now)
+        return trusted and self.is_fresh(known, now)
+
+    def _judge(self, observer, now):
+        views = self.views_of(observer)
+        down = sum(not view.reachable for view in views)
+        if down >= SUSPECT_MINIMUM and 2 * down > len(views):
+            self._suspects[observer] = now + SUSPECT_TIME
+
+    def is_suspect(self, observer, now):
+        """Whether `observer` is likely cut off itself."""
+        return now < self._suspects.get(observer, float('-inf'))
+
+    def trusted(self, observers, now):
+        """Those of `observers` that are not suspect; all, if none is."""
+        trusted = [o for o in observers if not self.is_suspect(o, now)]
+        return trusted or observers
 
     def drop(self, vm, observer):
-        """Note that `observer` no longer observes `vm`."""
+        """Note that `observer` no longer vouches for its view of `vm`.
+
+        The view keeps the age that it has, and goes stale by itself.
+        """
         view = self._views.get(vm)
         if view is not None and view.observer == observer:
+            view.seen_at = self.seen_at(view)
             view.observer = ''
 
     def hear(self, observer, now, report_age):
@@ -98,8 +158,18 @@
             return 0.0
         if not self.is_fresh(view, now):
             return 0.0
-        return max(now - view.down_since, 1e-9)
+        since = view.down_since
+        if all(self.is_suspect(name, now) for name in view.witnesses):
+            if len(view.witnesses) < 2:
+                since += CONFIRM_TIME
+        return max(now - since, 0.0 if since > now else 1e-9)
 
     def views_of(self, observer):
         """Views that `observer` saw itself."""
         return [v for v in self._views.values() if v.observer == observer]
+
+
+def _key(report):
+    if report is None:
+        return None
+    return report.group, report.generation, report.state
