Drain, roll and repair without cutting streams

Change: the view of members (_members.py) and the choice of what to form and drain (_rollout.py) are modules of their own. A member that reports broken no longer costs a generation while another member may be lost. The executor reads back after a lost answer of a delete, compares whole values (operation ids with them), and learns of objects that are gone. A leader plans only once it has followed the store to its own write of the lease, never on a restored store; keepers are asked at once, and tries after an outage are spread over one lease. Engines that ignore fencing get no order until one lease and one order time-out after a take-over.

--- a/balsamwind/control/_controller.py
+++ b/balsamwind/control/_controller.py
@@ -1,5 +1,7 @@
 """Rounds of the control path on one node."""
 
+import asyncio
+
 from balsamwind.control import _allocation
 from balsamwind.control import _decisions
 from balsamwind.control import _groups
@@ -28,6 +30,18 @@
     return keepers
 
 
+def _may_plan(keeper, view):
+    """Whether a holder knows enough to act.
+
+    It must have followed the store up to its own write of the lease: all
+    that earlier holders wrote comes before that.
+    """
+    known = view.catalogue
+    if known.restored or known.revision < keeper.revision:
+        return False
+    return keeper.holds(view.now)
+
+
 class Controller:
     """Holds leases and runs a round for each shard held.
 
@@ -62,18 +76,27 @@
         """Renew or take leases, then plan and start the shards held."""
         view = self._make_view()
         self._add_keepers(view)
-        for keeper in self._keepers.values():
-            await self._keep(keeper)
+        await asyncio.gather(*map(self._keep, self._keepers.values()))
         for keeper in self._keepers.values():
             view = self._make_view()
-            if keeper.holds(view.now):
+            if _may_plan(keeper, view):
                 decisions = self._plan(keeper, view)
                 self._executor.start(decisions, keeper)
 
     def _plan(self, keeper, view):
         if keeper.shard == FLEET_SHARD:
             return _allocation.plan_allocations(view, keeper.fencing)
-        return _groups.plan_groups(view, keeper.shard, keeper.fencing)
+        decisions = _groups.plan_groups(view, keeper.shard, keeper.fencing)
+        control = self._settings.control
+        if control.engines_check_fencing:
+            return decisions
+        if keeper.may_order(view.now, control.order_timeout):
+            return decisions
+        return [
+            decision
+            for decision in decisions
+            if not isinstance(decision, _decisions.SendOrder)
+        ]
 
     def _add_keepers(self, view):
         known = {row.data_centre for row in view.listed.values()}
@@ -97,11 +120,20 @@
         try:
             stored = await self._executor.put(decision)
         except exceptions.BalsamwindError:
+            self._back_off(keeper)
             return
         if stored is None:
             keeper.lose()
         else:
-            keeper.accept(write.value, sent_at)
+            keeper.accept(write.value, sent_at, stored.revision)
+
+    def _back_off(self, keeper):
+        """Spread the tries of all nodes over one lease, after an outage."""
+        duration = self._settings.control.lease_duration
+        wait = self._rng.uniform(0.0, duration)
+        if keeper.shard not in (FLEET_SHARD, self._settings.node.data_centre):
+            wait += duration
+        keeper.back_off(self._make_view().now + wait)
 
     async def release(self):
         """Give all leases back."""
--- a/balsamwind/control/_executor.py
+++ b/balsamwind/control/_executor.py
@@ -4,11 +4,16 @@
 
 from balsamwind.control import _decisions
 from balsamwind import exceptions
+from balsamwind import objects
 
 WRITES_AT_ONCE = 16
 """Writes and orders under way at one time (count)."""
 
 
+MAX_WAITS = 4096
+"""Waits kept before those that are over are dropped (count)."""
+
+
 class Executor:
     """Writes objects and gives orders, while the lease is held.
 
@@ -114,25 +119,11 @@
             )
         except exceptions.Conflict as conflict:
             stored = conflict.current
-            self._take_in(stored)
-            return self._own(stored, decision)
         except exceptions.StoreError:
             stored = await self._store.get(kind, name)
-            self._take_in(stored)
-            return self._own(stored, decision)
-        self._take_in(stored)
-        return stored
-
-    def _take_in(self, stored):
-        if stored is not None:
-            self._catalogue.apply(stored, self._clock.monotonic())
-
-    def _own(self, stored, decision):
-        if stored is None or stored.deleted:
-            return None
-        same = getattr(stored.value, 'operation', None)
-        wanted = getattr(decision.value, 'operation', '')
-        return stored if wanted and same == wanted else None
+        self._take_in(decision, stored)
+        same = stored is not None and stored.value == decision.value
+        return stored if same else None
 
     async def _delete(self, decision):
         try:
@@ -141,7 +132,23 @@
             )
         except exceptions.Conflict as conflict:
             stored = conflict.current
-        self._take_in(stored)
+        except exceptions.StoreError:
+            stored = await self._store.get(decision.kind, decision.name)
+        self._take_in(decision, stored)
+
+    def _take_in(self, decision, stored):
+        """Take in what the store holds now; None says: no object.
+
+        An object that is gone was deleted by a later write than the one
+        expected; one that was made anew since has a larger revision yet.
+        """
+        if stored is None:
+            if not decision.expected:
+                return
+            stored = objects.Stored(
+                decision.kind, decision.name, decision.expected + 1, None
+            )
+        self._catalogue.apply(stored, self._clock.monotonic())
 
     async def _order(self, decision, target, keeper):
         if decision.needs_ticket:
@@ -154,6 +161,7 @@
         now = self._clock.monotonic()
         if not keeper.holds(now):
             return
+        self._forget(now)
         self._not_before[target] = now + self._settings.order_interval
         await self._engine.order(
             decision.address, decision.order, self._settings.order_timeout
@@ -166,6 +174,15 @@
             generation=decision.order.generation,
         )
 
+    def _forget(self, now):
+        """Drop the waits that are over."""
+        if len(self._not_before) > MAX_WAITS:
+            self._not_before = {
+                target: time
+                for target, time in self._not_before.items()
+                if time > now
+            }
+
 
 def _target(decision):
     match decision:
--- a/balsamwind/control/_groups.py
+++ b/balsamwind/control/_groups.py
@@ -10,6 +10,8 @@
 import dataclasses
 
 from balsamwind.control import _decisions
+from balsamwind.control import _members
+from balsamwind.control import _rollout
 from balsamwind import membership
 from balsamwind import objects
 from balsamwind import placement
@@ -18,6 +20,9 @@
 DRAIN_NOTICE = 2.0
 """Time for all entries to learn that a group is draining (seconds)."""
 
+READY_NOTICE = 2.0
+"""Time for all entries to learn that a group serves (seconds)."""
+
 ORPHAN_AGE = 2.0
 """Age at which a claim without a group is deleted (seconds)."""
 
@@ -41,6 +46,8 @@
     list of PutObject, DeleteObject or SendOrder
     """
     planner = _Planner(view, data_centre, fencing)
+    if planner.is_dark():
+        return []
     planner.plan_orphans()
     for stored in planner.groups:
         planner.plan_group(stored)
@@ -55,6 +62,7 @@
         '_data_centre',
         '_fencing',
         '_free',
+        '_members',
         '_view',
         'decisions',
         'groups',
@@ -64,6 +72,7 @@
         self._view = view
         self._data_centre = data_centre
         self._fencing = fencing
+        self._members = _members.Members(view)
         self._free = placement.make_free_vms(
             data_centre,
             view.listed,
@@ -78,6 +87,10 @@
         ]
         self.decisions = []
 
+    def is_dark(self):
+        """Whether the data centre may be cut off: nothing is done then."""
+        return self._members.is_dark(self._data_centre)
+
     def plan_orphans(self):
         """Delete claims that no group stands behind."""
         view = self._view
@@ -107,6 +120,9 @@
 
     def _plan_forming(self, stored):
         group = stored.value
+        if self._unwanted(group):
+            self._move(stored, State.RELEASING, 'no longer asked for')
+            return
         if self._lost(group):
             self._repair(stored)
             return
@@ -126,29 +142,38 @@
         if not missing:
             self._move(stored, State.LOADING, group.reason)
 
+    def _unwanted(self, group):
+        """Whether the contract does not ask for a group that never served."""
+        contract = self._view.contract(group.contract)
+        terms = contract.terms(group.model) if contract else None
+        return terms is None or not _fits(group, terms)
+
     def _plan_loading(self, stored):
         group = stored.value
-        if self._view.contract(group.contract) is None:
-            self._move(stored, State.DRAINING, 'contract not in force')
+        if self._unwanted(group):
+            self._move(stored, State.RELEASING, 'no longer asked for')
             return
         if self._lost(group):
             self._repair(stored)
             return
-        waiting = [m for m in group.members if self._unfit(group, m.vm)]
+        waiting = self._members.waiting(group)
         if not waiting:
             self._move(stored, State.READY, '')
-            return
-        for member in waiting:
-            self._order_load(group, member)
+        for member in group.members:
+            if member.vm in waiting:
+                self._order_load(group, member)
 
     def _plan_ready(self, stored):
         group = stored.value
-        view = self._view
-        if view.contract(group.contract) is None:
+        leaving = self._members.leaving(group)
+        if self._view.contract(group.contract) is None:
             self._move(stored, State.DRAINING, 'contract not in force')
-        elif self._lost(group):
+        elif self._members.down(group):
             self._repair(stored)
-        elif self._changed(group):
+        elif leaving:
+            reason = f'{", ".join(leaving)} leaving'
+            self._move(stored, State.DRAINING, reason)
+        elif self._members.changed(group):
             self._put_group(
                 stored,
                 state=State.LOADING,
@@ -162,41 +187,28 @@
         if age < DRAIN_NOTICE:
             return
         timeout = self._view.settings.control.drain_timeout
-        head = self._view.observations.get(group.head.vm)
-        down = self._view.observations.down_for(group.head.vm, self._view.now)
-        idle = (
-            head is not None
-            and head.report is not None
-            and head.report.running + head.report.waiting == 0
-        )
-        if idle or down or age > timeout:
+        idle = self._members.idle(group)
+        if idle or self._members.down(group) or age > timeout:
             self._move(stored, State.RELEASING, group.reason)
 
     def _plan_releasing(self, stored):
         group = stored.value
+        age = self._view.catalogue.age(stored, self._view.now)
+        given_up = age > self._view.settings.control.load_timeout
         held = False
         for member in group.members:
             claim = self._view.catalogue.get('claim', member.vm)
             if claim is None or claim.value.group != group.name:
                 continue
             held = True
-            if self._still_loaded(group, member.vm):
+            loaded = self._members.still_loaded(group, member.vm)
+            if loaded and not given_up:
                 self._order_unload(group, member)
             else:
                 self._delete(claim)
         if not held:
             self._delete(stored)
 
-    def _still_loaded(self, group, vm):
-        now = self._view.now
-        view = self._view.observations.get(vm)
-        if view is None or view.report is None:
-            return False
-        if self._view.observations.down_for(vm, now):
-            return False
-        same = view.report.group == group.name
-        return same and view.report.state is not ports.EngineState.EMPTY
-
     def plan_counts(self):
         """Form groups that are missing and drain those that are too many."""
         for stored in self._view.catalogue.items('allocation'):
@@ -207,29 +219,75 @@
                 split = stored.value.replicas.get(terms.model, {})
                 wanted = split.get(self._data_centre, 0)
                 self._plan_count(contract, terms, wanted)
+        self._plan_dropped()
+
+    def _plan_dropped(self):
+        """Drain groups of models that their contract no longer names."""
+        for stored in self.groups:
+            contract = self._view.contract(stored.value.contract)
+            if contract is None or stored.value.leaving:
+                continue
+            if contract.terms(stored.value.model) is None:
+                self._drain(stored, 'model not in the contract')
 
     def _plan_count(self, contract, terms, wanted):
-        mine = [
+        key = (contract.customer, terms.model)
+        staying = [
             stored
             for stored in self.groups
-            if stored.value.contract == contract.customer
-            and stored.value.model == terms.model
+            if (stored.value.contract, stored.value.model) == key
             and not stored.value.leaving
         ]
-        current = [s for s in mine if _fits(s.value, terms)]
-        outdated = [s for s in mine if not _fits(s.value, terms)]
-        if len(current) > wanted:
-            current.sort(key=lambda s: s.value.state is State.READY)
-            for stored in current[: len(current) - wanted]:
-                self._move(stored, State.DRAINING, 'more than allocated')
-        elif len(current) < wanted:
-            formed = self._form(contract, terms)
-            if not formed and outdated:
-                self._move(outdated[0], State.DRAINING, 'replaced')
-        ready = sum(s.value.state is State.READY for s in current)
-        surplus = len(outdated) - max(wanted - ready, 0)
-        for stored in outdated[: max(surplus, 0)]:
-            self._move(stored, State.DRAINING, 'replaced')
+        current = tuple(s for s in staying if _fits(s.value, terms))
+        rollout = _rollout.Rollout(
+            wanted,
+            current,
+            tuple(s for s in staying if not _fits(s.value, terms)),
+            sum(self._is_known_ready(s) for s in current),
+            self._is_settled(key, terms),
+        )
+        for stored in rollout.surplus():
+            self._drain(stored, 'more than allocated')
+        if rollout.may_form() and not self._form(contract, terms):
+            for stored in rollout.replaced():
+                self._drain(stored, 'replaced')
+
+    def _is_settled(self, key, terms):
+        """Whether a group may be taken out before its successor is there.
+
+        Data centres take turns in the order of their names; one whose
+        groups do not serve is passed over.
+        """
+        view = self._view
+        for stored in view.catalogue.items('group'):
+            group = stored.value
+            if (group.contract, group.model) != key:
+                continue
+            here = group.data_centre == self._data_centre
+            if not self._is_known_ready(stored):
+                age = view.catalogue.age(stored, view.now)
+                if here or age < view.settings.control.load_timeout:
+                    return False
+            elif group.data_centre < self._data_centre:
+                reason = membership.check_group(
+                    group, view.observations, view.listed, view.now
+                )
+                if not reason and not _fits(group, terms):
+                    return False
+        return True
+
+    def _is_known_ready(self, stored):
+        """Whether a group serves, and all entries have learned of it."""
+        if stored.value.state is not State.READY:
+            return False
+        return self._view.catalogue.age(stored, self._view.now) >= READY_NOTICE
+
+    def _drain(self, stored, reason):
+        """Take a group out; at once if it never served."""
+        if stored.value.state in _members.NEVER_SERVED:
+            self._move(stored, State.RELEASING, reason)
+        else:
+            self._move(stored, State.DRAINING, reason)
 
     def _form(self, contract, terms):
         rows = placement.plan_members(terms, self._free)
@@ -257,35 +315,9 @@
         return True
 
     def _lost(self, group):
-        wait = self._view.settings.control.repair_after
-        return [
-            vm
-            for vm in group.vms
-            if self._view.observations.down_for(vm, self._view.now) > wait
-            or self._is_leaving(vm)
-        ]
-
-    def _is_leaving(self, vm):
-        row = self._view.listed.get(vm)
-        return row is not None and row.state is ports.VmState.LEAVING
-
-    def _unfit(self, group, vm):
-        return membership.check_member(
-            group,
-            vm,
-            self._view.observations,
-            self._view.listed,
-            self._view.now,
-        )
-
-    def _changed(self, group):
-        """Whether a member that answers reports something else."""
-        for vm in group.vms:
-            view = self._view.observations.get(vm)
-            if self._view.observations.is_up(vm, self._view.now):
-                if membership.check_report(group, view.report):
-                    return True
-        return False
+        stored = self._view.catalogue.get('group', group.name)
+        age = self._view.catalogue.age(stored, self._view.now)
+        return self._members.lost(group, age)
 
     def _repair(self, stored):
         group = stored.value
--- a/balsamwind/control/_lease.py
+++ b/balsamwind/control/_lease.py
@@ -51,9 +51,13 @@
         '_duration',
         '_extra_wait',
         '_fencing',
+        '_inherited_wait',
         '_margin',
         '_node',
+        '_not_before',
+        '_planned_wait',
         '_renew_at',
+        '_revision',
         '_shard',
         '_taken_at',
     )
@@ -67,8 +71,17 @@
         self._deadline = float('-inf')
         self._renew_at = float('-inf')
         self._taken_at = float('inf')
+        self._not_before = float('-inf')
+        self._planned_wait = 0.0
+        self._inherited_wait = 0.0
+        self._revision = 0
         self._fencing = 0
 
+    @property
+    def revision(self):
+        """Store revision of the write that took the lease."""
+        return self._revision
+
     @property
     def shard(self):
         """Name of the shard."""
@@ -87,6 +100,31 @@
         """How long this node has held the lease (seconds)."""
         return now - self._taken_at if self.holds(now) else 0.0
 
+    def may_order(self, now, order_timeout):
+        """Whether no order of the previous holder can still arrive.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time (seconds).
+        order_timeout : float
+            Time-out of one order (seconds).
+
+        Notes
+        -----
+        Only engines that ignore fencing numbers need the wait. It ends one
+        lease and one order time-out after the take-over. An order that was
+        held back longer is seen by the generation that the engine reports.
+        """
+        if not self.holds(now):
+            return False
+        wait = self._inherited_wait
+        return not wait or self.held_for(now) >= wait + order_timeout
+
+    def back_off(self, until):
+        """Do not try to take the lease before `until` (seconds)."""
+        self._not_before = until
+
     def plan(self, stored, age, now, operation):
         """Decide whether to write the lease.
 
@@ -105,9 +143,12 @@
         -------
         WriteLease or None
         """
+        if now < self._not_before and not self.holds(now):
+            return None
         if stored is None:
             return self._write(1, 0, operation)
         lease = stored.value
+        self._planned_wait = 0.0
         if lease.holder == self._node:
             if self.holds(now) and now < self._renew_at:
                 return None
@@ -116,6 +157,7 @@
         wait = lease.duration + self._margin + self._extra_wait
         if lease.holder and age < wait:
             return None
+        self._planned_wait = lease.duration
         return self._write(lease.fencing + 1, stored.revision, operation)
 
     def _write(self, fencing, expected, operation):
@@ -124,10 +166,12 @@
         )
         return WriteLease(lease, expected)
 
-    def accept(self, lease, sent_at):
+    def accept(self, lease, sent_at, revision=0):
         """Note that a write sent at `sent_at` took effect."""
         if lease.fencing != self._fencing:
             self._taken_at = sent_at
+            self._revision = revision
+            self._inherited_wait = self._planned_wait
         self._fencing = lease.fencing
         self._deadline = sent_at + self._duration - self._margin
         self._renew_at = sent_at + self._duration * RENEW_SHARE
--- /dev/null
+++ b/balsamwind/control/tests/test_machines.py
@@ -0,0 +1,240 @@
+"""Leaders that crash, pause and lose messages at any step."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from balsamwind import control
+from balsamwind import objects
+from balsamwind import replay
+
+NODES = {'a1': 'a', 'a2': 'a', 'b1': 'b'}
+VMS = [f'{domain}-v{n}' for domain in ('a-d0', 'a-d1') for n in range(3)]
+DURATION = 4.0
+
+nodes = strategies.sampled_from(sorted(NODES))
+vms = strategies.sampled_from(VMS)
+
+
+def make_world(loop, check_fencing):
+    header = replay.Header(
+        trace='control',
+        name='machine',
+        nodes=NODES,
+        vms={'a': {'a-d0': 3, 'a-d1': 3}},
+        settings={
+            'control': {
+                'lease_duration': DURATION,
+                'engines_check_fencing': check_fencing,
+                'drain_timeout': 5.0,
+                'load_timeout': 20.0,
+            }
+        },
+    )
+    return replay.World(header, loop)
+
+
+def make_contract(replicas, version):
+    terms = objects.ModelTerms('m', version, replicas, 2)
+    return objects.Contract(
+        'c', (), '2025-01-01T00:00:00Z', '2030-01-01T00:00:00Z', 5, (terms,)
+    )
+
+
+class GroupMachine(stateful.RuleBasedStateMachine):
+    """The control path over ports in memory, with faults at any step."""
+
+    @stateful.initialize(check_fencing=strategies.booleans())
+    def start(self, check_fencing):
+        self._context = replay.open_loop()
+        self.world = make_world(self._context.__enter__(), check_fencing)
+        self.put(2, '1')
+        self.advance(6.0)
+
+    @stateful.rule(
+        replicas=strategies.integers(0, 3),
+        version=strategies.sampled_from('12'),
+    )
+    def put(self, replicas, version):
+        platform = self.world.platform
+        known = platform.get('contract', 'c')
+        self.replicas = replicas
+        platform.write(
+            'contract',
+            'c',
+            make_contract(replicas, version),
+            known.revision if known else 0,
+        )
+
+    @stateful.rule(seconds=strategies.floats(0.01, 3.0))
+    def advance(self, seconds):
+        world = self.world
+        world.run_until(world.clock.monotonic() + seconds)
+
+    @stateful.rule(
+        vm=vms,
+        fault=strategies.sampled_from(
+            ['kill', 'revive', 'wipe', 'stall', 'go_on']
+        ),
+    )
+    def fault(self, vm, fault):
+        engine = self.world.engine(vm)
+        engine.fault(fault, self.world.clock.monotonic())
+
+    @stateful.rule(node=nodes, seconds=strategies.floats(0.01, 8.0))
+    def pause(self, node, seconds):
+        if node in self.world.nodes:
+            self.world.network.pause(node)
+            self.advance(seconds)
+            self.world.network.resume(node)
+
+    @stateful.rule(node=nodes)
+    def crash(self, node):
+        if node in self.world.nodes:
+            self.world.crash_node(node)
+
+    @stateful.rule(node=nodes)
+    def restart(self, node):
+        if node not in self.world.nodes:
+            self.world.start_node(node)
+
+    @stateful.rule(node=nodes, count=strategies.integers(1, 4))
+    def lose_answers(self, node, count):
+        self.world.network.lose_answers(node, count)
+
+    @stateful.rule(node=nodes, seconds=strategies.floats(0.1, 12.0))
+    def delay_write(self, node, seconds):
+        self.world.network.delay_write(node, seconds)
+
+    @stateful.rule(down=strategies.booleans())
+    def platform(self, down):
+        self.world.platform.down = down
+
+    @stateful.rule(node=nodes, blind=strategies.booleans())
+    def blind(self, node, blind):
+        self.world.network.blind(node, blind)
+
+    @stateful.invariant()
+    def nothing_is_broken(self):
+        if hasattr(self, 'world'):
+            assert self.world.invariants.broken == []
+
+    def teardown(self):
+        if not hasattr(self, 'world'):
+            return
+        try:
+            self.check_liveness()
+        finally:
+            self._context.__exit__(None, None, None)
+
+    def check_liveness(self):
+        """Once faults have stopped, all that was asked for serves."""
+        world = self.world
+        world.platform.down = False
+        for name in NODES:
+            world.network.blind(name, False)
+            self.restart(name)
+        for vm in VMS:
+            self.fault(vm, 'revive')
+            self.fault(vm, 'go_on')
+        self.advance(90.0)
+        wanted = min(self.replicas, 2)
+        assert [group.state.value for group in world.groups()] == [
+            'ready'
+        ] * wanted
+        assert len(world.platform.items(('claim',))) == 2 * wanted
+        for node in world.nodes.values():
+            assert world.count_serving(node, 'c') == wanted
+        assert world.invariants.broken == []
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Keepers of one lease; writes and answers arrive late or never."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.stored = None
+        self.revision = 0
+        self.fencing = 0
+        self.keepers = [
+            control.LeaseKeeper('s', f'n{i}', DURATION, 0.5, 0.0)
+            for i in range(3)
+        ]
+        self.known = [(None, 0.0)] * 3
+        self.sent = [None] * 3
+        self.answers = [None] * 3
+
+    @stateful.rule(seconds=strategies.floats(0.01, 6.0))
+    def advance(self, seconds):
+        self.now += seconds
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def watch(self, index):
+        if self.known[index][0] != self.stored:
+            self.known[index] = (self.stored, self.now)
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def plan(self, index):
+        if self.sent[index] or self.answers[index]:
+            return
+        stored, seen_at = self.known[index]
+        write = self.keepers[index].plan(
+            stored, self.now - seen_at, self.now, f'{self.now}'
+        )
+        if write is not None:
+            self.sent[index] = (write, self.now)
+
+    @stateful.rule(index=strategies.integers(0, 2), lost=strategies.booleans())
+    def deliver(self, index, lost):
+        if self.sent[index] is None:
+            return
+        write, sent_at = self.sent[index]
+        self.sent[index] = None
+        won = write.expected == (self.stored.revision if self.stored else 0)
+        if won:
+            assert write.value.fencing >= self.fencing
+            self.fencing = write.value.fencing
+            self.revision += 1
+            self.stored = objects.Stored(
+                'lease', 's', self.revision, write.value
+            )
+        if not lost:
+            self.answers[index] = (write, sent_at, won, self.revision)
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def answer(self, index):
+        if self.answers[index] is None:
+            return
+        write, sent_at, won, revision = self.answers[index]
+        self.answers[index] = None
+        if won:
+            self.keepers[index].accept(write.value, sent_at, revision)
+        else:
+            self.keepers[index].lose()
+
+    @stateful.rule(index=strategies.integers(0, 2))
+    def release(self, index):
+        if self.sent[index] or self.answers[index]:
+            return
+        write = self.keepers[index].plan_release(self.known[index][0], 'r')
+        if write is not None:
+            self.sent[index] = (write, self.now)
+
+    @stateful.invariant()
+    def one_node_holds_the_lease(self):
+        holders = [k for k in self.keepers if k.holds(self.now)]
+        assert len(holders) <= 1
+        assert all(k.fencing <= self.fencing for k in self.keepers)
+
+
+TestGroups = GroupMachine.TestCase
+TestGroups.settings = hypothesis.settings(
+    max_examples=25,
+    stateful_step_count=14,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+TestLeases = LeaseMachine.TestCase
+TestLeases.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=40
+)
--- a/balsamwind/settings/_sections.py
+++ b/balsamwind/settings/_sections.py
@@ -122,6 +122,9 @@
     repair_after: float = _setting(
         1.0, 'How long a member is down before repair.', 's', minimum=0
     )
+    load_timeout: float = _setting(
+        600.0, 'Longest wait for a member to load.', 's', exclusiveMinimum=0
+    )
     drain_timeout: float = _setting(
         300.0, 'Longest wait for streams of a group.', 's', minimum=0
     )
