--- a/balsamwind/control/_groups.py
+++ b/balsamwind/control/_groups.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 
+from balsamwind.control import _choices
 from balsamwind.control import _decisions
 from balsamwind.control import _members
 from balsamwind.control import _rollout
@@ -26,6 +27,9 @@
 ORPHAN_AGE = 2.0
 """Age at which a claim without a group is deleted (seconds)."""
 
+PRELOAD_PREFIX = 'preload/'
+"""Begins the group in the order of a load ahead; no group is named so."""
+
 State = objects.GroupState
 
 
@@ -52,6 +56,7 @@
     for stored in planner.groups:
         planner.plan_group(stored)
     planner.plan_counts()
+    planner.plan_preloads()
     return planner.decisions
 
 
@@ -59,11 +64,13 @@
     """One round for one data centre."""
 
     __slots__ = (
+        '_choices',
         '_data_centre',
         '_fencing',
         '_free',
         '_members',
         '_view',
+        '_written',
         'decisions',
         'groups',
     )
@@ -85,6 +92,10 @@
             for stored in view.catalogue.items('group')
             if stored.value.data_centre == data_centre
         ]
+        self._choices = _choices.Choices(
+            view, data_centre, self.groups, self._free, self._lost
+        )
+        self._written = set()
         self.decisions = []
 
     def is_dark(self):
@@ -146,7 +157,7 @@
         """Whether the contract does not ask for a group that never served."""
         contract = self._view.contract(group.contract)
         terms = contract.terms(group.model) if contract else None
-        return terms is None or not _fits(group, terms)
+        return terms is None or not _choices.fits(group, terms)
 
     def _plan_loading(self, stored):
         group = stored.value
@@ -165,14 +176,10 @@
 
     def _plan_ready(self, stored):
         group = stored.value
-        leaving = self._members.leaving(group)
         if self._view.contract(group.contract) is None:
             self._move(stored, State.DRAINING, 'contract not in force')
-        elif self._members.down(group):
+        elif self._lost(group):
             self._repair(stored)
-        elif leaving:
-            reason = f'{", ".join(leaving)} leaving'
-            self._move(stored, State.DRAINING, reason)
         elif self._members.changed(group):
             self._put_group(
                 stored,
@@ -232,17 +239,14 @@
 
     def _plan_count(self, contract, terms, wanted):
         key = (contract.customer, terms.model)
-        staying = [
-            stored
-            for stored in self.groups
-            if (stored.value.contract, stored.value.model) == key
-            and not stored.value.leaving
-        ]
-        current = tuple(s for s in staying if _fits(s.value, terms))
+        staying = sorted(self._choices.staying(*key), key=self._worth)
+        fitting = [s for s in staying if _choices.fits(s.value, terms)]
+        current = [s for s in fitting if not self._is_leaving(s)]
         rollout = _rollout.Rollout(
             wanted,
-            current,
-            tuple(s for s in staying if not _fits(s.value, terms)),
+            tuple(current),
+            tuple(s for s in staying if s not in current),
+            len(fitting),
             sum(self._is_known_ready(s) for s in current),
             self._is_settled(key, terms),
         )
@@ -252,6 +256,20 @@
             for stored in rollout.replaced():
                 self._drain(stored, 'replaced')
 
+    def _worth(self, stored):
+        """Sort key: groups that do not serve come first."""
+        return (
+            not self._lost(stored.value),
+            stored.value.state is State.READY,
+        )
+
+    def _is_leaving(self, stored):
+        """Whether a group that serves waits for the end of its streams."""
+        group = stored.value
+        if group.state is not State.READY or self._members.down(group):
+            return False
+        return bool(self._members.leaving(group))
+
     def _is_settled(self, key, terms):
         """Whether a group may be taken out before its successor is there.
 
@@ -272,7 +290,7 @@
                 reason = membership.check_group(
                     group, view.observations, view.listed, view.now
                 )
-                if not reason and not _fits(group, terms):
+                if not reason and not _choices.fits(group, terms):
                     return False
         return True
 
@@ -290,10 +308,9 @@
             self._move(stored, State.DRAINING, reason)
 
     def _form(self, contract, terms):
-        rows = placement.plan_members(terms, self._free)
+        rows = self._choices.members(contract, terms)
         if not rows:
             return False
-        self._free.take(rows)
         suffix = f'{self._view.rng.getrandbits(40):010x}'
         name = f'{contract.customer}-{terms.model}-{suffix}'
         group = objects.Group(
@@ -321,25 +338,47 @@
 
     def _repair(self, stored):
         group = stored.value
-        lost = self._lost(group)
-        rows = placement.plan_replacement(group, len(lost), self._free)
-        reason = 'lost ' + ', '.join(lost)
-        if not rows:
-            self._move(stored, State.RELEASING, reason)
-            return
-        self._free.take(rows)
-        kept = [m for m in group.members if m.vm not in lost]
-        added = [objects.Member(row.name, row.address) for row in rows]
-        self._put_group(
-            stored,
-            state=State.FORMING,
-            members=tuple(kept + added),
-            generation=group.generation + 1,
-            reason=reason,
-        )
+        repair = self._choices.repair(stored)
+        match repair.way:
+            case placement.Way.SPARE:
+                kept = [m for m in group.members if m.vm not in repair.lost]
+                added = [
+                    objects.Member(row.name, row.address)
+                    for row in repair.rows
+                ]
+                self._put_group(
+                    stored,
+                    state=State.FORMING,
+                    members=tuple(kept + added),
+                    generation=group.generation + 1,
+                    reason=repair.reason,
+                )
+            case placement.Way.REFORM | placement.Way.YIELD:
+                self._move(stored, State.RELEASING, repair.reason)
+            case placement.Way.BREAK:
+                self._break(stored, repair)
+                self._explain(stored, repair)
+            case placement.Way.WAIT | placement.Way.COMING:
+                self._explain(stored, repair)
+
+    def _break(self, stored, repair):
+        """Drain a group whose member another one is to take."""
+        if repair.victim_serves:
+            victim = self._view.catalogue.get('group', repair.victim)
+            reason = f'taken apart for {stored.name}: {repair.reason}'
+            self._move(victim, State.DRAINING, reason)
+
+    def _explain(self, stored, repair):
+        """Tell operators what a broken group waits for, once."""
+        head = ', '.join(repair.lost)
+        known = f'lost {head}; {repair.way.value}'
+        if not stored.value.reason.startswith(known):
+            self._move(stored, stored.value.state, repair.reason)
 
     def _order_load(self, group, member):
         view = self._view.observations.get(member.vm)
+        if _is_loading(group, view):
+            return
         cached = view.report.cached if view and view.report else ()
         order = ports.Order(
             kind='load',
@@ -360,6 +399,25 @@
             )
         )
 
+    def plan_preloads(self):
+        """Let free VMs load weights ahead; they stay free."""
+        for preload in self._choices.preloads():
+            weights = preload.weights
+            order = ports.Order(
+                kind='load',
+                group=f'{PRELOAD_PREFIX}{weights.label}',
+                generation=0,
+                fencing=self._fencing,
+                model=weights.model,
+                version=weights.version,
+                members=(preload.row.address,),
+            )
+            self.decisions.append(
+                _decisions.SendOrder(
+                    preload.row.name, preload.row.address, order, True
+                )
+            )
+
     def _order_unload(self, group, member):
         order = ports.Order(
             'unload', group.name, group.generation, self._fencing
@@ -381,6 +439,9 @@
         self._put('group', stored.name, value, stored.revision)
 
     def _put(self, kind, name, value, expected):
+        if (kind, name) in self._written:
+            return
+        self._written.add((kind, name))
         self.decisions.append(
             _decisions.PutObject(kind, name, value, expected)
         )
@@ -391,11 +452,13 @@
         )
 
 
-def _fits(group, terms):
-    """Whether a group is what the contract asks for now."""
+def _is_loading(group, view):
+    """Whether the engine says that it obeys the order already."""
     return (
-        group.version == terms.version
-        and group.adapters == terms.adapters
-        and group.role == terms.role
-        and len(group.members) == terms.group_size
+        view is not None
+        and view.report is not None
+        and view.reachable
+        and view.report.state is ports.EngineState.LOADING
+        and view.report.group == group.name
+        and view.report.generation == group.generation
     )
--- a/balsamwind/control/_members.py
+++ b/balsamwind/control/_members.py
@@ -64,12 +64,9 @@
         Returns
         -------
         list of str
-            Those that are down; where no stream can be running also those
-            that leave, and stragglers of a load.
+            Those that are down or leave, and stragglers of a load.
         """
-        lost = set(self.down(group))
-        if lost or group.state in NEVER_SERVED:
-            lost.update(self.leaving(group))
+        lost = {*self.down(group), *self.leaving(group)}
         if group.state is objects.GroupState.LOADING:
             lost.update(self._stragglers(group, age))
         return [vm for vm in group.vms if vm in lost]
@@ -93,9 +90,19 @@
         ]
 
     def changed(self, group):
-        """Whether a member that answers has lost what it had loaded."""
+        """Whether a member that answers has lost what it had loaded.
+
+        While a member is down, the others report a broken group; they are
+        whole again if it comes back as it was.
+        """
+        if not all(map(self._is_reachable, group.vms)):
+            return False
         return any(self._has_changed(group, vm) for vm in group.vms)
 
+    def _is_reachable(self, vm):
+        view = self._view.observations.get(vm)
+        return view is not None and view.reachable
+
     def _has_changed(self, group, vm):
         view = self._view.observations.get(vm)
         if not self._view.observations.is_up(vm, self._view.now):
--- a/balsamwind/control/_rollout.py
+++ b/balsamwind/control/_rollout.py
@@ -2,10 +2,6 @@
 
 import dataclasses
 
-from balsamwind import objects
-
-State = objects.GroupState
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Rollout:
@@ -16,9 +12,14 @@
     wanted : int
         Groups that the data centre has to carry (count).
     current : tuple of balsamwind.objects.Stored
-        Groups that are what the contract asks for, not leaving.
+        Groups that are what the contract asks for, not leaving; those to
+        drain first come first.
     outdated : tuple of balsamwind.objects.Stored
-        Groups that are something else, not leaving.
+        Groups that are something else, and those of which a VM leaves; in
+        the same order.
+    fitting : int
+        Groups that are what the contract asks for, those of which a VM
+        leaves with them (count).
     ready : int
         Current groups that serve, as all entries know by now (count).
     settled : bool
@@ -29,6 +30,7 @@
     wanted: int
     current: tuple
     outdated: tuple
+    fitting: int
     ready: int
     settled: bool
 
@@ -44,18 +46,13 @@
 
     def surplus(self):
         """Groups to drain because others have taken their place."""
-        current = sorted(
-            self.current, key=lambda s: s.value.state is State.READY
-        )
-        drained = current[: max(len(current) - self.wanted, 0)]
+        excess = max(len(self.current) - self.wanted, 0)
         needed = max(self.wanted - self.ready, 0)
-        outdated = sorted(
-            self.outdated, key=lambda s: s.value.state is State.READY
-        )
-        return drained + outdated[: max(len(outdated) - needed, 0)]
+        passed = max(len(self.outdated) - needed, 0)
+        return [*self.current[:excess], *self.outdated[:passed]]
 
     def replaced(self):
         """Groups to drain to make room for a new one, where none fits."""
-        if not self.settled or len(self.current) >= self.wanted:
+        if not self.settled or self.fitting >= self.wanted:
             return []
         return list(self.outdated[:1])
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -1,11 +1,13 @@
 """State of one entry, and what its servers and loops ask of it."""
 
 import contextlib
+import dataclasses
 import random
 
 from balsamwind import admission
 from balsamwind import catalogue
 from balsamwind import control
+from balsamwind.entry import _node_status
 from balsamwind import exceptions
 from balsamwind import membership
 from balsamwind import objects
@@ -63,23 +65,26 @@
         self.draining = False
         self.links = None
         self.controller = None
+        self.make_counters = dict
+        self.make_gauges = dict
         self._open_requests = 0
         self._rng = random.Random(random_state)
         self._keys = {}
         self._services = {s.name: s for s in settings.services}
         self._budget = admission.RetryBudget(settings.requests.retry_share)
-        chooser = routing.make_chooser(
-            settings.node.data_centre, self._rng.getrandbits(64)
+        self.router = routing.make_router(
+            settings.node.data_centre,
+            self._load_report,
+            self._rng.getrandbits(64),
         )
         self._completions = requests.Completions(
             engine,
             self.groups,
-            chooser,
-            self._reported_load,
+            self.router,
             self._budget,
             settings.requests,
             clock,
-            self.note_group_down,
+            self,
         )
         self._service_calls = requests.ServiceCalls(
             service, store, self._budget, settings.node, clock, self.make_id
@@ -95,6 +100,13 @@
         """A new random id."""
         return f'{self._rng.getrandbits(96):024x}'
 
+    def is_platform_reader(self):
+        """Whether this node is the one to follow the platform."""
+        place = self.settings.node.data_centre
+        now = self.clock.monotonic()
+        chosen = self.registry.platform_reader(place, now)
+        return chosen == self.settings.node.name
+
     def make_view(self):
         """What the control path decides from, at this moment."""
         return control.View(
@@ -203,13 +215,29 @@
     def _admit(self, contract):
         now = self.clock.monotonic()
         nodes = 1 + len(self.registry.alive(now))
+        self.router.loads.nodes = nodes
         return self.limits.admit(contract, nodes, now)
 
-    def _reported_load(self, group):
+    def _load_report(self, group):
         view = self.observations.get(group.head.vm)
-        if view is None or view.report is None:
-            return 0
-        return view.report.running + view.report.waiting
+        return None if view is None else view.report
+
+    def take_cache_events(self, report):
+        """Keep the cache events of a report here; the report without."""
+        if report is None or not report.cache_events:
+            return report
+        self.router.prefixes.apply_events(
+            report.group, report.generation, report.cache_events
+        )
+        return dataclasses.replace(report, cache_events=())
+
+    def note_late_events(self, count):
+        """Count events of abandoned attempts."""
+        self.metrics.late_events.inc(count)
+
+    def note_resumption(self, way):
+        """Count an attempt after the first, by its kind."""
+        self.metrics.resumptions.labels(way).inc()
 
     def note_group_down(self, group, reason):
         """Take a group out of service here and at all peers."""
@@ -252,9 +280,11 @@
             'data_centre': self.settings.node.data_centre,
             'revision': self.catalogue.revision,
             'store_restored': self.catalogue.restored,
+            'store': _node_status.make_store_status(self.catalogue),
             'shards': self.controller.shards_held(now),
             'open_requests': self._open_requests,
-            'nodes': self._status_of_nodes(now),
+            'control': {**self.make_counters(), **self.make_gauges()},
+            'nodes': _node_status.make_node_rows(self, now),
             'groups': [
                 self._status_of_group(stored)
                 for stored in self.catalogue.items('group')
@@ -266,27 +296,6 @@
             },
         }
 
-    def _status_of_nodes(self, now):
-        own = {
-            'name': self.settings.node.name,
-            'data_centre': self.settings.node.data_centre,
-            'revision': self.catalogue.revision,
-            'alive': True,
-            'draining': self.draining,
-        }
-        alive = {peer.name for peer in self.registry.alive(now)}
-        others = [
-            {
-                'name': peer.name,
-                'data_centre': peer.data_centre,
-                'revision': peer.revision,
-                'alive': peer.name in alive,
-                'draining': peer.draining,
-            }
-            for peer in self.registry.peers
-        ]
-        return sorted([own, *others], key=lambda node: node['name'])
-
     def _status_of_group(self, stored):
         group = stored.value
         reason = self.groups.reasons.get(group.name, 'not checked')
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -12,16 +12,12 @@
 from balsamwind.entry import _entry
 from balsamwind.entry import _observer
 from balsamwind.entry import _peering
+from balsamwind.entry import _platform_follower
+from balsamwind.entry import _registration
 from balsamwind import exceptions
 from balsamwind import objects
 from balsamwind import peers
 
-RETRY_DELAY = 0.3
-"""Shortest wait before the platform is asked again (seconds)."""
-
-RETRY_JITTER = 0.7
-"""Random part added to that wait (seconds)."""
-
 DRAIN_NOTICE = 0.5
 """Time between the first sign of a shutdown and the last new request
 (seconds)."""
@@ -70,21 +66,25 @@
         self._rng = random.Random(random_state)
         self._log = structlog.get_logger().bind(node=settings.node.name)
         self._clock = adapters.SystemClock()
-        self._client = adapters.HttpClient()
+        self._tls = adapters.make_tls_contexts(settings.tls)
+        self._client = adapters.HttpClient(self._tls.backends)
+        self._platform_client = adapters.HttpClient(self._tls.platform)
         platform = settings.platform
         self._store = adapters.HttpObjectStore(
-            self._client,
+            self._platform_client,
             platform.url,
             platform.timeout,
             platform.watch_timeout,
         )
         self._vm_list = adapters.HttpVmList(
-            self._client, platform.url, platform.timeout
+            self._platform_client, platform.url, platform.timeout
         )
         self._weights = adapters.HttpWeightStore(
-            self._client, platform.url, platform.timeout
+            self._platform_client, platform.url, platform.timeout
+        )
+        self._engine = adapters.HttpEngine(
+            self._client, 'https' if settings.tls.engines_use_tls else 'http'
         )
-        self._engine = adapters.HttpEngine(self._client)
         self.entry = _entry.Entry(
             settings,
             self._clock,
@@ -95,13 +95,37 @@
             self._log,
             self._rng.getrandbits(64),
         )
-        self._observer = _observer.Observer(self.entry, self._engine)
-        self._peering = _peering.Peering(self.entry, self._observer)
+        self._observer = _observer.Observer(
+            self.entry, self._engine, self._rng
+        )
+        self._store_follower = _platform_follower.StoreFollower(
+            self.entry, self._store, self._rng
+        )
+        self._vm_follower = _platform_follower.VmListFollower(
+            self.entry, self._vm_list, self._rng
+        )
+        self._peering = _peering.Peering(
+            self.entry,
+            self._observer,
+            self._store_follower,
+            self._vm_follower,
+        )
         self._incarnation = self.entry.make_id()
         hello = peers.Hello(
             settings.node.name, settings.node.data_centre, self._incarnation
         )
-        self.entry.links = adapters.PeerLinks(hello, self._peering, self._log)
+        self.entry.links = adapters.PeerLinks(
+            hello,
+            self._peering,
+            self._log,
+            self._tls.peers_server,
+            self._tls.peers_client,
+            max_silence=settings.observation.stale_after,
+            random_state=self._rng.getrandbits(64),
+        )
+        self._registrar = _registration.Registrar(
+            self.entry, self._store, self._make_node(), self._rng
+        )
         self._executor = control.Executor(
             self._store,
             self._engine,
@@ -114,10 +138,52 @@
         self.entry.controller = control.Controller(
             self.entry.make_view, self._executor, settings, self._rng
         )
-        self._callers = adapters.make_caller_server(self.entry)
+        self.entry.make_counters = self._make_counters
+        self.entry.make_gauges = self._make_gauges
+        self.entry.metrics.registry.register(
+            adapters.ControlCollector(self._make_counters, self._make_gauges)
+        )
+        self._callers = adapters.make_caller_server(
+            self.entry, self._tls.callers
+        )
         self._operators = adapters.make_operator_server(self.entry)
         self._tasks = []
 
+    def _make_node(self):
+        settings = self._settings
+        return objects.Node(
+            settings.node.name,
+            settings.node.data_centre,
+            settings.listen.peers,
+            self._incarnation,
+        )
+
+    def _make_counters(self):
+        links = self.entry.links
+        store, vm_list = self._store, self._vm_list
+        return {
+            'peer_bytes_sent': links.bytes_sent,
+            'peer_bytes_received': links.bytes_received,
+            'peer_messages_sent': links.messages_sent,
+            'peer_messages_received': links.messages_received,
+            'platform_bytes_received': (
+                store.bytes_received + vm_list.bytes_received
+            ),
+            'platform_calls': store.calls + vm_list.calls,
+            'engine_reports': self._observer.polls,
+        }
+
+    def _make_gauges(self):
+        catalogue = self.entry.catalogue
+        return {
+            'peers_connected': len(self.entry.links.connected),
+            'vms_observed': self._observer.observed,
+            'store_revision': catalogue.revision,
+            'store_restored': int(catalogue.restored),
+            'tombstones': catalogue.tombstones,
+            'objects_unreadable': len(catalogue.unreadable),
+        }
+
     async def start(self, stack):
         """Listen, and start the loops."""
         listen = self._settings.listen
@@ -131,15 +197,16 @@
         for peer in self._settings.peers:
             self.entry.links.reach(peer.name, peer.address)
         observation = self._settings.observation
-        self._spawn(self._follow_store())
-        self._spawn(self._follow_vm_list())
+        self._spawn(self._store_follower.run())
+        self._spawn(self._vm_follower.run())
+        self._spawn(self._registrar.run())
         self._spawn(self._repeat(observation.interval, self._observe))
         self._spawn(self._repeat(observation.interval, self._beat))
         self._spawn(
-            self._repeat(
-                self._settings.control.interval,
-                self.entry.controller.run_round,
-            )
+            self._repeat(self._settings.control.interval, self._control)
+        )
+        self._spawn(
+            self._repeat(self._settings.tls.reload_interval, self._reload)
         )
         self._log.info('started', incarnation=self._incarnation)
 
@@ -149,6 +216,10 @@
     async def _observe(self):
         self._observer.run_round()
 
+    async def _reload(self):
+        for path in self._tls.reload():
+            self._log.info('certificate_reloaded', path=path)
+
     async def _beat(self):
         self._peering.beat()
 
@@ -162,47 +233,10 @@
                 self._log.exception('round_crashed')
             await asyncio.sleep(interval * self._rng.uniform(0.9, 1.1))
 
-    async def _follow_store(self):
-        catalogue = self.entry.catalogue
-        listed = False
-        while True:
-            try:
-                if not listed:
-                    snapshot = await self._store.list(objects.WATCHED_KINDS)
-                    now = self._clock.monotonic()
-                    catalogue.apply_list(snapshot, objects.WATCHED_KINDS, now)
-                    listed = True
-                snapshot = await self._store.watch(
-                    objects.WATCHED_KINDS, catalogue.revision
-                )
-                catalogue.apply_changes(snapshot, self._clock.monotonic())
-            except exceptions.HistoryGone:
-                listed = False
-            except exceptions.BalsamwindError as error:
-                listed = False
-                self._log.warning('store_unavailable', error=str(error))
-                await self._pause()
-            except Exception:
-                listed = False
-                self._log.exception('store_loop_crashed')
-                await self._pause()
-
-    async def _pause(self):
-        await asyncio.sleep(RETRY_DELAY + self._rng.uniform(0.0, RETRY_JITTER))
-
-    async def _follow_vm_list(self):
-        while True:
-            try:
-                rows = await self._vm_list.fetch()
-                self.entry.groups.listed = {row.name: row for row in rows}
-                self.entry.groups.invalidate()
-            except exceptions.BalsamwindError as error:
-                self._log.warning('vm_list_unavailable', error=str(error))
-                await self._pause()
-            await asyncio.sleep(
-                self._settings.platform.vm_list_interval
-                * self._rng.uniform(0.9, 1.1)
-            )
+    async def _control(self):
+        """Run a control round, unless the store may have been restored."""
+        if not self.entry.catalogue.restored:
+            await self.entry.controller.run_round()
 
     async def drain(self):
         """Finish what callers wait for; take nothing new."""
@@ -210,6 +244,7 @@
         self.entry.draining = True
         self._peering.beat()
         await self.entry.controller.release()
+        await self._registrar.withdraw()
         await asyncio.sleep(DRAIN_NOTICE)
         self._callers.stop()
         deadline = (
@@ -230,3 +265,4 @@
         await self._callers.close_all_connections()
         await self._operators.close_all_connections()
         self._client.close()
+        self._platform_client.close()
--- a/balsamwind/objects/_codec.py
+++ b/balsamwind/objects/_codec.py
@@ -11,6 +11,9 @@
 import types
 import typing
 
+MAX_NUMBER = 2**53
+"""Largest number that JSON carries without loss."""
+
 
 @functools.cache
 def _hints(cls):
@@ -57,8 +60,10 @@
     origin = typing.get_origin(cls)
     args = typing.get_args(cls)
     if origin is tuple:
+        _check_shape(data, (list, tuple))
         return tuple(decode(args[0], item) for item in data)
     if origin is dict:
+        _check_shape(data, dict)
         return {key: decode(args[1], item) for key, item in data.items()}
     if origin is types.UnionType:
         return None if data is None else decode(args[0], data)
@@ -69,10 +74,16 @@
     return _decode_scalar(cls, data)
 
 
+def _check_shape(data, allowed):
+    if not isinstance(data, allowed):
+        raise TypeError(f'got {type(data).__name__}, allowed is {allowed}')
+
+
 def _decode_class(cls, data):
-    if not isinstance(data, dict):
-        raise TypeError(f'{cls.__name__}: got {type(data).__name__}')
     hints = _hints(cls)
+    if isinstance(data, list):
+        data = dict(zip(hints, data, strict=False))
+    _check_shape(data, dict)
     known = {
         name: decode(hint, data[name])
         for name, hint in hints.items()
@@ -82,8 +93,16 @@
 
 
 def _decode_scalar(cls, data):
-    if cls is float and isinstance(data, int):
-        return float(data)
-    if cls in (str, int, float, bool) and not isinstance(data, cls):
+    if cls is float and type(data) is int:
+        data = float(_check_number(data))
+    if cls in (str, int, float, bool) and type(data) is not cls:
         raise TypeError(f'got {data!r}, allowed is {cls.__name__}')
+    if cls in (int, float):
+        return _check_number(data)
     return data
+
+
+def _check_number(value):
+    if not -MAX_NUMBER <= value <= MAX_NUMBER:
+        raise ValueError(f'got {value!r}, allowed is a number to 2**53')
+    return value
--- a/balsamwind/replay/_world.py
+++ b/balsamwind/replay/_world.py
@@ -23,6 +23,10 @@
 SETTINGS = {
     'listen': {'callers': ':0', 'operators': ':0', 'peers': ':0'},
     'platform': {'url': 'http://memory', 'timeout': 1.0},
+    'placement': {
+        'load_time': _engines.LOAD_TIME,
+        'cached_load_time': _engines.START_TIME,
+    },
 }
 """Settings that a replay has no use for, or that are shorter in it."""
 
