Count requests of stopped groups before release

Cause: a drained group was released when its head's report said idle; the report lags, so a stream that had just started could be cut. Entries now tell, in the heartbeat, the requests that they count themselves on groups that take no new work (a few bytes while a group drains, else one), and the planner waits for both.

--- a/balsamwind/control/__init__.py
+++ b/balsamwind/control/__init__.py
@@ -8,6 +8,7 @@
 from balsamwind.control._executor import Executor
 from balsamwind.control._groups import plan_groups
 from balsamwind.control._lease import LeaseKeeper
+from balsamwind.control._members import Members
 from balsamwind.control._view import View
 
 __all__ = [
@@ -15,6 +16,7 @@
     'DeleteObject',
     'Executor',
     'LeaseKeeper',
+    'Members',
     'PutObject',
     'SendOrder',
     'View',
--- a/balsamwind/control/_lease.py
+++ b/balsamwind/control/_lease.py
@@ -72,8 +72,8 @@
         self._renew_at = float('-inf')
         self._taken_at = float('inf')
         self._not_before = float('-inf')
-        self._planned_wait = 0.0
-        self._inherited_wait = 0.0
+        self._planned_wait = None
+        self._inherited_wait = None
         self._revision = 0
         self._fencing = 0
 
@@ -119,7 +119,7 @@
         if not self.holds(now):
             return False
         wait = self._inherited_wait
-        return not wait or self.held_for(now) >= wait + order_timeout
+        return wait is None or self.held_for(now) >= wait + order_timeout
 
     def back_off(self, until):
         """Do not try to take the lease before `until` (seconds)."""
@@ -148,7 +148,7 @@
         if stored is None:
             return self._write(1, 0, operation)
         lease = stored.value
-        self._planned_wait = 0.0
+        self._planned_wait = None
         if lease.holder == self._node:
             if self.holds(now) and now < self._renew_at:
                 return None
@@ -157,7 +157,7 @@
         wait = lease.duration + self._margin + self._extra_wait
         if lease.holder and age < wait:
             return None
-        self._planned_wait = lease.duration
+        self._planned_wait = lease.duration if lease.holder else 0.0
         return self._write(lease.fencing + 1, stored.revision, operation)
 
     def _write(self, fencing, expected, operation):
--- a/balsamwind/control/tests/fleet.py
+++ b/balsamwind/control/tests/fleet.py
@@ -37,6 +37,7 @@
             {**SETTINGS, 'placement': placement}
         )
         self.revision = 0
+        self.group_in_flight = {}
         self.listed = {}
         for key, count in domains.items():
             data_centre, domain = key.split('-')
@@ -129,6 +130,7 @@
             NOW,
             1.8e9,
             random.Random(seed),
+            self.group_in_flight,
         )
 
     def groups(self, data_centre='a', seed=0):
--- /dev/null
+++ b/balsamwind/control/tests/test_executor.py
@@ -0,0 +1,153 @@
+"""Writes whose answer is lost are resolved by reading back."""
+
+import asyncio
+
+import pytest
+
+from balsamwind import catalogue
+from balsamwind import control
+from balsamwind import exceptions
+from balsamwind import objects
+from balsamwind import settings
+
+
+class Store:
+    """Holds one object; loses an answer before or after the effect."""
+
+    def __init__(self, stored=None, lost=''):
+        self.stored = stored
+        self.lost = lost
+        self.revision = stored.revision if stored else 0
+
+    async def get(self, kind, name):
+        return self.stored
+
+    async def put(self, kind, name, value, expected):
+        return self._write(kind, name, value, expected)
+
+    async def delete(self, kind, name, expected):
+        return self._write(kind, name, None, expected)
+
+    def _write(self, kind, name, value, expected):
+        if self.lost == 'before':
+            raise exceptions.StoreError('lost')
+        if (self.stored.revision if self.stored else 0) != expected:
+            raise exceptions.Conflict('conflict', self.stored)
+        self.revision += 1
+        written = objects.Stored(kind, name, self.revision, value)
+        self.stored = None if value is None else written
+        if self.lost == 'after':
+            raise exceptions.StoreError('lost')
+        return written
+
+
+class Clock:
+    """Time stands still."""
+
+    def monotonic(self):
+        return 10.0
+
+
+class Keeper:
+    """Holds the lease, or does not."""
+
+    def __init__(self, held=True):
+        self.held = held
+
+    def holds(self, now):
+        return self.held
+
+
+def make_executor(store, known):
+    return control.Executor(
+        store, None, None, known, Clock(), settings.ControlSettings(), Log()
+    )
+
+
+class Log:
+    """Keeps nothing."""
+
+    def info(self, event, **values):
+        pass
+
+    warning = info
+
+
+def make_claim(operation):
+    return objects.Claim('v', 'g', 1, operation)
+
+
+def run(store, known, decision, keeper=None):
+    async def carry_out():
+        executor = make_executor(store, known)
+        if keeper is None:
+            return await executor.put(decision)
+        executor.start([decision], keeper)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        await executor.close()
+
+    return asyncio.run(carry_out())
+
+
+@pytest.mark.parametrize(
+    'value, theirs, lost, own',
+    [
+        (make_claim('mine'), None, '', True),
+        (make_claim('mine'), None, 'after', True),
+        (make_claim('mine'), None, 'before', False),
+        (make_claim('mine'), make_claim('theirs'), '', False),
+        (make_claim('mine'), make_claim('theirs'), 'before', False),
+        (objects.Allocation('c', {'m': {'a': 1}}), None, 'after', True),
+        (
+            objects.Allocation('c', {'m': {'a': 1}}),
+            objects.Allocation('c', {'m': {'a': 2}}),
+            'before',
+            False,
+        ),
+    ],
+)
+def test_put_says_whether_the_write_is_own(value, theirs, lost, own):
+    kind = 'claim' if isinstance(value, objects.Claim) else 'allocation'
+    stored = theirs and objects.Stored(kind, 'x', 7, theirs)
+    known = catalogue.Catalogue()
+    store = Store(stored, lost)
+    result = run(store, known, control.PutObject(kind, 'x', value, 0))
+    assert (result is not None) is own
+    if store.stored is not None:
+        assert known.value(kind, 'x') == store.stored.value
+
+
+@pytest.mark.parametrize(
+    'gone, lost, known_after',
+    [
+        (False, '', False),
+        (False, 'after', False),
+        (False, 'before', True),
+        (True, '', False),
+        (True, 'before', False),
+    ],
+)
+def test_deletion_is_learned_of(gone, lost, known_after):
+    stored = objects.Stored('claim', 'v', 7, make_claim('mine'))
+    known = catalogue.Catalogue()
+    known.apply(stored, 0.0)
+    store = Store(None if gone else stored, lost)
+    run(store, known, control.DeleteObject('claim', 'v', 7), Keeper())
+    assert (known.get('claim', 'v') is not None) is known_after
+
+
+def test_object_made_anew_outlives_the_deletion():
+    known = catalogue.Catalogue()
+    known.apply(objects.Stored('claim', 'v', 7, make_claim('a')), 0.0)
+    newer = objects.Stored('claim', 'v', 9, make_claim('b'))
+    known.apply(newer, 0.0)
+    run(Store(), known, control.DeleteObject('claim', 'v', 7), Keeper())
+    assert known.get('claim', 'v') == newer
+
+
+def test_nothing_is_written_without_the_lease():
+    store = Store()
+    decision = control.PutObject('claim', 'v', make_claim('mine'), 0)
+    run(store, catalogue.Catalogue(), decision, Keeper(held=False))
+    assert store.stored is None
--- a/balsamwind/control/tests/test_lease.py
+++ b/balsamwind/control/tests/test_lease.py
@@ -1,5 +1,7 @@
 """A lease has one holder, and its fencing number only grows."""
 
+import pytest
+
 from balsamwind import control
 from balsamwind import objects
 
@@ -27,3 +29,36 @@
     stored = objects.Stored('lease', 's', 1, write.value)
     assert not keeper.holds(60.0)
     assert keeper.plan(stored, 60.0, 60.0, 'op2').value.fencing == 2
+
+
+@pytest.mark.parametrize(
+    'holder, age, now, allowed',
+    [
+        (None, 0.0, 100.0, True),
+        ('a', 30.0, 100.0, False),
+        ('a', 30.0, 112.9, False),
+        ('a', 30.0, 113.0, True),
+        ('', 30.0, 102.9, False),
+        ('', 30.0, 103.0, True),
+    ],
+)
+def test_orders_wait_for_those_of_the_previous_holder(
+    holder, age, now, allowed
+):
+    keeper = make_keeper('b')
+    stored = None
+    if holder is not None:
+        lease = objects.Lease('s', holder, 4, 10.0)
+        stored = objects.Stored('lease', 's', 1, lease)
+    write = keeper.plan(stored, age, 100.0, 'op1')
+    keeper.accept(write.value, 100.0, 2)
+    keeper.accept(write.value, now, 3)
+    assert keeper.may_order(now, 3.0) is allowed
+    assert keeper.revision == 2
+
+
+def test_keeper_that_backs_off_does_not_write():
+    keeper = make_keeper('a')
+    keeper.back_off(5.0)
+    assert keeper.plan(None, 0.0, 4.9, 'op1') is None
+    assert keeper.plan(None, 0.0, 5.0, 'op2') is not None
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -117,8 +117,28 @@
             self.clock.monotonic(),
             self.clock.time(),
             self._rng,
+            self._sum_requests(),
         )
 
+    def requests_of_stopped(self):
+        """Own requests open on groups that take no new work, by group."""
+        self.groups.serving('', '', self.clock.monotonic())
+        loads = self.router.loads
+        counts = {
+            group: loads.in_flight_of(group)
+            for group, reason in self.groups.reasons.items()
+            if reason
+        }
+        return {group: count for group, count in counts.items() if count}
+
+    def _sum_requests(self):
+        """Requests open on such groups at all entries, by group."""
+        total = self.requests_of_stopped()
+        for peer in self.registry.alive(self.clock.monotonic()):
+            for group, count in peer.group_in_flight.items():
+                total[group] = total.get(group, 0) + count
+        return total
+
     def _on_object(self, stored):
         self.groups.invalidate()
         if stored.kind == 'contract':
--- a/balsamwind/entry/_peering.py
+++ b/balsamwind/entry/_peering.py
@@ -124,6 +124,7 @@
         peer.reads_store = message.reads_store
         peer.epoch = message.epoch
         peer.vm_list_age = message.vm_list_age
+        peer.group_in_flight = message.group_in_flight
         entry.observations.hear(hello.node, now, message.report_age)
         self._help_with_objects(peer, now)
         self._help_with_vms(peer, now)
@@ -201,4 +202,5 @@
             reads_store=self._store_follower.reading,
             epoch=entry.catalogue.epoch,
             vm_list_age=self._vm_follower.age(now),
+            group_in_flight=entry.requests_of_stopped(),
         )
--- a/balsamwind/peers/_messages.py
+++ b/balsamwind/peers/_messages.py
@@ -124,6 +124,9 @@
         Number of the store's history that the sender follows.
     vm_list_age : float
         Age of the VM list that the sender goes by (seconds).
+    group_in_flight : dict of str to int
+        Group that takes no new work -> requests open on it at the sender
+        (count).
     """
 
     revision: int
@@ -133,6 +136,7 @@
     reads_store: bool = False
     epoch: int = 0
     vm_list_age: float = 0.0
+    group_in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/peers/_registry.py
+++ b/balsamwind/peers/_registry.py
@@ -36,6 +36,8 @@
         Number of the store's history that it follows.
     vm_list_age : float
         Age of the VM list that it goes by (seconds).
+    group_in_flight : dict of str to int
+        Group that takes no new work -> requests open on it there (count).
     behind : int
         Heartbeats in a row in which it was behind this node (count).
     connected : bool
@@ -53,6 +55,7 @@
     reads_store: bool = False
     epoch: int = 0
     vm_list_age: float = 0.0
+    group_in_flight: dict = dataclasses.field(default_factory=dict)
     behind: int = 0
     connected: bool = True
     connected_at: float = 0.0
--- a/balsamwind/peers/_wire.py
+++ b/balsamwind/peers/_wire.py
@@ -127,6 +127,7 @@
                 message.vm_list_age,
                 message.epoch,
                 *message.in_flight.values(),
+                *message.group_in_flight.values(),
             ]
         case _messages.GroupDown(generation=generation):
             numbers = [generation]
--- a/balsamwind/peers/tests/test_wire.py
+++ b/balsamwind/peers/tests/test_wire.py
@@ -23,7 +23,7 @@
         ('w',),
         (peers.GroupStatus('g', 2, 77, (3.0, 0.0)),),
     ),
-    peers.Heartbeat(7, 0.5, True, {'c': 2}, True, 1, 3.5),
+    peers.Heartbeat(7, 0.5, True, {'c': 2}, True, 1, 3.5, {'g': 1}),
     peers.GroupDown('g', 2, 'why'),
     peers.VmRows((ports.ListedVm('v', 'h:1', 'dc', 'd'),), ('w',), False, 1.0),
 ]
--- a/balsamwind/routing/_loads.py
+++ b/balsamwind/routing/_loads.py
@@ -85,6 +85,11 @@
         """Own requests sent and not yet answered (count)."""
         return sum(load.in_flight for load in self._groups.values())
 
+    def in_flight_of(self, group):
+        """Own requests of one group, not yet answered (count)."""
+        load = self._groups.get(group)
+        return 0 if load is None else load.in_flight
+
     def start(self, group, tokens):
         """Note an own request that has `tokens` to prefill."""
         load = self._refresh(group)
