--- a/balsamwind/cli/_main.py
+++ b/balsamwind/cli/_main.py
@@ -12,6 +12,7 @@
 from balsamwind.cli import _output
 from balsamwind.cli import _replay
 from balsamwind.cli import _status
+from balsamwind.cli import _store
 from balsamwind import entry as entry_package
 from balsamwind import exceptions
 from balsamwind import settings as settings_package
@@ -57,6 +58,7 @@
 cli.add_command(_contracts.contract)
 cli.add_command(_replay.replay)
 cli.add_command(_status.status)
+cli.add_command(_store.store)
 
 
 def _configure_logs():
--- a/balsamwind/entry/_peering.py
+++ b/balsamwind/entry/_peering.py
@@ -1,5 +1,6 @@
 """What an entry tells its peers, and what it takes from them."""
 
+from balsamwind import catalogue
 from balsamwind import peers
 
 VM_LIST_HELP_AGE = 60.0
@@ -25,10 +26,10 @@
     """
 
     __slots__ = (
+        '_book',
         '_entry',
         '_observer',
         '_revision_before',
-        '_statuses',
         '_store_follower',
         '_vm_follower',
     )
@@ -39,7 +40,7 @@
         self._store_follower = store_follower
         self._vm_follower = vm_follower
         self._revision_before = 0
-        self._statuses = {}
+        self._book = peers.StatusBook(entry.settings.observation.stale_after)
         entry.catalogue.listen(self._on_object)
 
     def on_connect(self, hello):
@@ -83,8 +84,7 @@
     def _on_reports(self, hello, message, now):
         entry = self._entry
         for status in message.groups:
-            self._statuses[status.group] = (status, hello.node, now)
-            self._take_status(status.group)
+            self._take_evidence(self._book.take(status, hello.node, now))
         for item in message.items:
             entry.observations.update(
                 item.vm, item.reachable, item.report, hello.node, now
@@ -92,28 +92,31 @@
         for vm in message.dropped:
             entry.observations.drop(vm, hello.node)
             self._observer.on_dropped(vm)
-        entry.groups.invalidate()
+        if message.items or message.dropped:
+            entry.groups.invalidate()
 
     def _on_object(self, stored):
         """Use a group's status that came before the group's record."""
         if stored.kind == 'group':
-            if stored.deleted:
-                self._statuses.pop(stored.name, None)
-            else:
-                self._take_status(stored.name)
+            self._take_evidence(
+                self._book.set_group(stored.name, stored.value)
+            )
 
-    def _take_status(self, name):
-        entry = self._entry
-        group = entry.catalogue.value('group', name)
-        known = self._statuses.get(name)
-        if group is None or known is None:
-            return
-        status, observer, at = known
-        reports = peers.make_reports(group, status)
-        for report in reports:
-            entry.observations.update(report.vm, True, report, observer, at)
-        if reports:
-            del self._statuses[name]
+    def _take_evidence(self, evidence):
+        if evidence is not None:
+            for report in evidence.reports:
+                self._take_report(report, evidence.observer, evidence.at)
+
+    def _take_report(self, report, observer, at):
+        view = self._entry.observations.get(report.vm)
+        same = view is not None and view.observer == observer
+        if same and view.reachable:
+            if view.report is report or view.report == report:
+                view.seen_at = max(view.seen_at, at)
+                return
+        if not same or not view.reachable or _differs(view.report, report):
+            self._entry.groups.invalidate()
+        self._entry.observations.update(report.vm, True, report, observer, at)
 
     def _on_heartbeat(self, hello, message, now):
         entry = self._entry
@@ -124,6 +127,7 @@
         peer.reads_store = message.reads_store
         peer.epoch = message.epoch
         peer.vm_list_age = message.vm_list_age
+        peer.store_diverged = message.store_diverged
         peer.group_in_flight = message.group_in_flight
         entry.observations.hear(hello.node, now, message.report_age)
         self._help_with_objects(peer, now)
@@ -136,27 +140,27 @@
 
     def _help_with_objects(self, peer, now):
         """Bring a peer up to date whose objects are behind."""
-        catalogue = self._entry.catalogue
-        older = peer.epoch < catalogue.epoch
-        if peer.epoch > catalogue.epoch or not (
+        known = self._entry.catalogue
+        older = peer.epoch < known.epoch
+        if peer.epoch > known.epoch or not (
             older or peer.revision < self._revision_before
         ):
             peer.behind = 0
             return
         peer.behind += 1
-        if self._entry.registry.is_helper(peer, catalogue.revision, now):
+        if self._entry.registry.is_helper(peer, known.revision, now):
             peer.behind = 0
             since = 0 if older else peer.revision
             self._entry.links.send(peer.name, self._make_changes(since))
 
     def _make_changes(self, since):
-        catalogue = self._entry.catalogue
-        since = catalogue.start_of_changes(since)
+        known = self._entry.catalogue
+        since = known.start_of_changes(since)
         return peers.ObjectChanges(
             since,
-            catalogue.revision,
-            catalogue.changes_since(since),
-            not catalogue.unreadable,
+            known.revision,
+            known.changes_since(since),
+            not known.unreadable,
         )
 
     def _help_with_vms(self, peer, now):
@@ -180,15 +184,16 @@
         entry.links.close_silent()
         reports = self._observer.plan_reports(now)
         heartbeat = self.make_heartbeat()
-        if reports is None:
-            entry.links.broadcast(heartbeat)
-        else:
-            entry.links.broadcast(reports, heartbeat)
-        catalogue = entry.catalogue
-        self._revision_before = catalogue.revision
-        catalogue.prune(
-            entry.registry.lowest_revision(catalogue.revision, now), now
+        told = [heartbeat] if reports is None else [reports, heartbeat]
+        changes = self._store_follower.take_changes()
+        entry.links.broadcast(
+            *told, own_data_centre=[*changes, *told] if changes else None
         )
+        revision = entry.catalogue.revision
+        self._revision_before = revision
+        lowest = entry.registry.lowest_revision(revision, now)
+        entry.catalogue.prune(lowest, now)
+        self._book.prune(now)
 
     def make_heartbeat(self):
         """Heartbeat of this moment."""
@@ -202,5 +207,25 @@
             reads_store=self._store_follower.reading,
             epoch=entry.catalogue.epoch,
             vm_list_age=self._vm_follower.age(now),
+            store_diverged=(
+                entry.catalogue.store_state is catalogue.StoreState.DIVERGED
+            ),
             group_in_flight=entry.requests_of_stopped(),
         )
+
+
+def _differs(first, second):
+    """Whether two reports differ in what decides if a group may serve."""
+    return first is None or (
+        first.state,
+        first.group,
+        first.generation,
+        first.model,
+        first.version,
+    ) != (
+        second.state,
+        second.group,
+        second.generation,
+        second.model,
+        second.version,
+    )
--- a/balsamwind/membership/_observations.py
+++ b/balsamwind/membership/_observations.py
@@ -58,6 +58,11 @@
     stale_after : float
         Age at which a view no longer counts (seconds).
 
+    Attributes
+    ----------
+    changes : int
+        Grows when a VM is seen to answer or not, or to do something else.
+
     Notes
     -----
     An observer that sees most of its VMs down at once is more likely cut
@@ -66,13 +71,25 @@
     observer has seen them down too, or after `CONFIRM_TIME`.
     """
 
-    __slots__ = ('_heartbeats', '_stale_after', '_suspects', '_views')
+    __slots__ = (
+        '_heartbeats',
+        '_stale_after',
+        '_suspects',
+        '_views',
+        'changes',
+    )
 
     def __init__(self, stale_after):
         self._stale_after = stale_after
         self._views = {}
         self._heartbeats = {}
         self._suspects = {}
+        self.changes = 0
+
+    @property
+    def stale_after(self):
+        """Age at which a view no longer counts (seconds)."""
+        return self._stale_after
 
     def update(self, vm, reachable, report, observer, now):
         """Take in what `observer` saw of `vm` at `now`."""
@@ -83,8 +100,11 @@
             report = known.report
         view = VmView(vm, report, reachable, observer, now)
         view.changed_at = now
-        if known is not None and _key(known.report) == _key(report):
+        same = known is not None and _key(known.report) == _key(report)
+        if same:
             view.changed_at = known.changed_at
+        if not same or known.reachable != reachable:
+            self.changes += 1
         if not reachable:
             view.down_since = now
             view.witnesses = frozenset((observer,))
@@ -172,4 +192,10 @@
 def _key(report):
     if report is None:
         return None
-    return report.group, report.generation, report.state
+    return (
+        report.group,
+        report.generation,
+        report.state,
+        report.model,
+        report.version,
+    )
--- a/balsamwind/peers/_messages.py
+++ b/balsamwind/peers/_messages.py
@@ -69,19 +69,13 @@
 
     Parameters
     ----------
-    group : str
-        Name of the group.
-    generation : int
-        Its generation.
-    members : int
-        Checksum of the members' names.
+    digest : bytes
+        Hash of the group's name, generation, model, version and members.
     load : tuple of float
         Values of `LOAD_FIELDS` in the report of the first member.
     """
 
-    group: str
-    generation: int
-    members: int
+    digest: bytes
     load: tuple[float, ...] = ()
 
 
@@ -124,6 +118,8 @@
         Number of the store's history that the sender follows.
     vm_list_age : float
         Age of the VM list that the sender goes by (seconds).
+    store_diverged : bool
+        Whether the sender saw that the store was restored.
     group_in_flight : dict of str to int
         Group that takes no new work -> requests open on it at the sender
         (count).
@@ -136,6 +132,7 @@
     reads_store: bool = False
     epoch: int = 0
     vm_list_age: float = 0.0
+    store_diverged: bool = False
     group_in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
 
 
--- a/balsamwind/peers/_wire.py
+++ b/balsamwind/peers/_wire.py
@@ -15,6 +15,9 @@
 from balsamwind import objects
 from balsamwind.peers import _messages
 
+DIGEST_SIZE = 8
+"""Size of a group's digest (bytes)."""
+
 _TYPES = {
     1: _messages.Hello,
     2: _messages.ObjectChanges,
@@ -63,17 +66,25 @@
     if type(message) is not _messages.ObjectChanges:
         return _pack(message)
     rows = [
-        [s.kind, s.name, s.revision, objects.encode(s.value)]
-        for s in message.items
+        [s.kind, s.name, s.revision, _pack_value(s)] for s in message.items
     ]
     return [message.since, message.revision, rows, message.complete]
 
 
+def _pack_value(stored):
+    # A contract is checked against its schema, which names its keys.
+    if stored.kind == 'contract':
+        return objects.encode(stored.value)
+    return _pack(stored.value)
+
+
 def _pack(value):
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, tuple):
         return [_pack(item) for item in value]
+    if isinstance(value, dict):
+        return {key: _pack(item) for key, item in value.items()}
     if not dataclasses.is_dataclass(value):
         return value
     fields = dataclasses.fields(value)
@@ -111,6 +122,11 @@
     )
 
 
+def _check_digest(digest):
+    if type(digest) is not bytes or len(digest) != DIGEST_SIZE:
+        raise ValueError(f'digest: got {digest!r}')
+
+
 def _check(message):
     """Check the ranges of a message.
 
@@ -134,8 +150,9 @@
         case _messages.VmRows(age=age):
             numbers = [age]
         case _messages.Reports(items=items, groups=groups):
-            numbers = [g.generation for g in groups]
+            numbers = []
             for group in groups:
+                _check_digest(group.digest)
                 numbers += group.load
             for item in items:
                 if item.report is not None:
