Test the ports of platform and engines by tables

The same tables run over the HTTP adapters against the stand-ins and, for the object store, over the fake that replays use. Faults: refused, 503, answer lost after the effect, late answer, cut body, nonsense, wrong types, conflict, history gone, 429, old fencing, kill, stall, come-back.

Found, each seen failing first: a Retry-After that is a date, negative, nan or infinite crashed or stopped the wait for a weight ticket (adapters/_platform.py); the stand-in answered 500 instead of 429, so the path had never run (standins/platform.py).

--- a/balsamwind/adapters/_platform.py
+++ b/balsamwind/adapters/_platform.py
@@ -1,6 +1,7 @@
 """VM list and weight store of the platform, over HTTP and JSON."""
 
 import json
+import math
 
 from balsamwind import exceptions
 from balsamwind import objects
@@ -69,6 +70,19 @@
             raise exceptions.StoreError(f'VM list: {error}') from error
 
 
+DEFAULT_WAIT = 1.0
+"""Wait for a ticket when the weight store names none that can be used
+(seconds)."""
+
+
+def _load_wait(text):
+    try:
+        wait = float(text)
+    except ValueError:
+        return DEFAULT_WAIT
+    return wait if 0.0 < wait < math.inf else DEFAULT_WAIT
+
+
 class HttpWeightStore:
     """Client of the weight store."""
 
@@ -92,7 +106,7 @@
         except exceptions.TransportError as error:
             raise exceptions.StoreError(f'weight store: {error}') from error
         if response.status == 429:
-            return float(response.headers.get('Retry-After', '1'))
+            return _load_wait(response.headers.get('Retry-After', ''))
         if response.status != 200:
             raise exceptions.StoreError(f'weight store: {response.status}')
         return 0.0
--- /dev/null
+++ b/balsamwind/adapters/tests/test_engine_contract.py
@@ -0,0 +1,186 @@
+"""What the engine port promises of reports and orders, with faults."""
+
+import asyncio
+import json
+
+import pytest
+
+from balsamwind import adapters
+from balsamwind import exceptions
+from balsamwind import ports
+from standins import engines
+
+TIMEOUT = 0.3
+"""Time-out of one call (seconds)."""
+
+State = ports.EngineState
+
+
+def make_order(kind='load', group='g', generation=1, fencing=5):
+    return ports.Order(kind, group, generation, fencing, 'm', '1')
+
+
+def run(check, check_fencing=True):
+    """Run `await check(engine, vm)` over a stand-in of one VM."""
+
+    async def main():
+        fleet = engines.Fleet(load_delay=0.0, check_fencing=check_fencing)
+        client = adapters.HttpClient()
+        vm = fleet.add('v')
+        try:
+            await check(adapters.HttpEngine(client), vm)
+        finally:
+            client.close()
+            await vm.kill()
+
+    asyncio.run(main())
+
+
+async def wait_until(check):
+    while not check():
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    'orders, refused, check_fencing, group',
+    [
+        ([make_order()], [], True, ('g', 1)),
+        ([make_order(), make_order()], [], True, ('g', 1)),
+        ([make_order(), make_order(generation=2)], [], True, ('g', 2)),
+        ([make_order(), make_order('unload')], [], True, ('', 0)),
+        ([make_order(), make_order('unload', 'h')], [], True, ('g', 1)),
+        ([make_order(), make_order('load', 'h')], [], True, ('h', 1)),
+        (
+            [make_order(), make_order('load', 'h', fencing=4)],
+            [1],
+            True,
+            ('g', 1),
+        ),
+        (
+            [make_order(), make_order('unload', fencing=4)],
+            [1],
+            True,
+            ('g', 1),
+        ),
+        (
+            [make_order(), make_order('load', 'h', fencing=4)],
+            [],
+            False,
+            ('h', 1),
+        ),
+    ],
+)
+def test_orders(orders, refused, check_fencing, group):
+    """The report names what was ordered last, which shows a stale order."""
+
+    async def check(engine, vm):
+        seen = []
+        for index, order in enumerate(orders):
+            try:
+                await engine.order(vm.address, order, TIMEOUT)
+            except exceptions.BackendRefused as error:
+                assert error.run == exceptions.NOT_RUN
+                assert error.reason == 'old_fencing'
+                seen.append(index)
+        assert seen == refused
+        report = await engine.report(vm.address, TIMEOUT)
+        assert (report.group, report.generation) == group
+
+    run(check, check_fencing)
+
+
+def test_loaded_engine_says_so():
+    async def check(engine, vm):
+        await engine.order(vm.address, make_order(), TIMEOUT)
+        await wait_until(lambda: vm.state is State.READY)
+        report = await engine.report(vm.address, TIMEOUT)
+        assert report.state is State.READY
+        assert (report.model, report.version) == ('m', '1')
+        assert report.fencing == 5
+        assert report.cached == ('m@1',)
+
+    run(check)
+
+
+@pytest.mark.parametrize('call', ['report', 'order'])
+@pytest.mark.parametrize('fault, sent', [('kill', False), ('stall', True)])
+def test_engine_that_does_not_answer(call, fault, sent):
+    async def check(engine, vm):
+        if fault == 'kill':
+            await vm.kill()
+        vm.stalled = fault == 'stall'
+        with pytest.raises(exceptions.TransportError) as caught:
+            if call == 'report':
+                await engine.report(vm.address, TIMEOUT)
+            else:
+                await engine.order(vm.address, make_order(), TIMEOUT)
+        assert caught.value.sent is sent
+        vm.stalled = False
+
+    run(check)
+
+
+@pytest.mark.parametrize(
+    'fault, group, state',
+    [('revive', 'g', State.READY), ('wipe', '', State.EMPTY)],
+)
+def test_engine_that_comes_back(fault, group, state):
+    async def check(engine, vm):
+        await engine.order(vm.address, make_order(), TIMEOUT)
+        await wait_until(lambda: vm.state is State.READY)
+        await vm.kill()
+        getattr(vm, fault)()
+        report = await engine.report(vm.address, TIMEOUT)
+        assert (report.group, report.state) == (group, state)
+
+    run(check)
+
+
+MALFORMED = [
+    '',
+    'x',
+    '[]',
+    '{"vm": "v"}',
+    '{"vm": "v", "state": "odd"}',
+    '{"vm": 5, "state": "ready"}',
+    '{"vm": "v", "state": "ready", "generation": "1"}',
+]
+
+
+@pytest.mark.parametrize('status', [200, 500, 503])
+@pytest.mark.parametrize('body', [*MALFORMED, '{"not_run": true}'])
+def test_malformed_answers(status, body):
+    """No answer of an engine ends in another error than the port's."""
+
+    async def check(engine, vm):
+        async def answer(reader, writer):
+            asked = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+            if 'content-length: ' in asked:
+                length = asked.split('content-length: ')[1].split('\r')[0]
+                await reader.readexactly(int(length))
+            head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n'
+            head += 'Connection: close\r\n'
+            writer.write(f'{head}\r\n{body}'.encode())
+            writer.close()
+
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        address = f'127.0.0.1:{port}'
+        kinds = (exceptions.TransportError, exceptions.BackendRefused)
+        with pytest.raises(kinds):
+            await engine.report(address, TIMEOUT)
+        if status != 200:
+            with pytest.raises(kinds) as caught:
+                await engine.order(address, make_order(), TIMEOUT)
+            refused = isinstance(caught.value, exceptions.BackendRefused)
+            assert refused is _says_not_run(body)
+        server.close()
+
+    run(check)
+
+
+def _says_not_run(body):
+    try:
+        return bool(json.loads(body).get('not_run'))
+    except (ValueError, AttributeError):
+        return False
--- a/balsamwind/replay/__init__.py
+++ b/balsamwind/replay/__init__.py
@@ -4,6 +4,9 @@
 from balsamwind.replay._events import Expect
 from balsamwind.replay._loop import open_loop
 from balsamwind.replay._loop import VirtualClock
+from balsamwind.replay._network import Network
+from balsamwind.replay._platform import MemoryPlatform
+from balsamwind.replay._platform import MemoryStore
 from balsamwind.replay._replay import replay_file
 from balsamwind.replay._trace import check_steps
 from balsamwind.replay._trace import Line
@@ -16,6 +19,9 @@
     'Expect',
     'Header',
     'Line',
+    'MemoryPlatform',
+    'MemoryStore',
+    'Network',
     'Step',
     'VirtualClock',
     'World',
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,8 @@
 
 Faults are set by ``POST /admin/faults``: ``down`` refuses all calls with
 503, ``lose_answers`` carries out that many writes and closes the connection
-instead of answering, ``delay`` answers late (seconds).
+instead of answering, ``delay`` answers late (seconds), ``body`` answers
+every call with that text instead of what it should say.
 """
 
 import argparse
@@ -26,10 +27,16 @@
         self.objects = {}
         self.history = []
         self.vms = list(vms)
-        self.faults = {'down': False, 'lose_answers': 0, 'delay': 0.0}
+        self.faults = {
+            'down': False,
+            'lose_answers': 0,
+            'delay': 0.0,
+            'body': '',
+        }
         self.calls = 0
         self.loads_per_second = loads_per_second
         self.next_load_at = 0.0
+        self.retry_after = ''
         self._changed = asyncio.Event()
 
     def row(self, key):
@@ -104,7 +111,7 @@
             self.request.connection.stream.close()
             return
         self.set_status(status)
-        self.finish(json.dumps(body))
+        self.finish(faults['body'] or json.dumps(body))
 
 
 class _ObjectHandler(_Handler):
@@ -164,7 +171,9 @@
     def post(self):
         now = time.monotonic()
         if now < self.platform.next_load_at:
-            self.set_header('Retry-After', self.platform.next_load_at - now)
+            wait = self.platform.retry_after
+            wait = wait or self.platform.next_load_at - now
+            self.set_header('Retry-After', str(wait))
             self.answer(429, {'code': 'rate'})
             return
         self.platform.next_load_at = now + 1 / self.platform.loads_per_second
