Keep no connection that the server closes

Cause: an answer with Connection: close left its connection in the pool; the next order took it and failed with its outcome in doubt.

One place of adapters/_http_client.py, of another owner.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -219,6 +219,9 @@
             self._keep()
 
     def _keep(self):
+        if self.headers.get('Connection', '').lower() == 'close':
+            self.close()
+            return
         connection, self._connection = self._connection, None
         self._client.give_back(self._place, connection, self._reader)
 
