--- a/balsamwind/control/tests/fleet.py
+++ b/balsamwind/control/tests/fleet.py
@@ -10,6 +10,7 @@
 from balsamwind import settings
 
 NOW = 1000.0
+AGE = 60.0
 SETTINGS = {
     'node': {'name': 'n', 'data_centre': 'a'},
     'listen': {'callers': 'h:1', 'operators': 'h:2', 'peers': 'h:3'},
@@ -36,6 +37,7 @@
             {**SETTINGS, 'placement': placement}
         )
         self.revision = 0
+        self.group_in_flight = {}
         self.listed = {}
         for key, count in domains.items():
             data_centre, domain = key.split('-')
@@ -71,7 +73,7 @@
         """Store an object."""
         self.revision += 1
         self.catalogue.apply(
-            objects.Stored(kind, name, self.revision, value), 0.0
+            objects.Stored(kind, name, self.revision, value), NOW - AGE
         )
 
     def contract(self, customer, priority, replicas, split=None, size=4):
@@ -128,6 +130,7 @@
             NOW,
             1.8e9,
             random.Random(seed),
+            self.group_in_flight,
         )
 
     def groups(self, data_centre='a', seed=0):
--- a/balsamwind/entry/_peering.py
+++ b/balsamwind/entry/_peering.py
@@ -128,6 +128,7 @@
         peer.epoch = message.epoch
         peer.vm_list_age = message.vm_list_age
         peer.store_diverged = message.store_diverged
+        peer.group_in_flight = message.group_in_flight
         entry.observations.hear(hello.node, now, message.report_age)
         self._help_with_objects(peer, now)
         self._help_with_vms(peer, now)
@@ -209,6 +210,7 @@
             store_diverged=(
                 entry.catalogue.store_state is catalogue.StoreState.DIVERGED
             ),
+            group_in_flight=entry.requests_of_stopped(),
         )
 
 
--- a/balsamwind/membership/_groups.py
+++ b/balsamwind/membership/_groups.py
@@ -104,6 +104,7 @@
 
     __slots__ = (
         '_catalogue',
+        '_changes',
         '_checked_at',
         '_dirty',
         '_down',
@@ -112,7 +113,6 @@
         '_observations',
         '_reasons',
         '_refreshed_at',
-        '_seen_changes',
         '_verdicts',
         'listed',
     )
@@ -123,11 +123,11 @@
         self._groups = {}
         self._reasons = {}
         self._verdicts = {}
+        self._changes = -1
         self._incomplete = []
         self._refreshed_at = float('-inf')
         self._down = {}
         self._dirty = True
-        self._seen_changes = 0
         self._checked_at = float('-inf')
         self.listed = {}
 
@@ -158,8 +158,8 @@
 
     def serving(self, contract, model, now):
         """Records of the groups that may serve `model` now."""
-        changed = self._seen_changes != self._observations.changes
-        if self._dirty or changed or now - self._refreshed_at > FULL_INTERVAL:
+        changed = self._dirty or self._changes != self._observations.changes
+        if changed or now - self._refreshed_at > FULL_INTERVAL:
             self._refresh(now)
         elif now - self._checked_at > REFRESH_INTERVAL:
             self._recheck(now)
@@ -176,6 +176,7 @@
             self._refresh(now)
 
     def _refresh(self, now):
+        self._changes = self._observations.changes
         groups = {}
         reasons = {}
         incomplete = []
@@ -195,7 +196,6 @@
             del self._verdicts[name]
         self._incomplete = incomplete
         self._dirty = False
-        self._seen_changes = self._observations.changes
         self._checked_at = now
         self._refreshed_at = now
 
