Keep calls at most once through late messages

Cause: the record of a call was safe but got stuck. A caller that went away cancelled the call and left its record "unknown"; so did a lost answer of the last write, a lost deletion after a refusal, a write that landed after the read-back, and an answer after the time-out. Two calls with one key at one entry answered "unknown" to the second. Records were never deleted, and an answer of any size was kept.

ServiceCalls runs a recorded call in a task of its own that callers wait for, keeps the connection for a late answer, repeats the last write in the background, bounds the kept answer. Retry budgets are kept for each service, and a 429 refusal is not retried. A connection attempt to a backend server ends after 1 s.

Ruled out: replacing any unfinished record by age of minutes (a paused entry may still send); sending after a read-back that finds nothing.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -204,7 +204,15 @@
         return Response(response.status, response.headers, content)
 
     async def open(
-        self, method, url, *, headers=(), body=b'', timeout, fresh=False
+        self,
+        method,
+        url,
+        *,
+        headers=(),
+        body=b'',
+        timeout,
+        connect_timeout=None,
+        fresh=False,
     ):
         """Send a request and wait for the headers of the answer.
 
@@ -218,6 +226,8 @@
             Request body.
         timeout : float
             For connecting and again for the headers (seconds).
+        connect_timeout : float or None
+            For connecting, if it differs (seconds).
         fresh : bool
             Whether to use a new connection, so that an idle connection
             closed by the server can't leave the outcome in doubt.
@@ -230,7 +240,9 @@
         place = f'{parts.hostname}:{parts.port}'
         stream = None if fresh else self._take_idle(place)
         if stream is None:
-            stream = await self._connect(parts, place, timeout)
+            stream = await self._connect(
+                parts, place, connect_timeout or timeout
+            )
         connection = http1connection.HTTP1Connection(
             stream,
             True,
--- a/balsamwind/admission/_retries.py
+++ b/balsamwind/admission/_retries.py
@@ -29,3 +29,26 @@
             return False
         self._balance -= 1.0
         return True
+
+
+class RetryBudgets:
+    """One retry budget for each service, so that none spends another's.
+
+    Parameters
+    ----------
+    share : float
+        Retries for each first try, 0 to 1.
+    """
+
+    __slots__ = ('_budgets', '_share')
+
+    def __init__(self, share):
+        self._share = share
+        self._budgets = {}
+
+    def of(self, service):
+        """Budget of a service named in the settings."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = RetryBudget(self._share)
+        return budget
--- a/balsamwind/control/__init__.py
+++ b/balsamwind/control/__init__.py
@@ -2,6 +2,7 @@
 
 from balsamwind.control._allocation import plan_allocations
 from balsamwind.control._controller import Controller
+from balsamwind.control._controller import FLEET_SHARD
 from balsamwind.control._decisions import DeleteObject
 from balsamwind.control._decisions import PutObject
 from balsamwind.control._decisions import SendOrder
@@ -14,6 +15,7 @@
     'Controller',
     'DeleteObject',
     'Executor',
+    'FLEET_SHARD',
     'LeaseKeeper',
     'PutObject',
     'SendOrder',
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -67,7 +67,7 @@
         self._rng = random.Random(random_state)
         self._keys = {}
         self._services = {s.name: s for s in settings.services}
-        self._budget = admission.RetryBudget(settings.requests.retry_share)
+        self._budgets = admission.RetryBudgets(settings.requests.retry_share)
         chooser = routing.make_chooser(
             settings.node.data_centre, self._rng.getrandbits(64)
         )
@@ -76,20 +76,26 @@
             self.groups,
             chooser,
             self._reported_load,
-            self._budget,
+            admission.RetryBudget(settings.requests.retry_share),
             settings.requests,
             clock,
             self.note_group_down,
         )
-        self._service_calls = requests.ServiceCalls(
-            service, store, self._budget, settings.node, clock, self.make_id
+        self.service_calls = requests.ServiceCalls(
+            service,
+            store,
+            self._budgets,
+            settings.node,
+            clock,
+            self.make_id,
+            self._rng,
         )
         self.catalogue.listen(self._on_object)
 
     @property
     def open_requests(self):
-        """Requests that callers wait for (count)."""
-        return self._open_requests
+        """Requests and recorded calls that are not done (count)."""
+        return self._open_requests + self.service_calls.pending
 
     def make_id(self):
         """A new random id."""
@@ -196,7 +202,7 @@
     async def call_service(self, contract, service, call, deadline):
         """Run a service call within the contract's limits."""
         with self._admit(contract):
-            return await self._service_calls.run(
+            return await self.service_calls.run(
                 contract, service, call, deadline
             )
 
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -12,6 +12,7 @@
 from balsamwind.entry import _entry
 from balsamwind.entry import _observer
 from balsamwind.entry import _peering
+from balsamwind.entry import _sweeper
 from balsamwind import exceptions
 from balsamwind import objects
 from balsamwind import peers
@@ -114,6 +115,7 @@
         self.entry.controller = control.Controller(
             self.entry.make_view, self._executor, settings, self._rng
         )
+        self._sweeper = _sweeper.Sweeper(self.entry)
         self._callers = adapters.make_caller_server(self.entry)
         self._operators = adapters.make_operator_server(self.entry)
         self._tasks = []
@@ -135,6 +137,8 @@
         self._spawn(self._follow_vm_list())
         self._spawn(self._repeat(observation.interval, self._observe))
         self._spawn(self._repeat(observation.interval, self._beat))
+        sweep = self._settings.requests.record_sweep_interval
+        self._spawn(self._repeat(sweep, self._sweeper.run_round))
         self._spawn(
             self._repeat(
                 self._settings.control.interval,
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -135,6 +135,22 @@
     run = OUTCOME_UNKNOWN
 
 
+class AnswerNotKept(BalsamwindError):
+    """The call was run before; its answer was too large to keep."""
+
+    code = 'answer_not_kept'
+    status = 409
+    run = RUN
+
+
+class AnswerTooLarge(BalsamwindError):
+    """The backend server's answer is over the limit."""
+
+    code = 'answer_too_large'
+    status = 502
+    run = RUN
+
+
 class StreamBroken(BalsamwindError):
     """The answer broke off and could not be resumed."""
 
@@ -186,6 +202,11 @@
         super().__init__(message, retry_after)
         self.reason = reason
 
+    @property
+    def overloaded(self):
+        """Whether another try would only add to the load."""
+        return self.reason == 'overloaded'
+
 
 class Conflict(BalsamwindError):
     """A conditional update lost: the object has another version.
--- a/balsamwind/objects/__init__.py
+++ b/balsamwind/objects/__init__.py
@@ -2,6 +2,7 @@
 
 from balsamwind.objects._allocation import Allocation
 from balsamwind.objects._call import Answer
+from balsamwind.objects._call import CALL_KINDS
 from balsamwind.objects._call import CallRecord
 from balsamwind.objects._claim import Claim
 from balsamwind.objects._codec import decode
@@ -23,6 +24,7 @@
 from balsamwind.objects._stored import WATCHED_KINDS
 
 __all__ = [
+    'CALL_KINDS',
     'KINDS',
     'WATCHED_KINDS',
     'Allocation',
--- a/balsamwind/objects/_call.py
+++ b/balsamwind/objects/_call.py
@@ -2,6 +2,12 @@
 
 import dataclasses
 
+CALL_BUCKETS = 64
+"""Kinds that call records are spread over, so that a list is short (count)."""
+
+CALL_KINDS = tuple(f'call-{number:02x}' for number in range(CALL_BUCKETS))
+"""Kinds of call records, by hash of customer, service and key."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Answer:
@@ -41,7 +47,9 @@
     created_at : float
         When the record was made (seconds since the epoch, UTC).
     answer : Answer or None
-        None while the outcome is unknown.
+        None while the outcome is unknown, or if it was too large to keep.
+    answered : bool
+        Whether the call was answered, and so took effect.
     """
 
     customer: str
@@ -51,3 +59,13 @@
     operation: str
     created_at: float
     answer: Answer | None = None
+    answered: bool = False
+
+    @property
+    def finished(self):
+        """Whether the outcome is known."""
+        return self.answered or self.answer is not None
+
+    def expired(self, now, time_to_live):
+        """Whether the record is older than `time_to_live` (seconds)."""
+        return now - self.created_at > time_to_live
--- a/balsamwind/objects/_stored.py
+++ b/balsamwind/objects/_stored.py
@@ -13,12 +13,12 @@
 
 KINDS = {
     'allocation': _allocation.Allocation,
-    'call': _call.CallRecord,
     'claim': _claim.Claim,
     'contract': _contract.Contract,
     'group': _group.Group,
     'lease': _lease.Lease,
     'node': _node.Node,
+    **dict.fromkeys(_call.CALL_KINDS, _call.CallRecord),
 }
 """Data class of each kind of object."""
 
--- a/balsamwind/ports/_service.py
+++ b/balsamwind/ports/_service.py
@@ -33,9 +33,22 @@
 class PlainService(typing.Protocol):
     """Backend servers of plain services, each reached by its address."""
 
-    async def call(self, address, call, timeout):
+    async def call(self, address, call, timeout, late=0.0, limit=None):
         """Send once.
 
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the backend server.
+        call : ServiceCall
+            What to send.
+        timeout : float
+            Time-out for connecting and for the answer (seconds).
+        late : float
+            How much longer to wait for the answer (seconds).
+        limit : int or None
+            Largest answer (bytes).
+
         Returns
         -------
         balsamwind.objects.Answer
@@ -46,4 +59,6 @@
             The backend server says that it did not run the call.
         balsamwind.exceptions.TransportError
             `sent` says whether a byte may have left.
+        balsamwind.exceptions.AnswerTooLarge
+            The call was run; its answer is over `limit`.
         """
--- a/balsamwind/settings/_sections.py
+++ b/balsamwind/settings/_sections.py
@@ -75,11 +75,35 @@
     name: str = _required('Name, as in the path of a call.', minLength=1)
     backends: tuple[BackendSettings, ...] = ()
     deduplicates_by_key: bool = _setting(
-        False, 'Whether the backend server runs one key once.'
+        False, 'Whether its backend servers together run one key once.'
     )
     timeout: float = _setting(
         5.0, 'Time-out of one attempt.', 's', exclusiveMinimum=0, maximum=600
     )
+    late_answer_wait: float = _setting(
+        25.0,
+        'How long after its time-out a recorded call may still be answered.',
+        's',
+        minimum=0,
+        maximum=600,
+    )
+    record_time_to_live: float = _setting(
+        86400.0,
+        'How long a call record is kept.',
+        's',
+        minimum=3600,
+        maximum=2592000,
+    )
+    max_kept_answer: int = _setting(
+        65536,
+        'Largest answer kept for repeats.',
+        'bytes',
+        minimum=0,
+        maximum=524288,
+    )
+    max_answer: int = _setting(
+        8388608, 'Largest answer.', 'bytes', minimum=1024, maximum=1073741824
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -158,6 +182,13 @@
     max_body: int = _setting(
         1048576, 'Largest body of a request.', 'bytes', minimum=1024
     )
+    record_sweep_interval: float = _setting(
+        30.0,
+        'Time between sweeps of expired call records, one kind each.',
+        's',
+        minimum=0.05,
+        maximum=3600,
+    )
     retry_share: float = _setting(
         0.2, 'Retries as a share of first tries.', '', minimum=0, maximum=1
     )
