Notice a connection closed before the headers

Cause: HTTP1Connection tells its delegate of a close only once headers have been read. A backend server, engine or platform that died before its first byte was noticed only by the time-out, 5 s for a service.

Change: the end of the reading task ends the wait for the headers.

Before: two of three rows of the new test failed, and the test with a killed backend server took 5.0 s. After: all pass.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -81,6 +81,11 @@
             self.start.set_exception(iostream.StreamClosedError())
             self.start.exception()
 
+    def end(self, reader):
+        """Note that nothing more is read; before the headers too."""
+        if not self.finished:
+            self.on_connection_close()
+
     async def take(self):
         """Next chunk; empty bytes at the end; None if it was cut."""
         while not self.chunks:
@@ -274,6 +279,7 @@
             connection.finish()
             reader = asyncio.ensure_future(connection.read_response(receiver))
             reader.add_done_callback(_take_exception)
+            reader.add_done_callback(receiver.end)
             async with asyncio.timeout(timeout):
                 await receiver.start
         except TimeoutError:
--- a/balsamwind/adapters/tests/test_plain_service.py
+++ b/balsamwind/adapters/tests/test_plain_service.py
@@ -88,6 +88,13 @@
     assert caught.value.sent
 
 
+@pytest.mark.parametrize('parts', [[], [b'HTTP/1.'], [CUT]])
+def test_reset_is_seen_before_the_timeout(parts):
+    with pytest.raises(exceptions.TransportError) as caught:
+        asyncio.run(call_backend(parts))
+    assert 'no answer within' not in str(caught.value)
+
+
 @pytest.mark.parametrize(
     'status, fields, overloaded, retry_after',
     [
