--- a/balsamwind/adapters/_plain_service.py
+++ b/balsamwind/adapters/_plain_service.py
@@ -6,9 +6,6 @@
 from balsamwind import exceptions
 from balsamwind import objects
 
-CONNECT_TIMEOUT = 1.0
-"""Longest wait for a connection (seconds)."""
-
 
 class HttpPlainService:
     """Client of plain services.
@@ -24,7 +21,9 @@
     def __init__(self, client):
         self._client = client
 
-    async def call(self, address, call, timeout, late=0.0, limit=None):
+    async def call(
+        self, address, call, timeout, tls=False, late=0.0, limit=None
+    ):
         """Send one call, once, on a connection of its own.
 
         Raises
@@ -36,13 +35,13 @@
         balsamwind.exceptions.AnswerTooLarge
             The call was run; its answer is over `limit`.
         """
+        scheme = 'https' if tls else 'http'
         response = await self._client.open(
             call.method,
-            f'http://{address}{call.path}',
+            f'{scheme}://{address}{call.path}',
             headers=_make_headers(call),
             body=call.body,
             timeout=timeout + late,
-            connect_timeout=min(timeout, CONNECT_TIMEOUT),
             fresh=call.method not in ('GET', 'HEAD'),
         )
         try:
--- a/balsamwind/adapters/tests/test_plain_service.py
+++ b/balsamwind/adapters/tests/test_plain_service.py
@@ -41,7 +41,7 @@
     client = adapters.HttpClient()
     service = adapters.HttpPlainService(client)
     try:
-        return await service.call(f'127.0.0.1:{port}', call, 0.2, 0.0, LIMIT)
+        return await service.call(f'127.0.0.1:{port}', call, 0.2, limit=LIMIT)
     finally:
         client.close()
         server.close()
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -50,6 +50,13 @@
     status = 400
 
 
+class NoSuchPath(RequestNotRun):
+    """The path is not one that callers may use."""
+
+    code = 'no_such_path'
+    status = 404
+
+
 class BodyTooLarge(RequestNotRun):
     """The caller's body is over the limit."""
 
@@ -191,6 +198,19 @@
         return OUTCOME_UNKNOWN if self.sent else NOT_RUN
 
 
+class AnswerTimeout(TransportError):
+    """A backend server was silent for too long; its connection holds."""
+
+    code = 'answer_timeout'
+    status = 504
+
+
+class BadAnswer(TransportError):
+    """An answer is malformed, or not the one that was expected."""
+
+    code = 'bad_answer'
+
+
 class BackendRefused(BalsamwindError):
     """A backend server itself says that it did not run the request."""
 
--- a/balsamwind/ports/_service.py
+++ b/balsamwind/ports/_service.py
@@ -33,7 +33,9 @@
 class PlainService(typing.Protocol):
     """Backend servers of plain services, each reached by its address."""
 
-    async def call(self, address, call, timeout, late=0.0, limit=None):
+    async def call(
+        self, address, call, timeout, tls=False, late=0.0, limit=None
+    ):
         """Send once.
 
         Parameters
@@ -44,6 +46,8 @@
             What to send.
         timeout : float
             Time-out for connecting and for the answer (seconds).
+        tls : bool
+            Whether the backend server speaks TLS.
         late : float
             How much longer to wait for the answer (seconds).
         limit : int or None
--- a/balsamwind/requests/_service_calls.py
+++ b/balsamwind/requests/_service_calls.py
@@ -245,7 +245,12 @@
         if stored is not None and self._late < MAX_LATE:
             late = service.late_answer_wait
         exchange = self._service.call(
-            backend.address, call, timeout, late, service.max_answer
+            backend.address,
+            call,
+            timeout,
+            backend.tls,
+            late,
+            service.max_answer,
         )
         if not late:
             return await exchange
--- a/balsamwind/requests/tests/fakes.py
+++ b/balsamwind/requests/tests/fakes.py
@@ -216,6 +216,8 @@
     async def delete(self, kind, name, expected):
         return await self.put(kind, name, None, expected)
 
-    async def call(self, address, call, timeout, late=0.0, limit=None):
+    async def call(
+        self, address, call, timeout, tls=False, late=0.0, limit=None
+    ):
         take_effect = self._world.take_effect
         return await self._send(lambda: take_effect(call), False)
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,6 +18,10 @@
 
 DATA_CENTRES = ('tbilisi-a', 'tbilisi-b', 'tbilisi-c')
 
+PORTS = (10000, 32000)
+"""Listeners' ports: below those that the system gives to connections, so
+that no connection can sit on the port of a process that restarts."""
+
 WAIT = 30.0
 """Longest wait for a condition (seconds)."""
 
@@ -34,14 +39,31 @@
         VMs in each of them (count).
     overrides : dict
         Sections of the entries' settings to change.
+    links : bool
+        Whether data centres can be cut off, by `cut`.
+    binary : pathlib.Path or None
+        One-file build to run the entries from, instead of the sources.
     """
 
-    def __init__(self, folder, domains=2, vms_per_domain=3, overrides=None):
+    def __init__(
+        self,
+        folder,
+        domains=2,
+        vms_per_domain=3,
+        overrides=None,
+        links=False,
+        binary=None,
+    ):
+        self._links = links
+        self._forwards = []
+        self._forwarded = {}
+        self._binary = binary
         self.folder = folder
         self._overrides = overrides or {}
         self._held = []
         self.processes = {}
         self.platform = self._address()
+        self.network = self._address()
         self.admin = {place: self._address() for place in DATA_CENTRES}
         self.service = {place: self._address() for place in DATA_CENTRES}
         self.vms = [
@@ -70,29 +92,66 @@
 
     def _address(self):
         """A free loopback address, held until the processes start."""
-        holder = socket.socket()
-        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind(('127.0.0.1', 0))
-        self._held.append(holder)
-        return f'127.0.0.1:{holder.getsockname()[1]}'
+        while True:
+            holder = socket.socket()
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                holder.bind(
+                    ('127.0.0.1', random.SystemRandom().randrange(*PORTS))
+                )
+            except OSError:
+                holder.close()
+                continue
+            self._held.append(holder)
+            return f'127.0.0.1:{holder.getsockname()[1]}'
+
+    def _via(self, place, target):
+        """Address by which other places reach a target in `place`."""
+        if not self._links:
+            return target
+        if target not in self._forwarded:
+            self._forwarded[target] = self._address()
+            self._forwards.append(
+                {
+                    'place': place,
+                    'port': int(get_port(self._forwarded[target])),
+                    'target': target,
+                }
+            )
+        return self._forwarded[target]
+
+    def cut(self, *places):
+        """Cut data centres off from the others and from the platform."""
+        post_json(f'http://{self.network}/admin/cut', {'places': list(places)})
+        for place, address in self.admin.items():
+            far = [
+                name
+                for name, entry in self.entries.items()
+                if (entry['data_centre'] in places) != (place in places)
+            ]
+            post_json(f'http://{address}/admin/cut', {'entries': far})
 
     def settings(self, name):
         """Settings of one entry."""
         entry = self.entries[name]
+        platform = self._via('platform', self.platform)
         settings = {
             'node': {'name': name, 'data_centre': entry['data_centre']},
             'listen': {
-                key: entry[key] for key in ('callers', 'operators', 'peers')
+                **{k: entry[k] for k in ('callers', 'operators', 'peers')},
+                'advertised_peers': self._via(
+                    entry['data_centre'], entry['peers']
+                ),
             },
             'platform': {
-                'url': f'http://{self.platform}',
+                'url': f'http://{platform}',
                 'vm_list_interval': 0.5,
             },
             'peers': [
                 {
                     'name': other,
                     'data_centre': peer['data_centre'],
-                    'address': peer['peers'],
+                    'address': self._via(peer['data_centre'], peer['peers']),
                 }
                 for other, peer in self.entries.items()
                 if other != name
@@ -122,6 +181,11 @@
                 'order_interval': 0.5,
                 'repair_after': 0.3,
             },
+            'placement': {
+                'load_time': 0.2,
+                'cached_load_time': 0.1,
+                'ticket_interval': 0.05,
+            },
         }
         for section, values in self._overrides.items():
             settings.setdefault(section, {}).update(values)
@@ -131,13 +195,16 @@
         """Start all processes."""
         vms = self.folder / 'vms.json'
         vms.write_text(json.dumps(self.vms), encoding='utf-8')
+        settings = {name: self.settings(name) for name in self.entries}
         for holder in self._held:
             holder.close()
+        if self._links:
+            self._start_links()
         self._spawn(
             'platform',
             'standins.platform',
             '--port',
-            _port(self.platform),
+            get_port(self.platform),
             '--vms',
             vms,
         )
@@ -146,7 +213,7 @@
                 f'engines-{place}',
                 'standins.engines',
                 '--admin-port',
-                _port(self.admin[place]),
+                get_port(self.admin[place]),
                 '--vms',
                 vms,
                 '--data-centre',
@@ -156,22 +223,42 @@
                 f'service-{place}',
                 'standins.services',
                 '--port',
-                _port(self.service[place]),
+                get_port(self.service[place]),
             )
         for name in self.entries:
+            path = self.folder / f'{name}.json'
+            path.write_text(json.dumps(settings[name]), encoding='utf-8')
             self.start_entry(name)
 
+    def _start_links(self):
+        path = self.folder / 'forwards.json'
+        places = {n: e['data_centre'] for n, e in self.entries.items()}
+        value = {'forwards': self._forwards, 'places': places}
+        path.write_text(json.dumps(value), encoding='utf-8')
+        self._spawn(
+            'link',
+            'standins.link',
+            '--admin-port',
+            get_port(self.network),
+            '--forwards',
+            path,
+        )
+
     def start_entry(self, name):
         """Start one entry."""
         path = self.folder / f'{name}.json'
-        path.write_text(json.dumps(self.settings(name)), encoding='utf-8')
-        self._spawn(name, 'balsamwind', 'entry', '--settings', path)
+        command = [sys.executable, '-m', 'balsamwind']
+        if self._binary is not None:
+            command = [self._binary]
+        self._run(name, [*command, 'entry', '--settings', path])
 
     def _spawn(self, name, module, *arguments):
-        log = open(self.folder / f'{name}.log', 'ab')
-        with log:
+        self._run(name, [sys.executable, '-m', module, *arguments])
+
+    def _run(self, name, command):
+        with open(self.folder / f'{name}.log', 'ab') as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, '-m', module, *map(str, arguments)],
+                [str(part) for part in command],
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
@@ -192,6 +279,29 @@
         path = self.folder / f'{name}.log'
         return path.read_text(encoding='utf-8', errors='replace')
 
+    def apply(self, contract):
+        """Write a contract and wait until it is in force everywhere."""
+        path = self.folder / 'contract.json'
+        path.write_text(json.dumps(contract), encoding='utf-8')
+        entry = next(iter(self.entries.values()))['operators']
+        done = self.command(
+            'contract', 'apply', path, '--wait', '--entry', entry
+        )
+        if done.returncode:
+            raise AssertionError(done.stderr)
+        return ' '.join(done.stdout.split())
+
+    def serving(self, name):
+        """Groups that serve, as one entry sees them."""
+        return [group for group in self.groups(name) if group['serving']]
+
+    def wait_until_serving(self, count):
+        """Wait until every entry sees `count` groups serve."""
+        wait_for(
+            lambda: all(len(self.serving(n)) == count for n in self.entries),
+            f'{count} groups serve at every entry',
+        )
+
     def status(self, name):
         """Status of one entry; None if it does not answer."""
         try:
@@ -264,7 +374,8 @@
             cluster.stop()
 
 
-def _port(address):
+def get_port(address):
+    """Port of ``host:port``."""
     return address.rsplit(':', 1)[1]
 
 
