Queue requests by priority and turns at an entry

Cause: an entry took any number of requests; under overload all got slower alike, and a heavy customer took most. Metrics had no class and nothing on queues, service calls or retries.

Change: RequestQueue (pure) decides who runs, waits or is shed, Gate carries it out. Higher priority first, customers of one priority in turns, bounded by count, deadline and expected wait; what is given up is answered at once with Retry-After. Histograms carry the priority; new are queue wait, time of service calls and retries of a service.

Not done: concurrency of a model by what its engines report, and priorities within a customer.

--- a/balsamwind/adapters/_metrics.py
+++ b/balsamwind/adapters/_metrics.py
@@ -35,8 +35,11 @@
         'first_token_seconds',
         'late_events',
         'outcomes',
+        'queue_seconds',
         'registry',
         'resumptions',
+        'retries',
+        'service_seconds',
         'token_gap_seconds',
         'tokens',
     )
@@ -44,27 +47,27 @@
     def __init__(self):
         self.registry = prometheus_client.CollectorRegistry()
         self._customers = set()
-        labels = ('customer', 'model')
-        self.first_token_seconds = prometheus_client.Histogram(
-            'balsamwind_first_token_seconds',
-            'Time to the first token.',
-            labels,
-            buckets=BUCKETS,
-            registry=self.registry,
+        labels = ('customer', 'priority', 'model')
+        self.queue_seconds = self._make_histogram(
+            'balsamwind_queue_seconds',
+            'Wait for a place at this entry.',
+            ('customer', 'priority'),
+        )
+        self.first_token_seconds = self._make_histogram(
+            'balsamwind_first_token_seconds', 'Time to first token.', labels
         )
-        self.token_gap_seconds = prometheus_client.Histogram(
+        self.token_gap_seconds = self._make_histogram(
             'balsamwind_token_gap_seconds',
             'Time between batches of tokens.',
             labels,
-            buckets=BUCKETS,
-            registry=self.registry,
         )
-        self.answer_seconds = prometheus_client.Histogram(
-            'balsamwind_answer_seconds',
-            'Time to the whole answer.',
-            labels,
-            buckets=BUCKETS,
-            registry=self.registry,
+        self.answer_seconds = self._make_histogram(
+            'balsamwind_answer_seconds', 'Time to the whole answer.', labels
+        )
+        self.service_seconds = self._make_histogram(
+            'balsamwind_service_seconds',
+            'Time of calls of plain services that were answered.',
+            ('customer', 'priority', 'service'),
         )
         self.tokens = prometheus_client.Counter(
             'balsamwind_tokens',
@@ -72,6 +75,12 @@
             labels,
             registry=self.registry,
         )
+        self.retries = prometheus_client.Counter(
+            'balsamwind_service_retries',
+            'Attempts of service calls after the first.',
+            ('service',),
+            registry=self.registry,
+        )
         self.outcomes = prometheus_client.Counter(
             'balsamwind_requests',
             'Requests by outcome.',
@@ -90,6 +99,15 @@
             registry=self.registry,
         )
 
+    def _make_histogram(self, name, help, labels):
+        return prometheus_client.Histogram(
+            name, help, labels, buckets=BUCKETS, registry=self.registry
+        )
+
+    def labels_of(self, contract):
+        """Labels of a customer and its class."""
+        return self.customer(contract.customer), str(contract.priority)
+
     def customer(self, name):
         """Label of a customer; ``other`` once there are too many."""
         if name in self._customers:
--- a/balsamwind/admission/__init__.py
+++ b/balsamwind/admission/__init__.py
@@ -1,6 +1,11 @@
 """Limits of contracts, and the retry budget."""
 
 from balsamwind.admission._limits import LimitKeeper
+from balsamwind.admission._queue import Enqueue
+from balsamwind.admission._queue import RequestQueue
+from balsamwind.admission._queue import Shed
+from balsamwind.admission._queue import Start
+from balsamwind.admission._queue import Ticket
 from balsamwind.admission._retries import RetryBudget
 from balsamwind.admission._retries import RetryBudgets
 from balsamwind.admission._shares import PeerUsage
@@ -10,10 +15,15 @@
 from balsamwind.admission._shares import Usage
 
 __all__ = [
+    'Enqueue',
     'LimitKeeper',
     'PeerUsage',
+    'RequestQueue',
     'RetryBudget',
     'RetryBudgets',
+    'Shed',
+    'Start',
+    'Ticket',
     'Usage',
     'plan_share',
     'smooth_demand',
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -7,6 +7,7 @@
 from balsamwind import admission
 from balsamwind import catalogue
 from balsamwind import control
+from balsamwind.entry import _gate
 from balsamwind.entry import _node_status
 from balsamwind import exceptions
 from balsamwind import membership
@@ -66,6 +67,7 @@
             [peer.name for peer in settings.peers],
             clock.monotonic(),
         )
+        self.gate = _gate.make_gate(settings.requests, clock)
         self.draining = False
         self.links = None
         self.controller = None
@@ -98,6 +100,7 @@
             clock,
             self.make_id,
             self._rng,
+            self.note_retry,
         )
         self.catalogue.listen(self._on_object)
 
@@ -189,12 +192,9 @@
             Tokens, each once and in order.
         """
         started = self.clock.monotonic()
-        labels = (
-            self.metrics.customer(request.contract.customer),
-            request.model,
-        )
+        labels = (*self.metrics.labels_of(request.contract), request.model)
         previous = None
-        with self._admit(request.contract):
+        async with self._admit(request.contract, request.deadline):
             run = self._completions.run(request)
             async with contextlib.aclosing(run) as batches:
                 async for batch in batches:
@@ -220,15 +220,29 @@
 
     async def call_service(self, contract, service, call, deadline):
         """Run a service call within the contract's limits."""
-        with self._admit(contract):
-            return await self.service_calls.run(
+        started = self.clock.monotonic()
+        labels = (*self.metrics.labels_of(contract), service.name)
+        async with self._admit(contract, deadline):
+            answer = await self.service_calls.run(
                 contract, service, call, deadline
             )
+        self.metrics.service_seconds.labels(*labels).observe(
+            self.clock.monotonic() - started
+        )
+        return answer
 
-    def _admit(self, contract):
+    @contextlib.asynccontextmanager
+    async def _admit(self, contract, deadline):
+        """Hold a place within the limits and at this entry."""
         now = self.clock.monotonic()
         self.router.loads.nodes = 1 + len(self.registry.alive(now))
-        return self.limits.admit(contract, now)
+        labels = self.metrics.labels_of(contract)
+        with self.limits.admit(contract, now):
+            async with self.gate.enter(
+                contract.customer, contract.priority, deadline
+            ) as waited:
+                self.metrics.queue_seconds.labels(*labels).observe(waited)
+                yield
 
     def plan_shares(self):
         """Plan this entry's shares of all limits until the next beat."""
@@ -253,6 +267,10 @@
         )
         return dataclasses.replace(report, cache_events=())
 
+    def note_retry(self, service):
+        """Count an attempt after the first of a call of a service."""
+        self.metrics.retries.labels(service).inc()
+
     def note_late_events(self, count):
         """Count events of abandoned attempts."""
         self.metrics.late_events.inc(count)
--- a/balsamwind/requests/_service_calls.py
+++ b/balsamwind/requests/_service_calls.py
@@ -58,6 +58,8 @@
         Makes operation ids.
     rng : random.Random
         Jitter of repeated writes.
+    note_retry : callable
+        Called with the name of a service at each attempt after the first.
     """
 
     __slots__ = (
@@ -67,17 +69,29 @@
         '_late',
         '_make_id',
         '_node',
+        '_note_retry',
         '_records',
         '_running',
         '_service',
     )
 
-    def __init__(self, service, store, budgets, node, clock, make_id, rng):
+    def __init__(
+        self,
+        service,
+        store,
+        budgets,
+        node,
+        clock,
+        make_id,
+        rng,
+        note_retry=lambda service: None,
+    ):
         self._service = service
         self._budgets = budgets
         self._node = node
         self._clock = clock
         self._make_id = make_id
+        self._note_retry = note_retry
         self._records = _call_records.CallRecords(store, clock, rng)
         self._running = {}
         self._background = set()
@@ -209,8 +223,10 @@
             left = deadline - self._clock.monotonic()
             if left <= 0 or not self._fresh(stored, service):
                 break
-            if number and not budget.take():
-                break
+            if number:
+                if not budget.take():
+                    break
+                self._note_retry(service.name)
             try:
                 return await self._attempt(
                     backend, service, call, min(left, service.timeout), stored
--- a/balsamwind/settings/_sections.py
+++ b/balsamwind/settings/_sections.py
@@ -235,6 +235,15 @@
     max_body: int = _setting(
         1048576, 'Largest body of a request.', 'bytes', minimum=1024
     )
+    max_running: int = _setting(
+        1000, 'Requests that run at one time.', 'count', minimum=1
+    )
+    max_waiting: int = _setting(
+        500, 'Requests that wait for a place.', 'count', minimum=0
+    )
+    max_queue_wait: float = _setting(
+        2.0, 'Longest expected wait for a place.', 's', minimum=0, maximum=600
+    )
     record_sweep_interval: float = _setting(
         30.0,
         'Time between sweeps of expired call records, one kind each.',
