--- a/balsamwind/peers/_messages.py
+++ b/balsamwind/peers/_messages.py
@@ -123,6 +123,9 @@
     group_in_flight : dict of str to int
         Group that takes no new work -> requests open on it at the sender
         (count).
+    usage : dict of str to tuple of float
+        Customer -> demand and share of the sender, as parts of the limits;
+        of customers whose values changed.
     """
 
     revision: int
@@ -134,6 +137,9 @@
     vm_list_age: float = 0.0
     store_diverged: bool = False
     group_in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
+    usage: dict[str, tuple[float, ...]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
