--- a/balsamwind/entry/_peering.py
+++ b/balsamwind/entry/_peering.py
@@ -50,7 +50,8 @@
         entry.log.info('peer_connected', peer=hello.node)
         peer = entry.registry.hear(hello.node, hello.data_centre, now)
         peer.connected_at = now
-        return [self._observer.make_all_reports(), self.make_heartbeat()]
+        heartbeat = self.make_heartbeat(full=True)
+        return [self._observer.make_all_reports(), heartbeat]
 
     def on_disconnect(self, hello):
         """Note that a peer's link has ended."""
@@ -128,6 +129,10 @@
         peer.epoch = message.epoch
         peer.vm_list_age = message.vm_list_age
         peer.store_diverged = message.store_diverged
+        peer.group_in_flight = message.group_in_flight
+        entry.limits.hear(
+            hello.node, message.usage, message.in_flight, message.draining, now
+        )
         entry.observations.hear(hello.node, now, message.report_age)
         self._help_with_objects(peer, now)
         self._help_with_vms(peer, now)
@@ -180,6 +185,7 @@
         """Send a heartbeat, and what was observed, to all peers."""
         entry = self._entry
         now = entry.clock.monotonic()
+        entry.plan_shares()
         entry.links.close_silent()
         reports = self._observer.plan_reports(now)
         heartbeat = self.make_heartbeat()
@@ -194,7 +200,7 @@
         entry.catalogue.prune(lowest, now)
         self._book.prune(now)
 
-    def make_heartbeat(self):
+    def make_heartbeat(self, full=False):
         """Heartbeat of this moment."""
         entry = self._entry
         now = entry.clock.monotonic()
@@ -202,13 +208,15 @@
             revision=entry.catalogue.revision,
             report_age=self._observer.report_age(now),
             draining=entry.draining,
-            in_flight=dict(entry.limits.in_flight),
+            in_flight=entry.limits.in_flight,
             reads_store=self._store_follower.reading,
             epoch=entry.catalogue.epoch,
             vm_list_age=self._vm_follower.age(now),
             store_diverged=(
                 entry.catalogue.store_state is catalogue.StoreState.DIVERGED
             ),
+            group_in_flight=entry.requests_of_stopped(),
+            usage=entry.limits.make_usage(full),
         )
 
 
--- a/balsamwind/membership/_groups.py
+++ b/balsamwind/membership/_groups.py
@@ -104,6 +104,7 @@
 
     __slots__ = (
         '_catalogue',
+        '_changes',
         '_checked_at',
         '_dirty',
         '_down',
@@ -122,6 +123,7 @@
         self._groups = {}
         self._reasons = {}
         self._verdicts = {}
+        self._changes = -1
         self._incomplete = []
         self._refreshed_at = float('-inf')
         self._down = {}
@@ -156,7 +158,8 @@
 
     def serving(self, contract, model, now):
         """Records of the groups that may serve `model` now."""
-        if self._dirty or now - self._refreshed_at > FULL_INTERVAL:
+        changed = self._dirty or self._changes != self._observations.changes
+        if changed or now - self._refreshed_at > FULL_INTERVAL:
             self._refresh(now)
         elif now - self._checked_at > REFRESH_INTERVAL:
             self._recheck(now)
@@ -173,6 +176,7 @@
             self._refresh(now)
 
     def _refresh(self, now):
+        self._changes = self._observations.changes
         groups = {}
         reasons = {}
         incomplete = []
--- a/balsamwind/peers/_messages.py
+++ b/balsamwind/peers/_messages.py
@@ -120,6 +120,12 @@
         Age of the VM list that the sender goes by (seconds).
     store_diverged : bool
         Whether the sender saw that the store was restored.
+    group_in_flight : dict of str to int
+        Group that takes no new work -> requests open on it at the sender
+        (count).
+    usage : dict of str to tuple of float
+        Customer -> demand and share of the sender, as parts of the limits;
+        of customers whose values changed.
     """
 
     revision: int
@@ -130,6 +136,10 @@
     epoch: int = 0
     vm_list_age: float = 0.0
     store_diverged: bool = False
+    group_in_flight: dict[str, int] = dataclasses.field(default_factory=dict)
+    usage: dict[str, tuple[float, ...]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
