--- a/balsamwind/adapters/_metrics.py
+++ b/balsamwind/adapters/_metrics.py
@@ -125,6 +125,15 @@
             registry=self.registry,
         )
 
+    def _make_histogram(self, name, help, labels):
+        return prometheus_client.Histogram(
+            name, help, labels, buckets=BUCKETS, registry=self.registry
+        )
+
+    def labels_of(self, contract):
+        """Labels of a customer and its class."""
+        return self.customer(contract.customer), str(contract.priority)
+
     def bind(self, contract, model):
         """Metrics of one customer and model; a `CompletionMetrics`."""
         labels = (*self.labels_of(contract), model)
@@ -135,15 +144,6 @@
             self.tokens.labels(*labels),
         )
 
-    def _make_histogram(self, name, help, labels):
-        return prometheus_client.Histogram(
-            name, help, labels, buckets=BUCKETS, registry=self.registry
-        )
-
-    def labels_of(self, contract):
-        """Labels of a customer and its class."""
-        return self.customer(contract.customer), str(contract.priority)
-
     def customer(self, name):
         """Label of a customer; ``other`` once there are too many."""
         if name in self._customers:
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -289,15 +289,15 @@
         )
         return dataclasses.replace(report, cache_events=())
 
+    def note_retry(self, service):
+        """Count an attempt after the first of a call of a service."""
+        self.metrics.retries.labels(service).inc()
+
     def note_ejection(self, groups):
         """Count and log groups that are ejected as outliers."""
         self.metrics.ejections.inc(len(groups))
         self.log.warning('groups_ejected', groups=groups)
 
-    def note_retry(self, service):
-        """Count an attempt after the first of a call of a service."""
-        self.metrics.retries.labels(service).inc()
-
     def note_late_events(self, count):
         """Count events of abandoned attempts."""
         self.metrics.late_events.inc(count)
--- a/balsamwind/replay/_replay.py
+++ b/balsamwind/replay/_replay.py
@@ -2,10 +2,14 @@
 
 from balsamwind import exceptions
 from balsamwind.replay import _control
+from balsamwind.replay import _requests
 from balsamwind.replay import _trace
 from balsamwind.settings import Finding
 
-REPLAYS = {'control': _control.replay_control}
+REPLAYS = {
+    'control': _control.replay_control,
+    'requests': _requests.replay_requests,
+}
 """Kind of trace -> what replays its lines and returns findings."""
 
 
