Cut data centres off in the soak

Cause: the soak had no partition among its faults.

Ruled out: nothing else was tried.

Change: a fault that cuts one data centre off for 2 to 8 s.

--- a/build_tools/soak.py
+++ b/build_tools/soak.py
@@ -145,6 +145,7 @@
             self._lose_writes,
             self._lose_payouts,
             self._leave,
+            self._cut,
         )
 
     def run(self, seconds):
@@ -239,6 +240,13 @@
         self._set_vms(self._cluster.vms)
         return f'{vm} was on the leaving list'
 
+    def _cut(self):
+        place = self._rng.choice(cluster_module.DATA_CENTRES)
+        self._cluster.cut(place)
+        self._hold(2, 8)
+        self._cluster.cut()
+        return f'{place} was cut off'
+
     def _set_vms(self, rows):
         cluster_module.post_json(
             f'http://{self._cluster.platform}/admin/vms', {'vms': rows}
@@ -292,7 +300,7 @@
     parser.add_argument('--at-once', type=int, default=1)
     parser.add_argument('--logs', action='store_true')
     arguments = parser.parse_args()
-    with cluster_module.open_cluster() as cluster:
+    with cluster_module.open_cluster(links=True) as cluster:
         cluster_module.wait_for(
             lambda: all(cluster.status(name) for name in cluster.entries),
             'all entries answer',
