Stop counting prompts that are prefilled

Cause: own prompts sent since a report counted as backlog until another report came. A report that does not change is not sent again, so an idle group with short requests seemed ever fuller, and was avoided.

Change: an own prompt counts until its first token or its end.

--- a/balsamwind/routing/_loads.py
+++ b/balsamwind/routing/_loads.py
@@ -93,12 +93,29 @@
         return 0 if load is None else load.in_flight
 
     def start(self, group, tokens):
-        """Note an own request that has `tokens` to prefill."""
+        """Note an own request that has `tokens` to prefill.
+
+        Returns
+        -------
+        object
+            What `note_prefilled` needs.
+        """
         load = self._refresh(group)
         load.in_flight += 1
         load.started_since += 1
         load.started_tokens += tokens
         self._mean_tokens += SAMPLE_WEIGHT * (tokens - self._mean_tokens)
+        return load.report
+
+    def note_prefilled(self, group, tokens, report):
+        """Note that an own request no longer waits for its first token.
+
+        Reports that do not change are not sent again, so this can't be
+        left to the next one.
+        """
+        load = self._refresh(group)
+        if load.report is report:
+            load.started_tokens = max(0.0, load.started_tokens - tokens)
 
     def finish(self, group, answer_time):
         """Note the end of an own request after `answer_time` seconds."""
--- a/balsamwind/routing/_router.py
+++ b/balsamwind/routing/_router.py
@@ -207,13 +207,12 @@
     @contextlib.contextmanager
     def track(self, choice, now):
         """Count one request against its group until the block ends."""
-        tracker = _Tracker(self.health, choice, now)
-        self.loads.start(choice.group, choice.tokens)
+        tracker = _Tracker(self.health, self.loads, choice, now)
         try:
             yield tracker
         finally:
-            self.loads.finish(choice.group, tracker.answer_time)
             tracker.close()
+            self.loads.finish(choice.group, tracker.answer_time)
 
     def _find_pool(self, groups, now):
         key = groups[0].name
@@ -311,11 +310,15 @@
         '_first_at',
         '_health',
         '_last_at',
+        '_loads',
+        '_report',
         '_started_at',
     )
 
-    def __init__(self, health, choice, now):
+    def __init__(self, health, loads, choice, now):
         self._health = health
+        self._loads = loads
+        self._report = loads.start(choice.group, choice.tokens)
         self._choice = choice
         self._started_at = now
         self._first_at = None
@@ -337,7 +340,12 @@
         self._last_at = now
         self._count += count
 
+    def _note_prefilled(self):
+        choice = self._choice
+        self._loads.note_prefilled(choice.group, choice.tokens, self._report)
+
     def _note_first(self, seconds):
+        self._note_prefilled()
         name = self._choice.group.name
         slowdown = self._health.slowdown(name)
         expected = (self._choice.wait + self._choice.prefill) / slowdown
@@ -345,6 +353,8 @@
 
     def close(self):
         """Note the mean time between the tokens."""
+        if self._first_at is None:
+            self._note_prefilled()
         if self._count > 1 and self._last_at > self._first_at:
             gap = (self._last_at - self._first_at) / (self._count - 1)
             self._health.note_gap(self._choice.group.name, gap)
--- a/balsamwind/routing/tests/test_router.py
+++ b/balsamwind/routing/tests/test_router.py
@@ -155,6 +155,26 @@
     assert name not in fleet.router.prefixes._groups
 
 
+def test_idle_group_with_an_unchanged_report_has_no_wait():
+    fleet = Fleet(1)
+    for step in range(100):
+        choice = fleet.router.choose(fleet.groups, (step,), float(step))
+        with fleet.router.track(choice, float(step)) as tracker:
+            tracker.note_tokens(1, step + 0.1)
+    wait = fleet.router.expected_wait(fleet.groups[0], (), 100.0)
+    assert wait < 0.01
+
+
+def test_failed_attempts_leave_no_wait():
+    fleet = Fleet(1)
+    for step in range(100):
+        choice = fleet.router.choose(fleet.groups, (step,), float(step))
+        with fleet.router.track(choice, float(step)):
+            pass
+    wait = fleet.router.expected_wait(fleet.groups[0], (), 100.0)
+    assert wait < 0.01
+
+
 def test_ejection_is_told():
     fleet = Fleet(10)
     told = []
