Pause an entry in the configuration test

A killed entry closes its links; a paused one leaves them half open, which is the harder case: apply says 5 of 6 and who is not heard, and the entry catches up when it goes on.

--- a/balsamwind/entry/tests/test_processes_configuration.py
+++ b/balsamwind/entry/tests/test_processes_configuration.py
@@ -3,6 +3,7 @@
 import hashlib
 import json
 import pathlib
+import signal
 
 import cluster as cluster_module
 
@@ -76,8 +77,17 @@
         )
         set_platform(cluster, False)
 
-        cluster.processes['entry-b2'].kill()
+        cluster.processes['entry-b2'].send_signal(signal.SIGSTOP)
         done = apply(cluster, path, 'entry-a1')
         assert done.returncode != 0
         assert 'in force at 5 of 6 nodes' in done.stderr
         assert 'entry-b2 not heard for' in done.stderr
+        cluster.processes['entry-b2'].send_signal(signal.SIGCONT)
+        revision = cluster.status('entry-a1')['revision']
+        wait_for(
+            lambda: (
+                all_alive(cluster)
+                and cluster.status('entry-b2')['revision'] >= revision
+            ),
+            'the paused entry is back and up to date',
+        )
