Bound how many VMs one node observes

Cause: a group is observed as a whole, and rendezvous hashing gave some nodes three groups (48 polls a second, over the budget of a core). Ruled out: splitting a group over nodes; its status needs one observer. Change: the heaviest units choose first, each the first node of its order with room, at most 1.25 times the average or one group.

--- a/balsamwind/entry/_observer.py
+++ b/balsamwind/entry/_observer.py
@@ -130,18 +130,19 @@
     def _plan_assigned(self, inputs):
         node = self._entry.settings.node.name
         _, observers = inputs
-        assigned = {}
-        chosen = {}
-        for vm, (unit, address, place) in self._known_units.items():
-            if node not in observers[place]:
-                continue
-            if unit not in chosen:
-                chosen[unit] = membership.choose_observer(
-                    unit, observers[place]
-                )
-            if chosen[unit] == node:
-                assigned[vm] = address
-        return assigned
+        sizes = {place: {} for place in observers}
+        for unit, _, place in self._known_units.values():
+            sizes[place][unit] = sizes[place].get(unit, 0) + 1
+        chosen = {
+            place: membership.plan_observers(sizes[place], nodes)
+            for place, nodes in observers.items()
+            if node in nodes
+        }
+        return {
+            vm: address
+            for vm, (unit, address, place) in self._known_units.items()
+            if place in chosen and chosen[place][unit] == node
+        }
 
     def _units(self):
         """VM -> (what is observed together, address, data centre)."""
--- a/balsamwind/membership/__init__.py
+++ b/balsamwind/membership/__init__.py
@@ -7,6 +7,7 @@
 from balsamwind.membership._observations import Observations
 from balsamwind.membership._observations import VmView
 from balsamwind.membership._observers import choose_observer
+from balsamwind.membership._observers import plan_observers
 
 __all__ = [
     'GroupTable',
@@ -16,4 +17,5 @@
     'check_member',
     'check_report',
     'choose_observer',
+    'plan_observers',
 ]
--- a/balsamwind/membership/_observers.py
+++ b/balsamwind/membership/_observers.py
@@ -1,7 +1,12 @@
 """Choice of the node that observes a VM."""
 
+import math
+
 import xxhash
 
+MAX_LOAD = 1.25
+"""Largest share of VMs of one node, as a multiple of the average."""
+
 
 def choose_observer(unit, nodes):
     """Node that observes `unit`, by rendezvous hashing.
@@ -27,3 +32,42 @@
 
 def _weight(unit, node):
     return xxhash.xxh64_intdigest(f'{node}/{unit}'.encode())
+
+
+def plan_observers(units, nodes):
+    """Assign every unit to a node, none of them far above the average.
+
+    The heaviest units choose first, each the first node of its own order
+    that has room. All nodes that know the same units and nodes come to the
+    same assignment.
+
+    Parameters
+    ----------
+    units : dict of str to int
+        Unit -> its VMs (count).
+    nodes : sequence of str
+        Names of the nodes that may observe.
+
+    Returns
+    -------
+    dict of str to str
+        Unit -> node.
+
+    References
+    ----------
+    V. Mirrokni, M. Thorup, M. Zadimoghaddam, "Consistent hashing with
+    bounded loads", SODA 2018.
+    """
+    if not units:
+        return {}
+    average = sum(units.values()) / len(nodes)
+    room = max(max(units.values()), math.ceil(average * MAX_LOAD))
+    free = dict.fromkeys(nodes, room)
+    chosen = {}
+    for unit in sorted(units, key=lambda unit: (-units[unit], unit)):
+        order = sorted(free, key=lambda node: (_weight(unit, node), node))
+        fitting = [node for node in order if free[node] >= units[unit]]
+        node = fitting[-1] if fitting else max(order, key=free.get)
+        free[node] -= units[unit]
+        chosen[unit] = node
+    return chosen
