--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -127,6 +127,9 @@
                 '--seed',
                 seed,
             )
+        for name in self.entries:
+            path = self.folder / f'{name}.json'
+            path.write_text(json.dumps(self.settings(name)), encoding='utf-8')
         time.sleep(1.0)
         names = list(self.entries)
         for first in range(0, len(names), STARTING):
