Build each type's decoder once

Cause: decoding looked at the type hints of every value again. Change: a decoder is made for each hint at its first use.

--- a/balsamwind/objects/_codec.py
+++ b/balsamwind/objects/_codec.py
@@ -15,9 +15,7 @@
 """Largest number that JSON carries without loss."""
 
 
-@functools.cache
-def _hints(cls):
-    return typing.get_type_hints(cls)
+_SCALARS = (str, int, float, bool)
 
 
 def encode(value):
@@ -57,21 +55,43 @@
     TypeError, ValueError
         A required key is missing or a value has the wrong shape.
     """
-    origin = typing.get_origin(cls)
-    args = typing.get_args(cls)
+    return _make_decoder(cls)(data)
+
+
+@functools.cache
+def _make_decoder(hint):
+    """Function that decodes the values of a type hint."""
+    origin = typing.get_origin(hint)
+    args = typing.get_args(hint)
     if origin is tuple:
-        _check_shape(data, (list, tuple))
-        return tuple(decode(args[0], item) for item in data)
+        return functools.partial(_decode_tuple, _make_decoder(args[0]))
     if origin is dict:
-        _check_shape(data, dict)
-        return {key: decode(args[1], item) for key, item in data.items()}
+        return functools.partial(_decode_dict, _make_decoder(args[1]))
     if origin is types.UnionType:
-        return None if data is None else decode(args[0], data)
-    if dataclasses.is_dataclass(cls):
-        return _decode_class(cls, data)
-    if isinstance(cls, type) and issubclass(cls, enum.Enum):
-        return cls(data)
-    return _decode_scalar(cls, data)
+        return functools.partial(_decode_optional, _make_decoder(args[0]))
+    if dataclasses.is_dataclass(hint):
+        fields = {
+            name: _make_decoder(inner)
+            for name, inner in typing.get_type_hints(hint).items()
+        }
+        return functools.partial(_decode_class, hint, fields)
+    if isinstance(hint, type) and issubclass(hint, enum.Enum):
+        return hint
+    return functools.partial(_decode_scalar, hint)
+
+
+def _decode_tuple(decode_item, data):
+    _check_shape(data, (list, tuple))
+    return tuple([decode_item(item) for item in data])
+
+
+def _decode_dict(decode_item, data):
+    _check_shape(data, dict)
+    return {key: decode_item(item) for key, item in data.items()}
+
+
+def _decode_optional(decode_item, data):
+    return None if data is None else decode_item(data)
 
 
 def _check_shape(data, allowed):
@@ -79,14 +99,13 @@
         raise TypeError(f'got {type(data).__name__}, allowed is {allowed}')
 
 
-def _decode_class(cls, data):
-    hints = _hints(cls)
+def _decode_class(cls, fields, data):
     if isinstance(data, list):
-        data = dict(zip(hints, data, strict=False))
+        data = dict(zip(fields, data, strict=False))
     _check_shape(data, dict)
     known = {
-        name: decode(hint, data[name])
-        for name, hint in hints.items()
+        name: decode_field(data[name])
+        for name, decode_field in fields.items()
         if name in data
     }
     return cls(**known)
@@ -95,9 +114,9 @@
 def _decode_scalar(cls, data):
     if cls is float and type(data) is int:
         data = float(_check_number(data))
-    if cls in (str, int, float, bool) and type(data) is not cls:
+    if cls in _SCALARS and type(data) is not cls:
         raise TypeError(f'got {data!r}, allowed is {cls.__name__}')
-    if cls in (int, float):
+    if cls is int or cls is float:
         return _check_number(data)
     return data
 
