--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -325,7 +325,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seconds', type=float, default=15.0)
     parser.add_argument('--sizes', help='ENTRIES:ENGINES:DCS, by comma.')
+    parser.add_argument('--save', help='File to add the rates to.')
+    parser.add_argument('--fit', help='Only fit the rates of such a file.')
     arguments = parser.parse_args()
+    if arguments.fit:
+        lines = pathlib.Path(arguments.fit).read_text(encoding='utf-8')
+        print_slopes([json.loads(line) for line in lines.splitlines()])
+        return
     sizes = SIZES
     if arguments.sizes:
         sizes = [
@@ -347,6 +353,9 @@
             continue
         print_size(entries, engines, data_centres, rates)
         points.append((entries, engines, rates))
+        if arguments.save:
+            with open(arguments.save, 'a', encoding='utf-8') as file:
+                file.write(json.dumps(points[-1]) + '\n')
     if len(points) >= 4:
         print_slopes(points)
 
