Lead shards from their own data centre

Cause: the first node to write took the leases of all data centres and kept them, so a cut left shards without a leader that reaches their VMs. After a cut, the nodes that come back told the others that VMs were unreachable, and overruled the observers beside these VMs. And a node that could not reach other data centres was not believed on its own: nobody observed its VMs for 1.25 s.

Ruled out: ignoring what other data centres say; a new observer of a dark data centre would never be heard.

Change: a free lease is left to the own data centre first, and handed back after two durations. What contradicts an observer that vouches for a VM is kept, and counts when it no longer does. Suspicion is judged for each data centre by itself.

--- a/balsamwind/control/_controller.py
+++ b/balsamwind/control/_controller.py
@@ -12,6 +12,11 @@
 """Shard whose holder splits contracts over data centres."""
 
 
+HAND_BACK_AFTER = 2.0
+"""Durations for which a node leads a shard of another data centre before it
+may hand it back."""
+
+
 def make_keepers(settings, data_centres, rng):
     """Build the lease keepers of a node, one for each shard."""
     control = settings.control
@@ -53,11 +58,30 @@
         Carries out decisions.
     settings : balsamwind.settings.Settings
         Settings of the node.
+    rng : random.Random
+        Source of jitter.
+    has_candidate : callable
+        Data centre -> whether another node there could lead its shard.
     """
 
-    __slots__ = ('_executor', '_keepers', '_make_view', '_rng', '_settings')
-
-    def __init__(self, make_view, executor, settings, rng):
+    __slots__ = (
+        '_executor',
+        '_has_candidate',
+        '_keepers',
+        '_make_view',
+        '_rng',
+        '_settings',
+    )
+
+    def __init__(
+        self,
+        make_view,
+        executor,
+        settings,
+        rng,
+        has_candidate=lambda data_centre: False,
+    ):
+        self._has_candidate = has_candidate
         self._make_view = make_view
         self._executor = executor
         self._settings = settings
@@ -77,12 +101,24 @@
         view = self._make_view()
         self._add_keepers(view)
         await asyncio.gather(*map(self._keep, self._keepers.values()))
+        for keeper in self._keepers.values():
+            if self._is_better_elsewhere(keeper):
+                await self._release(keeper)
         for keeper in self._keepers.values():
             view = self._make_view()
             if _may_plan(keeper, view):
                 decisions = self._plan(keeper, view)
                 self._executor.start(decisions, keeper)
 
+    def _is_better_elsewhere(self, keeper):
+        """Whether a node in the shard's own data centre should lead it."""
+        if keeper.shard in (FLEET_SHARD, self._settings.node.data_centre):
+            return False
+        held = keeper.held_for(self._make_view().now)
+        if held < HAND_BACK_AFTER * self._settings.control.lease_duration:
+            return False
+        return self._has_candidate(keeper.shard)
+
     def _plan(self, keeper, view):
         if keeper.shard == FLEET_SHARD:
             return _allocation.plan_allocations(view, keeper.fencing)
@@ -138,11 +174,14 @@
     async def release(self):
         """Give all leases back."""
         for keeper in self._keepers.values():
-            view = self._make_view()
-            stored = view.catalogue.get('lease', keeper.shard)
-            write = keeper.plan_release(stored, view.operation())
-            if write is not None:
-                await self._write_release(keeper, write)
+            await self._release(keeper)
+
+    async def _release(self, keeper):
+        view = self._make_view()
+        stored = view.catalogue.get('lease', keeper.shard)
+        write = keeper.plan_release(stored, view.operation())
+        if write is not None:
+            await self._write_release(keeper, write)
 
     async def _write_release(self, keeper, write):
         decision = _decisions.PutObject(
--- a/balsamwind/control/_lease.py
+++ b/balsamwind/control/_lease.py
@@ -51,6 +51,7 @@
         '_duration',
         '_extra_wait',
         '_fencing',
+        '_free_since',
         '_inherited_wait',
         '_margin',
         '_node',
@@ -72,6 +73,7 @@
         self._renew_at = float('-inf')
         self._taken_at = float('inf')
         self._not_before = float('-inf')
+        self._free_since = None
         self._planned_wait = None
         self._inherited_wait = None
         self._revision = 0
@@ -145,6 +147,8 @@
         """
         if now < self._not_before and not self.holds(now):
             return None
+        if self._waits_for_others(stored, now):
+            return None
         if stored is None:
             return self._write(1, 0, operation)
         lease = stored.value
@@ -160,6 +164,15 @@
         self._planned_wait = lease.duration if lease.holder else 0.0
         return self._write(lease.fencing + 1, stored.revision, operation)
 
+    def _waits_for_others(self, stored, now):
+        """Whether a free lease is left to nodes that wait less."""
+        if stored is not None and stored.value.holder:
+            self._free_since = None
+            return False
+        if self._free_since is None:
+            self._free_since = now
+        return now - self._free_since < self._extra_wait
+
     def _write(self, fencing, expected, operation):
         lease = objects.Lease(
             self._shard, self._node, fencing, self._duration, operation
--- a/balsamwind/control/tests/test_lease.py
+++ b/balsamwind/control/tests/test_lease.py
@@ -1,9 +1,16 @@
 """A lease has one holder, and its fencing number only grows."""
 
+import asyncio
+import random
+
 import pytest
 
+from balsamwind import catalogue
 from balsamwind import control
+from balsamwind import membership
 from balsamwind import objects
+from balsamwind import ports
+from balsamwind import settings
 
 
 def make_keeper(node, extra_wait=0.0):
@@ -62,3 +69,65 @@
     keeper.back_off(5.0)
     assert keeper.plan(None, 0.0, 4.9, 'op1') is None
     assert keeper.plan(None, 0.0, 5.0, 'op2') is not None
+
+
+@pytest.mark.parametrize('holder', [None, ''])
+def test_free_lease_is_left_to_the_own_data_centre(holder):
+    near, far = make_keeper('a'), make_keeper('b', extra_wait=20.0)
+    stored = None
+    if holder is not None:
+        lease = objects.Lease('s', holder, 4, 10.0)
+        stored = objects.Stored('lease', 's', 7, lease)
+    assert far.plan(stored, 0.0, 100.0, 'op') is None
+    assert near.plan(stored, 0.0, 100.0, 'op') is not None
+    assert far.plan(stored, 19.9, 119.9, 'op') is None
+    assert far.plan(stored, 20.0, 120.0, 'op') is not None
+
+
+class MemoryExecutor:
+    """Writes leases into a catalogue; decisions go nowhere."""
+
+    def __init__(self, known):
+        self.known = known
+
+    async def put(self, decision):
+        stored = objects.Stored(
+            'lease', decision.name, decision.expected + 1, decision.value
+        )
+        self.known.apply(stored, 0.0)
+        return stored
+
+    def start(self, decisions, keeper):
+        pass
+
+
+@pytest.mark.parametrize('candidate, holder', [(True, ''), (False, 'n')])
+def test_foreign_shard_is_handed_back(candidate, holder):
+    known = catalogue.Catalogue()
+    made = settings.check_settings(
+        {
+            'node': {'name': 'n', 'data_centre': 'here'},
+            'listen': {'callers': 'h:1', 'operators': 'h:2', 'peers': 'h:3'},
+            'platform': {'url': 'http://h:4'},
+        }
+    )
+    rng = random.Random(1)
+    row = ports.ListedVm('v', 'h:5', 'there', 'rack')
+    seen = membership.Observations(3.0)
+    now = [0.0]
+
+    def make_view():
+        return control.View(known, seen, {'v': row}, made, now[0], 0.0, rng)
+
+    controller = control.Controller(
+        make_view, MemoryExecutor(known), made, rng, lambda place: candidate
+    )
+    while now[0] < 40.0 and known.value('lease', 'there') is None:
+        now[0] += 0.5
+        asyncio.run(controller.run_round())
+    taken_at = now[0]
+    assert known.value('lease', 'there').holder == 'n'
+    while now[0] < taken_at + 13.0:
+        now[0] += 0.5
+        asyncio.run(controller.run_round())
+    assert known.value('lease', 'there').holder == holder
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -57,7 +57,9 @@
         self.metrics = metrics
         self.log = log
         self.catalogue = catalogue.Catalogue()
-        self.observations = membership.Observations(stale_after)
+        self.observations = membership.Observations(
+            stale_after, self._find_place
+        )
         self.groups = membership.GroupTable(self.catalogue, self.observations)
         self.registry = peers.PeerRegistry(
             settings.node.name, settings.node.data_centre, stale_after
@@ -150,6 +152,19 @@
         }
         return {group: count for group, count in counts.items() if count}
 
+    def _find_place(self, vm):
+        row = self.groups.listed.get(vm)
+        return '' if row is None else row.data_centre
+
+    def has_reader(self, data_centre):
+        """Whether a peer in `data_centre` lives and follows the store."""
+        return any(
+            peer.data_centre == data_centre
+            and peer.reads_store
+            and not peer.draining
+            for peer in self.registry.alive(self.clock.monotonic())
+        )
+
     def _sum_requests(self):
         """Requests open on such groups at all entries, by group."""
         total = self.requests_of_stopped()
--- a/balsamwind/entry/_observer.py
+++ b/balsamwind/entry/_observer.py
@@ -128,7 +128,7 @@
         observers = {
             place: tuple(
                 entry.observations.trusted(
-                    entry.registry.observers(place, now), now
+                    entry.registry.observers(place, now), now, place
                 )
             )
             for place in self._places
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -140,7 +140,11 @@
             self._log,
         )
         self.entry.controller = control.Controller(
-            self.entry.make_view, self._executor, settings, self._rng
+            self.entry.make_view,
+            self._executor,
+            settings,
+            self._rng,
+            self.entry.has_reader,
         )
         self._sweeper = _sweeper.Sweeper(self.entry)
         self.entry.make_counters = self._make_counters
--- a/balsamwind/entry/tests/test_processes_cut.py
+++ b/balsamwind/entry/tests/test_processes_cut.py
@@ -43,7 +43,24 @@
     )
 
 
+def leaders(cluster, place):
+    """Shards led by the entries of a data centre."""
+    return {
+        shard
+        for name, entry in cluster.entries.items()
+        if entry['data_centre'] == place
+        for shard in cluster.status(name)['shards']
+    }
+
+
 def test_cut_data_centre(cluster):
+    cluster_module.wait_for(
+        lambda: all(
+            place in leaders(cluster, place)
+            for place in cluster_module.DATA_CENTRES
+        ),
+        'every data centre leads its own shard',
+    )
     before = identities(cluster, 'entry-b1')
     inside = [n for n in cluster.entries if n.startswith('entry-a')]
     outside = [n for n in cluster.entries if n not in inside]
--- a/balsamwind/membership/_observations.py
+++ b/balsamwind/membership/_observations.py
@@ -57,6 +57,10 @@
     ----------
     stale_after : float
         Age at which a view no longer counts (seconds).
+    place_of : callable
+        VM -> its data centre. Whether an observer is suspect is judged for
+        each data centre by itself, so that a node that can't reach another
+        one is still believed on its own.
 
     Attributes
     ----------
@@ -69,19 +73,28 @@
     off itself. It becomes suspect: its VMs stop serving all the same, but
     they count as down, which is what repair asks, only when another
     observer has seen them down too, or after `CONFIRM_TIME`.
+
+    Of two observers that differ, the one that sees a VM answer is right as
+    long as it says so: a node that was cut off comes back with views of
+    VMs that it could not reach. What the other saw is kept, and counts
+    once nobody vouches for the VM.
     """
 
     __slots__ = (
+        '_doubts',
         '_heartbeats',
+        '_place_of',
         '_stale_after',
         '_suspects',
         '_views',
         'changes',
     )
 
-    def __init__(self, stale_after):
+    def __init__(self, stale_after, place_of=lambda vm: ''):
         self._stale_after = stale_after
+        self._place_of = place_of
         self._views = {}
+        self._doubts = {}
         self._heartbeats = {}
         self._suspects = {}
         self.changes = 0
@@ -94,7 +107,9 @@
     def update(self, vm, reachable, report, observer, now):
         """Take in what `observer` saw of `vm` at `now`."""
         known = self._views.get(vm)
-        if not reachable and self._is_contradicted(known, observer, now):
+        self._forget_doubt(vm, observer)
+        if not reachable and self._is_vouched_for(known, observer, now):
+            self._doubts.setdefault(observer, {})[vm] = now
             return
         if report is None and known is not None and not reachable:
             report = known.report
@@ -113,45 +128,69 @@
                 view.witnesses |= known.witnesses
         self._views[vm] = view
         if not reachable and known is not None and known.reachable:
-            self._judge(observer, now)
+            self._judge(observer, self._place_of(vm), now)
 
-    def _is_contradicted(self, known, observer, now):
-        """Whether a suspect observer differs from a trusted one."""
-        if known is None or not known.reachable or known.observer == observer:
+    def _is_vouched_for(self, known, observer, now):
+        """Whether another observer sees the VM answer, and says so still."""
+        if known is None or not known.reachable:
             return False
-        if not self.is_suspect(observer, now):
+        if known.observer in ('', observer):
             return False
-        trusted = not self.is_suspect(known.observer, now)
-        return trusted and self.is_fresh(known, now)
-
-    def _judge(self, observer, now):
-        views = self.views_of(observer)
+        return self.is_fresh(known, now)
+
+    def _forget_doubt(self, vm, observer):
+        doubts = self._doubts.get(observer)
+        if doubts is not None:
+            doubts.pop(vm, None)
+
+    def _settle_doubt(self, vm, observer, at):
+        """Take in what `observer` saw, if nobody vouches for `vm` now."""
+        if not self._is_vouched_for(self._views.get(vm), observer, at):
+            self.update(vm, False, None, observer, at)
+
+    def _judge(self, observer, place, now):
+        views = [
+            view
+            for view in self.views_of(observer)
+            if self._place_of(view.vm) == place
+        ]
         down = sum(not view.reachable for view in views)
         if down >= SUSPECT_MINIMUM and 2 * down > len(views):
-            self._suspects[observer] = now + SUSPECT_TIME
+            self._suspects[observer, place] = now + SUSPECT_TIME
 
-    def is_suspect(self, observer, now):
-        """Whether `observer` is likely cut off itself."""
-        return now < self._suspects.get(observer, float('-inf'))
+    def is_suspect(self, observer, now, place=''):
+        """Whether `observer` is likely cut off itself from `place`."""
+        return now < self._suspects.get((observer, place), float('-inf'))
 
-    def trusted(self, observers, now):
-        """Those of `observers` that are not suspect; all, if none is."""
-        trusted = [o for o in observers if not self.is_suspect(o, now)]
+    def trusted(self, observers, now, place=''):
+        """Observers that are not suspect on `place`; all, if none is."""
+        trusted = [o for o in observers if not self.is_suspect(o, now, place)]
         return trusted or observers
 
+    def _settle_doubts_on(self, vm):
+        for observer, doubts in self._doubts.items():
+            if vm in doubts:
+                at = max(doubts[vm], self._heartbeats.get(observer, 0.0))
+                self._settle_doubt(vm, observer, at)
+                return
+
     def drop(self, vm, observer):
         """Note that `observer` no longer vouches for its view of `vm`.
 
         The view keeps the age that it has, and goes stale by itself.
         """
+        self._forget_doubt(vm, observer)
         view = self._views.get(vm)
         if view is not None and view.observer == observer:
             view.seen_at = self.seen_at(view)
             view.observer = ''
+            self._settle_doubts_on(vm)
 
     def hear(self, observer, now, report_age):
         """Note that all views of `observer` held `report_age` ago."""
         self._heartbeats[observer] = now - report_age
+        for vm in tuple(self._doubts.get(observer, ())):
+            self._settle_doubt(vm, observer, now - report_age)
 
     def get(self, vm):
         """View of a VM, or None."""
@@ -179,7 +218,8 @@
         if not self.is_fresh(view, now):
             return 0.0
         since = view.down_since
-        if all(self.is_suspect(name, now) for name in view.witnesses):
+        place = self._place_of(vm)
+        if all(self.is_suspect(n, now, place) for n in view.witnesses):
             if len(view.witnesses) < 2:
                 since += CONFIRM_TIME
         return max(now - since, 0.0 if since > now else 1e-9)
--- a/balsamwind/membership/tests/test_observations.py
+++ b/balsamwind/membership/tests/test_observations.py
@@ -74,3 +74,38 @@
     made.hear('n', 110.0, 0.0)
     assert made.is_up('v0', 102.0)
     assert not made.is_up('v0', 103.0)
+
+
+def test_node_that_was_cut_off_does_not_overrule_the_observer():
+    made = make_observations(1, observer='near')
+    made.hear('near', 10.0, 0.0)
+    made.update('v0', False, None, 'far', 10.0)
+    assert made.is_up('v0', 10.0)
+    made.drop('v0', 'far')
+    made.drop('v0', 'near')
+    assert made.is_up('v0', 10.0)
+
+
+@pytest.mark.parametrize('ending', ['dropped', 'stale'])
+def test_doubt_counts_once_nobody_vouches(ending):
+    made = make_observations(1, observer='old')
+    made.hear('old', 10.0, 0.0)
+    made.update('v0', False, None, 'new', 10.0)
+    if ending == 'dropped':
+        made.drop('v0', 'old')
+    else:
+        made.hear('new', 10.0 + STALE_AFTER, 0.0)
+        assert made.get('v0').reachable
+        made.hear('new', 10.5 + STALE_AFTER, 0.0)
+    assert not made.get('v0').reachable
+    made.hear('new', 20.0, 0.0)
+    assert made.down_for('v0', 20.0) > 0
+
+
+def test_observer_is_suspect_on_one_data_centre_only():
+    made = membership.Observations(STALE_AFTER, lambda vm: vm[0])
+    for vm in ('a0', 'a1', 'b0', 'b1', 'b2'):
+        made.update(vm, True, make_report(vm), 'n', 0.0)
+    lose(made, ['b0', 'b1', 'b2'], 'n', 1.0)
+    assert made.trusted(['m', 'n'], 1.0, 'b') == ['m']
+    assert made.trusted(['m', 'n'], 1.0, 'a') == ['m', 'n']
--- a/balsamwind/replay/_node.py
+++ b/balsamwind/replay/_node.py
@@ -51,7 +51,9 @@
         self._peers_of = peers_of
         self._rng = rng
         stale_after = settings.observation.stale_after
-        self.observations = membership.Observations(stale_after)
+        self.observations = membership.Observations(
+            stale_after, self._find_place
+        )
         self.groups = membership.GroupTable(self.catalogue, self.observations)
         self.catalogue.listen(lambda stored: self.groups.invalidate())
         self.registry = peers.PeerRegistry(
@@ -155,6 +157,10 @@
                     self._polling.add(vm)
                     asyncio.ensure_future(self._poll(vm, address))
 
+    def _find_place(self, vm):
+        row = self.groups.listed.get(vm)
+        return '' if row is None else row.data_centre
+
     def _assigned(self):
         now = self._ports.clock.monotonic()
         units = {
@@ -172,7 +178,7 @@
         assigned = {}
         for vm, (unit, address, data_centre) in units.items():
             nodes = self.observations.trusted(
-                self.registry.observers(data_centre, now), now
+                self.registry.observers(data_centre, now), now, data_centre
             )
             if membership.choose_observer(unit, nodes) == self.name:
                 assigned[vm] = address
