--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -7,6 +7,7 @@
 from balsamwind import admission
 from balsamwind import catalogue
 from balsamwind import control
+from balsamwind.entry import _gate
 from balsamwind.entry import _node_status
 from balsamwind import exceptions
 from balsamwind import membership
@@ -61,7 +62,12 @@
         self.registry = peers.PeerRegistry(
             settings.node.name, settings.node.data_centre, stale_after
         )
-        self.limits = admission.LimitKeeper()
+        self.limits = admission.LimitKeeper(
+            settings.node.name,
+            [peer.name for peer in settings.peers],
+            clock.monotonic(),
+        )
+        self.gate = _gate.make_gate(settings.requests, clock)
         self.draining = False
         self.links = None
         self.controller = None
@@ -71,7 +77,7 @@
         self._rng = random.Random(random_state)
         self._keys = {}
         self._services = {s.name: s for s in settings.services}
-        self._budget = admission.RetryBudget(settings.requests.retry_share)
+        self._budgets = admission.RetryBudgets(settings.requests.retry_share)
         self.router = routing.make_router(
             settings.node.data_centre,
             self._load_report,
@@ -81,20 +87,27 @@
             engine,
             self.groups,
             self.router,
-            self._budget,
+            admission.RetryBudget(settings.requests.retry_share),
             settings.requests,
             clock,
             self,
         )
-        self._service_calls = requests.ServiceCalls(
-            service, store, self._budget, settings.node, clock, self.make_id
+        self.service_calls = requests.ServiceCalls(
+            service,
+            store,
+            self._budgets,
+            settings.node,
+            clock,
+            self.make_id,
+            self._rng,
+            self.note_retry,
         )
         self.catalogue.listen(self._on_object)
 
     @property
     def open_requests(self):
-        """Requests that callers wait for (count)."""
-        return self._open_requests
+        """Requests and recorded calls that are not done (count)."""
+        return self._open_requests + self.service_calls.pending
 
     def make_id(self):
         """A new random id."""
@@ -204,17 +217,17 @@
             Tokens, each once and in order.
         """
         started = self.clock.monotonic()
-        labels = (
-            self.metrics.customer(request.contract.customer),
-            request.model,
-        )
+        labels = (*self.metrics.labels_of(request.contract), request.model)
         previous = None
-        with self._admit(request.contract):
+        async with self._admit(request.contract, request.deadline):
             run = self._completions.run(request)
             async with contextlib.aclosing(run) as batches:
                 async for batch in batches:
                     now = self.clock.monotonic()
                     self._observe_batch(labels, batch, started, previous, now)
+                    self.limits.charge_tokens(
+                        request.contract, len(batch), now
+                    )
                     previous = now
                     yield batch
         self.metrics.answer_seconds.labels(*labels).observe(
@@ -232,16 +245,39 @@
 
     async def call_service(self, contract, service, call, deadline):
         """Run a service call within the contract's limits."""
-        with self._admit(contract):
-            return await self._service_calls.run(
+        started = self.clock.monotonic()
+        labels = (*self.metrics.labels_of(contract), service.name)
+        async with self._admit(contract, deadline):
+            answer = await self.service_calls.run(
                 contract, service, call, deadline
             )
+        self.metrics.service_seconds.labels(*labels).observe(
+            self.clock.monotonic() - started
+        )
+        return answer
 
-    def _admit(self, contract):
+    @contextlib.asynccontextmanager
+    async def _admit(self, contract, deadline):
+        """Hold a place within the limits and at this entry."""
         now = self.clock.monotonic()
-        nodes = 1 + len(self.registry.alive(now))
-        self.router.loads.nodes = nodes
-        return self.limits.admit(contract, nodes, now)
+        self.router.loads.nodes = 1 + len(self.registry.alive(now))
+        labels = self.metrics.labels_of(contract)
+        with self.limits.admit(contract, now):
+            async with self.gate.enter(
+                contract.customer, contract.priority, deadline
+            ) as waited:
+                self.metrics.queue_seconds.labels(*labels).observe(waited)
+                yield
+
+    def plan_shares(self):
+        """Plan this entry's shares of all limits until the next beat."""
+        now = self.clock.time()
+        limits = {
+            stored.name: stored.value.limits
+            for stored in self.catalogue.items('contract')
+            if stored.value.in_force(now)
+        }
+        self.limits.beat(limits, self.clock.monotonic())
 
     def _load_report(self, group):
         view = self.observations.get(group.head.vm)
@@ -256,6 +292,10 @@
         )
         return dataclasses.replace(report, cache_events=())
 
+    def note_retry(self, service):
+        """Count an attempt after the first of a call of a service."""
+        self.metrics.retries.labels(service).inc()
+
     def note_late_events(self, count):
         """Count events of abandoned attempts."""
         self.metrics.late_events.inc(count)
@@ -314,6 +354,10 @@
                 self._status_of_group(stored)
                 for stored in self.catalogue.items('group')
             ],
+            'vms': [
+                self._status_of_vm(view, now)
+                for view in self.observations.items()
+            ],
             'short': {
                 stored.name: stored.value.short
                 for stored in self.catalogue.items('allocation')
@@ -321,6 +365,18 @@
             },
         }
 
+    def _status_of_vm(self, view, now):
+        report = view.report
+        return {
+            'name': view.vm,
+            'up': self.observations.is_up(view.vm, now),
+            'reachable': view.reachable,
+            'state': report.state.value if report else 'unknown',
+            'group': report.group if report else '',
+            'observer': view.observer,
+            'age': round(now - self.observations.seen_at(view), 3),
+        }
+
     def _status_of_group(self, stored):
         group = stored.value
         reason = self.groups.reasons.get(group.name, 'not checked')
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -14,6 +14,7 @@
 from balsamwind.entry import _peering
 from balsamwind.entry import _platform_follower
 from balsamwind.entry import _registration
+from balsamwind.entry import _sweeper
 from balsamwind import exceptions
 from balsamwind import objects
 from balsamwind import peers
@@ -141,6 +142,7 @@
         self.entry.controller = control.Controller(
             self.entry.make_view, self._executor, settings, self._rng
         )
+        self._sweeper = _sweeper.Sweeper(self.entry)
         self.entry.make_counters = self._make_counters
         self.entry.make_gauges = self._make_gauges
         self.entry.metrics.registry.register(
@@ -205,6 +207,8 @@
         self._spawn(self._registrar.run())
         self._spawn(self._repeat(observation.interval, self._observe))
         self._spawn(self._repeat(observation.interval, self._beat))
+        sweep = self._settings.requests.record_sweep_interval
+        self._spawn(self._repeat(sweep, self._sweeper.run_round))
         self._spawn(
             self._repeat(self._settings.control.interval, self._control)
         )
--- a/balsamwind/membership/_observations.py
+++ b/balsamwind/membership/_observations.py
@@ -184,6 +184,10 @@
                 since += CONFIRM_TIME
         return max(now - since, 0.0 if since > now else 1e-9)
 
+    def items(self):
+        """All views, sorted by the name of the VM."""
+        return [self._views[vm] for vm in sorted(self._views)]
+
     def views_of(self, observer):
         """Views that `observer` saw itself."""
         return [v for v in self._views.values() if v.observer == observer]
