Read an entry's status once in a condition

A status may be None between two reads, which failed the wait for the paused holder with a TypeError.

--- a/balsamwind/entry/tests/test_processes_control.py
+++ b/balsamwind/entry/tests/test_processes_control.py
@@ -76,8 +76,7 @@
         process.send_signal(signal.SIGCONT)
         cluster_module.wait_for(
             lambda: (
-                cluster.status(holder)
-                and place not in cluster.status(holder)['shards']
+                is_follower(cluster, holder, place)
                 and is_repaired(cluster, group, holder)
             ),
             'the paused holder follows its successor',
@@ -93,6 +92,11 @@
     cluster.fault(group['members'][1], 'wipe')
 
 
+def is_follower(cluster, name, shard):
+    status = cluster.status(name)
+    return status is not None and shard not in status['shards']
+
+
 def _versions(groups):
     return sorted((g['name'], g['generation']) for g in groups)
 
