--- a/balsamwind/routing/_pool.py
+++ b/balsamwind/routing/_pool.py
@@ -4,6 +4,8 @@
 
 import xxhash
 
+from balsamwind.routing import _prefixes
+
 VIRTUAL_NODES = 16
 """Points of one group on the hash ring (count)."""
 
@@ -49,7 +51,7 @@
 
     def _make_ring(self):
         points = sorted(
-            (xxhash.xxh64_intdigest(group.name.encode(), number), group.name)
+            (_make_point(group, number), group.name)
             for group in self.near or self.far
             for number in range(VIRTUAL_NODES)
         )
@@ -75,3 +77,9 @@
                 if len(names) >= count:
                     break
         return names
+
+
+def _make_point(group, number):
+    """Place on the ring, over the same range as the hashes of blocks."""
+    digest = xxhash.xxh64_intdigest(group.name.encode(), number)
+    return digest >> _prefixes.HASH_SHIFT
