--- a/balsamwind/control/tests/test_life.py
+++ b/balsamwind/control/tests/test_life.py
@@ -129,3 +129,31 @@
     group = made.catalogue.value('group', 'g')
     assert members.lost(group, 599.0) == []
     assert members.lost(group, 601.0) == lost
+
+
+def test_group_yields_a_vm_that_another_has_claimed():
+    made = make_fleet(State.FORMING)
+    made.put('claim', VMS[2], objects.Claim(VMS[2], 'h'))
+    written = made.groups()['g']
+    assert written.state is State.RELEASING
+    assert VMS[2] in written.reason
+
+
+@pytest.mark.parametrize(
+    'holder, age, deleted',
+    [('g', 60.0, False), ('h', 60.0, True), ('h', 1.0, False)],
+)
+def test_claim_without_its_group_is_deleted(holder, age, deleted):
+    made = fleet.Fleet({'a-d0': 5})
+    made.contract('c', 5, 1, {'a': 1})
+    made.group('g', 'c', VMS)
+    spare = 'a-d0-4'
+    vm = VMS[0] if holder == 'g' else spare
+    claim = objects.Claim(vm, holder)
+    made.revision += 1
+    made.catalogue.apply(
+        objects.Stored('claim', vm, made.revision, claim), fleet.NOW - age
+    )
+    decisions = control.plan_groups(made.view(), 'a', 1)
+    gone = [d for d in decisions if isinstance(d, control.DeleteObject)]
+    assert [d.name for d in gone] == ([spare] if deleted else [])
--- a/balsamwind/control/tests/test_machines.py
+++ b/balsamwind/control/tests/test_machines.py
@@ -28,7 +28,8 @@
                 'engines_check_fencing': check_fencing,
                 'drain_timeout': 5.0,
                 'load_timeout': 20.0,
-            }
+            },
+            'placement': {'load_time': 0.2, 'cached_load_time': 0.1},
         },
     )
     return replay.World(header, loop)
@@ -66,7 +67,7 @@
             known.revision if known else 0,
         )
 
-    @stateful.rule(seconds=strategies.floats(0.01, 3.0))
+    @stateful.rule(seconds=strategies.floats(0.01, 8.0))
     def advance(self, seconds):
         world = self.world
         world.run_until(world.clock.monotonic() + seconds)
@@ -81,6 +82,17 @@
         engine = self.world.engine(vm)
         engine.fault(fault, self.world.clock.monotonic())
 
+    @stateful.rule(
+        index=strategies.integers(0, 1),
+        rank=strategies.integers(0, 1),
+        seconds=strategies.floats(1.5, 6.0),
+    )
+    def lose_member(self, index, rank, seconds):
+        groups = self.world.groups()
+        if index < len(groups):
+            self.fault(groups[index].vms[rank], 'kill')
+            self.advance(seconds)
+
     @stateful.rule(node=nodes, seconds=strategies.floats(0.01, 8.0))
     def pause(self, node, seconds):
         if node in self.world.nodes:
@@ -231,7 +243,7 @@
 TestGroups = GroupMachine.TestCase
 TestGroups.settings = hypothesis.settings(
     max_examples=25,
-    stateful_step_count=14,
+    stateful_step_count=20,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 TestLeases = LeaseMachine.TestCase
