--- a/balsamwind/control/_choices.py
+++ b/balsamwind/control/_choices.py
@@ -77,20 +77,38 @@
         most = self._view.settings.placement.preloads
         if not most:
             return []
-        wanted = {'': {}}
-        for stored in self._groups:
-            group = stored.value
-            if not group.leaving:
-                weights = placement.Weights(group.model, group.version)
-                for key in (group.fabric_domain, ''):
-                    counts = wanted.setdefault(key, {})
-                    counts[weights] = counts.get(weights, 0) + 1
+        wanted = self._count_wanted_weights()
         return [
             preload
             for preload in placement.plan_preloads(self._free, wanted, most)
             if not self._is_loading(preload.row.name)
         ]
 
+    def _count_wanted_weights(self):
+        """Fabric domain -> weights -> groups that may need them (count).
+
+        Groups of other domains count for their share of one domain: any of
+        them may move here, but a loss here is likelier.
+        """
+        fleet = {}
+        own = {domain: {} for domain in self._free.domains}
+        domains = set()
+        for stored in self._view.catalogue.items('group'):
+            group = stored.value
+            if group.leaving:
+                continue
+            domains.add((group.data_centre, group.fabric_domain))
+            weights = placement.Weights(group.model, group.version)
+            fleet[weights] = fleet.get(weights, 0) + 1
+            counts = own.get(group.fabric_domain)
+            if counts is not None and group.data_centre == self._data_centre:
+                counts[weights] = counts.get(weights, 0) + 1
+        for counts in own.values():
+            for weights, count in fleet.items():
+                share = count / (len(domains) + 1)
+                counts[weights] = counts.get(weights, 0) + share
+        return own
+
     def _is_loading(self, vm):
         report = self._view.observations.get(vm).report
         return report.state is ports.EngineState.LOADING
--- a/balsamwind/control/_loads.py
+++ b/balsamwind/control/_loads.py
@@ -28,11 +28,12 @@
         Groups and contracts, for the urgency.
     """
 
-    __slots__ = ('_catalogue', '_offers', 'not_before')
+    __slots__ = ('_catalogue', '_offers', '_ranked', 'not_before')
 
     def __init__(self, catalogue):
         self._catalogue = catalogue
         self._offers = {}
+        self._ranked = []
         self.not_before = 0.0
 
     def __len__(self):
@@ -40,6 +41,8 @@
 
     def offer(self, target, decision, keeper, now):
         """Add an order, or note that it is still wanted."""
+        if target not in self._offers:
+            self._ranked = None
         self._offers[target] = (decision, keeper, now)
 
     def wait(self, seconds, now):
@@ -53,19 +56,39 @@
         Urgent is the contract with the higher priority, then the group that
         fewer loads make whole; loads ahead come last.
         """
-        for target, (decision, keeper, offered) in list(self._offers.items()):
-            old = now - offered > OFFER_AGE or not keeper.holds(now)
-            if old or not self._is_current(decision):
-                del self._offers[target]
-        if not self._offers or now < self.not_before:
+        if now < self.not_before:
             return None
+        if self._ranked is None:
+            self._ranked = self._rank()
+        while self._ranked:
+            target = self._ranked[-1]
+            if self._is_wanted(target, now):
+                decision, keeper, _ = self._offers[target]
+                return target, decision, keeper
+            self._ranked.pop()
+            self._offers.pop(target, None)
+        return None
+
+    def _rank(self):
+        """Targets, the most urgent last.
+
+        Giving an order makes the rest of its group more urgent still, so
+        the ranking holds until there is a new order.
+        """
         missing = self._count_missing()
-        target = min(
+        return sorted(
             self._offers,
             key=lambda target: self._urgency(target, missing),
+            reverse=True,
         )
-        decision, keeper, _ = self._offers[target]
-        return target, decision, keeper
+
+    def _is_wanted(self, target, now):
+        if target not in self._offers:
+            return False
+        decision, keeper, offered = self._offers[target]
+        if now - offered > OFFER_AGE or not keeper.holds(now):
+            return False
+        return self._is_current(decision)
 
     def _is_current(self, decision):
         """Whether the VM is still to load this, as far as is known."""
--- a/balsamwind/placement/_spares.py
+++ b/balsamwind/placement/_spares.py
@@ -51,9 +51,8 @@
     ----------
     free : FreeVms
         VMs that the round has left free.
-    wanted : dict of str to dict of Weights to int
-        Fabric domain -> weights -> groups that use them (count); the key
-        ``''`` stands for domains without groups.
+    wanted : dict of str to dict of Weights to float
+        Fabric domain -> weights -> groups that may need them (count).
     most : int
         Sets of weights that one VM loads ahead (count).
 
@@ -64,7 +63,7 @@
     """
     preloads = []
     for domain, rows in sorted(free.domains.items()):
-        groups = wanted.get(domain) or wanted.get('', {})
+        groups = wanted.get(domain, {})
         preloads.extend(_plan_domain(free, rows, groups, most))
     return preloads
 
--- a/benchmarks/_trace.py
+++ b/benchmarks/_trace.py
@@ -7,15 +7,26 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent.parent / 'traces/placement'
 
-DOMAINS = {
-    'a-d0': 12,
-    'a-d1': 8,
-    'b-d0': 8,
-    'b-d1': 12,
-    'c-d0': 10,
-    'c-d1': 10,
+FLEETS = {
+    'whole': {
+        'a-d0': 12,
+        'a-d1': 8,
+        'b-d0': 8,
+        'b-d1': 12,
+        'c-d0': 12,
+        'c-d1': 8,
+    },
+    'rests': {
+        'a-d0': 12,
+        'a-d1': 8,
+        'b-d0': 8,
+        'b-d1': 12,
+        'c-d0': 10,
+        'c-d1': 10,
+    },
 }
-"""Fabric domain -> VMs; 60 in three data centres."""
+"""Fleet -> fabric domain -> VMs; 60 in three data centres. In ``whole`` each
+domain holds whole groups of 4; in ``rests`` two domains have 2 VMs more."""
 
 DURATION = 24 * 3600.0
 """Length of a trace (seconds)."""
@@ -58,11 +69,12 @@
     vm: str
 
 
-def make_trace(seed):
+def make_trace(fleet, seed):
     """Draw the events of one trace."""
     rng = random.Random(seed)
+    domains = FLEETS[fleet]
     vms = [
-        f'{key}-{i}' for key, count in DOMAINS.items() for i in range(count)
+        f'{key}-{i}' for key, count in domains.items() for i in range(count)
     ]
     absences = []
     for _ in range(PAUSES):
@@ -79,12 +91,12 @@
         start = rng.uniform(0.0, DURATION - 3600.0)
         events.append((start, length, end, vm))
     for _ in range(DARK_DOMAINS):
-        domain = rng.choice(sorted(DOMAINS))
+        domain = rng.choice(sorted(domains))
         start = rng.uniform(0.0, DURATION - 3600.0)
         length = rng.uniform(*DARK_TIME)
         events.extend(
             (start, length, 'empty', f'{domain}-{index}')
-            for index in range(DOMAINS[domain])
+            for index in range(domains[domain])
         )
     return _flatten(sorted(events))
 
@@ -102,15 +114,17 @@
     return sorted(events, key=lambda event: event.time)
 
 
-def save_trace(seed):
+def save_trace(fleet, seed):
     """Record the trace of a seed."""
     FOLDER.mkdir(parents=True, exist_ok=True)
-    lines = [json.dumps(dataclasses.asdict(e)) for e in make_trace(seed)]
-    path = FOLDER / f'seed-{seed}.jsonl'
+    lines = [
+        json.dumps(dataclasses.asdict(e)) for e in make_trace(fleet, seed)
+    ]
+    path = FOLDER / f'{fleet}-{seed}.jsonl'
     path.write_text('\n'.join(lines) + '\n', encoding='utf-8')
 
 
-def load_trace(seed):
+def load_trace(fleet, seed):
     """Events of a recorded trace."""
-    text = (FOLDER / f'seed-{seed}.jsonl').read_text(encoding='utf-8')
+    text = (FOLDER / f'{fleet}-{seed}.jsonl').read_text(encoding='utf-8')
     return [Event(**json.loads(line)) for line in text.splitlines()]
--- a/benchmarks/_world.py
+++ b/benchmarks/_world.py
@@ -25,9 +25,6 @@
 STEP = 1.0
 """Time between two rounds (seconds)."""
 
-SIZE = 4
-"""VMs in a group (count)."""
-
 
 class Keeper:
     """Lease that is always held."""
@@ -77,9 +74,25 @@
         Name, priority, model and replicas.
     placement : dict
         Placement settings.
+    seed : int
+        Seed of names.
+    size : int
+        VMs in a group (count).
+    ticket_interval : float
+        Time between two loads that the weight store grants (seconds).
     """
 
-    def __init__(self, domains, contracts, placement, seed):
+    def __init__(
+        self,
+        domains,
+        contracts,
+        placement,
+        seed,
+        size=4,
+        ticket_interval=TICKET_INTERVAL,
+    ):
+        self._size = size
+        self._ticket_interval = ticket_interval
         self.fleet = fleet_module.Fleet(domains, **placement)
         self.vms = {name: Vm() for name in self.fleet.listed}
         self.now = 0.0
@@ -93,7 +106,7 @@
             self._add_contract(customer, priority, model, replicas)
 
     def _add_contract(self, customer, priority, model, replicas):
-        terms = objects.ModelTerms(model, 'v1', replicas, SIZE)
+        terms = objects.ModelTerms(model, 'v1', replicas, self._size)
         contract = objects.Contract(
             customer,
             (),
@@ -226,17 +239,27 @@
             self.vms[decision.vm].obey(decision.order, self.now)
 
     def _load(self):
-        if self.now < self._ticket_at:
-            return
-        chosen = self._queue.next(self.now)
-        if chosen is not None:
+        self._ticket_at = max(self._ticket_at, self.now - STEP)
+        while self._ticket_at <= self.now:
+            chosen = self._queue.next(self.now)
+            if chosen is None:
+                return
             target, decision, _ = chosen
             self._queue.done(target)
             self._give(decision)
-            self._ticket_at = self.now + TICKET_INTERVAL
+            self._ticket_at += self._ticket_interval
 
     def measure(self):
-        """Replicas out of service, and stranded accelerators, now (count)."""
+        """What is amiss now.
+
+        Returns
+        -------
+        tuple of int
+            Replicas out of service; stranded accelerators; accelerators
+            that no choice could keep from being stranded, as the VMs that
+            are up in their fabric domain are no multiple of the group size
+            (counts).
+        """
         catalogue = self.fleet.catalogue
         serving = collections.Counter()
         busy = set()
@@ -255,12 +278,20 @@
                 stranded += 1
             else:
                 free[row.data_centre, row.fabric_domain] += 1
-        stranded += sum(count % SIZE for count in free.values())
+        stranded += sum(count % self._size for count in free.values())
         down = 0
         for stored in catalogue.items('contract'):
             promised = stored.value.models[0].replicas
             down += max(promised - serving[stored.name], 0)
-        return down, stranded * 2
+        return down, stranded * 2, self._unavoidable() * 2
+
+    def _unavoidable(self):
+        up = collections.Counter(
+            (row.data_centre, row.fabric_domain)
+            for name, row in self.fleet.listed.items()
+            if self.vms[name].up
+        )
+        return sum(count % self._size for count in up.values())
 
     def _check(self, group):
         return membership.check_group(
--- a/benchmarks/group_downtime.py
+++ b/benchmarks/group_downtime.py
@@ -2,13 +2,14 @@
 
 Replays recorded traces through the decision code of the control path, under
 a virtual clock, at the weighting of each deployment. Prints one JSON line
-for each deployment, seed and policy, then the changes against the best and
-the worst baseline.
+for each fleet, deployment, seed and policy, and the changes against the best
+and the worst baseline: for each seed, and for the sums over all seeds.
 
 ``--record`` draws the traces anew from their seeds.
 """
 
 import argparse
+from concurrent import futures
 import contextlib
 import json
 import pathlib
@@ -59,12 +60,12 @@
     return json.loads(path.read_text(encoding='utf-8'))['placement']
 
 
-def replay(policy, deployment, seed):
+def replay(fleet, deployment, seed, policy):
     """Run one trace; the two measures and counts of what was done."""
     functions, changes = _baselines.POLICIES[policy]
     section = {**load_placement(deployment), **changes}
-    world = _world.World(_trace.DOMAINS, CONTRACTS, section, seed)
-    events = _trace.load_trace(seed)
+    world = _world.World(_trace.FLEETS[fleet], CONTRACTS, section, seed)
+    events = _trace.load_trace(fleet, seed)
     with contextlib.ExitStack() as stack:
         for name, function in functions.items():
             patch = mock.patch.object(placement, name, function)
@@ -75,13 +76,14 @@
 def _run(world, events):
     downtime = 0.0
     stranded = 0.0
+    unavoidable = 0.0
     pending = list(reversed(events))
     end = WARM_UP + _trace.DURATION
     while world.now < end:
         while pending and pending[-1].time + WARM_UP <= world.now:
             world.happen(pending.pop())
         changed = world.run_round()
-        down, idle = world.measure()
+        down, idle, least = world.measure()
         step = _world.STEP
         if not changed and not down and pending:
             rest = pending[-1].time + WARM_UP - world.now
@@ -90,10 +92,12 @@
         if world.now >= WARM_UP:
             downtime += down * step
             stranded += idle * step
+            unavoidable += least * step
         world.now += step
     return {
         'downtime_s': round(downtime),
         'stranded_accelerator_s': round(stranded),
+        'unavoidable_accelerator_s': round(unavoidable),
         'writes': world.writes,
         'orders': world.orders,
     }
@@ -114,35 +118,52 @@
     return {
         policy: {
             measure: sum(run[policy][measure] for run in runs)
-            for measure in MEASURES
+            for measure in (*MEASURES, 'unavoidable_accelerator_s')
         }
         for policy in _baselines.POLICIES
     }
 
 
+def compare_policies(executor, fleet, deployment, seeds):
+    """Replay the traces of one fleet by every policy, and print."""
+    head = {'fleet': fleet, 'deployment': deployment}
+    pending = {
+        (seed, policy): executor.submit(
+            replay, fleet, deployment, seed, policy
+        )
+        for seed in seeds
+        for policy in _baselines.POLICIES
+    }
+    runs = []
+    for seed in seeds:
+        results = {}
+        for policy in _baselines.POLICIES:
+            results[policy] = pending[seed, policy].result()
+            line = {**head, 'seed': seed, 'policy': policy}
+            print(json.dumps({**line, **results[policy]}), flush=True)
+        runs.append(results)
+        line = {**head, 'seed': seed, **compare(results)}
+        print(json.dumps(line), flush=True)
+    total = _total(runs)
+    line = {**head, 'seed': 'all', 'total': total, **compare(total)}
+    print(json.dumps(line), flush=True)
+
+
 def main():
     """Replay all traces."""
     parser = argparse.ArgumentParser()
     parser.add_argument('--record', action='store_true')
     parser.add_argument('--seeds', type=int, nargs='*', default=SEEDS)
+    parser.add_argument('--jobs', type=int, default=1)
     arguments = parser.parse_args()
     if arguments.record:
-        for seed in arguments.seeds:
-            _trace.save_trace(seed)
-    for deployment, own in DEPLOYMENTS.items():
-        runs = []
-        for seed in arguments.seeds:
-            results = {}
-            for policy in _baselines.POLICIES:
-                results[policy] = replay(policy, deployment, seed)
-                line = {'deployment': deployment, 'seed': seed}
-                line.update(policy=policy, **results[policy])
-                print(json.dumps(line), flush=True)
-            runs.append(results)
-            line = {'deployment': deployment, 'seed': seed}
-            print(json.dumps({**line, **compare(results)}), flush=True)
-        line = {'deployment': deployment, 'own_measure': own, 'seed': 'all'}
-        print(json.dumps({**line, **compare(_total(runs))}), flush=True)
+        for fleet in _trace.FLEETS:
+            for seed in arguments.seeds:
+                _trace.save_trace(fleet, seed)
+    with futures.ProcessPoolExecutor(arguments.jobs) as executor:
+        for fleet in _trace.FLEETS:
+            for deployment in DEPLOYMENTS:
+                compare_policies(executor, fleet, deployment, arguments.seeds)
     return 0
 
 
--- a/benchmarks/plan_time.py
+++ b/benchmarks/plan_time.py
@@ -1,7 +1,8 @@
 """Time of one plan, for the fleet of today and for the target.
 
-Prints one JSON line for each fleet and plan. Times are the median and the
-largest of `ROUNDS` runs in this process; the views are built before.
+Prints one JSON line for each fleet, state and plan. Times are the median and
+the largest of `ROUNDS` runs in this process. Before each run one group and
+one claim are written, so that no run finds its lists sorted.
 """
 
 import json
@@ -15,6 +16,8 @@
 ROUNDS = 15
 """Runs of each plan (count)."""
 
+STATES = ('steady', 'one lost', 'domain dark', 'data centre dark')
+
 FLEETS = {
     60: {'data_centres': 3, 'domains': 2, 'vms': 10, 'size': 4},
     3200: {'data_centres': 8, 'domains': 5, 'vms': 80, 'size': 16},
@@ -27,7 +30,7 @@
     names = [
         f'dc{i}-d{j}' for i in range(data_centres) for j in range(domains)
     ]
-    made = fleet.Fleet(dict.fromkeys(names, vms))
+    made = fleet.Fleet(dict.fromkeys(names, vms), preloads=2)
     for index, name in enumerate(names):
         data_centre = name.split('-')[0]
         count = vms // size
@@ -42,10 +45,11 @@
     return made
 
 
-def measure(plan):
+def measure(plan, touch):
     """Median and largest time of a plan (milliseconds)."""
     times = []
     for _ in range(ROUNDS):
+        touch()
         started = time.perf_counter()
         plan()
         times.append((time.perf_counter() - started) * 1000.0)
@@ -64,18 +68,34 @@
     }
 
 
+def touch(made):
+    """Write one object of each kind that is large."""
+    for kind in ('group', 'claim'):
+        stored = made.catalogue.items(kind)[0]
+        made.put(kind, stored.name, stored.value)
+
+
+def find_lost(state, shape):
+    """VMs that are down in a state of the fleet."""
+    domains = {'steady': 0, 'one lost': 1, 'domain dark': 1}
+    vms = {'steady': 0, 'one lost': 1}
+    return [
+        f'dc0-d{domain}-{index}'
+        for domain in range(domains.get(state, shape['domains']))
+        for index in range(vms.get(state, shape['vms']))
+    ]
+
+
 def main():
     """Measure every fleet, steady and in three states of loss."""
     for engines, shape in FLEETS.items():
-        for state in ('steady', 'one lost', 'domain dark'):
+        for state in STATES:
             made = make_fleet(**shape)
-            dark = shape['vms'] if state == 'domain dark' else 1
-            if state != 'steady':
-                for index in range(dark):
-                    made.report(f'dc0-d1-{index}', 100.0)
+            for vm in find_lost(state, shape):
+                made.report(vm, 100.0)
             for name, plan in plans(made).items():
                 line = {'engines': engines, 'state': state, 'plan': name}
-                line.update(measure(plan))
+                line.update(measure(plan, lambda: touch(made)))
                 print(json.dumps(line))
     return 0
 
