--- a/balsamwind/control/_choices.py
+++ b/balsamwind/control/_choices.py
@@ -85,29 +85,20 @@
         ]
 
     def _count_wanted_weights(self):
-        """Fabric domain -> weights -> groups that may need them (count).
+        """Fabric domain -> weights -> groups that use them (count).
 
-        Groups of other domains count for their share of one domain: any of
-        them may move here, but a loss here is likelier.
+        The key ``''`` stands for domains without groups.
         """
-        fleet = {}
-        own = {domain: {} for domain in self._free.domains}
-        domains = set()
-        for stored in self._view.catalogue.items('group'):
+        wanted = {'': {}}
+        for stored in self._groups:
             group = stored.value
             if group.leaving:
                 continue
-            domains.add((group.data_centre, group.fabric_domain))
             weights = placement.Weights(group.model, group.version)
-            fleet[weights] = fleet.get(weights, 0) + 1
-            counts = own.get(group.fabric_domain)
-            if counts is not None and group.data_centre == self._data_centre:
+            for key in (group.fabric_domain, ''):
+                counts = wanted.setdefault(key, {})
                 counts[weights] = counts.get(weights, 0) + 1
-        for counts in own.values():
-            for weights, count in fleet.items():
-                share = count / (len(domains) + 1)
-                counts[weights] = counts.get(weights, 0) + share
-        return own
+        return wanted
 
     def _is_loading(self, vm):
         report = self._view.observations.get(vm).report
--- a/balsamwind/placement/_spares.py
+++ b/balsamwind/placement/_spares.py
@@ -51,8 +51,9 @@
     ----------
     free : FreeVms
         VMs that the round has left free.
-    wanted : dict of str to dict of Weights to float
-        Fabric domain -> weights -> groups that may need them (count).
+    wanted : dict of str to dict of Weights to int
+        Fabric domain -> weights -> groups that use them (count); the key
+        ``''`` stands for domains without groups.
     most : int
         Sets of weights that one VM loads ahead (count).
 
@@ -63,7 +64,7 @@
     """
     preloads = []
     for domain, rows in sorted(free.domains.items()):
-        groups = wanted.get(domain, {})
+        groups = wanted.get(domain) or wanted.get('', {})
         preloads.extend(_plan_domain(free, rows, groups, most))
     return preloads
 
--- a/benchmarks/store_calls.py
+++ b/benchmarks/store_calls.py
@@ -2,9 +2,11 @@
 
 Counts what the control path writes (`LeaseKeeper`, `plan_allocations` and
 `plan_groups` under a virtual clock), and the watch calls that follow: every
-node waits in one watch, every write wakes it, and a waiting watch counts as
+reader waits in one watch, every write wakes it, and a waiting watch counts as
 one call. Writes that the executor sends at once (`WRITES_AT_ONCE`) wake a
-node once. Lists count once for each node at its start and are left out.
+reader once. One node of each data centre reads (`StoreFollower`); the figures
+with every node as a reader stand beside. Lists count once for each reader at
+its start and are left out.
 """
 
 import json
@@ -122,19 +124,22 @@
             world.run_round()
             world.now += _world.STEP
         other = (world.writes - before) / STEADY_TIME
-        watches = nodes * max(leases + other, 1.0 / watch_timeout)
+        watches = max(leases + other, 1.0 / watch_timeout)
+        readers = len(data_centres)
         line = {'nodes': nodes, 'engines': len(world.vms)}
         line['steady_lease_writes_per_s'] = round(leases, 2)
         line['steady_other_writes_per_s'] = round(other, 2)
-        line['steady_watch_calls_per_s'] = round(watches, 1)
+        line['steady_watch_calls_per_s'] = round(readers * watches, 1)
+        line['steady_watch_calls_if_all_read'] = round(nodes * watches, 1)
         lost = shape['domains'][shape['lost']]
         seconds = count_loss(world, shape['lost'], lost)
         line['loss_vms'] = lost
         line['loss_writes'] = sum(seconds)
         line['loss_peak_writes_per_s'] = max(seconds)
         wakes = math.ceil(max(seconds) / _executor.WRITES_AT_ONCE)
-        peak = nodes * (wakes + leases)
-        line['loss_peak_watch_calls_per_s'] = round(peak, 1)
+        peak = wakes + leases
+        line['loss_peak_watch_calls_per_s'] = round(readers * peak, 1)
+        line['loss_peak_watch_calls_if_all_read'] = round(nodes * peak, 1)
         line['replicas_out_at_the_end'] = world.measure()[0]
         print(json.dumps(line), flush=True)
     return 0
