Allocate replicas where the weights are held

Cause: a group that moved to another data centre loaded all members, though another one had free VMs with the weights. Change: the split asks first for the domain where most members would hold them.

--- a/balsamwind/control/_allocation.py
+++ b/balsamwind/control/_allocation.py
@@ -12,8 +12,9 @@
 
     Groups that are whole keep their place, so an allocation does not move
     as long as its VMs are there. What is missing is placed in the order of
-    priority: in the data centre that had it, else where most whole groups
-    fit, else in place of groups of contracts with a lower priority.
+    priority: in the data centre that had it, else where most members would
+    hold the weights and most whole groups fit, else in place of groups of
+    contracts with a lower priority.
 
     A VM counts as usable until it is confirmed to be down; one of which
     nothing is known, as in a data centre that is cut off, is not.
@@ -139,7 +140,7 @@
 def _place(demand, room):
     size = demand.terms.group_size
     while demand.missing:
-        domain = room.widest(size) or room.preempt(size, demand)
+        domain = room.best(demand.terms) or room.preempt(size, demand)
         if domain is None:
             return
         room.take(domain, size, demand)
--- a/balsamwind/control/_room.py
+++ b/balsamwind/control/_room.py
@@ -15,6 +15,7 @@
 def make_room(view):
     """Count the usable VMs of each fabric domain."""
     domains = {}
+    holders = {}
     down = 0
     leaving = 0
     for row in view.listed.values():
@@ -26,7 +27,16 @@
             down += 1
         else:
             domains[key] += 1
-    return Room(domains, down, leaving)
+            if view.catalogue.get('claim', row.name) is None:
+                _count_held(view, row.name, holders.setdefault(key, {}))
+    return Room(domains, down, leaving, holders)
+
+
+def _count_held(view, vm, held):
+    seen = view.observations.get(vm)
+    if seen is not None and seen.report is not None:
+        for weights in seen.report.cached:
+            held[weights] = held.get(weights, 0) + 1
 
 
 class Room:
@@ -38,11 +48,15 @@
         Data centre and fabric domain -> usable VMs (count).
     down, leaving : int
         VMs that are not usable (count).
+    holders : dict of (str, str) to dict of str to int, optional
+        Data centre and fabric domain -> ``model@version`` -> unclaimed VMs
+        that hold it (count).
     """
 
-    __slots__ = ('_domains', '_taken', 'down', 'leaving')
+    __slots__ = ('_domains', '_holders', '_taken', 'down', 'leaving')
 
-    def __init__(self, domains, down=0, leaving=0):
+    def __init__(self, domains, down=0, leaving=0, holders=None):
+        self._holders = {} if holders is None else holders
         self._domains = dict(sorted(domains.items()))
         self._taken = {}
         self.down = down
@@ -65,15 +79,30 @@
         ]
         return max(fitting)[1] if fitting else None
 
-    def widest(self, size):
-        """Fabric domain in the data centre where most groups fit, or None."""
+    def best(self, terms):
+        """Fabric domain for a new group, or None.
+
+        The one where most of the group's members would hold the weights,
+        then one of the data centre where most groups fit, then the fullest.
+        """
+        size = terms.group_size
+        weights = f'{terms.model}@{terms.version}'
         whole = {}
         for (data_centre, _), count in self._domains.items():
             whole[data_centre] = whole.get(data_centre, 0) + count // size
-        if not any(whole.values()):
+        fitting = [key for key, n in self._domains.items() if n >= size]
+        if not fitting:
             return None
-        data_centre = max(sorted(whole), key=whole.get)
-        return self.fullest(data_centre, size)
+        return min(
+            fitting,
+            key=lambda key: (
+                -min(self._holders.get(key, {}).get(weights, 0), size),
+                -whole[key[0]],
+                key[0],
+                -self._domains[key],
+                key,
+            ),
+        )
 
     def preempt(self, size, demand):
         """Make room in place of contracts with a lower priority.
--- a/balsamwind/control/tests/test_allocation.py
+++ b/balsamwind/control/tests/test_allocation.py
@@ -104,3 +104,11 @@
     split = made.allocations()
     assert split['top'].total('m') == 1
     assert split['low'].total('m') == 0
+
+
+def test_goes_where_the_weights_are():
+    made = fleet.Fleet({'a-d0': 8, 'b-d0': 4, 'b-d1': 4})
+    for index in range(4):
+        made.report(f'b-d1-{index}', cached=('m@v1',))
+    made.contract('c', 5, 1)
+    assert made.allocations()['c'].replicas == {'m': {'b': 1}}
