--- a/balsamwind/entry/_observer.py
+++ b/balsamwind/entry/_observer.py
@@ -58,7 +58,11 @@
 
     def report_age(self, now):
         """Age of the oldest own observation (seconds)."""
-        ages = [now - view.seen_at for view in self._own_views().values()]
+        ages = [
+            now - view.seen_at
+            for view in self._own_views().values()
+            if view.reachable
+        ]
         return max(ages, default=0.0)
 
     def _own_views(self):
@@ -122,7 +126,11 @@
             self._places = {unit[2] for unit in self._known_units.values()}
             self._version += 1
         observers = {
-            place: tuple(entry.registry.observers(place, now))
+            place: tuple(
+                entry.observations.trusted(
+                    entry.registry.observers(place, now), now
+                )
+            )
             for place in self._places
         }
         return self._version, observers
--- a/balsamwind/peers/_registry.py
+++ b/balsamwind/peers/_registry.py
@@ -42,6 +42,8 @@
         Age of the VM list that it goes by (seconds).
     store_diverged : bool
         Whether it saw that the store was restored.
+    group_in_flight : dict of str to int
+        Group that takes no new work -> requests open on it there (count).
     behind : int
         Heartbeats in a row in which it was behind this node (count).
     connected : bool
@@ -60,6 +62,7 @@
     epoch: int = 0
     vm_list_age: float = 0.0
     store_diverged: bool = False
+    group_in_flight: dict = dataclasses.field(default_factory=dict)
     behind: int = 0
     connected: bool = True
     connected_at: float = 0.0
