--- a/balsamwind/adapters/_platform.py
+++ b/balsamwind/adapters/_platform.py
@@ -1,6 +1,7 @@
 """VM list and weight store of the platform, over HTTP and JSON."""
 
 import json
+import math
 
 from balsamwind import exceptions
 from balsamwind import objects
@@ -8,19 +9,33 @@
 
 
 class HttpVmList:
-    """Client of the VM list."""
+    """Client of the VM list.
 
-    __slots__ = ('_client', '_timeout', '_url', 'bytes_received', 'calls')
+    A platform that gives an entity tag is asked only for a list that
+    changed.
+    """
+
+    __slots__ = (
+        '_client',
+        '_rows',
+        '_tag',
+        '_timeout',
+        '_url',
+        'bytes_received',
+        'calls',
+    )
 
     def __init__(self, client, url, timeout):
         self._client = client
         self._url = url.rstrip('/')
         self._timeout = timeout
+        self._rows = ()
+        self._tag = ''
         self.bytes_received = 0
         self.calls = 0
 
     async def fetch(self):
-        """All rows; a tuple of `ListedVm`.
+        """All rows; a tuple of `ListedVm`, the same one if nothing changed.
 
         Raises
         ------
@@ -30,13 +45,22 @@
         self.calls += 1
         try:
             response = await self._client.fetch(
-                'GET', f'{self._url}/v1/vms', timeout=self._timeout
+                'GET',
+                f'{self._url}/v1/vms',
+                headers=(('If-None-Match', self._tag),) if self._tag else (),
+                timeout=self._timeout,
             )
             self.bytes_received += len(response.body)
+            if response.status == 304 and self._tag:
+                return self._rows
             if response.status != 200:
                 raise exceptions.StoreError(f'VM list: {response.status}')
             rows = json.loads(response.body)['vms']
-            return tuple(objects.decode(ports.ListedVm, row) for row in rows)
+            self._rows = tuple(
+                objects.decode(ports.ListedVm, row) for row in rows
+            )
+            self._tag = response.headers.get('Etag', '')
+            return self._rows
         except (
             exceptions.TransportError,
             KeyError,
@@ -46,6 +70,19 @@
             raise exceptions.StoreError(f'VM list: {error}') from error
 
 
+DEFAULT_WAIT = 1.0
+"""Wait for a ticket when the weight store names none that can be used
+(seconds)."""
+
+
+def _load_wait(text):
+    try:
+        wait = float(text)
+    except ValueError:
+        return DEFAULT_WAIT
+    return wait if 0.0 < wait < math.inf else DEFAULT_WAIT
+
+
 class HttpWeightStore:
     """Client of the weight store."""
 
@@ -69,7 +106,7 @@
         except exceptions.TransportError as error:
             raise exceptions.StoreError(f'weight store: {error}') from error
         if response.status == 429:
-            return float(response.headers.get('Retry-After', '1'))
+            return _load_wait(response.headers.get('Retry-After', ''))
         if response.status != 200:
             raise exceptions.StoreError(f'weight store: {response.status}')
         return 0.0
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -120,6 +120,11 @@
         chosen = self.registry.platform_reader(place, now)
         return chosen == self.settings.node.name
 
+    def is_store_restored(self):
+        """Whether this node or a living peer saw the store restored."""
+        alive = self.registry.alive(self.clock.monotonic())
+        return self.catalogue.restored or any(p.store_diverged for p in alive)
+
     def make_view(self):
         """What the control path decides from, at this moment."""
         return control.View(
@@ -130,8 +135,28 @@
             self.clock.monotonic(),
             self.clock.time(),
             self._rng,
+            self._sum_requests(),
         )
 
+    def requests_of_stopped(self):
+        """Own requests open on groups that take no new work, by group."""
+        self.groups.serving('', '', self.clock.monotonic())
+        loads = self.router.loads
+        counts = {
+            group: loads.in_flight_of(group)
+            for group, reason in self.groups.reasons.items()
+            if reason
+        }
+        return {group: count for group, count in counts.items() if count}
+
+    def _sum_requests(self):
+        """Requests open on such groups at all entries, by group."""
+        total = self.requests_of_stopped()
+        for peer in self.registry.alive(self.clock.monotonic()):
+            for group, count in peer.group_in_flight.items():
+                total[group] = total.get(group, 0) + count
+        return total
+
     def _on_object(self, stored):
         self.groups.invalidate()
         if stored.kind == 'contract':
@@ -319,7 +344,7 @@
             'node': self.settings.node.name,
             'data_centre': self.settings.node.data_centre,
             'revision': self.catalogue.revision,
-            'store_restored': self.catalogue.restored,
+            'store_restored': self.is_store_restored(),
             'store': _node_status.make_store_status(self.catalogue),
             'shards': self.controller.shards_held(now),
             'open_requests': self._open_requests,
@@ -329,6 +354,10 @@
                 self._status_of_group(stored)
                 for stored in self.catalogue.items('group')
             ],
+            'vms': [
+                self._status_of_vm(view, now)
+                for view in self.observations.items()
+            ],
             'short': {
                 stored.name: stored.value.short
                 for stored in self.catalogue.items('allocation')
@@ -336,6 +365,18 @@
             },
         }
 
+    def _status_of_vm(self, view, now):
+        report = view.report
+        return {
+            'name': view.vm,
+            'up': self.observations.is_up(view.vm, now),
+            'reachable': view.reachable,
+            'state': report.state.value if report else 'unknown',
+            'group': report.group if report else '',
+            'observer': view.observer,
+            'age': round(now - self.observations.seen_at(view), 3),
+        }
+
     def _status_of_group(self, stored):
         group = stored.value
         reason = self.groups.reasons.get(group.name, 'not checked')
