--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -6,23 +6,22 @@
 """
 
 import asyncio
-import collections
 import dataclasses
+import socket
 import urllib.parse
 
 from tornado import http1connection
 from tornado import httputil
 from tornado import iostream
+from tornado import netutil
 from tornado import tcpclient
 
+from balsamwind.adapters import _http_receiver
 from balsamwind import exceptions
 
 MAX_IDLE = 64
 """Idle connections kept to one address (count)."""
 
-MAX_BUFFERED_CHUNKS = 4
-"""Body chunks read ahead of the consumer (count)."""
-
 CHUNK_SIZE = 65536
 """Largest body chunk (bytes)."""
 
@@ -52,97 +51,18 @@
     body: bytes
 
 
-class _Receiver(httputil.HTTPMessageDelegate):
-    """Collects what the connection reads, with back-pressure."""
-
-    def __init__(self):
-        self._loop = asyncio.get_running_loop()
-        self.start = self._loop.create_future()
-        self.chunks = collections.deque()
-        self.finished = False
-        self.closed = False
-        self.on_finish = None
-        self._arrived = None
-        self._drained = None
-
-    def headers_received(self, start_line, headers):
-        if not self.start.done():
-            self.start.set_result((start_line.code, headers))
-
-    def data_received(self, chunk):
-        self.chunks.append(chunk)
-        self._wake()
-        if len(self.chunks) < MAX_BUFFERED_CHUNKS:
-            return None
-        self._drained = self._loop.create_future()
-        return self._drained
-
-    def finish(self):
-        self.finished = True
-        self._wake()
-        if self.on_finish is not None:
-            self.on_finish()
-
-    def on_connection_close(self):
-        self.closed = True
-        self._wake()
-        self._resume()
-        if not self.start.done():
-            self.start.set_exception(iostream.StreamClosedError())
-            self.start.exception()
-
-    def note_reader_done(self, task):
-        """Note that nothing more is read, for whatever reason."""
-        if not task.cancelled():
-            task.exception()
-        if not self.finished and not self.closed:
-            self.on_connection_close()
-
-    def _wake(self):
-        if self._arrived is not None and not self._arrived.done():
-            self._arrived.set_result(None)
-
-    def _resume(self):
-        if self._drained is not None and not self._drained.done():
-            self._drained.set_result(None)
-        self._drained = None
-
-    async def wait(self, timeout):
-        """Wait until there is something to take.
-
-        Raises
-        ------
-        TimeoutError
-            Nothing came within `timeout` seconds.
-        """
-        if self.chunks or self.finished or self.closed:
-            return
-        self._arrived = self._loop.create_future()
-        timer = self._loop.call_later(timeout, _set_timeout, self._arrived)
-        try:
-            await self._arrived
-        finally:
-            timer.cancel()
-            self._arrived = None
-
-    def take(self):
-        """All that has arrived; empty bytes at the end; None if cut."""
-        if self.chunks:
-            data = b''.join(self.chunks)
-            self.chunks.clear()
-            self._resume()
-            return data
-        return b'' if self.finished else None
-
-    def discard(self):
-        """Let the reader go on without a consumer."""
-        self.chunks.clear()
-        self._resume()
-
+class _NumericResolver(netutil.Resolver):
+    """Takes IP numbers only, so that no thread has to look up names."""
 
-def _set_timeout(future):
-    if not future.done():
-        future.set_exception(TimeoutError())
+    async def resolve(self, host, port, family=socket.AF_UNSPEC):
+        rows = socket.getaddrinfo(
+            host,
+            port,
+            family,
+            socket.SOCK_STREAM,
+            flags=socket.AI_NUMERICHOST,
+        )
+        return [(row[0], row[4]) for row in rows]
 
 
 class StreamedResponse:
@@ -248,7 +168,7 @@
 
     def __init__(self, ssl_context=None, user_agent='balsamwind'):
         self._user_agent = user_agent
-        self._tcp = tcpclient.TCPClient()
+        self._tcp = tcpclient.TCPClient(_NumericResolver())
         self._idle = {}
         self._ssl_context = ssl_context
         self.opened = 0
@@ -357,7 +277,7 @@
                 chunk_size=CHUNK_SIZE, max_body_size=1 << 40
             ),
         )
-        receiver = _Receiver()
+        receiver = _http_receiver.Receiver()
         path = parts.path or '/'
         if parts.query:
             path = f'{path}?{parts.query}'
--- a/balsamwind/adapters/_metrics.py
+++ b/balsamwind/adapters/_metrics.py
@@ -1,5 +1,7 @@
 """Metrics by prometheus_client, with bounded label sets."""
 
+import dataclasses
+
 import prometheus_client
 
 BUCKETS = (
@@ -26,12 +28,31 @@
 """Customers with a label of their own (count)."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class CompletionMetrics:
+    """Metrics with the labels of one customer and model.
+
+    Parameters
+    ----------
+    first_token, token_gap, answer : prometheus_client.Histogram
+        Times (seconds).
+    tokens : prometheus_client.Counter
+        Tokens relayed.
+    """
+
+    first_token: prometheus_client.Histogram
+    token_gap: prometheus_client.Histogram
+    answer: prometheus_client.Histogram
+    tokens: prometheus_client.Counter
+
+
 class Metrics:
     """Histograms and counters of one entry."""
 
     __slots__ = (
         '_customers',
         'answer_seconds',
+        'ejections',
         'first_token_seconds',
         'late_events',
         'outcomes',
@@ -92,6 +113,11 @@
             'Events of abandoned attempts, dropped.',
             registry=self.registry,
         )
+        self.ejections = prometheus_client.Counter(
+            'balsamwind_ejections',
+            'Groups ejected as outliers.',
+            registry=self.registry,
+        )
         self.resumptions = prometheus_client.Counter(
             'balsamwind_resumptions',
             'Attempts after the first, by how they began.',
@@ -108,6 +134,16 @@
         """Labels of a customer and its class."""
         return self.customer(contract.customer), str(contract.priority)
 
+    def bind(self, contract, model):
+        """Metrics of one customer and model; a `CompletionMetrics`."""
+        labels = (*self.labels_of(contract), model)
+        return CompletionMetrics(
+            self.first_token_seconds.labels(*labels),
+            self.token_gap_seconds.labels(*labels),
+            self.answer_seconds.labels(*labels),
+            self.tokens.labels(*labels),
+        )
+
     def customer(self, name):
         """Label of a customer; ``other`` once there are too many."""
         if name in self._customers:
--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -83,6 +83,7 @@
             self._load_report,
             self._rng.getrandbits(64),
         )
+        self.router.on_ejection = self.note_ejection
         self._completions = requests.Completions(
             engine,
             self.groups,
@@ -159,6 +160,8 @@
 
     def _on_object(self, stored):
         self.groups.invalidate()
+        if stored.kind == 'group' and stored.value is None:
+            self.router.forget(stored.name)
         if stored.kind == 'contract':
             self._keys = {
                 digest: contract.name
@@ -216,32 +219,26 @@
         list of str
             Tokens, each once and in order.
         """
-        started = self.clock.monotonic()
-        labels = (*self.metrics.labels_of(request.contract), request.model)
+        clock = self.clock.monotonic
+        started = clock()
+        observed = self.metrics.bind(request.contract, request.model)
         previous = None
         async with self._admit(request.contract, request.deadline):
             run = self._completions.run(request)
             async with contextlib.aclosing(run) as batches:
                 async for batch in batches:
-                    now = self.clock.monotonic()
-                    self._observe_batch(labels, batch, started, previous, now)
+                    now = clock()
+                    if previous is None:
+                        observed.first_token.observe(now - started)
+                    else:
+                        observed.token_gap.observe(now - previous)
+                    observed.tokens.inc(len(batch))
                     self.limits.charge_tokens(
                         request.contract, len(batch), now
                     )
                     previous = now
                     yield batch
-        self.metrics.answer_seconds.labels(*labels).observe(
-            self.clock.monotonic() - started
-        )
-
-    def _observe_batch(self, labels, batch, started, previous, now):
-        if previous is None:
-            histogram = self.metrics.first_token_seconds
-            histogram.labels(*labels).observe(now - started)
-        else:
-            histogram = self.metrics.token_gap_seconds
-            histogram.labels(*labels).observe(now - previous)
-        self.metrics.tokens.labels(*labels).inc(len(batch))
+        observed.answer.observe(clock() - started)
 
     async def call_service(self, contract, service, call, deadline):
         """Run a service call within the contract's limits."""
@@ -296,6 +293,11 @@
         """Count an attempt after the first of a call of a service."""
         self.metrics.retries.labels(service).inc()
 
+    def note_ejection(self, groups):
+        """Count and log groups that are ejected as outliers."""
+        self.metrics.ejections.inc(len(groups))
+        self.log.warning('groups_ejected', groups=groups)
+
     def note_late_events(self, count):
         """Count events of abandoned attempts."""
         self.metrics.late_events.inc(count)
--- a/benchmarks/fleet_model.py
+++ b/benchmarks/fleet_model.py
@@ -91,8 +91,8 @@
             *(prefix * 1000 + n + 1 for n in range(lengths[prefix])),
             *(rng.getrandbits(60) for _ in range(own)),
         ]
-        # Spread over 64 bits as hashes are.
-        blocks = tuple(b * 0x9E3779B97F4A7C15 % (1 << 64) for b in blocks)
+        # Spread over 52 bits as hashes are.
+        blocks = tuple(b * 0x9E3779B97F4A7C15 % (1 << 52) for b in blocks)
         tokens = 1 + int(rng.expovariate(1 / 100))
         arrivals.append(Arrival(at, rng.randrange(nodes), blocks, tokens))
     return arrivals
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -39,6 +39,8 @@
         VMs in each of them (count).
     overrides : dict
         Sections of the entries' settings to change.
+    token_delay : float
+        Time between the tokens of an engine (seconds).
     links : bool
         Whether data centres can be cut off, by `cut`.
     binary : pathlib.Path or None
@@ -51,6 +53,7 @@
         domains=2,
         vms_per_domain=3,
         overrides=None,
+        token_delay=0.02,
         links=False,
         binary=None,
     ):
@@ -59,6 +62,7 @@
         self._forwarded = {}
         self._binary = binary
         self.folder = folder
+        self._token_delay = token_delay
         self._overrides = overrides or {}
         self._held = []
         self.processes = {}
@@ -218,6 +222,8 @@
                 vms,
                 '--data-centre',
                 place,
+                '--token-delay',
+                self._token_delay,
             )
             self._spawn(
                 f'service-{place}',
