Leave out malformed shares of a peer

Cause: a heartbeat whose usage had not two values raised in the receiver of the link; a negative one would have widened this entry's share.

Before: three of five rows of the new test failed; the two negative rows passed. After: all pass.

--- a/balsamwind/admission/_limits.py
+++ b/balsamwind/admission/_limits.py
@@ -191,7 +191,10 @@
         if draining:
             known.clear()
             return
-        for customer, (demand, share) in usage.items():
+        for customer, values in usage.items():
+            if len(values) != 2 or min(values) < 0:
+                continue
+            demand, share = values
             known[customer] = _shares.Usage(
                 demand / TOLD_UNITS, share / TOLD_UNITS
             )
--- a/balsamwind/admission/tests/test_shares.py
+++ b/balsamwind/admission/tests/test_shares.py
@@ -174,3 +174,12 @@
         keeper.make_usage()
     assert len(keeper.make_usage()) <= 1
     assert len(keeper.make_usage(full=True)) == 100
+
+
+@pytest.mark.parametrize('values', [(), (1,), (1, 2, 3), (-1, 5), (5, -1)])
+def test_malformed_usage_is_left_out(values):
+    keeper = make_keeper(['b'])
+    keeper.hear('b', {'bad': values, 'c': (6000, 54000)}, {}, False, 0.0)
+    for beat in range(20):
+        keeper.beat({'c': objects.Limits()}, beat / 10)
+    assert keeper.share('c') <= 0.1 + 1e-9
