--- a/balsamwind/control/_choices.py
+++ b/balsamwind/control/_choices.py
@@ -80,20 +80,29 @@
         most = self._view.settings.placement.preloads
         if not most:
             return []
-        wanted = {'': {}}
-        for stored in self._groups:
-            group = stored.value
-            if not group.leaving:
-                weights = placement.Weights(group.model, group.version)
-                for key in (group.fabric_domain, ''):
-                    counts = wanted.setdefault(key, {})
-                    counts[weights] = counts.get(weights, 0) + 1
+        wanted = self._count_wanted_weights()
         return [
             preload
             for preload in placement.plan_preloads(self._free, wanted, most)
             if not self._is_loading(preload.row.name)
         ]
 
+    def _count_wanted_weights(self):
+        """Fabric domain -> weights -> groups that use them (count).
+
+        The key ``''`` stands for domains without groups.
+        """
+        wanted = {'': {}}
+        for stored in self._groups:
+            group = stored.value
+            if group.leaving:
+                continue
+            weights = placement.Weights(group.model, group.version)
+            for key in (group.fabric_domain, ''):
+                counts = wanted.setdefault(key, {})
+                counts[weights] = counts.get(weights, 0) + 1
+        return wanted
+
     def _is_loading(self, vm):
         report = self._view.observations.get(vm).report
         return report.state is ports.EngineState.LOADING
