--- a/balsamwind/replay/__init__.py
+++ b/balsamwind/replay/__init__.py
@@ -8,6 +8,7 @@
 from balsamwind.replay._platform import MemoryPlatform
 from balsamwind.replay._platform import MemoryStore
 from balsamwind.replay._replay import replay_file
+from balsamwind.replay._requests import replay_requests
 from balsamwind.replay._trace import check_steps
 from balsamwind.replay._trace import Line
 from balsamwind.replay._trace import load_lines
@@ -30,4 +31,5 @@
     'open_loop',
     'replay_control',
     'replay_file',
+    'replay_requests',
 ]
--- a/balsamwind/replay/_requests.py
+++ b/balsamwind/replay/_requests.py
@@ -11,6 +11,7 @@
 from balsamwind import exceptions
 from balsamwind import objects
 from balsamwind import ports
+from balsamwind.replay import _trace
 from balsamwind import requests
 from balsamwind import routing
 from balsamwind.settings import Finding
@@ -137,8 +138,8 @@
 
     Parameters
     ----------
-    lines : list
-        Header and steps; each has `place`, a str, and `data`, a dict.
+    lines : list of Line
+        Header, events and stated outcomes.
 
     Returns
     -------
@@ -152,25 +153,11 @@
     """
     header = lines[0].data
     replay = _Replay(header.get('data_centre', 'a'), header.get('seed', 1))
-    steps = [_check_line(line) for line in lines[1:]]
-    for line, (now, step) in zip(lines[1:], steps, strict=True):
-        replay.carry_out(line.place, now, step)
+    for step in _trace.check_steps(lines[1:], EVENTS, Expect):
+        replay.carry_out(step.place, step.at, step.what)
     return replay.findings
 
 
-def _check_line(line):
-    data = dict(line.data)
-    try:
-        now = float(data.pop('at'))
-        if 'expect' in data:
-            return now, objects.decode(Expect, data['expect'])
-        return now, objects.decode(EVENTS[data.pop('event')], data)
-    except (KeyError, TypeError, ValueError) as error:
-        raise exceptions.InvalidInput(
-            [Finding(line.place, '', line.data, f'a step: {error!r}')]
-        ) from None
-
-
 class _Answer:
     """One request of the trace."""
 
