Split the writes of a round from its planner

Cause: control/_groups.py had grown to 464 lines and mixed what is decided with how a decision is put together.

Ruled out: a split by state of the group; the states share the members, the choices and the writes.

Change: control/_writes.py collects decisions; a group is created and changed in one place each. No behaviour changes.

--- a/balsamwind/control/_groups.py
+++ b/balsamwind/control/_groups.py
@@ -7,16 +7,13 @@
 engines get orders.
 """
 
-import dataclasses
-
 from balsamwind.control import _choices
-from balsamwind.control import _decisions
 from balsamwind.control import _members
 from balsamwind.control import _rollout
+from balsamwind.control import _writes
 from balsamwind import membership
 from balsamwind import objects
 from balsamwind import placement
-from balsamwind import ports
 
 DRAIN_NOTICE = 2.0
 """Time for all entries to learn that a group is draining (seconds)."""
@@ -27,9 +24,6 @@
 ORPHAN_AGE = 2.0
 """Age at which a claim without a group is deleted (seconds)."""
 
-PRELOAD_PREFIX = 'preload/'
-"""Begins the group in the order of a load ahead; no group is named so."""
-
 State = objects.GroupState
 
 
@@ -66,19 +60,17 @@
     __slots__ = (
         '_choices',
         '_data_centre',
-        '_fencing',
         '_free',
         '_members',
         '_view',
-        '_written',
-        'decisions',
+        '_writes',
         'groups',
     )
 
     def __init__(self, view, data_centre, fencing):
         self._view = view
         self._data_centre = data_centre
-        self._fencing = fencing
+        self._writes = _writes.Writes(view, fencing)
         self._members = _members.Members(view)
         self._free = placement.make_free_vms(
             data_centre,
@@ -95,8 +87,11 @@
         self._choices = _choices.Choices(
             view, data_centre, self.groups, self._free, self._lost
         )
-        self._written = set()
-        self.decisions = []
+
+    @property
+    def decisions(self):
+        """What was decided so far."""
+        return self._writes.decisions
 
     def is_dark(self):
         """Whether the data centre may be cut off: nothing is done then."""
@@ -113,7 +108,7 @@
             if group is not None and stored.name in group.vms:
                 continue
             if view.catalogue.age(stored, view.now) >= ORPHAN_AGE:
-                self._delete(stored)
+                self._writes.delete(stored)
 
     def plan_group(self, stored):
         """Decide the next step of one group."""
@@ -146,10 +141,7 @@
                 self._move(stored, State.RELEASING, f'{member.vm} is claimed')
                 return
         for vm in missing:
-            claim = objects.Claim(
-                vm, group.name, self._fencing, self._view.operation()
-            )
-            self._put('claim', vm, claim, 0)
+            self._writes.claim(vm, group)
         if not missing:
             self._move(stored, State.LOADING, group.reason)
 
@@ -172,7 +164,7 @@
             self._move(stored, State.READY, '')
         for member in group.members:
             if member.vm in waiting:
-                self._order_load(group, member)
+                self._writes.order_load(group, member)
 
     def _plan_ready(self, stored):
         group = stored.value
@@ -181,7 +173,7 @@
         elif self._lost(group):
             self._repair(stored)
         elif self._members.changed(group):
-            self._put_group(
+            self._writes.change_group(
                 stored,
                 state=State.LOADING,
                 generation=group.generation + 1,
@@ -210,11 +202,11 @@
             held = True
             loaded = self._members.still_loaded(group, member.vm)
             if loaded and not given_up:
-                self._order_unload(group, member)
+                self._writes.order_unload(group, member)
             else:
-                self._delete(claim)
+                self._writes.delete(claim)
         if not held:
-            self._delete(stored)
+            self._writes.delete(stored)
 
     def plan_counts(self):
         """Form groups that are missing and drain those that are too many."""
@@ -313,7 +305,7 @@
             return False
         suffix = f'{self._view.rng.getrandbits(40):010x}'
         name = f'{contract.customer}-{terms.model}-{suffix}'
-        group = objects.Group(
+        self._writes.create_group(
             name=name,
             contract=contract.customer,
             model=terms.model,
@@ -321,14 +313,9 @@
             data_centre=self._data_centre,
             fabric_domain=rows[0].fabric_domain,
             members=tuple(objects.Member(r.name, r.address) for r in rows),
-            generation=1,
-            state=State.FORMING,
             adapters=terms.adapters,
             role=terms.role,
-            fencing=self._fencing,
-            operation=self._view.operation(),
         )
-        self._put('group', name, group, 0)
         return True
 
     def _lost(self, group):
@@ -346,7 +333,7 @@
                     objects.Member(row.name, row.address)
                     for row in repair.rows
                 ]
-                self._put_group(
+                self._writes.change_group(
                     stored,
                     state=State.FORMING,
                     members=tuple(kept + added),
@@ -375,90 +362,10 @@
         if not stored.value.reason.startswith(known):
             self._move(stored, stored.value.state, repair.reason)
 
-    def _order_load(self, group, member):
-        view = self._view.observations.get(member.vm)
-        if _is_loading(group, view):
-            return
-        cached = view.report.cached if view and view.report else ()
-        order = ports.Order(
-            kind='load',
-            group=group.name,
-            generation=group.generation,
-            fencing=self._fencing,
-            model=group.model,
-            version=group.version,
-            role=group.role,
-            adapters=group.adapters,
-            members=tuple(m.address for m in group.members),
-            rank=group.vms.index(member.vm),
-        )
-        weights = f'{group.model}@{group.version}'
-        self.decisions.append(
-            _decisions.SendOrder(
-                member.vm, member.address, order, weights not in cached
-            )
-        )
-
     def plan_preloads(self):
         """Let free VMs load weights ahead; they stay free."""
         for preload in self._choices.preloads():
-            weights = preload.weights
-            order = ports.Order(
-                kind='load',
-                group=f'{PRELOAD_PREFIX}{weights.label}',
-                generation=0,
-                fencing=self._fencing,
-                model=weights.model,
-                version=weights.version,
-                members=(preload.row.address,),
-            )
-            self.decisions.append(
-                _decisions.SendOrder(
-                    preload.row.name, preload.row.address, order, True
-                )
-            )
-
-    def _order_unload(self, group, member):
-        order = ports.Order(
-            'unload', group.name, group.generation, self._fencing
-        )
-        self.decisions.append(
-            _decisions.SendOrder(member.vm, member.address, order)
-        )
+            self._writes.order_preload(preload.row, preload.weights)
 
     def _move(self, stored, state, reason):
-        self._put_group(stored, state=state, reason=reason)
-
-    def _put_group(self, stored, **changes):
-        value = dataclasses.replace(
-            stored.value,
-            fencing=self._fencing,
-            operation=self._view.operation(),
-            **changes,
-        )
-        self._put('group', stored.name, value, stored.revision)
-
-    def _put(self, kind, name, value, expected):
-        if (kind, name) in self._written:
-            return
-        self._written.add((kind, name))
-        self.decisions.append(
-            _decisions.PutObject(kind, name, value, expected)
-        )
-
-    def _delete(self, stored):
-        self.decisions.append(
-            _decisions.DeleteObject(stored.kind, stored.name, stored.revision)
-        )
-
-
-def _is_loading(group, view):
-    """Whether the engine says that it obeys the order already."""
-    return (
-        view is not None
-        and view.report is not None
-        and view.reachable
-        and view.report.state is ports.EngineState.LOADING
-        and view.report.group == group.name
-        and view.report.generation == group.generation
-    )
+        self._writes.change_group(stored, state=state, reason=reason)
