Import the build tools in one way

Ruled out: installing the tools as a package; nothing but this tree uses them.

Change: everything says "from build_tools import ..." and runs with python -m; conditions to wait for are a module of their own.

--- a/Makefile
+++ b/Makefile
@@ -15,13 +15,13 @@
 	touch $@ $(VENV)/demo.stamp
 
 demo: $(VENV)/demo.stamp
-	$(BIN)/python build_tools/demo.py
+	$(BIN)/python -m build_tools.demo
 
 test: $(VENV)/dev.stamp
-	$(BIN)/python build_tools/run_tests.py
+	$(BIN)/python -m build_tools.run_tests
 
 binary: $(VENV)/dev.stamp
-	$(BIN)/python build_tools/make_binary.py
+	$(BIN)/python -m build_tools.make_binary
 
 format: $(VENV)/dev.stamp
 	$(BIN)/ruff format .
--- a/balsamwind/cli/tests/test_binary.py
+++ b/balsamwind/cli/tests/test_binary.py
@@ -3,9 +3,10 @@
 import pathlib
 import signal
 
-import callers
-import cluster as cluster_module
-import make_binary
+from build_tools import callers
+from build_tools import cluster as cluster_module
+from build_tools import conditions
+from build_tools import make_binary
 import psutil
 import pytest
 
@@ -20,7 +21,7 @@
 
 def test_one_process_that_drains(binary):
     with cluster_module.open_cluster(binary=binary) as cluster:
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: all(cluster.status(name) for name in cluster.entries),
             'all entries answer',
         )
@@ -31,10 +32,10 @@
             assert process.children(recursive=True) == []
         stream = callers.Stream(cluster, 'entry-a1', 'one two three', 150)
         stream.start()
-        cluster_module.wait_for(lambda: stream.tokens, 'the first token')
+        conditions.wait_for(lambda: stream.tokens, 'the first token')
         entry = cluster.processes['entry-a1']
         entry.send_signal(signal.SIGTERM)
-        stream.join(cluster_module.WAIT)
+        stream.join(conditions.WAIT)
         assert (stream.done, len(stream.tokens)) == (True, 150)
-        assert entry.wait(cluster_module.WAIT) == 0
+        assert entry.wait(conditions.WAIT) == 0
         assert '"drained"' in cluster.log('entry-a1')
--- a/balsamwind/entry/tests/test_processes_calls.py
+++ b/balsamwind/entry/tests/test_processes_calls.py
@@ -2,18 +2,14 @@
 
 import hashlib
 import json
-import pathlib
 import signal
-import sys
 import threading
 
 import pytest
 
-sys.path.insert(
-    0, str(pathlib.Path(__file__).resolve().parents[3] / 'build_tools')
-)
+from build_tools import cluster as cluster_module
+from build_tools import conditions
 
-import cluster as cluster_module  # noqa: E402
 
 KEY = 'processes-key'
 PAYOUT = {'circle': 'varketili', 'member': 'ნინო', 'amount': 250}
@@ -34,13 +30,13 @@
     contract['models'] = []
     path = cluster.folder / 'contract.json'
     path.write_text(json.dumps(contract), encoding='utf-8')
-    cluster_module.wait_for(
+    conditions.wait_for(
         lambda: all(cluster.status(name) for name in cluster.entries),
         'all entries answer',
     )
     done = cluster.command('contract', 'apply', path)
     assert done.returncode == 0, done.stderr
-    cluster_module.wait_for(
+    conditions.wait_for(
         lambda: all(_knows(cluster, name) for name in cluster.entries),
         'the contract is in force everywhere',
     )
@@ -77,7 +73,7 @@
 
 def _set_fault(cluster, place, **faults):
     address = cluster.service[place]
-    cluster_module.post_json(f'http://{address}/admin', faults)
+    conditions.post_json(f'http://{address}/admin', faults)
 
 
 def _effects(cluster, key):
@@ -87,13 +83,13 @@
 def test_entry_killed_between_record_and_answer(cluster):
     _set_fault(cluster, 'tbilisi-a', delay=20.0)
     caller = _pay_in_background(cluster, 'entry-a1', 'killed-entry')
-    cluster_module.wait_for(
+    conditions.wait_for(
         lambda: _effects(cluster, 'killed-entry'), 'the call took effect'
     )
     process = cluster.processes['entry-a1']
     process.send_signal(signal.SIGKILL)
     process.wait()
-    caller.join(cluster_module.WAIT)
+    caller.join(conditions.WAIT)
     _set_fault(cluster, 'tbilisi-a', delay=0.0)
     for name in ('entry-a2', 'entry-b1'):
         status, _, body = _pay(cluster, name, 'killed-entry')
@@ -109,7 +105,7 @@
         target=_pay, args=(cluster, 'entry-b1', 'killed-backend', answers)
     )
     thread.start()
-    cluster_module.wait_for(
+    conditions.wait_for(
         lambda: answers or _effects(cluster, 'killed-backend'),
         'the call took effect',
     )
@@ -117,7 +113,7 @@
     process = cluster.processes['service-tbilisi-b']
     process.send_signal(signal.SIGKILL)
     process.wait()
-    thread.join(cluster_module.WAIT)
+    thread.join(conditions.WAIT)
     repeat = _pay(cluster, 'entry-c1', 'killed-backend')
     for status, _, body in (*answers, repeat):
         assert status == 504
--- a/balsamwind/entry/tests/test_processes_configuration.py
+++ b/balsamwind/entry/tests/test_processes_configuration.py
@@ -5,7 +5,8 @@
 import pathlib
 import signal
 
-import cluster as cluster_module
+from build_tools import cluster as cluster_module
+from build_tools import conditions
 
 KEY = 'configuration-key'
 
@@ -28,7 +29,7 @@
 
 def set_platform(cluster, down):
     url = f'http://{cluster.platform}/admin/faults'
-    cluster_module.post_json(url, {'down': down})
+    conditions.post_json(url, {'down': down})
 
 
 def knows_contract(cluster, entry):
@@ -53,7 +54,7 @@
 
 def test_configuration_outlives_outage_and_restart():
     with cluster_module.open_cluster() as cluster:
-        wait_for = cluster_module.wait_for
+        wait_for = conditions.wait_for
         wait_for(lambda: all_alive(cluster), 'six nodes see each other')
         path = write_contract(cluster)
         done = apply(cluster, path, 'entry-a1')
--- a/balsamwind/entry/tests/test_processes_control.py
+++ b/balsamwind/entry/tests/test_processes_control.py
@@ -2,8 +2,9 @@
 
 import signal
 
-import callers
-import cluster as cluster_module
+from build_tools import callers
+from build_tools import cluster as cluster_module
+from build_tools import conditions
 import pytest
 
 PROMPT = 'one two three four five six seven'
@@ -13,7 +14,7 @@
 def cluster():
     settings = {'placement': {'load_time': 0.2, 'cached_load_time': 0.1}}
     with cluster_module.open_cluster(overrides=settings) as made:
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: all(made.status(name) for name in made.entries),
             'all entries answer',
         )
@@ -34,7 +35,7 @@
 
 
 def wait_for_holder(cluster, shard, but=()):
-    return cluster_module.wait_for(
+    return conditions.wait_for(
         lambda: find_holder(cluster, shard, but), f'a holder of {shard}'
     )
 
@@ -67,14 +68,14 @@
     group = kill_member(cluster, place)
     process.send_signal(number)
     successor = wait_for_holder(cluster, place, but=(holder,))
-    cluster_module.wait_for(
+    conditions.wait_for(
         lambda: all(is_repaired(cluster, group, name) for name in others),
         'another member serves',
     )
     if number == signal.SIGSTOP:
         repaired = cluster.serving(successor)
         process.send_signal(signal.SIGCONT)
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: (
                 is_follower(cluster, holder, place)
                 and is_repaired(cluster, group, holder)
@@ -86,7 +87,7 @@
     else:
         process.wait()
         cluster.start_entry(holder)
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: cluster.status(holder), 'the entry is back'
         )
     cluster.fault(group['members'][1], 'wipe')
@@ -110,20 +111,20 @@
     cluster.wait_until_serving(3)
     groups = _versions(cluster.groups('entry-b1'))
     faults = f'http://{cluster.platform}/admin/faults'
-    cluster_module.post_json(faults, {'down': True})
+    conditions.post_json(faults, {'down': True})
     try:
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: all(has_no_lease(cluster, n) for n in cluster.entries),
             'all leases have lapsed',
         )
         for name in cluster.entries:
             stream = callers.Stream(cluster, name, PROMPT, 7)
             stream.start()
-            stream.join(cluster_module.WAIT)
+            stream.join(conditions.WAIT)
             assert ''.join(stream.tokens).split() == PROMPT.split()
         cluster.wait_until_serving(3)
     finally:
-        cluster_module.post_json(faults, {'down': False})
+        conditions.post_json(faults, {'down': False})
     for shard in ('fleet', 'tbilisi-a', 'tbilisi-b', 'tbilisi-c'):
         wait_for_holder(cluster, shard)
     cluster.wait_until_serving(3)
--- a/balsamwind/entry/tests/test_processes_cut.py
+++ b/balsamwind/entry/tests/test_processes_cut.py
@@ -3,8 +3,9 @@
 import json
 import time
 
-import callers
-import cluster as cluster_module
+from build_tools import callers
+from build_tools import cluster as cluster_module
+from build_tools import conditions
 import pytest
 
 PLACE = 'tbilisi-a'
@@ -14,7 +15,7 @@
 @pytest.fixture
 def cluster():
     with cluster_module.open_cluster(links=True) as made:
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: all(made.status(name) for name in made.entries),
             'all entries answer',
         )
@@ -54,7 +55,7 @@
 
 
 def test_cut_data_centre(cluster):
-    cluster_module.wait_for(
+    conditions.wait_for(
         lambda: all(
             place in leaders(cluster, place)
             for place in cluster_module.DATA_CENTRES
@@ -65,7 +66,7 @@
     inside = [n for n in cluster.entries if n.startswith('entry-a')]
     outside = [n for n in cluster.entries if n not in inside]
     cluster.cut(PLACE)
-    cluster_module.wait_for(
+    conditions.wait_for(
         lambda: (
             alive(cluster, 'entry-a1') == inside
             and alive(cluster, 'entry-b1') == outside
@@ -87,7 +88,7 @@
     path.write_text(json.dumps(contract), encoding='utf-8')
     assert cluster.command('contract', 'apply', path).returncode == 0
     cluster.cut()
-    cluster_module.wait_for(
+    conditions.wait_for(
         lambda: (
             len({cluster.status(n)['revision'] for n in cluster.entries}) == 1
         ),
--- a/balsamwind/entry/tests/test_processes_requests.py
+++ b/balsamwind/entry/tests/test_processes_requests.py
@@ -3,8 +3,9 @@
 import json
 import signal
 
-import callers
-import cluster as cluster_module
+from build_tools import callers
+from build_tools import cluster as cluster_module
+from build_tools import conditions
 import pytest
 
 PROMPT = 'one two three four five six seven'
@@ -18,7 +19,7 @@
 @pytest.fixture(scope='module')
 def cluster():
     with cluster_module.open_cluster() as made:
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: all(made.status(name) for name in made.entries),
             'all entries answer',
         )
@@ -29,7 +30,7 @@
 
 def engine_state(cluster, vm):
     place = next(r['data_centre'] for r in cluster.vms if r['name'] == vm)
-    return cluster_module.get_json(f'http://{cluster.admin[place]}/admin/{vm}')
+    return conditions.get_json(f'http://{cluster.admin[place]}/admin/{vm}')
 
 
 def busy_group(cluster):
@@ -45,13 +46,11 @@
     cluster.wait_until_serving(3)
     stream = callers.Stream(cluster, 'entry-b1', PROMPT, 120)
     stream.start()
-    cluster_module.wait_for(lambda: len(stream.tokens) > 3, 'some tokens')
-    group = cluster_module.wait_for(
-        lambda: busy_group(cluster), 'a busy group'
-    )
+    conditions.wait_for(lambda: len(stream.tokens) > 3, 'some tokens')
+    group = conditions.wait_for(lambda: busy_group(cluster), 'a busy group')
     victim = group['members'][rank]
     cluster.fault(victim, fault)
-    stream.join(cluster_module.WAIT)
+    stream.join(conditions.WAIT)
     assert stream.tokens == make_answer(120)
     assert stream.done
     cluster.fault(victim, 'wipe')
@@ -60,12 +59,12 @@
 def test_killed_entry_gives_no_clean_end(cluster):
     stream = callers.Stream(cluster, 'entry-c2', PROMPT, 400)
     stream.start()
-    cluster_module.wait_for(lambda: len(stream.tokens) > 3, 'some tokens')
+    conditions.wait_for(lambda: len(stream.tokens) > 3, 'some tokens')
     cluster.processes['entry-c2'].send_signal(signal.SIGKILL)
-    stream.join(cluster_module.WAIT)
+    stream.join(conditions.WAIT)
     assert not stream.done
     assert stream.error
-    cluster_module.wait_for(
+    conditions.wait_for(
         lambda: busy_group(cluster) is None, 'the slot is free'
     )
     cluster.processes['entry-c2'].wait()
@@ -81,9 +80,7 @@
         {**row, 'state': 'leaving'} if row['name'] == leaving else row
         for row in cluster.vms
     ]
-    cluster_module.post_json(
-        f'http://{cluster.platform}/admin/vms', {'vms': rows}
-    )
+    conditions.post_json(f'http://{cluster.platform}/admin/vms', {'vms': rows})
 
     def gone_everywhere():
         return all(
@@ -93,7 +90,7 @@
             for name in cluster.entries
         )
 
-    cluster_module.wait_for(gone_everywhere, 'no entry offers the VM')
+    conditions.wait_for(gone_everywhere, 'no entry offers the VM')
     before = engine_state(cluster, leaving)['started']
     for name in cluster.entries:
         for _ in range(4):
--- a/balsamwind/settings/tests/test_page.py
+++ b/balsamwind/settings/tests/test_page.py
@@ -1,10 +1,10 @@
 """docs/SETTINGS.md says what the settings classes say."""
 
-import make_settings_page
+from build_tools import make_settings_page
 
 
 def test_page_is_up_to_date():
     page = make_settings_page.PAGE.read_text(encoding='utf-8')
     assert page == make_settings_page.make_page(), (
-        'run python build_tools/make_settings_page.py'
+        'run python -m build_tools.make_settings_page'
     )
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -14,17 +14,16 @@
 import random
 import socket
 import statistics
-import sys
 import tempfile
 import time
 
 import numpy
 import psutil
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path[:0] = [str(ROOT), str(ROOT / 'build_tools')]
+from build_tools import cluster as cluster_module
+from build_tools import conditions
 
-import cluster as cluster_module  # noqa: E402,H306
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 GROUP_SIZE = 16
 """Members of a group (count)."""
@@ -113,7 +112,7 @@
         vms.write_text(json.dumps(self.vms), encoding='utf-8')
         for holder in self._held:
             holder.close()
-        port = cluster_module.get_port(self.platform)
+        port = conditions.get_port(self.platform)
         self._spawn(
             'platform', 'standins.platform', '--port', port, '--vms', vms
         )
@@ -122,7 +121,7 @@
                 f'engines-{place}',
                 'benchmarks.control_fleet',
                 '--admin-port',
-                cluster_module.get_port(self.admin[place]),
+                conditions.get_port(self.admin[place]),
                 '--vms',
                 vms,
                 '--data-centre',
@@ -229,11 +228,11 @@
         try:
             fleet.start()
             try:
-                cluster_module.wait_for(
+                conditions.wait_for(
                     lambda: fleet.status('entry-000'), 'an entry answers', 30
                 )
                 fleet.apply_contract()
-                cluster_module.wait_for(fleet.is_settled, 'fleet settles', 180)
+                conditions.wait_for(fleet.is_settled, 'fleet settles', 180)
             except AssertionError as error:
                 raise AssertionError(f'{error}; {fleet.describe()}') from None
             time.sleep(5.0)
--- a/benchmarks/control_decisions.py
+++ b/benchmarks/control_decisions.py
@@ -6,17 +6,14 @@
 """
 
 import argparse
-import sys
 import timeit
 
 import structlog
 
-sys.path[:0] = ['.']
-
-from balsamwind.entry.tests import parts  # noqa: E402,H306
-from balsamwind import objects  # noqa: E402
-from balsamwind import peers  # noqa: E402
-from balsamwind import ports  # noqa: E402
+from balsamwind.entry.tests import parts
+from balsamwind import objects
+from balsamwind import peers
+from balsamwind import ports
 
 DATA_CENTRES = 8
 """Data centres (count)."""
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -22,6 +22,7 @@
 import psutil
 
 from build_tools import cluster as cluster_module
+from build_tools import conditions
 
 KEY = 'relay-benchmark'
 
@@ -162,8 +163,8 @@
     def apply():
         return not cluster.command('contract', 'apply', path).returncode
 
-    cluster_module.wait_for(apply, 'the contract is taken')
-    cluster_module.wait_for(
+    conditions.wait_for(apply, 'the contract is taken')
+    conditions.wait_for(
         lambda: sum(g['serving'] for g in cluster.groups(entry)) == GROUPS,
         'all groups serve',
     )
--- a/benchmarks/start_cost.py
+++ b/benchmarks/start_cost.py
@@ -16,11 +16,11 @@
 
 import psutil
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT / 'build_tools'))
+from build_tools import callers
+from build_tools import cluster as cluster_module
+from build_tools import conditions
 
-import callers  # noqa: E402
-import cluster as cluster_module  # noqa: E402
+ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 RUNS = 7
 BINARY = ROOT / 'build' / 'balsamwind'
@@ -48,7 +48,7 @@
 def measure_entries(binary):
     """Median memory (MB) and largest process count of six idle entries."""
     with cluster_module.open_cluster(binary=binary) as cluster:
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: all(cluster.status(name) for name in cluster.entries),
             'all entries answer',
         )
--- a/build_tools/callers.py
+++ b/build_tools/callers.py
@@ -5,7 +5,7 @@
 import json
 import threading
 
-import cluster as cluster_module
+from build_tools import cluster as cluster_module
 
 KEY = 'rotagzeli-demo-key'
 
--- a/build_tools/cluster.py
+++ b/build_tools/cluster.py
@@ -1,6 +1,7 @@
 """Start stand-ins and entries as separate processes over loopback."""
 
 import contextlib
+import copy
 import json
 import os
 import pathlib
@@ -10,10 +11,11 @@
 import subprocess
 import sys
 import tempfile
-import time
 import urllib.error
 import urllib.request
 
+from build_tools import conditions
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 DATA_CENTRES = ('tbilisi-a', 'tbilisi-b', 'tbilisi-c')
@@ -22,8 +24,22 @@
 """Listeners' ports: below those that the system gives to connections, so
 that no connection can sit on the port of a process that restarts."""
 
-WAIT = 30.0
-"""Longest wait for a condition (seconds)."""
+INTERVALS = {
+    'observation': {'interval': 0.25, 'timeout': 0.5, 'stale_after': 1.5},
+    'control': {
+        'lease_duration': 2.0,
+        'lease_margin': 0.2,
+        'interval': 0.1,
+        'order_interval': 0.5,
+        'repair_after': 0.3,
+    },
+    'placement': {
+        'load_time': 0.2,
+        'cached_load_time': 0.1,
+        'ticket_interval': 0.05,
+    },
+}
+"""Sections of an entry's settings that make a cluster react sooner."""
 
 
 class Cluster:
@@ -118,7 +134,7 @@
             self._forwards.append(
                 {
                     'place': place,
-                    'port': int(get_port(self._forwarded[target])),
+                    'port': int(conditions.get_port(self._forwarded[target])),
                     'target': target,
                 }
             )
@@ -126,14 +142,18 @@
 
     def cut(self, *places):
         """Cut data centres off from the others and from the platform."""
-        post_json(f'http://{self.network}/admin/cut', {'places': list(places)})
+        conditions.post_json(
+            f'http://{self.network}/admin/cut', {'places': list(places)}
+        )
         for place, address in self.admin.items():
             far = [
                 name
                 for name, entry in self.entries.items()
                 if (entry['data_centre'] in places) != (place in places)
             ]
-            post_json(f'http://{address}/admin/cut', {'entries': far})
+            conditions.post_json(
+                f'http://{address}/admin/cut', {'entries': far}
+            )
 
     def settings(self, name):
         """Settings of one entry."""
@@ -173,23 +193,7 @@
                     ],
                 }
             ],
-            'observation': {
-                'interval': 0.25,
-                'timeout': 0.5,
-                'stale_after': 1.5,
-            },
-            'control': {
-                'lease_duration': 2.0,
-                'lease_margin': 0.2,
-                'interval': 0.1,
-                'order_interval': 0.5,
-                'repair_after': 0.3,
-            },
-            'placement': {
-                'load_time': 0.2,
-                'cached_load_time': 0.1,
-                'ticket_interval': 0.05,
-            },
+            **copy.deepcopy(INTERVALS),
         }
         for section, values in self._overrides.items():
             settings.setdefault(section, {}).update(values)
@@ -208,7 +212,7 @@
             'platform',
             'standins.platform',
             '--port',
-            get_port(self.platform),
+            conditions.get_port(self.platform),
             '--vms',
             vms,
         )
@@ -217,7 +221,7 @@
                 f'engines-{place}',
                 'standins.engines',
                 '--admin-port',
-                get_port(self.admin[place]),
+                conditions.get_port(self.admin[place]),
                 '--vms',
                 vms,
                 '--data-centre',
@@ -229,7 +233,7 @@
                 f'service-{place}',
                 'standins.services',
                 '--port',
-                get_port(self.service[place]),
+                conditions.get_port(self.service[place]),
             )
         for name in self.entries:
             path = self.folder / f'{name}.json'
@@ -251,7 +255,7 @@
             'link',
             'standins.link',
             '--admin-port',
-            get_port(self.network),
+            conditions.get_port(self.network),
             '--forwards',
             path,
         )
@@ -310,7 +314,7 @@
     def wait_until_serving(self, count):
         """Wait until every entry sees `count` groups serve."""
         self.check_running()
-        wait_for(
+        conditions.wait_for(
             lambda: all(len(self.serving(n)) == count for n in self.entries),
             f'{count} groups serve at every entry',
         )
@@ -319,7 +323,7 @@
         """Status of one entry; None if it does not answer."""
         try:
             address = self.entries[name]['operators']
-            return get_json(f'http://{address}/status')
+            return conditions.get_json(f'http://{address}/status')
         except (OSError, ValueError):
             return None
 
@@ -331,7 +335,7 @@
     def fault(self, vm, fault, value=None):
         """Give a VM a fault."""
         place = next(r['data_centre'] for r in self.vms if r['name'] == vm)
-        post_json(
+        conditions.post_json(
             f'http://{self.admin[place]}/admin/{vm}',
             {'fault': fault, 'value': value},
         )
@@ -341,7 +345,9 @@
         return [
             effect
             for address in self.service.values()
-            for effect in get_json(f'http://{address}/admin')['effects']
+            for effect in conditions.get_json(f'http://{address}/admin')[
+                'effects'
+            ]
         ]
 
     def command(self, *arguments):
@@ -356,7 +362,7 @@
             env=environment,
             capture_output=True,
             text=True,
-            timeout=WAIT * 2,
+            timeout=conditions.WAIT * 2,
         )
 
     def request(self, name, path, body=None, key='', headers=None):
@@ -369,7 +375,9 @@
         for field, value in (headers or {}).items():
             request.add_header(field, value)
         try:
-            with urllib.request.urlopen(request, timeout=WAIT) as answer:
+            with urllib.request.urlopen(
+                request, timeout=conditions.WAIT
+            ) as answer:
                 return answer.status, dict(answer.headers), answer.read()
         except urllib.error.HTTPError as error:
             return error.code, dict(error.headers), error.read()
@@ -385,39 +393,3 @@
             yield cluster
         finally:
             cluster.stop()
-
-
-def get_port(address):
-    """Port of ``host:port``."""
-    return address.rsplit(':', 1)[1]
-
-
-def get_json(url):
-    """Fetch a JSON value."""
-    with urllib.request.urlopen(url, timeout=5.0) as answer:
-        return json.load(answer)
-
-
-def post_json(url, value):
-    """Send a JSON value."""
-    data = json.dumps(value).encode('utf-8')
-    with urllib.request.urlopen(url, data, timeout=5.0) as answer:
-        return json.load(answer)
-
-
-def wait_for(check, what, timeout=WAIT):
-    """Wait until `check()` is true; its value.
-
-    Raises
-    ------
-    AssertionError
-        It did not become true in time.
-    """
-    deadline = time.monotonic() + timeout
-    while True:
-        value = check()
-        if value:
-            return value
-        if time.monotonic() > deadline:
-            raise AssertionError(f'not seen within {timeout} s: {what}')
-        time.sleep(0.05)
--- a/build_tools/demo.py
+++ b/build_tools/demo.py
@@ -3,8 +3,9 @@
 import json
 import sys
 
-import callers
-import cluster as cluster_module
+from build_tools import callers
+from build_tools import cluster as cluster_module
+from build_tools import conditions
 
 ROTA_QUESTION = 'ვისი რიგია შემდეგ თვეში, თუ ნინომ და გიორგიმ უკვე მიიღეს?'
 BED_QUESTION = 'Къде има свободно легло тази нощ за двама души в Пловдив?'
@@ -47,7 +48,7 @@
                 for state in states
             )
 
-        cluster_module.wait_for(all_see_all, 'six entries see each other')
+        conditions.wait_for(all_see_all, 'six entries see each other')
         return 'six entries, each sees the other five'
 
     def apply_contract(self):
@@ -117,7 +118,7 @@
                 for name in self._names
             )
 
-        cluster_module.wait_for(stopped, 'the group stops everywhere')
+        conditions.wait_for(stopped, 'the group stops everywhere')
         self._cluster.wait_until_serving(3)
         now = next(
             g
@@ -135,7 +136,7 @@
             self._cluster, self._names[2], ROTA_QUESTION, 150
         )
         stream.start()
-        cluster_module.wait_for(lambda: stream.tokens, 'the first token')
+        conditions.wait_for(lambda: stream.tokens, 'the first token')
         done = self._cluster.command('contract', 'end', 'rotagzeli')
         if done.returncode:
             raise AssertionError(done.stderr)
@@ -146,12 +147,12 @@
             )
             return status == 403
 
-        cluster_module.wait_for(refused, 'new requests are refused')
+        conditions.wait_for(refused, 'new requests are refused')
         in_flight = stream.is_alive()
         stream.join(30)
         if not stream.done or len(stream.tokens) != 150:
             raise AssertionError(f'{len(stream.tokens)} {stream.error}')
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: not any(self._cluster.groups(n) for n in self._names),
             'all groups are gone',
         )
--- a/build_tools/make_settings_page.py
+++ b/build_tools/make_settings_page.py
@@ -14,7 +14,7 @@
 One JSON file for each process, checked by `balsamwind check --settings FILE`
 and at each start. All findings are reported together, each with the file,
 the JSON pointer, what was got and what is allowed; an unknown key is a
-finding. This page is made by `build_tools/make_settings_page.py`.
+finding. This page is made by `python -m build_tools.make_settings_page`.
 """
 
 
--- a/build_tools/soak.py
+++ b/build_tools/soak.py
@@ -16,8 +16,9 @@
 import threading
 import time
 
-import callers
-import cluster as cluster_module
+from build_tools import callers
+from build_tools import cluster as cluster_module
+from build_tools import conditions
 
 PROMPT = 'one two three four five six seven'
 CALLERS = 8
@@ -207,7 +208,7 @@
         return f'{name} was restarted'
 
     def _platform(self, **faults):
-        cluster_module.post_json(
+        conditions.post_json(
             f'http://{self._cluster.platform}/admin/faults', faults
         )
 
@@ -225,7 +226,7 @@
         address = self._rng.choice(list(self._cluster.service.values()))
         fault = self._rng.choice(('lose_answers', 'refuse'))
         count = self._rng.randint(1, 5)
-        cluster_module.post_json(f'http://{address}/admin', {fault: count})
+        conditions.post_json(f'http://{address}/admin', {fault: count})
         return f'a ledger had {fault} {count} times'
 
     def _leave(self):
@@ -248,7 +249,7 @@
         return f'{place} was cut off'
 
     def _set_vms(self, rows):
-        cluster_module.post_json(
+        conditions.post_json(
             f'http://{self._cluster.platform}/admin/vms', {'vms': rows}
         )
 
@@ -301,7 +302,7 @@
     parser.add_argument('--logs', action='store_true')
     arguments = parser.parse_args()
     with cluster_module.open_cluster(links=True) as cluster:
-        cluster_module.wait_for(
+        conditions.wait_for(
             lambda: all(cluster.status(name) for name in cluster.entries),
             'all entries answer',
         )
--- a/conftest.py
+++ b/conftest.py
@@ -1,12 +1,7 @@
-"""What all tests share: derandomised hypothesis, build tools."""
-
-import pathlib
-import sys
+"""What all tests share: derandomised hypothesis."""
 
 import hypothesis
 
-BUILD_TOOLS = pathlib.Path(__file__).resolve().parent / 'build_tools'
-sys.path.insert(0, str(BUILD_TOOLS))
 
 hypothesis.settings.register_profile(
     'balsamwind', derandomize=True, deadline=None, database=None
