Split the status, the stand-in engine and the plots

Ruled out: nothing else was tried.

Change: entry/_node_status.py says the whole status, the stand-in has its routes in a module, Choices.allocated serves both walks, and two benchmarks can save plots.

Conclusion: kept, if the whole suite passes.

--- a/balsamwind/control/_choices.py
+++ b/balsamwind/control/_choices.py
@@ -195,19 +195,28 @@
         contract = self._view.catalogue.value('contract', group.contract)
         return 0 if contract is None else contract.priority
 
-    def _needs(self):
-        """Groups that are allocated here and do not exist."""
+    def allocated(self):
+        """Contracts in force, their terms, and groups allocated here.
+
+        Yields
+        ------
+        tuple of (Contract, ModelTerms, int)
+        """
         for stored in self._view.catalogue.items('allocation'):
             contract = self._view.contract(stored.name)
             if contract is None:
                 continue
             for terms in contract.models:
                 split = stored.value.replicas.get(terms.model, {})
-                wanted = split.get(self._data_centre, 0)
-                if wanted > self._count_current(contract, terms):
-                    yield placement.Need(
-                        contract.customer, contract.priority, terms
-                    )
+                yield contract, terms, split.get(self._data_centre, 0)
+
+    def _needs(self):
+        """Groups that are allocated here and do not exist."""
+        for contract, terms, wanted in self.allocated():
+            if wanted > self._count_current(contract, terms):
+                yield placement.Need(
+                    contract.customer, contract.priority, terms
+                )
 
     def _count_current(self, contract, terms):
         return sum(
--- a/balsamwind/control/_groups.py
+++ b/balsamwind/control/_groups.py
@@ -210,14 +210,8 @@
 
     def plan_counts(self):
         """Form groups that are missing and drain those that are too many."""
-        for stored in self._view.catalogue.items('allocation'):
-            contract = self._view.contract(stored.name)
-            if contract is None:
-                continue
-            for terms in contract.models:
-                split = stored.value.replicas.get(terms.model, {})
-                wanted = split.get(self._data_centre, 0)
-                self._plan_count(contract, terms, wanted)
+        for contract, terms, wanted in self._choices.allocated():
+            self._plan_count(contract, terms, wanted)
         self._plan_dropped()
 
     def _plan_dropped(self):
--- a/balsamwind/entry/_node_status.py
+++ b/balsamwind/entry/_node_status.py
@@ -1,4 +1,75 @@
-"""What a node says of all nodes."""
+"""What a node says of itself and of all that it knows."""
+
+
+def make_status(entry, now):
+    """What ``/status`` says, as plain values.
+
+    Parameters
+    ----------
+    entry : balsamwind.entry.Entry
+        Who is asked.
+    now : float
+        Monotonic time (seconds).
+
+    Returns
+    -------
+    dict
+    """
+    entry.groups.serving('', '', now)
+    return {
+        'node': entry.settings.node.name,
+        'data_centre': entry.settings.node.data_centre,
+        'revision': entry.catalogue.revision,
+        'store_restored': entry.is_store_restored(),
+        'store': make_store_status(entry.catalogue),
+        'shards': entry.controller.shards_held(now),
+        'open_requests': entry.open_requests,
+        'control': {**entry.make_counters(), **entry.make_gauges()},
+        'nodes': make_node_rows(entry, now),
+        'groups': [
+            _make_group_row(entry, stored.value)
+            for stored in entry.catalogue.items('group')
+        ],
+        'vms': [
+            _make_vm_row(entry, view, now)
+            for view in entry.observations.items()
+        ],
+        'short': {
+            stored.name: stored.value.short
+            for stored in entry.catalogue.items('allocation')
+            if stored.value.short
+        },
+    }
+
+
+def _make_group_row(entry, group):
+    reason = entry.groups.reasons.get(group.name, 'not checked')
+    return {
+        'name': group.name,
+        'contract': group.contract,
+        'model': group.model,
+        'version': group.version,
+        'data_centre': group.data_centre,
+        'fabric_domain': group.fabric_domain,
+        'generation': group.generation,
+        'state': group.state.value,
+        'serving': not reason,
+        'reason': reason or group.reason,
+        'members': list(group.vms),
+    }
+
+
+def _make_vm_row(entry, view, now):
+    report = view.report
+    return {
+        'name': view.vm,
+        'up': entry.observations.is_up(view.vm, now),
+        'reachable': view.reachable,
+        'state': report.state.value if report else 'unknown',
+        'group': report.group if report else '',
+        'observer': view.observer,
+        'age': round(now - entry.observations.seen_at(view), 3),
+    }
 
 
 def make_node_rows(entry, now):
--- a/benchmarks/control_cost.py
+++ b/benchmarks/control_cost.py
@@ -319,6 +319,20 @@
         print(f'{quantity}: {text}; full mesh at target {full:.4g}')
 
 
+def plot(points, path):
+    """Save processor time by peers, a point an entry."""
+    from benchmarks import plots
+
+    series = {}
+    for entries, engines, rates in points:
+        pairs = series.setdefault(f'{engines} engines', [])
+        pairs += [(entries - 1, rate['cpu']) for rate in rates]
+    slopes, _ = fit(points, 'cpu')
+    labels = ('peers', '% of a core')
+    title = 'Processor time of control, by entry'
+    plots.save_points(path, title, labels, series, tuple(slopes[:2]))
+
+
 def main():
     """Measure all sizes."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -326,10 +340,14 @@
     parser.add_argument('--sizes', help='ENTRIES:ENGINES:DCS, by comma.')
     parser.add_argument('--save', help='File to add the rates to.')
     parser.add_argument('--fit', help='Only fit the rates of such a file.')
+    parser.add_argument('--plot', help='SVG file, with --fit.')
     arguments = parser.parse_args()
     if arguments.fit:
         lines = pathlib.Path(arguments.fit).read_text(encoding='utf-8')
-        print_slopes([json.loads(line) for line in lines.splitlines()])
+        points = [json.loads(line) for line in lines.splitlines()]
+        print_slopes(points)
+        if arguments.plot:
+            plot(points, arguments.plot)
         return
     sizes = SIZES
     if arguments.sizes:
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -184,7 +184,9 @@
     parser.add_argument('--duration', type=float, default=300.0)
     parser.add_argument('--straggler', type=float, default=0.2)
     parser.add_argument('--seeds', type=int, nargs='+', default=[1, 2, 3])
+    parser.add_argument('--plot', help='SVG file of the p95, by policy.')
     arguments = parser.parse_args()
+    series = {name: {} for name in POLICIES}
     print('seed policy            p50 s   p95 s   p99 s  hits')
     for seed in arguments.seeds:
         trace = fleet_model.make_trace(
@@ -196,6 +198,7 @@
                 trace, policy, seed, straggler=arguments.straggler
             )
             p95[name] = outcome.percentile(0.95)
+            series[name][f'seed {seed}'] = p95[name]
             row = [outcome.percentile(share) for share in (0.5, 0.95, 0.99)]
             times = ' '.join(f'{value:7.3f}' for value in row)
             print(f'{seed:4} {name:16} {times} {outcome.hit_share:5.2f}')
@@ -203,6 +206,11 @@
         print(
             f'{seed:4} p95 over the best baseline: {p95["routed"] / best:.2f}'
         )
+    if arguments.plot:
+        from benchmarks import plots
+
+        title = 'Time to first token, p95'
+        plots.save_bars(arguments.plot, title, 'seconds', series)
 
 
 if __name__ == '__main__':
--- a/standins/tests/test_engines.py
+++ b/standins/tests/test_engines.py
@@ -9,6 +9,7 @@
 from balsamwind.adapters.tests import parts
 from balsamwind import exceptions
 from balsamwind import ports
+from standins import engine_handlers
 from standins import engines
 
 PROMPT = 'w ' * 1024
@@ -119,7 +120,7 @@
             if not exported:
                 first.kv.clear()
         path.client.close()
-        assert tokens == engines.make_answer(PROMPT, 20)
+        assert tokens == engine_handlers.make_answer(PROMPT, 20)
         assert path.ways == ['ImportCache']
         assert len(second.attempts) == 1
         assert (second.kv['r'] > 20) and first.attempts == ['r.1']
