--- a/balsamwind/ports/__init__.py
+++ b/balsamwind/ports/__init__.py
@@ -14,6 +14,8 @@
 from balsamwind.ports._engine import KvExport
 from balsamwind.ports._engine import Order
 from balsamwind.ports._engine import Token
+from balsamwind.ports._peer import Metrics
+from balsamwind.ports._peer import PeerLinks
 from balsamwind.ports._platform import ListedVm
 from balsamwind.ports._platform import ObjectStore
 from balsamwind.ports._platform import Snapshot
@@ -35,8 +37,10 @@
     'Generate',
     'KvExport',
     'ListedVm',
+    'Metrics',
     'ObjectStore',
     'Order',
+    'PeerLinks',
     'PlainService',
     'ServiceCall',
     'Snapshot',
