Name addresses that can not be listened on

Cause: the soak printed a trace of an entry whose port was in use; the tool had started one entry twice, from two faults at once.

Ruled out: a lost listener of the entry itself.

Change: all addresses that can not be listened on are findings, with exit code 2; the soak restarts one entry at a time and prints the state when the groups do not serve again.

Measured: test_addresses_in_use_are_all_named failed first and passes.

--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -18,6 +18,7 @@
 from balsamwind import exceptions
 from balsamwind import objects
 from balsamwind import peers
+from balsamwind import settings as settings_package
 
 DRAIN_NOTICE = 0.5
 """Time between the first sign of a shutdown and the last new request
@@ -193,16 +194,37 @@
             'objects_unreadable': len(catalogue.unreadable),
         }
 
-    async def start(self, stack):
-        """Listen, and start the loops."""
+    async def _listen(self, stack):
+        """Listen for peers, callers and operators.
+
+        Raises
+        ------
+        balsamwind.exceptions.InvalidInput
+            With all addresses that can't be listened on.
+        """
         listen = self._settings.listen
-        await stack.enter_async_context(self.entry.links.listen(listen.peers))
-        for server, address in (
-            (self._callers, listen.callers),
-            (self._operators, listen.operators),
+        findings = []
+        try:
+            await stack.enter_async_context(
+                self.entry.links.listen(listen.peers)
+            )
+        except OSError as error:
+            findings.append(_make_finding('peers', listen.peers, error))
+        for name, server in (
+            ('callers', self._callers),
+            ('operators', self._operators),
         ):
+            address = getattr(listen, name)
             host, port = address.rsplit(':', 1)
-            server.listen(int(port), host)
+            try:
+                server.listen(int(port), host)
+            except OSError as error:
+                findings.append(_make_finding(name, address, error))
+        settings_package.raise_findings(findings)
+
+    async def start(self, stack):
+        """Listen, and start the loops."""
+        await self._listen(stack)
         for peer in self._settings.peers:
             self.entry.links.reach(peer.name, peer.address)
         observation = self._settings.observation
@@ -277,3 +299,10 @@
         await self._operators.close_all_connections()
         self._client.close()
         self._platform_client.close()
+
+
+def _make_finding(name, address, error):
+    allowed = f'an address of this VM that is free ({error})'
+    return settings_package.Finding(
+        'settings', f'/listen/{name}', address, allowed
+    )
--- a/build_tools/soak.py
+++ b/build_tools/soak.py
@@ -22,6 +22,9 @@
 
 PROMPT = 'one two three four five six seven'
 CALLERS = 8
+RESTARTING = threading.Lock()
+"""One entry is restarted at a time, so that none is started twice."""
+
 LEDGER = '/services/circle-ledger/payouts'
 
 
@@ -269,6 +272,24 @@
         thread.join()
 
 
+def print_state(cluster):
+    """Print what every entry says of nodes, groups and VMs."""
+    for name in cluster.entries:
+        status = cluster.status(name) or {'groups': (), 'nodes': ()}
+        alive = [node['name'] for node in status['nodes'] if node['alive']]
+        print(f'{name}: alive {alive}, leads {status.get("shards")}')
+        print(f'  store {status.get("store")}, short {status.get("short")}')
+        for group in status['groups']:
+            print(
+                f'  {group["name"][-10:]} {group["data_centre"]}'
+                f' {group["state"]} {group["generation"]}'
+                f' serves {group["serving"]}: {group["reason"]}'
+            )
+        for vm in status.get('vms', ()):
+            if not vm['up']:
+                print(f'  not up: {vm}')
+
+
 def run(cluster, seed, seconds, at_once):
     """Run callers and faults; the tally."""
     tally = Tally()
@@ -288,6 +309,7 @@
         cluster.wait_until_serving(3)
     except AssertionError as error:
         tally.violate(f'not recovered: {error}')
+        print_state(cluster)
     print(f'recovered {time.monotonic() - began:.1f} s after the last fault')
     tally.settle(cluster.effects())
     return tally
@@ -317,7 +339,9 @@
             log = cluster.log(name)
             for word in ('round_crashed', 'Traceback'):
                 if word in log:
-                    tally.violate(f'{name}: {word} in the log')
+                    place = log.index(word)
+                    excerpt = log[max(0, place - 300) : place + 3000]
+                    tally.violate(f'{name}: {word} in the log: {excerpt}')
             if arguments.logs and tally.violations:
                 print(f'--- {name}\n{log[-4000:]}')
     for violation in tally.violations:
