Start the entry of a test as a process

Cause: test_entry configured the logs of the test process onto a stream that pytest closes; 25 later tests failed (756 passed) in a whole run.

Ruled out: a fault of the entries; the same tests pass alone.

Change: the test starts the command as a process.

--- a/balsamwind/cli/tests/test_entry.py
+++ b/balsamwind/cli/tests/test_entry.py
@@ -2,13 +2,13 @@
 
 import json
 import socket
+import subprocess
+import sys
 
-import pytest
+from build_tools import cluster as cluster_module
 
-from balsamwind import cli
 
-
-def test_addresses_in_use_are_all_named(tmp_path, capsys):
+def test_addresses_in_use_are_all_named(tmp_path):
     with socket.socket() as holder:
         holder.bind(('127.0.0.1', 0))
         holder.listen()
@@ -21,8 +21,12 @@
             'platform': {'url': 'http://127.0.0.1:1'},
         }
         path.write_text(json.dumps(settings), encoding='utf-8')
-        with pytest.raises(SystemExit) as caught:
-            cli.main(['entry', '--settings', str(path)])
-    assert caught.value.code == 2
-    said = capsys.readouterr().err
-    assert all(f'/listen/{name}: got' in said for name in names)
+        command = [sys.executable, '-m', 'balsamwind', 'entry']
+        done = subprocess.run(
+            [*command, '--settings', path],
+            capture_output=True,
+            text=True,
+            cwd=cluster_module.ROOT,
+        )
+    assert done.returncode == 2
+    assert all(f'/listen/{name}: got' in done.stderr for name in names)
