--- a/balsamwind/adapters/__init__.py
+++ b/balsamwind/adapters/__init__.py
@@ -1,6 +1,7 @@
 """Adapters: one module for each library or protocol that meets a port."""
 
 from balsamwind.adapters._caller_server import make_caller_server
+from balsamwind.adapters._clock import BootClock
 from balsamwind.adapters._clock import SystemClock
 from balsamwind.adapters._control_metrics import ControlCollector
 from balsamwind.adapters._engine import HttpEngine
@@ -9,13 +10,18 @@
 from balsamwind.adapters._object_store import HttpObjectStore
 from balsamwind.adapters._operator_server import make_operator_server
 from balsamwind.adapters._peer_link import PeerLinks
+from balsamwind.adapters._plain_pages import make_metrics_server
+from balsamwind.adapters._plain_pages import make_ready_server
 from balsamwind.adapters._plain_service import HttpPlainService
 from balsamwind.adapters._platform import HttpVmList
 from balsamwind.adapters._platform import HttpWeightStore
+from balsamwind.adapters._relay_server import RelayServer
+from balsamwind.adapters._relay_server import Responder
 from balsamwind.adapters._tls import make_tls_contexts
 from balsamwind.adapters._tls import TlsContexts
 
 __all__ = [
+    'BootClock',
     'ControlCollector',
     'HttpClient',
     'HttpEngine',
@@ -25,9 +31,13 @@
     'HttpWeightStore',
     'Metrics',
     'PeerLinks',
+    'RelayServer',
+    'Responder',
     'SystemClock',
     'TlsContexts',
     'make_caller_server',
+    'make_metrics_server',
     'make_operator_server',
+    'make_ready_server',
     'make_tls_contexts',
 ]
--- a/balsamwind/adapters/_clock.py
+++ b/balsamwind/adapters/_clock.py
@@ -15,3 +15,17 @@
     def time(self):
         """Seconds since the epoch, UTC."""
         return time.time()
+
+
+class BootClock:
+    """Clock that also counts the time that the VM was suspended."""
+
+    __slots__ = ()
+
+    def monotonic(self):
+        """Seconds since the VM started."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def time(self):
+        """Seconds since the epoch, UTC."""
+        return time.time()
--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -13,21 +13,21 @@
 from tornado import http1connection
 from tornado import httputil
 from tornado import iostream
-from tornado import netutil
-from tornado import tcpclient
 
 from balsamwind.adapters import _http_receiver
+from balsamwind.adapters import _idle
 from balsamwind import exceptions
 
-MAX_IDLE = 64
-"""Idle connections kept to one address (count)."""
-
 CHUNK_SIZE = 65536
 """Largest body chunk (bytes)."""
 
 CONNECT_TIMEOUT = 2.0
 """Longest wait for a connection (seconds)."""
 
+MAX_STRAY_ANSWERS = 2
+"""Answers to earlier requests that are read past on one connection
+(count)."""
+
 RELEASE_TIMEOUT = 1.0
 """Longest wait for the end of a body that is no longer read (seconds)."""
 
@@ -51,20 +51,6 @@
     body: bytes
 
 
-class _NumericResolver(netutil.Resolver):
-    """Takes IP numbers only, so that no thread has to look up names."""
-
-    async def resolve(self, host, port, family=socket.AF_UNSPEC):
-        rows = socket.getaddrinfo(
-            host,
-            port,
-            family,
-            socket.SOCK_STREAM,
-            flags=socket.AI_NUMERICHOST,
-        )
-        return [(row[0], row[4]) for row in rows]
-
-
 class StreamedResponse:
     """Answer whose body is read as it comes."""
 
@@ -74,6 +60,7 @@
         '_place',
         '_reader',
         '_receiver',
+        '_stream',
         'headers',
         'status',
     )
@@ -82,10 +69,19 @@
         self._client = client
         self._place = place
         self._connection = connection
+        self._stream = connection.stream
         self._receiver = receiver
         self._reader = reader
         self.status, self.headers = receiver.start.result()
 
+    async def wait(self, timeout):
+        """Wait for something to read; False if nothing comes in time."""
+        try:
+            await self._receiver.wait(timeout)
+        except TimeoutError:
+            return False
+        return True
+
     async def read(self, timeout):
         """Next bytes of the body; empty at its proper end.
 
@@ -106,9 +102,18 @@
             self.close()
             raise exceptions.TransportError(f'{self._place}: body was cut')
         if not chunk:
+            self._check_end()
             self._keep()
         return chunk
 
+    def _check_end(self):
+        """Check that a body that ends with its connection was not reset."""
+        if 'Content-Length' in self.headers or not self._reader.done():
+            return
+        if self._stream.error is not None:
+            self.close()
+            raise exceptions.TransportError(f'{self._place}: body was cut')
+
     async def read_all(self, timeout):
         """Whole body."""
         parts = []
@@ -143,7 +148,10 @@
             self.close()
             return
         connection, self._connection = self._connection, None
-        self._client.give_back(self._place, connection, self._reader)
+        keep_alive = _read_keep_alive(self.headers)
+        self._client.give_back(
+            self._place, connection, self._reader, keep_alive
+        )
 
     def close(self):
         """Close the connection, unless the body was read to its end."""
@@ -164,12 +172,11 @@
         Who asks, for the logs of the other side.
     """
 
-    __slots__ = ('_idle', '_ssl_context', '_tcp', '_user_agent', 'opened')
+    __slots__ = ('_idle', '_ssl_context', '_user_agent', 'opened')
 
     def __init__(self, ssl_context=None, user_agent='balsamwind'):
         self._user_agent = user_agent
-        self._tcp = tcpclient.TCPClient(_NumericResolver())
-        self._idle = {}
+        self._idle = _idle.IdleConnections()
         self._ssl_context = ssl_context
         self.opened = 0
 
@@ -216,6 +223,8 @@
         timeout,
         fresh=False,
         repeat=False,
+        connect_timeout=CONNECT_TIMEOUT,
+        matches=None,
     ):
         """Send a request and wait for the headers of the answer.
 
@@ -235,6 +244,11 @@
         repeat : bool
             Whether the request may be sent again, on a new connection, if
             an idle one proves closed before the answer begins.
+        connect_timeout : float
+            For connecting (seconds).
+        matches : callable or None
+            Tells from an answer's headers whether it is this request's; an
+            answer of an earlier request is read past.
 
         Returns
         -------
@@ -247,8 +261,8 @@
         """
         parts = urllib.parse.urlsplit(url)
         place = f'{parts.hostname}:{parts.port}'
-        exchange = (place, method, parts, headers, body, timeout)
-        stream = None if fresh else self._take_idle(place)
+        exchange = (place, method, parts, headers, body, timeout, matches)
+        stream = None if fresh else self._idle.take(place)
         reused = stream is not None
         if reused:
             try:
@@ -260,7 +274,7 @@
                     raise
         try:
             stream = await self._connect(
-                parts, place, min(timeout, CONNECT_TIMEOUT)
+                parts, place, min(timeout, connect_timeout)
             )
         except exceptions.TransportError as error:
             error.sent = reused
@@ -268,57 +282,86 @@
         return await self._exchange(stream, *exchange)
 
     async def _exchange(
-        self, stream, place, method, parts, headers, body, timeout
+        self, stream, place, method, parts, headers, body, timeout, matches
     ):
-        connection = http1connection.HTTP1Connection(
-            stream,
-            True,
-            http1connection.HTTP1ConnectionParameters(
-                chunk_size=CHUNK_SIZE, max_body_size=1 << 40
-            ),
-        )
-        receiver = _http_receiver.Receiver()
-        path = parts.path or '/'
-        if parts.query:
-            path = f'{path}?{parts.query}'
-        fields = httputil.HTTPHeaders(
-            {'Host': place, 'User-Agent': self._user_agent}
-        )
-        if body or method in ('POST', 'PUT', 'PATCH'):
-            fields['Content-Length'] = str(len(body))
-        for name, value in headers:
-            fields.add(name, value)
-        start = httputil.RequestStartLine(method, path, 'HTTP/1.1')
+        connection = _make_connection(stream)
         try:
-            # Not awaited: the answer may come before the body has left.
-            written = connection.write_headers(start, fields, body or None)
-            written.add_done_callback(lambda future: future.exception())
-            connection.finish()
-            reader = asyncio.ensure_future(connection.read_response(receiver))
-            reader.add_done_callback(receiver.note_reader_done)
             async with asyncio.timeout(timeout):
-                await receiver.start
+                self._send(connection, place, method, parts, headers, body)
+                return await self._receive(connection, place, matches)
         except TimeoutError:
-            connection.close()
+            stream.close()
             raise exceptions.AnswerTimeout(
                 f'{place}: no answer within {timeout:.1f} s'
             ) from None
         except (OSError, iostream.StreamClosedError) as error:
-            connection.close()
+            stream.close()
             raise exceptions.TransportError(f'{place}: {error}') from None
         except BaseException:
-            connection.close()
+            stream.close()
             raise
-        return StreamedResponse(self, place, connection, receiver, reader)
+
+    def _send(self, connection, place, method, parts, headers, body):
+        path = parts.path or '/'
+        if parts.query:
+            path = f'{path}?{parts.query}'
+        fields = httputil.HTTPHeaders({'User-Agent': self._user_agent})
+        for name, value in headers:
+            fields.add(name, value)
+        if 'Host' not in fields:
+            fields['Host'] = place
+        if body or method in ('POST', 'PUT', 'PATCH'):
+            fields['Content-Length'] = str(len(body))
+        start = httputil.RequestStartLine(method, path, 'HTTP/1.1')
+        # Not awaited: the answer may come before the body has left.
+        written = connection.write_headers(start, fields, body or None)
+        written.add_done_callback(lambda future: future.exception())
+        connection.finish()
+
+    async def _receive(self, connection, place, matches):
+        for _ in range(MAX_STRAY_ANSWERS + 1):
+            receiver = _http_receiver.Receiver()
+            reader = asyncio.ensure_future(connection.read_response(receiver))
+            reader.add_done_callback(receiver.note_reader_done)
+            await receiver.start
+            if matches is None or matches(receiver.start.result()[1]):
+                return StreamedResponse(
+                    self, place, connection, receiver, reader
+                )
+            receiver.ignored = True
+            receiver.discard()
+            await reader
+            stream = connection.detach()
+            if stream.closed():
+                break
+            connection = _make_connection(stream)
+            connection.finish()
+        raise exceptions.BadAnswer(f'{place}: answers of other requests only')
 
     async def _connect(self, parts, place, timeout):
         context = self._ssl_context if parts.scheme == 'https' else None
+        stream = None
         try:
+            family, _, _, _, address = socket.getaddrinfo(
+                parts.hostname,
+                parts.port,
+                type=socket.SOCK_STREAM,
+                flags=socket.AI_NUMERICHOST,
+            )[0]
+            stream = _idle.ClientStream(
+                socket.socket(family, socket.SOCK_STREAM)
+            )
             async with asyncio.timeout(timeout):
-                stream = await self._tcp.connect(
-                    parts.hostname, parts.port, ssl_options=context
-                )
+                await stream.connect(address)
+                if context is not None:
+                    # From here on the TLS stream owns the socket.
+                    plain, stream = stream, None
+                    stream = await plain.start_tls(
+                        False, context, server_hostname=parts.hostname
+                    )
         except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+            if stream is not None:
+                stream.close()
             raise exceptions.TransportError(
                 f'{place}: can not connect: {error}', sent=False
             ) from None
@@ -326,27 +369,14 @@
         self.opened += 1
         return stream
 
-    def _take_idle(self, place):
-        idle = self._idle.get(place)
-        while idle:
-            stream = idle.pop()
-            if not stream.closed():
-                return stream
-        return None
-
-    def give_back(self, place, connection, reader):
+    def give_back(self, place, connection, reader, keep_alive=None):
         """Keep a connection whose answer was read to its end."""
 
         def keep(task):
             if task.cancelled() or task.exception() or not task.result():
                 connection.close()
                 return
-            stream = connection.detach()
-            idle = self._idle.setdefault(place, [])
-            if stream.closed() or len(idle) >= MAX_IDLE:
-                stream.close()
-                return
-            idle.append(stream)
+            self._idle.put(place, connection.detach(), keep_alive)
 
         if reader.done():
             keep(reader)
@@ -355,7 +385,23 @@
 
     def close(self):
         """Close all idle connections."""
-        for idle in self._idle.values():
-            for stream in idle:
-                stream.close()
-        self._idle.clear()
+        self._idle.close()
+
+
+def _make_connection(stream):
+    return http1connection.HTTP1Connection(
+        stream,
+        True,
+        http1connection.HTTP1ConnectionParameters(
+            chunk_size=CHUNK_SIZE, max_body_size=1 << 40
+        ),
+    )
+
+
+def _read_keep_alive(headers):
+    """Idle time-out that the server states (seconds), or None."""
+    for part in headers.get('Keep-Alive', '').split(','):
+        name, _, value = part.strip().partition('=')
+        if name.lower() == 'timeout' and value.strip().isdigit():
+            return float(value)
+    return None
--- a/balsamwind/adapters/_http_receiver.py
+++ b/balsamwind/adapters/_http_receiver.py
@@ -19,6 +19,7 @@
         self.chunks = collections.deque()
         self.finished = False
         self.closed = False
+        self.ignored = False
         self.on_finish = None
         self._arrived = None
         self._drained = None
@@ -30,6 +31,8 @@
             self.start.set_result((start_line.code, headers))
 
     def data_received(self, chunk):
+        if self.ignored:
+            return None
         self.chunks.append(chunk)
         self._wake()
         if len(self.chunks) < MAX_BUFFERED_CHUNKS:
--- a/balsamwind/cli/_main.py
+++ b/balsamwind/cli/_main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import sys
 
 import click
@@ -15,6 +16,8 @@
 from balsamwind.cli import _store
 from balsamwind import entry as entry_package
 from balsamwind import exceptions
+from balsamwind import node
+from balsamwind import platform
 from balsamwind import settings as settings_package
 
 EXIT_FINDINGS = 2
@@ -33,19 +36,32 @@
 
 
 @cli.command()
-@click.option('--settings', 'path', required=True, help='Settings file.')
+@click.option('--settings', 'path', help='Settings file of our own format.')
 def entry(path):
-    """Run an entry until SIGTERM."""
-    settings = settings_package.load_settings(path)
-    _configure_logs()
-    asyncio.run(entry_package.run_entry(settings))
+    """Run an entry until SIGTERM.
+
+    Without --settings it runs on the users' platform, with the settings file
+    that the platform names in the environment.
+    """
+    if path is not None:
+        settings = settings_package.load_settings(path)
+        _configure_logs(sys.stderr)
+        asyncio.run(entry_package.run_entry(settings))
+        return
+    node_settings = platform.load_node_settings(_find_platform_settings())
+    _configure_logs(sys.stdout)
+    asyncio.run(node.run_node(node_settings, platform.make_outside))
 
 
 @cli.command()
-@click.option('--settings', 'path', required=True, help='Settings file.')
+@click.option('--settings', 'path', help='Settings file of our own format.')
 def check(path):
-    """Check a settings file."""
-    settings_package.load_settings(path)
+    """Check a settings file, or without --settings the platform's."""
+    if path is None:
+        path = _find_platform_settings()
+        platform.load_node_settings(path)
+    else:
+        settings_package.load_settings(path)
     click.echo(f'{path}: ok')
 
 
@@ -61,7 +77,16 @@
 cli.add_command(_store.store)
 
 
-def _configure_logs():
+def _find_platform_settings():
+    path = platform.find_settings_path()
+    if path is None:
+        raise click.UsageError(
+            '--settings is missing, and the environment names no file'
+        )
+    return path
+
+
+def _configure_logs(stream):
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -69,7 +94,8 @@
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(serializer=json.dumps),
         ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(stream),
         cache_logger_on_first_use=True,
     )
 
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -134,6 +134,27 @@
     status = 422
 
 
+class NotConfigured(RequestNotRun):
+    """This node knows no configuration yet."""
+
+    code = 'not_configured'
+    status = 503
+
+
+class KeysUnproved(RequestNotRun):
+    """Keys may have been taken away since the last proof."""
+
+    code = 'keys_unproved'
+    status = 503
+
+
+class HeadersTooLarge(RequestNotRun):
+    """The caller's header block is over the limit."""
+
+    code = 'headers_too_large'
+    status = 431
+
+
 class OutcomeUnknown(BalsamwindError):
     """The request was sent and no answer came."""
 
--- /dev/null
+++ b/balsamwind/node/__init__.py
@@ -0,0 +1,9 @@
+"""A node that serves from a pool of engines and plain services."""
+
+from balsamwind.node._process import open_node
+from balsamwind.node._process import Process
+from balsamwind.node._process import run_node
+from balsamwind.node._settings import Bounds
+from balsamwind.node._settings import NodeSettings
+
+__all__ = ['Bounds', 'NodeSettings', 'Process', 'open_node', 'run_node']
--- /dev/null
+++ b/balsamwind/node/_followers.py
@@ -0,0 +1,188 @@
+"""Loops that follow what the platform's store says."""
+
+import asyncio
+
+from balsamwind import exceptions
+
+CONFIGURATION_INTERVAL = 0.7
+"""Time between two reads of the configuration (seconds)."""
+
+CALL_TIMEOUT = 0.8
+"""Longest wait for the store's answer (seconds)."""
+
+RETRY_INTERVAL = 0.25
+"""Wait after a call that failed (seconds)."""
+
+WATCH_TIME = 3.0
+"""Longest wait of one watch (seconds)."""
+
+WATCH_PAUSE = 0.06
+"""Pause between watches, in which changes gather (seconds)."""
+
+LIST_INTERVAL = 8.0
+"""Time between two whole lists, in case a watch missed changes (seconds)."""
+
+LIST_AFTER_RETURN = 2.7
+"""Time until the next whole list after the store was away (seconds)."""
+
+AWAY = 1.5
+"""Silence of the store after which entries may have lapsed (seconds)."""
+
+
+class StoreContact:
+    """Notes when the store was last heard, and logs loss and return."""
+
+    __slots__ = ('_clock', '_lost', '_log', '_name', 'heard_at')
+
+    def __init__(self, name, clock, log):
+        self._name = name
+        self._clock = clock
+        self._log = log
+        self._lost = False
+        self.heard_at = clock.monotonic()
+
+    def note_answer(self):
+        """Note an answer; how long the store was silent (seconds)."""
+        now = self._clock.monotonic()
+        silent = now - self.heard_at
+        self.heard_at = now
+        if self._lost:
+            self._lost = False
+            self._log.info(
+                'store_regained', call=self._name, silent=round(silent, 2)
+            )
+        return silent
+
+    def note_failure(self, error):
+        """Note a call that failed."""
+        if not self._lost:
+            self._lost = True
+            self._log.warning('store_lost', call=self._name, reason=str(error))
+
+
+class ConfigurationFollower:
+    """Keeps the configuration in force the newest.
+
+    Parameters
+    ----------
+    outside : balsamwind.node.Outside
+        The platform.
+    book : balsamwind.traffic.ConfigurationBook
+        Configuration in force.
+    clock : balsamwind.ports.Clock
+        Boot time.
+    log : structlog logger
+        Log.
+    on_change : callable
+        Called after the version in force has changed.
+    """
+
+    def __init__(self, outside, book, clock, log, on_change):
+        self._outside = outside
+        self._book = book
+        self._clock = clock
+        self._log = log
+        self._on_change = on_change
+        self._contact = StoreContact('configuration', clock, log)
+
+    async def run(self):
+        """Read for ever."""
+        while True:
+            read = await self._read()
+            await asyncio.sleep(
+                CONFIGURATION_INTERVAL if read else RETRY_INTERVAL
+            )
+
+    async def _read(self):
+        sent_at = self._clock.monotonic()
+        try:
+            found = await self._outside.read_configuration(CALL_TIMEOUT)
+        except exceptions.StoreError as error:
+            self._contact.note_failure(error)
+            return False
+        self._contact.note_answer()
+        if found is None:
+            self._book.confirm(sent_at)
+            return True
+        before = self._book.version
+        if self._book.accept(found, sent_at):
+            self._log.info(
+                'configuration_in_force',
+                version=found.version,
+                before=before,
+                routes=len(found.routes),
+                accounts=len(found.accounts or ()),
+            )
+            self._on_change()
+        elif found.version < before:
+            self._log.warning(
+                'configuration_older', version=found.version, kept=before
+            )
+        return True
+
+
+class ServerFollower:
+    """Keeps the registry of backend servers.
+
+    Parameters
+    ----------
+    outside, registry, clock, log
+        What it reads from and writes to.
+    """
+
+    def __init__(self, outside, registry, clock, log):
+        self._outside = outside
+        self._registry = registry
+        self._clock = clock
+        self._log = log
+        self._contact = StoreContact('servers', clock, log)
+        self._list_at = 0.0
+        self.first_seen = {}
+
+    async def run(self):
+        """Follow for ever."""
+        while True:
+            try:
+                await self._follow()
+            except exceptions.HistoryGone as error:
+                self._log.info('watch_restarted', reason=str(error))
+            except exceptions.StoreError as error:
+                self._contact.note_failure(error)
+                await asyncio.sleep(RETRY_INTERVAL)
+
+    async def _follow(self):
+        revision, records = await self._outside.list_servers(CALL_TIMEOUT)
+        now = self._clock.monotonic()
+        self._list_at = now + LIST_INTERVAL
+        self._note_answer(now)
+        self._registry.replace(records, now)
+        self._registry.forget(now)
+        self._note_seen(records, now)
+        while self._clock.monotonic() < self._list_at:
+            await asyncio.sleep(WATCH_PAUSE)
+            revision, changes = await self._outside.watch_servers(
+                revision, WATCH_TIME, WATCH_TIME + CALL_TIMEOUT
+            )
+            now = self._clock.monotonic()
+            self._note_answer(now)
+            self._apply(changes, now)
+
+    def _note_answer(self, now):
+        silent = self._contact.note_answer()
+        if silent > WATCH_TIME + AWAY:
+            self._registry.note_return(now)
+            self._list_at = now + LIST_AFTER_RETURN
+
+    def _apply(self, changes, now):
+        records = []
+        for change in changes:
+            if isinstance(change, str):
+                self._registry.drop(change, now)
+            else:
+                self._registry.put(change)
+                records.append(change)
+        self._note_seen(records, now)
+
+    def _note_seen(self, records, now):
+        for record in records:
+            self.first_seen.setdefault((record.server_id, record.born), now)
--- /dev/null
+++ b/balsamwind/node/_leader.py
@@ -0,0 +1,166 @@
+"""Leads the pool of one data centre, while this node holds its lease."""
+
+import asyncio
+import collections
+
+from balsamwind.node import _lease
+from balsamwind.node import _orders
+from balsamwind.node import _prober
+from balsamwind import pool
+
+INTERVAL = 0.1
+"""Time between two rounds (seconds)."""
+
+START_TIME = 20.0
+"""Time after the first start in which traffic may not have begun
+(seconds)."""
+
+GROWTH_TIME = 0.8
+"""Time since an engine was first seen in which others of its domain may
+follow (seconds)."""
+
+PAST = 10.0
+"""Time after which a node has seen the head of each open group (seconds)."""
+
+LOAD_SAFETY = 0.85
+"""Part of the ceiling on loads that is used."""
+
+
+class ShardLeader:
+    """Plans and orders for the engines of one data centre.
+
+    Parameters
+    ----------
+    data_centre : str
+        The shard.
+    settings : balsamwind.node.NodeSettings
+        Settings of the node.
+    outside, book, registry, follower, relay, clock, log
+        Parts of the node.
+    """
+
+    def __init__(
+        self,
+        data_centre,
+        settings,
+        outside,
+        book,
+        registry,
+        follower,
+        relay,
+        clock,
+        log,
+    ):
+        self._data_centre = data_centre
+        self._settings = settings
+        self._book = book
+        self._registry = registry
+        self._follower = follower
+        self._relay = relay
+        self._clock = clock
+        self._log = log.bind(shard=data_centre)
+        self._started_at = clock.monotonic()
+        self._loads = collections.deque()
+        self.lease = _lease.ShardLease(
+            data_centre,
+            settings.name,
+            data_centre == settings.data_centre,
+            outside,
+            clock,
+            self._log,
+        )
+        self._prober = _prober.Prober(outside, registry, clock, self._log)
+        self.orders = _orders.OrderGiver(
+            outside, registry, self.lease, self._prober, self._log
+        )
+
+    async def run(self):
+        """Lead whenever the lease is held, for ever."""
+        while True:
+            try:
+                await self.lease.step()
+                if self.lease.held:
+                    self._round()
+                else:
+                    self._prober.clear()
+            except Exception:
+                self._log.exception('round_crashed')
+            await asyncio.sleep(INTERVAL)
+
+    def _round(self):
+        configuration = self._book.configuration
+        if configuration is None:
+            return
+        for service in configuration.services:
+            if service.engine is not None:
+                self._lead(service)
+
+    def _lead(self, service):
+        records = tuple(
+            record
+            for record in self._registry.of_service(service.name)
+            if record.data_centre == self._data_centre
+        )
+        self._prober.step(
+            [record for record in records if record.membership is not None]
+        )
+        for action in pool.plan_pool(self._make_view(service, records)):
+            self._note_load(action)
+            self.orders.start(action, service.engine)
+
+    def _make_view(self, service, records):
+        now = self._clock.monotonic()
+        down = self._prober.down
+        before_traffic = (
+            self._settings.first_start
+            and not self._relay.seen_requests
+            and now - self._started_at < START_TIME
+        )
+        growing = {
+            record.domain
+            for record in records
+            if now
+            - self._follower.first_seen.get(
+                (record.server_id, record.born), now
+            )
+            < GROWTH_TIME
+        }
+        return pool.PoolView(
+            records=records,
+            terms=service.engine,
+            down=down,
+            gone=frozenset(
+                record.server_id
+                for record in records
+                if record.server_id in down and not record.listed
+            ),
+            busy=frozenset(self.orders.busy),
+            forming=dict(self.orders.forming),
+            before_traffic=before_traffic,
+            growing=frozenset(growing),
+            knows_past=now - self._started_at > PAST
+            or self._settings.first_start,
+            loads_allowed=self._count_loads_allowed(service, now),
+        )
+
+    def _count_loads_allowed(self, service, now):
+        bounds = self._settings.bounds
+        while self._loads and self._loads[0] < now - bounds.load_window:
+            self._loads.popleft()
+        ceiling = (
+            service.engine.loads_per_second
+            * bounds.load_window
+            * LOAD_SAFETY
+            / len(self._settings.data_centres)
+        )
+        return max(0, int(ceiling) - len(self._loads))
+
+    def _note_load(self, action):
+        now = self._clock.monotonic()
+        match action:
+            case pool.StageModel():
+                self._loads.append(now)
+            case pool.FormGroup(model=model, members=members):
+                for member in members:
+                    if member.model != model and model not in member.staged:
+                        self._loads.append(now)
--- /dev/null
+++ b/balsamwind/node/_lease.py
@@ -0,0 +1,134 @@
+"""Lease of a shard, kept in the platform's store."""
+
+import uuid
+
+from balsamwind import control
+from balsamwind import exceptions
+
+DURATION = 2.0
+"""How long one renewal lasts (seconds)."""
+
+MARGIN = 0.3
+"""Part of the duration in which the holder no longer acts (seconds)."""
+
+FOREIGN_WAIT = 2.5
+"""How much longer a node of another data centre waits (seconds)."""
+
+LOOK_INTERVAL = 0.7
+"""How often a node looks at the lease of its own data centre (seconds)."""
+
+FOREIGN_LOOK_INTERVAL = 3.0
+"""How often a node looks at the lease of another one (seconds)."""
+
+CALL_TIMEOUT = 0.5
+"""Longest wait for the store's answer (seconds)."""
+
+
+class ShardLease:
+    """One node's part in the lease of one shard.
+
+    Parameters
+    ----------
+    shard : str
+        Name of the shard.
+    node : str
+        This node.
+    own : bool
+        Whether the shard is of this node's data centre.
+    outside, clock, log
+        The platform, boot time, log.
+    """
+
+    def __init__(self, shard, node, own, outside, clock, log):
+        self._shard = shard
+        self._outside = outside
+        self._clock = clock
+        self._log = log
+        self._interval = LOOK_INTERVAL if own else FOREIGN_LOOK_INTERVAL
+        self._keeper = control.LeaseKeeper(
+            shard, node, DURATION, MARGIN, 0.0 if own else FOREIGN_WAIT
+        )
+        self._stored = None
+        self._seen_at = clock.monotonic()
+        self._look_at = 0.0
+        self._held = False
+
+    @property
+    def held(self):
+        """Whether this node may act for the shard now."""
+        return self._keeper.holds(self._clock.monotonic())
+
+    @property
+    def fencing(self):
+        """Fencing number of the lease held."""
+        return self._keeper.fencing
+
+    def lose(self, reason):
+        """Stop acting at once."""
+        self._log.warning('lease_refused', fencing=self.fencing, reason=reason)
+        self._keeper.lose()
+        self._keeper.back_off(self._clock.monotonic() + DURATION)
+
+    async def step(self):
+        """Look at the lease, and take or renew it when that is due."""
+        now = self._clock.monotonic()
+        try:
+            if not self.held and now >= self._look_at:
+                self._look_at = now + self._interval
+                await self._look()
+            await self._write()
+        except exceptions.Conflict:
+            self._keeper.lose()
+            self._look_at = 0.0
+        except exceptions.StoreError as error:
+            self._log.debug('lease_call_failed', reason=str(error))
+            if not self.held:
+                self._look_at = 0.0
+        self._note_change()
+
+    async def _look(self):
+        found = await self._outside.read_lease(self._shard, CALL_TIMEOUT)
+        if found != self._stored:
+            self._stored = found
+            self._seen_at = self._clock.monotonic()
+
+    async def _write(self):
+        now = self._clock.monotonic()
+        decision = self._keeper.plan(
+            self._stored, now - self._seen_at, now, uuid.uuid4().hex[:12]
+        )
+        if decision is None:
+            return
+        try:
+            written = await self._outside.write_lease(
+                decision.value, decision.expected, CALL_TIMEOUT
+            )
+        except exceptions.StoreError:
+            # The write may have taken effect: read before the next one.
+            written = await self._outside.read_lease(self._shard, CALL_TIMEOUT)
+            if written is None or written.value != decision.value:
+                raise
+        self._stored = written
+        self._seen_at = now
+        self._keeper.accept(decision.value, now, written.revision)
+
+    def _note_change(self):
+        held = self.held
+        if held != self._held:
+            self._held = held
+            self._log.info(
+                'lease_taken' if held else 'lease_lost', fencing=self.fencing
+            )
+
+    async def release(self):
+        """Give the lease back, if this node holds it."""
+        decision = self._keeper.plan_release(self._stored, uuid.uuid4().hex)
+        if decision is None:
+            return
+        try:
+            await self._outside.write_lease(
+                decision.value, decision.expected, CALL_TIMEOUT
+            )
+        except (exceptions.StoreError, exceptions.Conflict) as error:
+            self._log.info('lease_not_returned', reason=str(error))
+        self._note_change()
--- /dev/null
+++ b/balsamwind/node/_prober.py
@@ -0,0 +1,91 @@
+"""Asks the engines of a shard for their reports, to see who still answers."""
+
+import asyncio
+
+from balsamwind import exceptions
+
+INTERVAL = 0.4
+"""Time between two questions to an engine (seconds)."""
+
+TIMEOUT = 0.3
+"""Longest wait for a report (seconds)."""
+
+MISSES = 2
+"""Questions in a row without an answer after which an engine is down
+(count)."""
+
+
+class Prober:
+    """Keeps who answers, while this node leads the shard.
+
+    Parameters
+    ----------
+    outside, registry, clock, log
+        The platform, entries, boot time, log.
+    """
+
+    def __init__(self, outside, registry, clock, log):
+        self._outside = outside
+        self._registry = registry
+        self._clock = clock
+        self._log = log
+        self._misses = {}
+        self._next_at = {}
+        self._asked = set()
+
+    @property
+    def down(self):
+        """Ids of engines that do not answer."""
+        return frozenset(
+            server_id
+            for server_id, misses in self._misses.items()
+            if misses >= MISSES
+        )
+
+    def step(self, records):
+        """Ask the engines that are due."""
+        now = self._clock.monotonic()
+        for record in records:
+            server_id = record.server_id
+            if server_id in self._asked:
+                continue
+            if now >= self._next_at.get(server_id, 0.0):
+                self._next_at[server_id] = now + INTERVAL
+                self._asked.add(server_id)
+                asyncio.ensure_future(self._ask(record))
+        known = {record.server_id for record in records}
+        for server_id in [item for item in self._misses if item not in known]:
+            del self._misses[server_id]
+
+    def clear(self):
+        """Forget all, as this node no longer leads."""
+        self._misses.clear()
+
+    async def _ask(self, record):
+        server_id = record.server_id
+        try:
+            report = await self._outside.ask_engine(record, TIMEOUT)
+        except exceptions.BadAnswer:
+            # Another engine has the address, or this one is confused.
+            self._note_miss(record, MISSES, 'bad report')
+        except exceptions.TransportError as error:
+            self._note_miss(record, 1, str(error))
+        else:
+            if self._misses.get(server_id, 0) >= MISSES:
+                self._log.info('engine_answers_again', engine=server_id)
+            self._misses[server_id] = 0
+            self._registry.note_report(server_id, report)
+        finally:
+            self._asked.discard(server_id)
+
+    def _note_miss(self, record, count, reason):
+        before = self._misses.get(record.server_id, 0)
+        self._misses[record.server_id] = before + count
+        if before < MISSES <= before + count:
+            self._log.info(
+                'engine_down',
+                engine=record.server_id,
+                group=record.membership and record.membership.group,
+                listed=record.listed,
+                reason=reason,
+            )
--- /dev/null
+++ b/balsamwind/node/_process.py
@@ -0,0 +1,216 @@
+"""Start, loops and shutdown of a node that serves from a pool."""
+
+import asyncio
+import contextlib
+import signal
+
+import structlog
+
+from balsamwind import adapters
+from balsamwind.node import _followers
+from balsamwind.node import _journal
+from balsamwind.node import _leader
+from balsamwind import pool
+from balsamwind import relay
+from balsamwind import settings as settings_package
+from balsamwind import traffic
+
+REVOCATION_MARGIN = 0.4
+"""How much sooner than the bound keys are no longer honoured (seconds)."""
+
+DRAIN_NOTICE = 2.6
+"""Time until no new connections come after readiness has ended (seconds)."""
+
+EXIT_MARGIN = 0.6
+"""How long before the end of the grace the process exits (seconds)."""
+
+POLL = 0.05
+"""How often open requests are counted while draining (seconds)."""
+
+
+async def run_node(settings, make_outside):
+    """Run a node until SIGTERM, then drain it.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings.
+    make_outside : callable
+        Makes the platform's ports from the settings and an HTTP client.
+    """
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    async with open_node(settings, make_outside) as process:
+        await stopping.wait()
+        await process.drain()
+
+
+@contextlib.asynccontextmanager
+async def open_node(settings, make_outside):
+    """Run a node until the block ends.
+
+    Yields
+    ------
+    Process
+    """
+    process = Process(settings, make_outside)
+    process.start()
+    try:
+        yield process
+    finally:
+        await process.stop()
+
+
+class Process:
+    """Parts and loops of one node.
+
+    Parameters
+    ----------
+    settings : NodeSettings
+        Settings.
+    make_outside : callable
+        Makes the platform's ports.
+    """
+
+    def __init__(self, settings, make_outside):
+        self._settings = settings
+        self._log = structlog.get_logger().bind(node=settings.name)
+        self._clock = adapters.BootClock()
+        self._client = adapters.HttpClient()
+        self._control_client = adapters.HttpClient()
+        outside = make_outside(settings, self._control_client)
+        lifetime = settings.bounds.key_revocation
+        if lifetime is not None:
+            lifetime -= REVOCATION_MARGIN
+        self.book = traffic.ConfigurationBook(lifetime)
+        self.registry = pool.Registry()
+        self._journal = _journal.Journal(self._log, self._clock)
+        places = relay.PlaceBook(self.registry, pool.find_groups)
+        self.relay = relay.Relay(
+            settings.data_centre,
+            settings.bounds,
+            self.book,
+            places,
+            self._client,
+            outside.headers,
+            self._clock,
+            self._journal,
+        )
+        self._callers = adapters.RelayServer(
+            self.relay, self._clock, traffic.Limits(), self._log
+        )
+        self._ready_page = adapters.make_ready_server(
+            outside.ready_path, self.is_ready
+        )
+        self._metrics_page = adapters.make_metrics_server(
+            self._journal.registry
+        )
+        self._configuration_follower = _followers.ConfigurationFollower(
+            outside, self.book, self._clock, self._log, self._apply_limits
+        )
+        self._server_follower = _followers.ServerFollower(
+            outside, self.registry, self._clock, self._log
+        )
+        self._leaders = [
+            _leader.ShardLeader(
+                data_centre,
+                settings,
+                outside,
+                self.book,
+                self.registry,
+                self._server_follower,
+                self.relay,
+                self._clock,
+                self._log,
+            )
+            for data_centre in settings.data_centres
+        ]
+        self._draining = False
+        self._tasks = []
+
+    def is_ready(self):
+        """Whether new connections are welcome."""
+        return not self._draining and self.book.is_current(
+            self._clock.monotonic()
+        )
+
+    def _apply_limits(self):
+        self._callers.set_limits(self.book.configuration.limits)
+
+    def start(self):
+        """Listen, and start the loops.
+
+        Raises
+        ------
+        balsamwind.exceptions.InvalidInput
+            With all addresses that can't be listened on.
+        """
+        findings = []
+        for name, listen in (
+            ('callers', self._callers.listen),
+            ('readiness', _listener(self._ready_page)),
+            ('metrics', _listener(self._metrics_page)),
+        ):
+            address = getattr(self._settings, name)
+            try:
+                listen(address)
+            except OSError as error:
+                findings.append(
+                    settings_package.Finding(
+                        'settings', f'/{name}', address, f'free ({error})'
+                    )
+                )
+        settings_package.raise_findings(findings)
+        for run in (
+            self._configuration_follower.run,
+            self._server_follower.run,
+            *(leader.run for leader in self._leaders),
+        ):
+            self._tasks.append(asyncio.ensure_future(run()))
+        self._log.info(
+            'started',
+            data_centre=self._settings.data_centre,
+            first_start=self._settings.first_start,
+        )
+
+    async def drain(self):
+        """Finish what callers wait for; hand the leases over."""
+        started = self._clock.monotonic()
+        self._log.info('draining', open_requests=self.relay.open_requests)
+        self._draining = True
+        self._callers.close_after_answers()
+        for task in self._tasks[2:]:
+            task.cancel()
+        await asyncio.gather(
+            *(leader.lease.release() for leader in self._leaders)
+        )
+        latest = started + self._settings.bounds.grace - EXIT_MARGIN
+        while True:
+            now = self._clock.monotonic()
+            idle = not self.relay.open_requests
+            if now >= latest or (idle and now - started >= DRAIN_NOTICE):
+                break
+            await asyncio.sleep(POLL)
+        self._log.info('drained', open_requests=self.relay.open_requests)
+
+    async def stop(self):
+        """Stop the loops and close all connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._callers.stop()
+        await self._callers.close()
+        self._client.close()
+        self._control_client.close()
+        self._log.info('stopped')
+
+
+def _listener(server):
+    def listen(address):
+        host, port = address.rsplit(':', 1)
+        server.listen(int(port), host)
+
+    return listen
--- /dev/null
+++ b/balsamwind/platform/_configuration.py
@@ -0,0 +1,129 @@
+"""The operator's configuration object."""
+
+from balsamwind import traffic
+
+KIND = 'config'
+"""Kind of the configuration's object."""
+
+NAME = 'main'
+"""Name of the configuration's object."""
+
+_KINDS = {
+    'idempotent': traffic.RequestKind.IDEMPOTENT,
+    'non_idempotent': traffic.RequestKind.NON_IDEMPOTENT,
+    'streaming': traffic.RequestKind.STREAM,
+}
+
+
+def decode_configuration(spec):
+    """Decode the newest configuration.
+
+    Parameters
+    ----------
+    spec : dict
+        What the operator wrote.
+
+    Returns
+    -------
+    balsamwind.traffic.Configuration
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        The object is malformed.
+    """
+    accounts = spec.get('Tenants')
+    return traffic.Configuration(
+        version=int(spec['Version']),
+        routes=tuple(_decode_route(item) for item in spec['Routes']),
+        services=tuple(_decode_service(item) for item in spec['Services']),
+        limits=_decode_limits(spec.get('Limits') or {}),
+        accounts=None
+        if accounts is None
+        else tuple(_decode_account(item) for item in accounts),
+    )
+
+
+def _decode_route(data):
+    split = data.get('TrafficSplit')
+    if split:
+        targets = tuple(
+            traffic.Target(item['Service'], float(item.get('Weight', 1)))
+            for item in split
+        )
+    else:
+        targets = (traffic.Target(data['Service']),)
+    return traffic.Route(
+        name=data['Name'],
+        host=data['Host'].lower(),
+        prefix=data['PathPrefix'],
+        kind=_KINDS.get(data['Kind'], traffic.RequestKind.NON_IDEMPOTENT),
+        timeout=data['TimeoutMs'] / 1000,
+        objective=data.get('SloMs', data['TimeoutMs']) / 1000,
+        priority=int(data.get('Priority', 0)),
+        targets=targets,
+        max_attempts=max(1, int(data.get('MaxAttempts', 1))),
+        public=data.get('Public') is True,
+        resumable=data.get('Resumable') is True,
+        largest_pause=data.get('GapSloMs', 0) / 1000,
+    )
+
+
+def _decode_service(data):
+    engine = data.get('Engine')
+    return traffic.Service(
+        name=data['Name'],
+        health_path=data.get('HealthPath', '/health'),
+        max_connections=int(data.get('MaxConns', 64)),
+        engine=_decode_engine(engine) if engine else None,
+    )
+
+
+def _decode_engine(data):
+    return traffic.EngineTerms(
+        models=tuple(_decode_model(item) for item in data.get('Models', ())),
+        slots=int(data.get('SlotCount', 1)),
+        tokens=int(data.get('KvTokens', 1 << 30)),
+        step=data.get('step_ms', 10.0) / 1000,
+        step_per_request=data.get('per_seq_ms', 0.0) / 1000,
+        # Given for 1,000 tokens of context.
+        step_per_context=data.get('context_per_k', 0.0) / 1e6,
+        prefill_rate=float(data.get('read_per_s', 50000.0)),
+        # Given for a million pairs of tokens.
+        prefill_per_pair=data.get('pairs_per_m', 0.0) / 1e9,
+        stride=int(data.get('Stride', 1)),
+        loads_per_second=float(data.get('LoadsPerS', 1.0)),
+        form_time=data.get('FormMs', 0.0) / 1000,
+        report_lag=data.get('report_lag_ms', 0.0) / 1000,
+    )
+
+
+def _decode_model(data):
+    return traffic.ModelTerms(
+        name=data['Name'],
+        size=int(data.get('size', 1)),
+        share=float(data.get('Share', 1.0)),
+        pace=float(data.get('pace', 1.0)),
+        load_time=float(data.get('LoadS', 10.0)),
+        warm_time=float(data.get('WarmS', 1.0)),
+    )
+
+
+def _decode_limits(data):
+    plain = traffic.Limits()
+    return traffic.Limits(
+        header_bytes=int(data.get('MaxHeaderBytes', plain.header_bytes)),
+        body_bytes=int(data.get('MaxBodyBytes', plain.body_bytes)),
+        header_timeout=data.get('HeaderTimeoutMs', plain.header_timeout * 1000)
+        / 1000,
+        idle_timeout=data.get('IdleTimeoutMs', plain.idle_timeout * 1000)
+        / 1000,
+    )
+
+
+def _decode_account(data):
+    return traffic.ClientAccount(
+        name=data['Name'],
+        keys=tuple(data.get('ApiKeys', ())),
+        priority=int(data.get('Priority', 0)),
+    )
--- /dev/null
+++ b/balsamwind/platform/_outside.py
@@ -0,0 +1,178 @@
+"""The platform behind the ports of a node."""
+
+from balsamwind import exceptions
+from balsamwind import objects
+from balsamwind.platform import _configuration
+from balsamwind.platform import _headers
+from balsamwind.platform import _servers
+from balsamwind.platform import _store
+from balsamwind import pool
+
+LEASE_KIND = 'balsamwind-leases'
+"""Kind of the leases, which are the system's own objects."""
+
+
+def make_outside(settings, client):
+    """Connect a node to the platform.
+
+    Parameters
+    ----------
+    settings : balsamwind.node.NodeSettings
+        Settings of the node.
+    client : balsamwind.adapters.HttpClient
+        Connections.
+
+    Returns
+    -------
+    Outside
+    """
+    return Outside(client, _store.Store(client, settings.store))
+
+
+class Outside:
+    """Meets the ports of :mod:`balsamwind.node`."""
+
+    __slots__ = ('_client', '_last_body', '_store', 'headers')
+
+    ready_path = '/v1/ready'
+    """Path of the readiness page."""
+
+    def __init__(self, client, store):
+        self._client = client
+        self._store = store
+        self._last_body = None
+        self.headers = _headers.Headers()
+
+    @property
+    def store_calls(self):
+        """Calls to the store so far (count)."""
+        return self._store.calls
+
+    async def read_configuration(self, timeout):
+        """Newest configuration; None if it is the one read last."""
+        body = await self._store.read_raw(
+            _configuration.KIND, _configuration.NAME, timeout
+        )
+        if body is None:
+            raise exceptions.StoreError('there is no configuration yet')
+        if body == self._last_body:
+            return None
+        try:
+            stored = _store.decode_object(_store.load(body))
+            found = _configuration.decode_configuration(stored.spec)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise exceptions.StoreError(f'configuration: {error!r}') from None
+        self._last_body = body
+        return found
+
+    async def list_servers(self, timeout):
+        """Entries of all backend servers, and the revision to watch from."""
+        revision, items = await self._store.list(_servers.KIND, timeout)
+        return revision, [
+            record
+            for record in map(_decode_server, items)
+            if record is not None
+        ]
+
+    async def watch_servers(self, since, wait, timeout):
+        """Changes of entries: each a record, or the id of one removed."""
+        revision, items = await self._store.watch(
+            _servers.KIND, since, wait, timeout
+        )
+        changes = []
+        for item in items:
+            record = None if item.deleted else _decode_server(item)
+            changes.append(item.name if record is None else record)
+        return revision, changes
+
+    async def read_lease(self, shard, timeout):
+        """Lease of a shard, or None."""
+        found = await self._store.get(LEASE_KIND, shard, timeout)
+        return None if found is None else _decode_lease(shard, found)
+
+    async def write_lease(self, lease, expected, timeout):
+        """Write a lease whose object has the expected revision (0: none).
+
+        Raises
+        ------
+        balsamwind.exceptions.Conflict
+            Another node wrote it first.
+        """
+        spec = {
+            'holder': lease.holder,
+            'fencing': lease.fencing,
+            'duration': lease.duration,
+            'operation': lease.operation,
+        }
+        if expected == 0:
+            stored = await self._store.create(
+                LEASE_KIND, lease.shard, spec, timeout
+            )
+        else:
+            stored = await self._store.replace(
+                LEASE_KIND, lease.shard, spec, expected, timeout
+            )
+        return _decode_lease(lease.shard, stored)
+
+    async def ask_engine(self, record, timeout):
+        """What an engine says of itself now; a `ServerReport`."""
+        response = await self._client.fetch(
+            'GET',
+            f'http://{record.address}/v1/report',
+            headers=self._expect(record),
+            timeout=timeout,
+            repeat=True,
+        )
+        if response.status != 200:
+            raise exceptions.BadAnswer(
+                f'{record.address}: report answered with {response.status}'
+            )
+        return _servers.decode_report(response.body)
+
+    async def order(self, record, order, fencing, sequence, timeout):
+        """Give an engine an order.
+
+        Returns
+        -------
+        balsamwind.pool.OrderResult
+            `UNKNOWN` where no answer came.
+        """
+        try:
+            response = await self._client.fetch(
+                'POST',
+                f'http://{record.address}/v1/order',
+                headers=(
+                    ('Content-Type', 'application/json'),
+                    *self._expect(record),
+                ),
+                body=_servers.encode_order(order, fencing, sequence),
+                timeout=timeout,
+            )
+            return _servers.decode_order_result(response.status)
+        except exceptions.TransportError:
+            return pool.OrderResult.UNKNOWN
+
+    def _expect(self, record):
+        return ((_headers.EXPECT_SERVER, record.server_id),)
+
+
+def _decode_server(item):
+    try:
+        return _servers.decode_server(item.name, item.spec)
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return None
+
+
+def _decode_lease(shard, stored):
+    try:
+        spec = stored.spec
+        lease = objects.Lease(
+            shard,
+            str(spec['holder']),
+            int(spec['fencing']),
+            float(spec['duration']),
+            str(spec['operation']),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise exceptions.StoreError(f'lease {shard}: {error!r}') from None
+    return objects.Stored('lease', shard, stored.revision, lease)
