--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -71,7 +71,12 @@
         )
         self._prober = _prober.Prober(outside, registry, clock, self._log)
         self.orders = _orders.OrderGiver(
-            outside, registry, self.lease, self._prober, self._log
+            data_centre,
+            outside,
+            registry,
+            self.lease,
+            self._prober,
+            self._log,
         )
 
     async def run(self):
--- a/balsamwind/node/_orders.py
+++ b/balsamwind/node/_orders.py
@@ -35,17 +35,21 @@
 
     Parameters
     ----------
+    shard : str
+        Name of the shard.
     outside, registry, lease, prober, log
         The platform, entries, lease of the shard, who answers, log.
     """
 
-    def __init__(self, outside, registry, lease, prober, log):
+    def __init__(self, shard, outside, registry, lease, prober, log):
+        self._shard = shard
         self._outside = outside
         self._registry = registry
         self._lease = lease
         self._prober = prober
         self._log = log
         self._count = 0
+        self._sequences = {}
         self.busy = set()
         self.forming = {}
         self.orders = 0
@@ -95,17 +99,16 @@
         balsamwind.exceptions.Conflict
             The lease is no longer held.
         """
+        if not self._lease.held:
+            raise exceptions.Conflict('the lease is no longer held')
+        sequence = await self._find_sequence(record)
         if not self._lease.held:
             raise exceptions.Conflict('the lease is no longer held')
         self.orders += 1
-        current = self._registry.get(record.server_id) or record
         result = await self._outside.order(
-            current,
-            order,
-            self._lease.fencing,
-            current.sequence,
-            ORDER_TIMEOUT,
+            record, order, self._lease.fencing, sequence, ORDER_TIMEOUT
         )
+        self._note_result(record, sequence, result)
         if result is pool.OrderResult.FENCED:
             self._lease.lose(f'{record.server_id}: {order}')
         self._log.debug(
@@ -116,11 +119,27 @@
         )
         return result
 
+    async def _find_sequence(self, record):
+        """Orders that the engine has accepted since its start (count)."""
+        life = (record.server_id, record.born)
+        sequence = self._sequences.get(life)
+        if sequence is None:
+            report = await self._outside.ask_engine(record, ORDER_TIMEOUT)
+            sequence = self._sequences[life] = report.sequence
+        return sequence
+
+    def _note_result(self, record, sequence, result):
+        life = (record.server_id, record.born)
+        if result is pool.OrderResult.BEGUN:
+            self._sequences[life] = sequence + 1
+        elif result is not pool.OrderResult.DONE:
+            self._sequences.pop(life, None)
+
     async def _form(self, action, terms):
         members = action.members
         epoch = self._make_epoch()
         ids = tuple(member.server_id for member in members)
-        name = pool.make_group_name(action.model, epoch)
+        name = pool.make_group_name(action.model, self._shard, epoch)
         order = pool.Join(name, epoch, action.model, ids)
         self._log.info(
             'group_forming',
@@ -159,7 +178,10 @@
             result = await self._order(member, order)
             if result.accepted:
                 return True
-            if result is not pool.OrderResult.UNKNOWN:
+            if result not in (
+                pool.OrderResult.UNKNOWN,
+                pool.OrderResult.UNFIT,
+            ):
                 return False
             if member.server_id in self._prober.down:
                 return False
--- a/balsamwind/platform/_servers.py
+++ b/balsamwind/platform/_servers.py
@@ -41,7 +41,7 @@
         state=_STATES[spec['State']],
         slots=max(1, int(spec.get('SlotCount', 1))),
         born=_check_number(spec.get('born', 0)),
-        sequence=_check_number(spec.get('Seq', 0)),
+        # `Seq` counts heartbeats here, and orders in a report.
         domain=str(spec.get('Domain', '')),
         **_decode_weights(spec),
     )
--- a/balsamwind/pool/_groups.py
+++ b/balsamwind/pool/_groups.py
@@ -9,12 +9,17 @@
 from balsamwind.pool import _records
 
 SEPARATOR = '.'
-"""Between the model and the epoch in a group's name."""
+"""Between the parts of a group's name."""
 
 
-def make_group_name(model, epoch):
-    """Name of a new group."""
-    return f'{model}{SEPARATOR}{epoch}'
+def make_group_name(model, shard, epoch):
+    """Name of a new group; epochs are only unique within a shard."""
+    return SEPARATOR.join((model, shard, str(epoch)))
+
+
+def read_model(name):
+    """Model in the name of a group."""
+    return name.rsplit(SEPARATOR, 2)[0]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -104,7 +109,7 @@
             members.setdefault(record.membership.key, []).append(record)
     groups = {}
     for (name, epoch), found in members.items():
-        model = name.rpartition(SEPARATOR)[0]
+        model = read_model(name)
         known = terms.find_model(model)
         found.sort(key=lambda record: record.membership.rank)
         groups[name, epoch] = PoolGroup(
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -259,11 +259,16 @@
 
 
 def _plan_staging(view, rest, assigned):
-    """Give free engines without weights the model that lacks most."""
+    """Copy models to hosts ahead of need.
+
+    Before traffic each host gets a model that its engine does not hold, so
+    that the engine can change between both; later only engines without any
+    weights get the model that lacks most.
+    """
+    if view.before_traffic:
+        return _plan_second_models(view)
     actions = []
     counts = dict(assigned)
-    if view.before_traffic:
-        return actions
     for engine in rest:
         if len(actions) >= view.loads_allowed:
             break
@@ -273,3 +278,22 @@
         counts[model.name] += 1
         actions.append(StageModel(engine, model.name))
     return actions
+
+
+def _plan_second_models(view):
+    actions = []
+    for engine in view.records:
+        if not engine.usable or engine.server_id in view.busy:
+            continue
+        if engine.membership is None or not engine.model:
+            continue
+        if engine.membership.state is _records.MemberState.JOINING:
+            continue
+        others = [
+            model.name
+            for model in view.terms.models
+            if model.name != engine.model
+        ]
+        if others and not set(others) & set(engine.staged):
+            actions.append(StageModel(engine, others[0]))
+    return actions
--- a/balsamwind/pool/_records.py
+++ b/balsamwind/pool/_records.py
@@ -64,8 +64,6 @@
         Requests that it runs at once (count).
     born : int
         Identity of its start; a restart under the same id has another.
-    sequence : int
-        Orders accepted since its start (count).
     domain : str
         Fabric domain; empty for a plain service.
     model : str
@@ -85,7 +83,6 @@
     state: ServerState = ServerState.READY
     slots: int = 1
     born: int = 0
-    sequence: int = 0
     domain: str = ''
     model: str = ''
     staged: tuple = ()
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -75,7 +75,6 @@
         self._records[server_id] = dataclasses.replace(
             record,
             born=report.born,
-            sequence=report.sequence,
             model=report.model,
             staged=report.staged,
             membership=report.membership,
