Keep the newest revision of each entry

Ruled out: a restart of the engine, a silent store (neither in the logs). Change: an entry or a removal that is older than what is known is left out.

--- a/balsamwind/node/_followers.py
+++ b/balsamwind/node/_followers.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from balsamwind import exceptions
+from balsamwind import pool
 
 CONFIGURATION_INTERVAL = 0.7
 """Time between two reads of the configuration (seconds)."""
@@ -176,13 +177,33 @@
     def _apply(self, changes, now):
         records = []
         for change in changes:
-            if isinstance(change, str):
-                self._registry.drop(change, now)
+            if isinstance(change, pool.RemovedServer):
+                self._registry.remove(change, now)
             else:
-                self._registry.put(change)
+                before = self._registry.put(change)
+                self._log_change(before, change)
                 records.append(change)
         self._note_seen(records, now)
 
+    def _log_change(self, before, record):
+        """Log a change of state or of place in a group."""
+        if before is not None and (
+            before.state == record.state
+            and before.membership == record.membership
+            and before.born == record.born
+        ):
+            return
+        place = record.membership
+        self._log.info(
+            'engine_changed',
+            engine=record.server_id,
+            revision=record.revision,
+            state=record.state.value,
+            group=place and place.group,
+            member=place and place.state.value,
+            restarted=before is not None and before.born != record.born,
+        )
+
     def _note_seen(self, records, now):
         for record in records:
             self.first_seen.setdefault((record.server_id, record.born), now)
--- a/balsamwind/platform/_outside.py
+++ b/balsamwind/platform/_outside.py
@@ -75,14 +75,16 @@
         ]
 
     async def watch_servers(self, since, wait, timeout):
-        """Changes of entries: each a record, or the id of one removed."""
+        """Changes of entries: `ServerRecord` and `RemovedServer`."""
         revision, items = await self._store.watch(
             _servers.KIND, since, wait, timeout
         )
         changes = []
         for item in items:
             record = None if item.deleted else _decode_server(item)
-            changes.append(item.name if record is None else record)
+            if record is None:
+                record = pool.RemovedServer(item.name, item.revision)
+            changes.append(record)
         return revision, changes
 
     async def read_lease(self, shard, timeout):
@@ -158,7 +160,7 @@
 
 def _decode_server(item):
     try:
-        return _servers.decode_server(item.name, item.spec)
+        return _servers.decode_server(item.name, item.revision, item.spec)
     except (AttributeError, KeyError, TypeError, ValueError):
         return None
 
--- a/balsamwind/platform/_servers.py
+++ b/balsamwind/platform/_servers.py
@@ -22,7 +22,7 @@
 }
 
 
-def decode_server(name, spec):
+def decode_server(name, revision, spec):
     """Decode the entry of a backend server.
 
     Raises
@@ -43,6 +43,7 @@
         born=_check_number(spec.get('born', 0)),
         # `Seq` counts heartbeats here, and orders in a report.
         domain=str(spec.get('Domain', '')),
+        revision=revision,
         **_decode_weights(spec),
     )
 
--- a/balsamwind/pool/__init__.py
+++ b/balsamwind/pool/__init__.py
@@ -17,6 +17,7 @@
 from balsamwind.pool._planner import StageModel
 from balsamwind.pool._records import Membership
 from balsamwind.pool._records import MemberState
+from balsamwind.pool._records import RemovedServer
 from balsamwind.pool._records import ServerRecord
 from balsamwind.pool._records import ServerReport
 from balsamwind.pool._records import ServerState
@@ -36,6 +37,7 @@
     'PoolGroup',
     'PoolView',
     'Registry',
+    'RemovedServer',
     'ServerRecord',
     'ServerReport',
     'ServerState',
--- a/balsamwind/pool/_records.py
+++ b/balsamwind/pool/_records.py
@@ -74,6 +74,8 @@
         Its place in a replica group.
     listed : bool
         Whether the platform still lists it.
+    revision : int
+        Store revision of the entry.
     """
 
     server_id: str
@@ -88,6 +90,7 @@
     staged: tuple = ()
     membership: Membership | None = None
     listed: bool = True
+    revision: int = 0
 
     @property
     def usable(self):
@@ -95,6 +98,22 @@
         return self.listed and self.state is ServerState.READY
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RemovedServer:
+    """An entry that is no longer listed.
+
+    Parameters
+    ----------
+    server_id : str
+        Whose entry.
+    revision : int
+        Store revision of what was removed, or of its removal.
+    """
+
+    server_id: str
+    revision: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ServerReport:
     """What an engine says of itself when asked.
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -52,11 +52,27 @@
                 self.drop(record.server_id, now)
 
     def put(self, record):
-        """Take one entry."""
-        if self._records.get(record.server_id) != record:
+        """Take one entry, unless a newer one is known.
+
+        Returns
+        -------
+        ServerRecord or None
+            What was known before.
+        """
+        known = self._records.get(record.server_id)
+        if known is not None and known.revision > record.revision:
+            return known
+        if known != record:
             self.changes += 1
         self._records[record.server_id] = record
         self._dropped_at.pop(record.server_id, None)
+        return known
+
+    def remove(self, removed, now):
+        """Take the removal of an entry, unless a newer one is known."""
+        known = self._records.get(removed.server_id)
+        if known is not None and known.revision <= removed.revision:
+            self.drop(removed.server_id, now)
 
     def drop(self, server_id, now):
         """Note that an entry is no longer listed."""
--- /dev/null
+++ b/balsamwind/pool/tests/test_registry.py
@@ -0,0 +1,66 @@
+"""Entries of backend servers, as lists and watches bring them."""
+
+import pytest
+
+from balsamwind import pool
+
+
+def _make(revision, state, server_id='e1'):
+    membership = pool.Membership('m.dc.1', 1, 0, state)
+    return pool.ServerRecord(
+        server_id,
+        'svc',
+        '10.0.0.1:80',
+        'dc',
+        membership=membership,
+        revision=revision,
+    )
+
+
+OPEN = pool.MemberState.OPEN
+READY = pool.MemberState.READY
+
+
+@pytest.mark.parametrize(
+    ('changes', 'state', 'listed'),
+    [
+        # A list of two pages is watched from the revision of the first, so
+        # the watch brings changes that the second page already held.
+        ([_make(7, OPEN), _make(5, READY)], OPEN, True),
+        ([_make(5, READY), _make(7, OPEN)], OPEN, True),
+        ([_make(7, OPEN), pool.RemovedServer('e1', 6)], OPEN, True),
+        ([_make(7, OPEN), pool.RemovedServer('e1', 7)], OPEN, False),
+        ([_make(7, OPEN), pool.RemovedServer('e1', 9)], OPEN, False),
+    ],
+)
+def test_older_changes(changes, state, listed):
+    registry = pool.Registry()
+    for change in changes:
+        if isinstance(change, pool.RemovedServer):
+            registry.remove(change, 0.0)
+        else:
+            registry.put(change)
+    record = registry.get('e1')
+    assert record.membership.state is state
+    assert record.listed is listed
+
+
+def test_lapsed_entries_have_time_to_return():
+    registry = pool.Registry()
+    registry.put(_make(7, OPEN))
+    registry.note_return(10.0)
+    registry.replace([], 11.0)
+    assert registry.get('e1').listed
+    registry.replace([], 13.0)
+    assert not registry.get('e1').listed
+    assert registry.missing_for('e1', 14.0) == 1.0
+
+
+def test_forgotten_after_long():
+    registry = pool.Registry()
+    registry.put(_make(7, OPEN))
+    registry.drop('e1', 10.0)
+    registry.forget(20.0)
+    assert registry.get('e1') is not None
+    registry.forget(100.0)
+    assert registry.get('e1') is None
--- a/balsamwind/relay/_places.py
+++ b/balsamwind/relay/_places.py
@@ -98,7 +98,7 @@
         return now < self.avoid_until
 
     def is_stalled(self, sent_at, now):
-        """Whether nothing came of a request sent at `sent_at`, or of others."""
+        """Whether nothing has come for long; `sent_at` is in seconds."""
         return now - max(self.last_progress, sent_at) > STALL
 
     @contextlib.contextmanager
--- a/balsamwind/relay/_terms.py
+++ b/balsamwind/relay/_terms.py
@@ -62,7 +62,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportedLoad:
-    """Requests that run and wait at a backend server, and its slots (count)."""
+    """Requests that run and wait, and slots (count)."""
 
     running: int
     waiting: int
