Do not take members while a domain comes back

Change: members are released only after they have been back for 2.5 s; a request in flight at the deadline ends 504.

--- a/balsamwind/node/_followers.py
+++ b/balsamwind/node/_followers.py
@@ -138,7 +138,6 @@
         self._log = log
         self._contact = StoreContact('servers', clock, log)
         self._list_at = 0.0
-        self.first_seen = {}
 
     async def run(self):
         """Follow for ever."""
@@ -158,7 +157,6 @@
         self._note_answer(now)
         self._registry.replace(records, now)
         self._registry.forget(now)
-        self._note_seen(records, now)
         while self._clock.monotonic() < self._list_at:
             await asyncio.sleep(WATCH_PAUSE)
             revision, changes = await self._outside.watch_servers(
@@ -175,15 +173,12 @@
             self._list_at = now + LIST_AFTER_RETURN
 
     def _apply(self, changes, now):
-        records = []
         for change in changes:
             if isinstance(change, pool.RemovedServer):
                 self._registry.remove(change, now)
             else:
-                before = self._registry.put(change)
+                before = self._registry.put(change, now)
                 self._log_change(before, change)
-                records.append(change)
-        self._note_seen(records, now)
 
     def _log_change(self, before, record):
         """Log a change of state or of place in a group."""
@@ -203,7 +198,3 @@
             member=place and place.state.value,
             restarted=before is not None and before.born != record.born,
         )
-
-    def _note_seen(self, records, now):
-        for record in records:
-            self.first_seen.setdefault((record.server_id, record.born), now)
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -19,6 +19,10 @@
 """Time since an engine was first seen in which others of its domain may
 follow (seconds)."""
 
+RETURN_TIME = 2.5
+"""Time in which the engines of a domain that was dark come back one after
+the other (seconds)."""
+
 PAST = 10.0
 """Time after which a node has seen the head of each open group (seconds)."""
 
@@ -35,7 +39,7 @@
         The shard.
     settings : balsamwind.node.NodeSettings
         Settings of the node.
-    outside, book, registry, follower, relay, clock, log
+    outside, book, registry, relay, clock, log
         Parts of the node.
     """
 
@@ -46,7 +50,6 @@
         outside,
         book,
         registry,
-        follower,
         relay,
         clock,
         log,
@@ -55,7 +58,6 @@
         self._settings = settings
         self._book = book
         self._registry = registry
-        self._follower = follower
         self._relay = relay
         self._clock = clock
         self._log = log.bind(shard=data_centre)
@@ -121,14 +123,9 @@
             and not self._relay.seen_requests
             and now - self._started_at < START_TIME
         )
-        growing = {
-            record.domain
+        listed_for = {
+            record.server_id: self._registry.listed_for(record.server_id, now)
             for record in records
-            if now
-            - self._follower.first_seen.get(
-                (record.server_id, record.born), now
-            )
-            < GROWTH_TIME
         }
         return pool.PoolView(
             records=records,
@@ -142,7 +139,17 @@
             busy=frozenset(self.orders.busy),
             forming=dict(self.orders.forming),
             before_traffic=before_traffic,
-            growing=frozenset(growing),
+            growing=frozenset(
+                record.domain
+                for record in records
+                if listed_for[record.server_id] < GROWTH_TIME
+            ),
+            returned=frozenset(
+                server_id
+                for server_id, listed in listed_for.items()
+                if min(listed, self._prober.answers_for(server_id, now))
+                < RETURN_TIME
+            ),
             knows_past=now - self._started_at > PAST
             or self._settings.first_start,
             loads_allowed=self._count_loads_allowed(service, now),
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -32,6 +32,7 @@
         self._misses = {}
         self._next_at = {}
         self._asked = set()
+        self._returned_at = {}
 
     @property
     def down(self):
@@ -42,6 +43,10 @@
             if misses >= MISSES
         )
 
+    def answers_for(self, server_id, now):
+        """How long an engine has answered since it was down (seconds)."""
+        return now - self._returned_at.get(server_id, float('-inf'))
+
     def step(self, records):
         """Ask the engines that are due."""
         now = self._clock.monotonic()
@@ -73,6 +78,7 @@
         else:
             if self._misses.get(server_id, 0) >= MISSES:
                 self._log.info('engine_answers_again', engine=server_id)
+                self._returned_at[server_id] = self._clock.monotonic()
             self._misses[server_id] = 0
             self._registry.note_report(server_id, report)
         finally:
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -121,7 +121,6 @@
                 outside,
                 self.book,
                 self.registry,
-                self._server_follower,
                 self.relay,
                 self._clock,
                 self._log,
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -78,6 +78,8 @@
         Whether loads are cheap and engines still register.
     growing : frozenset of str
         Domains in which an engine was first seen a moment ago.
+    returned : frozenset of str
+        Engines that have come back, or were first seen, a moment ago.
     knows_past : bool
         Whether this node has watched long enough to know the head of every
         group that may still be open.
@@ -93,6 +95,7 @@
     forming: dict = dataclasses.field(default_factory=dict)
     before_traffic: bool = False
     growing: frozenset = frozenset()
+    returned: frozenset = frozenset()
     knows_past: bool = True
     loads_allowed: int = 0
 
@@ -178,12 +181,16 @@
 
 
 def _is_released(view, group):
-    """Whether the head of a group can't be serving any more."""
+    """Whether the head of a group can't be serving any more.
+
+    The engines of a domain that was dark come back one after the other: a
+    head that is not back yet may still be open.
+    """
     head = group.head
-    if head is None:
-        return view.knows_past
-    if head.server_id in view.gone:
-        return True
+    if head is None or head.server_id in view.gone:
+        ids = {member.server_id for member in group.members}
+        settled = not ids & view.returned
+        return settled and (head is not None or view.knows_past)
     return group.state not in (
         _records.MemberState.OPEN,
         _records.MemberState.CLOSING,
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -17,11 +17,18 @@
     its engine may still run, and its group may still be open.
     """
 
-    __slots__ = ('_away_until', '_dropped_at', '_records', 'changes')
+    __slots__ = (
+        '_away_until',
+        '_dropped_at',
+        '_records',
+        '_returned_at',
+        'changes',
+    )
 
     def __init__(self):
         self._records = {}
         self._dropped_at = {}
+        self._returned_at = {}
         self._away_until = float('-inf')
         self.changes = 0
 
@@ -44,14 +51,14 @@
         """Take a whole list."""
         named = {record.server_id for record in records}
         for record in records:
-            self.put(record)
+            self.put(record, now)
         if now < self._away_until:
             return
         for record in list(self):
             if record.listed and record.server_id not in named:
                 self.drop(record.server_id, now)
 
-    def put(self, record):
+    def put(self, record, now):
         """Take one entry, unless a newer one is known.
 
         Returns
@@ -66,6 +73,8 @@
             self.changes += 1
         self._records[record.server_id] = record
         self._dropped_at.pop(record.server_id, None)
+        if known is None or not known.listed:
+            self._returned_at[record.server_id] = now
         return known
 
     def remove(self, removed, now):
@@ -103,6 +112,11 @@
             if now - since > MEMORY:
                 del self._dropped_at[server_id]
                 del self._records[server_id]
+                self._returned_at.pop(server_id, None)
+
+    def listed_for(self, server_id, now):
+        """How long an entry has been listed without a break (seconds)."""
+        return now - self._returned_at.get(server_id, now)
 
     def missing_for(self, server_id, now):
         """How long an entry has not been listed (seconds)."""
--- a/balsamwind/pool/tests/test_registry.py
+++ b/balsamwind/pool/tests/test_registry.py
@@ -39,7 +39,7 @@
         if isinstance(change, pool.RemovedServer):
             registry.remove(change, 0.0)
         else:
-            registry.put(change)
+            registry.put(change, 0.0)
     record = registry.get('e1')
     assert record.membership.state is state
     assert record.listed is listed
@@ -47,7 +47,7 @@
 
 def test_lapsed_entries_have_time_to_return():
     registry = pool.Registry()
-    registry.put(_make(7, OPEN))
+    registry.put(_make(7, OPEN), 0.0)
     registry.note_return(10.0)
     registry.replace([], 11.0)
     assert registry.get('e1').listed
@@ -58,7 +58,7 @@
 
 def test_forgotten_after_long():
     registry = pool.Registry()
-    registry.put(_make(7, OPEN))
+    registry.put(_make(7, OPEN), 0.0)
     registry.drop('e1', 10.0)
     registry.forget(20.0)
     assert registry.get('e1') is not None
--- a/balsamwind/relay/_exchange.py
+++ b/balsamwind/relay/_exchange.py
@@ -80,6 +80,7 @@
         '_deadline',
         '_doubt',
         '_events',
+        '_may_run',
         '_passed',
         '_relay',
         '_request',
@@ -108,6 +109,7 @@
         self._sends = 0
         self._connects = 0
         self._started = False
+        self._may_run = False
         self._doubt = None
         self._events = _events.EventSplitter()
         self._passed = self._make_passed_headers()
@@ -134,7 +136,7 @@
 
     def make_timeout(self):
         """Error for a request whose time is up."""
-        if self._sends:
+        if self._may_run or self._doubt is not None:
             return exceptions.DeadlineExceeded('time is up')
         return exceptions.Overloaded('no place became free in time')
 
@@ -148,10 +150,12 @@
         """
         while True:
             place = self._choose()
+            self._may_run = True
             with place.track(self._terms.prompt_tokens) as note_read:
                 failure = await self._attempt(place, note_read)
             if failure is None:
                 return
+            self._may_run = False
             self._note_failure(place, failure)
             if not self._may_go_on(failure):
                 raise self._make_final(failure)
