Convert groups to the model that is short

Ruled out: the choice among groups (all nodes refused for want of a place). Change: the leader measures requests by model from reports, closes up to two small groups of a domain for a large one, keeps the domain for it, remembers what is being staged, and asks twice at once before an engine counts as down.

--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -26,6 +26,18 @@
 PAST = 10.0
 """Time after which a node has seen the head of each open group (seconds)."""
 
+STAGING_SLACK = 4.0
+"""How much longer than published a copy to a host may take (seconds)."""
+
+CONVERSION_INTERVAL = 2.0
+"""Time between two conversions of groups (seconds)."""
+
+RESERVATION = 4.0
+"""How long a domain is kept for the model it is converted to (seconds)."""
+
+DEMAND_WEIGHT = 0.07
+"""Weight of the newest measure in the mean demand."""
+
 LOAD_SAFETY = 0.85
 """Part of the ceiling on loads that is used."""
 
@@ -63,6 +75,10 @@
         self._log = log.bind(shard=data_centre)
         self._started_at = clock.monotonic()
         self._loads = collections.deque()
+        self._staging = {}
+        self._demand = {}
+        self._reserved = {}
+        self._convert_at = 0.0
         self.lease = _lease.ShardLease(
             data_centre,
             settings.name,
@@ -111,10 +127,40 @@
         self._prober.step(
             [record for record in records if record.membership is not None]
         )
+        self._measure_demand(service, records)
         for action in pool.plan_pool(self._make_view(service, records)):
             self._note_load(action)
+            self._note_plan(action, service)
             self.orders.start(action, service.engine)
 
+    def _measure_demand(self, service, records):
+        """Smooth what the heads of the shard report to run and wait."""
+        counts = {model.name: 0 for model in service.engine.models}
+        for record in records:
+            place = record.membership
+            if place is not None and place.rank == 0:
+                model = pool.read_model(place.group)
+                requests = self._prober.requests.get(record.server_id, 0)
+                if place.state is pool.MemberState.OPEN and model in counts:
+                    counts[model] += requests
+        for model, count in counts.items():
+            before = self._demand.get(model, count)
+            self._demand[model] = before + DEMAND_WEIGHT * (count - before)
+
+    def _note_plan(self, action, service):
+        now = self._clock.monotonic()
+        match action:
+            case pool.StageModel(engine=engine, model=model):
+                known = service.engine.find_model(model)
+                until = now + known.load_time + STAGING_SLACK
+                self._staging[engine.server_id] = (model, until)
+            case pool.CloseGroup(group=group, wanted=wanted) if wanted:
+                self._convert_at = now + CONVERSION_INTERVAL
+                self._reserved[group.head.domain] = (
+                    wanted,
+                    now + RESERVATION,
+                )
+
     def _make_view(self, service, records):
         now = self._clock.monotonic()
         down = self._prober.down
@@ -153,6 +199,10 @@
             knows_past=now - self._started_at > PAST
             or self._settings.first_start,
             loads_allowed=self._count_loads_allowed(service, now),
+            staging=_keep_current(self._staging, now),
+            demand={} if before_traffic else dict(self._demand),
+            reserved=_keep_current(self._reserved, now),
+            may_convert=now >= self._convert_at and not before_traffic,
         )
 
     def _count_loads_allowed(self, service, now):
@@ -176,3 +226,11 @@
                 for member in members:
                     if member.model != model and model not in member.staged:
                         self._loads.append(now)
+
+
+def _keep_current(rows, now):
+    """Drop rows whose time is over; the values of the others."""
+    for key, (_, until) in list(rows.items()):
+        if now >= until:
+            del rows[key]
+    return {key: value for key, (value, _) in rows.items()}
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -7,9 +7,13 @@
 INTERVAL = 0.4
 """Time between two questions to an engine (seconds)."""
 
-TIMEOUT = 0.3
+TIMEOUT = 0.2
 """Longest wait for a report (seconds)."""
 
+PAUSE = 0.6
+"""Time after which a question without an answer speaks of a pause of this
+node, not of the engine (seconds)."""
+
 MISSES = 2
 """Questions in a row without an answer after which an engine is down
 (count)."""
@@ -33,6 +37,7 @@
         self._next_at = {}
         self._asked = set()
         self._returned_at = {}
+        self.requests = {}
 
     @property
     def down(self):
@@ -68,24 +73,29 @@
 
     async def _ask(self, record):
         server_id = record.server_id
+        asked_at = self._clock.monotonic()
         try:
             report = await self._outside.ask_engine(record, TIMEOUT)
         except exceptions.BadAnswer:
             # Another engine has the address, or this one is confused.
             self._note_miss(record, MISSES, 'bad report')
         except exceptions.TransportError as error:
-            self._note_miss(record, 1, str(error))
+            if self._clock.monotonic() - asked_at < PAUSE:
+                self._note_miss(record, 1, str(error))
         else:
             if self._misses.get(server_id, 0) >= MISSES:
                 self._log.info('engine_answers_again', engine=server_id)
                 self._returned_at[server_id] = self._clock.monotonic()
             self._misses[server_id] = 0
+            self.requests[server_id] = report.requests
             self._registry.note_report(server_id, report)
         finally:
             self._asked.discard(server_id)
 
     def _note_miss(self, record, count, reason):
         before = self._misses.get(record.server_id, 0)
+        # A second question at once tells a lost packet from a lost engine.
+        self._next_at[record.server_id] = 0.0
         self._misses[record.server_id] = before + count
         if before < MISSES <= before + count:
             self._log.info(
--- a/balsamwind/platform/_servers.py
+++ b/balsamwind/platform/_servers.py
@@ -62,6 +62,8 @@
             born=_check_number(data.get('born', 0)),
             sequence=_check_number(data.get('Seq', 0)),
             pace=float(data.get('pace', 1.0)),
+            requests=_check_number(data.get('NumRunning', 0))
+            + _check_number(data.get('NumQueued', 0)),
             **_decode_weights(data),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
--- a/balsamwind/pool/__init__.py
+++ b/balsamwind/pool/__init__.py
@@ -1,20 +1,21 @@
 """Replica groups that form from a pool of plain engines."""
 
+from balsamwind.pool._actions import CloseGroup
+from balsamwind.pool._actions import FormGroup
+from balsamwind.pool._actions import OpenGroup
+from balsamwind.pool._actions import StageModel
 from balsamwind.pool._groups import find_groups
 from balsamwind.pool._groups import make_group_name
 from balsamwind.pool._groups import PoolGroup
+from balsamwind.pool._groups import read_model
 from balsamwind.pool._orders import Close
 from balsamwind.pool._orders import Join
 from balsamwind.pool._orders import Leave
 from balsamwind.pool._orders import Open
 from balsamwind.pool._orders import OrderResult
 from balsamwind.pool._orders import Stage
-from balsamwind.pool._planner import CloseGroup
-from balsamwind.pool._planner import FormGroup
-from balsamwind.pool._planner import OpenGroup
 from balsamwind.pool._planner import plan_pool
 from balsamwind.pool._planner import PoolView
-from balsamwind.pool._planner import StageModel
 from balsamwind.pool._records import Membership
 from balsamwind.pool._records import MemberState
 from balsamwind.pool._records import RemovedServer
@@ -46,4 +47,5 @@
     'find_groups',
     'make_group_name',
     'plan_pool',
+    'read_model',
 ]
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -2,60 +2,13 @@
 
 import dataclasses
 
+from balsamwind.pool import _actions
+from balsamwind.pool import _conversion
 from balsamwind.pool import _groups
+from balsamwind.pool import _needs
 from balsamwind.pool import _records
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class CloseGroup:
-    """Close a group that has lost a member, or is about to.
-
-    Parameters
-    ----------
-    group : PoolGroup
-        The group.
-    cut : bool
-        Whether what runs in it is broken off, as it stands still anyway.
-    reason : str
-        Why.
-    """
-
-    group: _groups.PoolGroup
-    cut: bool
-    reason: str
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class OpenGroup:
-    """Open a whole group that stands ready."""
-
-    group: _groups.PoolGroup
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class FormGroup:
-    """Form a new group.
-
-    Parameters
-    ----------
-    model : str
-        Model that it serves.
-    members : tuple of ServerRecord
-        Its members; the first is the head.
-    """
-
-    model: str
-    members: tuple
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class StageModel:
-    """Copy a model to an engine's host, ahead of need."""
-
-    engine: _records.ServerRecord
-    model: str
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class PoolView:
     """What the leader of a shard knows.
@@ -85,6 +38,15 @@
         group that may still be open.
     loads_allowed : int
         Loads from the weight store that may begin now (count).
+    staging : dict of str to str
+        Models that are being copied to the hosts of engines.
+    demand : dict of str to float
+        Requests that run and wait in the shard, by model (count); empty
+        before traffic.
+    reserved : dict of str to str
+        Models for which domains are kept, by domain.
+    may_convert : bool
+        Whether a group may be closed for the sake of another model.
     """
 
     records: tuple
@@ -98,6 +60,10 @@
     returned: frozenset = frozenset()
     knows_past: bool = True
     loads_allowed: int = 0
+    staging: dict = dataclasses.field(default_factory=dict)
+    demand: dict = dataclasses.field(default_factory=dict)
+    reserved: dict = dataclasses.field(default_factory=dict)
+    may_convert: bool = False
 
 
 def plan_pool(view):
@@ -121,14 +87,17 @@
         for member in action.group.members
     }
     free = _find_free(view, groups, held)
-    assigned = _count_assigned(view, groups)
-    formings = _plan_forming(view, free, assigned)
+    counts = _count_groups(view, groups)
+    formings = _plan_forming(view, free, counts)
     formed = {
         member.server_id for action in formings for member in action.members
     }
     rest = [item for item in free if item.server_id not in formed]
-    stagings = _plan_staging(view, rest, assigned)
-    return [*closings, *openings, *formings, *stagings]
+    stagings = _plan_staging(view, rest, counts)
+    conversions = []
+    if view.may_convert and not formings:
+        conversions = _conversion.plan_conversion(view, groups, rest, counts)
+    return [*closings, *openings, *formings, *stagings, *conversions]
 
 
 def _plan_standing(view, groups):
@@ -147,20 +116,33 @@
                 if action is not None:
                     closings.append(action)
             case _records.MemberState.READY:
-                if group.complete and group.all_ready and not ids & view.down:
-                    openings.append(OpenGroup(group))
+                if _may_open(view, group, ids):
+                    openings.append(_actions.OpenGroup(group))
     return closings, openings
 
 
+def _may_open(view, group, ids):
+    """Whether a group that stands ready is whole and wanted."""
+    wanted = view.reserved.get(group.head.domain, group.model)
+    return (
+        group.complete
+        and group.all_ready
+        and not ids & view.down
+        and wanted == group.model
+    )
+
+
 def _check_open(view, group, ids):
     """Close an open group that is not whole, or will not be for long."""
     lost = ids & view.down
     if lost:
-        return CloseGroup(group, True, f'{sorted(lost)} do not answer')
+        return _actions.CloseGroup(
+            group, True, f'{sorted(lost)} do not answer'
+        )
     if len(group.members) < group.size:
-        return CloseGroup(group, True, 'a member is missing')
+        return _actions.CloseGroup(group, True, 'a member is missing')
     if not group.complete:
-        return CloseGroup(group, False, 'a member is leaving')
+        return _actions.CloseGroup(group, False, 'a member is leaving')
     return None
 
 
@@ -197,17 +179,19 @@
     )
 
 
-def _count_assigned(view, groups):
-    assigned = {model.name: 0 for model in view.terms.models}
-    for name, count in view.forming.items():
-        assigned[name] = assigned.get(name, 0) + count
+def _count_groups(view, groups):
+    """Groups that serve or are being formed, by model."""
+    counts = {model.name: 0 for model in view.terms.models}
+    for model in view.terms.models:
+        forming = view.forming.get(model.name, 0)
+        counts[model.name] += forming // max(model.size, 1)
     for group in groups.values():
-        if group.serving and group.model in assigned:
-            assigned[group.model] += group.size
-    return assigned
+        if group.serving and group.model in counts:
+            counts[group.model] += 1
+    return counts
 
 
-def _plan_forming(view, free, assigned):
+def _plan_forming(view, free, counts):
     domains = {}
     for record in free:
         domains.setdefault((record.data_centre, record.domain), []).append(
@@ -215,83 +199,95 @@
         )
     actions = []
     for (_, domain), engines in sorted(domains.items()):
-        growing = view.before_traffic and domain in view.growing
         while True:
-            action = _plan_one(view, engines, assigned, growing)
+            action = _plan_one(view, domain, engines, counts)
             if action is None:
                 break
             actions.append(action)
-            assigned[action.model] += len(action.members)
+            counts[action.model] += 1
             for member in action.members:
                 engines.remove(member)
     return actions
 
 
-def _plan_one(view, engines, assigned, growing):
+def _plan_one(view, domain, engines, counts):
     """Form one group among the free engines of a domain, if any fits."""
-    for model in _order_models(view.terms, assigned):
+    growing = view.before_traffic and domain in view.growing
+    for model in _needs.order_models(view, counts):
+        if view.reserved.get(domain, model.name) != model.name:
+            continue
         ready = [
             engine
             for engine in engines
-            if view.before_traffic or is_warm(engine, model.name)
+            if view.before_traffic or _needs.is_warm(engine, model.name)
         ]
         if len(ready) >= model.size > 0:
             ready.sort(key=lambda engine: _join_cost(engine, model.name))
-            return FormGroup(model.name, tuple(ready[: model.size]))
+            return _actions.FormGroup(model.name, tuple(ready[: model.size]))
         if growing:
             return None
     return None
 
 
-def _order_models(terms, assigned):
-    """Models, that with the least of its share first."""
-    return sorted(
-        terms.models,
-        key=lambda model: (
-            assigned[model.name] / max(model.share, 0.01),
-            -model.size,
-        ),
-    )
-
-
-def is_warm(engine, model):
-    """Whether an engine can join without a load from the weight store."""
-    return engine.model == model or model in engine.staged
-
-
 def _join_cost(engine, model):
     if engine.model == model:
         return 0
     return 1 if model in engine.staged else 2
 
 
-def _plan_staging(view, rest, assigned):
+def _plan_staging(view, rest, counts):
     """Copy models to hosts ahead of need.
 
     Before traffic each host gets a model that its engine does not hold, so
-    that the engine can change between both; later only engines without any
-    weights get the model that lacks most.
+    that the engine can change between both. Later only engines without any
+    weights get a model: of those whose group the domain can complete, the
+    one that lacks most.
     """
     if view.before_traffic:
         return _plan_second_models(view)
+    cold = [engine for engine in rest if not _has_weights(view, engine)]
     actions = []
-    counts = dict(assigned)
-    for engine in rest:
-        if len(actions) >= view.loads_allowed:
-            break
-        if any(is_warm(engine, model.name) for model in view.terms.models):
-            continue
-        model = _order_models(view.terms, counts)[0]
-        counts[model.name] += 1
-        actions.append(StageModel(engine, model.name))
+    counts = dict(counts)
+    for engine in cold[: view.loads_allowed]:
+        peers = [
+            item
+            for item in rest
+            if item.domain == engine.domain
+            and item.data_centre == engine.data_centre
+        ]
+        model = _choose_staged(view, peers, counts)
+        if model is not None:
+            actions.append(_actions.StageModel(engine, model.name))
     return actions
 
 
+def _has_weights(view, engine):
+    return engine.server_id in view.staging or any(
+        _needs.is_warm(engine, model.name) for model in view.terms.models
+    )
+
+
+def _choose_staged(view, peers, counts):
+    for model in _needs.order_models(view, counts):
+        fitting = [
+            item
+            for item in peers
+            if not _has_weights(view, item)
+            or _needs.is_warm(item, model.name)
+            or view.staging.get(item.server_id) == model.name
+        ]
+        if len(fitting) >= model.size:
+            return model
+    return min(view.terms.models, key=lambda model: model.size, default=None)
+
+
 def _plan_second_models(view):
     actions = []
     for engine in view.records:
         if not engine.usable or engine.server_id in view.busy:
             continue
+        if engine.server_id in view.staging:
+            continue
         if engine.membership is None or not engine.model:
             continue
         if engine.membership.state is _records.MemberState.JOINING:
@@ -302,5 +298,5 @@
             if model.name != engine.model
         ]
         if others and not set(others) & set(engine.staged):
-            actions.append(StageModel(engine, others[0]))
+            actions.append(_actions.StageModel(engine, others[0]))
     return actions
--- a/balsamwind/pool/_records.py
+++ b/balsamwind/pool/_records.py
@@ -130,6 +130,8 @@
         Its place in a replica group.
     pace : float
         Factor on its times; over 1 means slow.
+    requests : int
+        Requests that run and wait there (count).
     """
 
     born: int
@@ -138,3 +140,4 @@
     staged: tuple = ()
     membership: Membership | None = None
     pace: float = 1.0
+    requests: int = 0
--- a/balsamwind/pool/tests/test_planner.py
+++ b/balsamwind/pool/tests/test_planner.py
@@ -196,6 +196,64 @@
     ]
 
 
+def _busy_day(pairs, **values):
+    """One large group that is overloaded, and pairs that are not."""
+    records = _group('abcd', 'large', 1)
+    for number in range(pairs):
+        names = [f'p{number}', f'q{number}']
+        records += _group(names, 'small', 10 + number)
+    return _view(
+        records,
+        demand={'large': 12.0, 'small': 9.0},
+        may_convert=True,
+        **values,
+    )
+
+
+@pytest.mark.parametrize(
+    ('pairs', 'values', 'closed'),
+    [
+        pytest.param(5, {}, 2, id='two pairs become one large group'),
+        pytest.param(2, {}, 0, id='too few pairs would be left'),
+        pytest.param(5, {'may_convert': False}, 0, id='just converted'),
+        pytest.param(5, {'demand': {}}, 0, id='no traffic yet'),
+        pytest.param(
+            5,
+            {'demand': {'large': 4.0, 'small': 9.0}},
+            0,
+            id='the large model has room',
+        ),
+        pytest.param(
+            5,
+            {'demand': {'large': 12.0, 'small': 50.0}},
+            0,
+            id='both are short',
+        ),
+    ],
+)
+def test_groups_move_to_the_model_that_is_short(pairs, values, closed):
+    view = dataclasses.replace(_busy_day(pairs), **values)
+    actions = pool.plan_pool(view)
+    assert len(actions) == closed
+    for action in actions:
+        assert isinstance(action, pool.CloseGroup)
+        assert action.wanted == 'large' and not action.cut
+
+
+def test_closed_pairs_are_not_opened_again_but_joined_anew():
+    records = _group('abcd', 'large', 1)
+    records += _group('ef', 'small', 10, READY)
+    records += _group('gh', 'small', 11, READY)
+    view = _view(
+        records,
+        demand={'large': 12.0, 'small': 9.0},
+        reserved={'d1': 'large'},
+    )
+    assert _summary(pool.plan_pool(view)) == [
+        ('form', 'large', ('e', 'f', 'g', 'h'))
+    ]
+
+
 def test_hosts_get_the_other_model_before_traffic():
     records = [
         dataclasses.replace(record, staged=('small',))
