--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -119,7 +119,9 @@
             self._reject(exceptions.HeadersTooLarge(f'{size} bytes'))
         elif 'Host' not in headers:
             self._reject(exceptions.BadRequest('Host is missing'))
-        elif int(headers.get('Content-Length', 0)) > limits.body_bytes:
+        elif not headers.get('Content-Length', '0').isdigit():
+            self._reject(exceptions.BadRequest('Content-Length conflicts'))
+        elif int(headers.get('Content-Length', '0')) > limits.body_bytes:
             self._reject(exceptions.BodyTooLarge('Content-Length'))
 
     def _reject(self, error):
--- /dev/null
+++ b/balsamwind/platform/tests/test_formats.py
@@ -0,0 +1,257 @@
+"""Names and formats of the platform, each decoded once."""
+
+import json
+
+import pytest
+
+from balsamwind import exceptions
+from balsamwind import node
+from balsamwind.platform import _configuration
+from balsamwind.platform import _headers
+from balsamwind.platform import _servers
+from balsamwind.platform import _settings
+from balsamwind import pool
+from balsamwind import relay
+from balsamwind import traffic
+
+ENTRY = {
+    'Service': 'llm',
+    'Address': '10.0.0.9:8080',
+    'Zone': 'z1',
+    'SlotCount': 9,
+    'State': 'ready',
+    'Seq': 41,
+    'Domain': 'd1',
+    'born': 1700000000000,
+    'Models': [{'Name': 'm0', 'Version': 1}],
+    'Staged': ['m1'],
+    'group': {'Name': 'm0.z1.7', 'epoch': 7, 'rank': 1, 'State': 'ready'},
+}
+
+
+def test_entry():
+    record = _servers.decode_server('e1', 12, ENTRY)
+    assert record == pool.ServerRecord(
+        server_id='e1',
+        service='llm',
+        address='10.0.0.9:8080',
+        data_centre='z1',
+        slots=9,
+        born=1700000000000,
+        domain='d1',
+        model='m0',
+        staged=('m1',),
+        membership=pool.Membership('m0.z1.7', 7, 1, pool.MemberState.READY),
+        revision=12,
+    )
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'Service': None},
+        {'Service': 7},
+        {'Address': 'nowhere'},
+        {'Address': None},
+        {'State': 'asleep'},
+        {'SlotCount': 'many'},
+        {'born': '1'},
+        {'born': 1.5},
+        {'group': {'Name': 'x'}},
+        {'group': {**ENTRY['group'], 'State': 'lost'}},
+        {'Models': [{}]},
+    ],
+)
+def test_entry_of_another_writer(change):
+    with pytest.raises((AttributeError, KeyError, TypeError, ValueError)):
+        _servers.decode_server('e1', 12, {**ENTRY, **change})
+
+
+def test_report_counts_orders_where_an_entry_counts_heartbeats():
+    body = {**ENTRY, 'Seq': 3, 'NumRunning': 4, 'NumQueued': 2, 'pace': 1.5}
+    report = _servers.decode_report(json.dumps(body))
+    assert (report.sequence, report.requests, report.pace) == (3, 6, 1.5)
+
+
+@pytest.mark.parametrize('body', [b'', b'[]', b'{"Seq": "x"}', b'\xff'])
+def test_malformed_report(body):
+    with pytest.raises(exceptions.BadAnswer):
+        _servers.decode_report(body)
+
+
+@pytest.mark.parametrize(
+    ('order', 'expected'),
+    [
+        (
+            pool.Join('g', 5, 'm0', ('a', 'b')),
+            {
+                'Operation': 'join',
+                'group': 'g',
+                'epoch': 5,
+                'Model': 'm0',
+                'Members': ['a', 'b'],
+            },
+        ),
+        (pool.Open('g', 5), {'Operation': 'open', 'group': 'g', 'epoch': 5}),
+        (
+            pool.Close('g', 5, True),
+            {
+                'Operation': 'close',
+                'group': 'g',
+                'epoch': 5,
+                'CloseMode': 'cut',
+            },
+        ),
+        (
+            pool.Leave('g', 5),
+            {'Operation': 'leave', 'group': 'g', 'epoch': 5},
+        ),
+        (pool.Stage('m1'), {'Operation': 'stage', 'Model': 'm1'}),
+    ],
+)
+def test_orders(order, expected):
+    data = json.loads(_servers.encode_order(order, 4, 9))
+    assert data == {**expected, 'Fence': 4, 'Precondition': 9}
+
+
+def test_no_such_order():
+    with pytest.raises(exceptions.BadAnswer):
+        _servers.decode_order_result(400)
+
+
+def test_configuration():
+    found = _configuration.decode_configuration(
+        {
+            'Version': 7,
+            'Routes': [
+                {
+                    'Name': 'r',
+                    'Host': 'A.example',
+                    'PathPrefix': '/x/',
+                    'Kind': 'streaming',
+                    'TimeoutMs': 8000,
+                    'SloMs': 400,
+                    'TrafficSplit': [
+                        {'Service': 's', 'Weight': 90},
+                        {'Service': 't', 'Weight': 10},
+                    ],
+                    'MaxAttempts': 2,
+                    'Resumable': True,
+                    'GapSloMs': 300,
+                }
+            ],
+            'Services': [{'Name': 's', 'MaxConns': 96, 'New': 1}],
+            'Limits': {'IdleTimeoutMs': 15000},
+            'Tenants': [{'Name': 'acme', 'ApiKeys': ['k'], 'Priority': 1}],
+        }
+    )
+    (route,) = found.routes
+    assert route.host == 'a.example'
+    assert route.targets == (
+        traffic.Target('s', 90.0),
+        traffic.Target('t', 10.0),
+    )
+    assert route.repeatable and route.timeout == 8.0
+    assert found.limits.idle_timeout == 15.0
+    assert found.accounts == (traffic.ClientAccount('acme', ('k',), 1),)
+
+
+def test_headers_of_a_request():
+    terms = _headers.Headers().decode_request(
+        {
+            'X-Balsamwind-Request-Id': 'r1',
+            'X-Balsamwind-Time-Budget-Ms': '1500',
+            'X-Balsamwind-Model': 'm0',
+            'X-Balsamwind-Token-Usage': '1460,80',
+            'X-Balsamwind-Length-Hint': '60',
+            'Authorization': 'Token abc',
+            'Last-Event-Id': '12',
+        }
+    )
+    assert terms == relay.RequestTerms(
+        'r1', 1.5, 'abc', 'm0', 1460, 80, 60, '12'
+    )
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        {},
+        {
+            'X-Balsamwind-Time-Budget-Ms': 'soon',
+            'X-Balsamwind-Token-Usage': '7',
+            'Authorization': 'Basic abc',
+        },
+    ],
+)
+def test_missing_or_malformed_headers(headers):
+    terms = _headers.Headers().decode_request(headers)
+    assert terms == relay.RequestTerms('')
+
+
+def test_headers_of_an_answer():
+    answer = _headers.Headers().decode_answer(
+        {
+            'X-Balsamwind-Request-Id': 'r1',
+            'X-Balsamwind-Response-Stamp': 's',
+            'X-Balsamwind-Server-Load': '3,1,8',
+            'At-Server': 'e2',
+        }
+    )
+    load = relay.ReportedLoad(3, 1, 8)
+    assert answer == relay.AnswerTerms('r1', True, False, load, 'e2')
+
+
+SETTINGS = """
+NodeName = "n1"
+Zone = "z1"
+Ip = "10.0.0.1"
+Unknown = 1
+[Zones]
+z2 = "r"
+z1 = "r"
+[Listen]
+Front = "10.0.0.1:80"
+Ready = "10.0.0.1:81"
+[Platform]
+Address = "10.0.0.2:90"
+[Bounds]
+DrainMs = 2500
+StrictRevoke = true
+RevokeMs = 5000
+"""
+
+
+def test_settings(tmp_path):
+    path = tmp_path / 'local.toml'
+    path.write_text(SETTINGS)
+    settings = _settings.load_node_settings(str(path))
+    assert settings == node.NodeSettings(
+        name='n1',
+        data_centre='z1',
+        data_centres=('z1', 'z2'),
+        callers='10.0.0.1:80',
+        readiness='10.0.0.1:81',
+        metrics='10.0.0.1:9464',
+        store='10.0.0.2:90',
+        bounds=node.Bounds(drain_time=2.5, key_revocation=5.0),
+    )
+
+
+@pytest.mark.parametrize(
+    ('text', 'places'),
+    [
+        ('', ['NodeName', 'Zone', 'Ip', 'Front', 'Ready', 'Address']),
+        ('NodeName = 7', ['NodeName', 'Zone']),
+        (SETTINGS.replace('"10.0.0.1:80"', '"x"'), ['/Listen/Front']),
+        (SETTINGS.replace('2500', '"x"'), ['/Bounds/DrainMs']),
+        ('= no toml', ['TOML']),
+    ],
+)
+def test_all_findings_of_the_settings(tmp_path, text, places):
+    path = tmp_path / 'local.toml'
+    path.write_text(text)
+    with pytest.raises(exceptions.InvalidInput) as caught:
+        _settings.load_node_settings(str(path))
+    for place in places:
+        assert place in str(caught.value)
