Read settings again; trust new connections first

Settings may change without a signal. Change: a time-out drops all idle connections to that address; a group is avoided for 0.7 s at first and twice as long each time it stays still; if all groups of a model look still they are used. Settings are read at SIGHUP and every 3 s; findings are logged and the old ones kept. Nodes that lead no shard watch with longer pauses.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -291,6 +291,7 @@
                 return await self._receive(connection, place, matches)
         except TimeoutError:
             stream.close()
+            self.forget(place)
             raise exceptions.AnswerTimeout(
                 f'{place}: no answer within {timeout:.1f} s'
             ) from None
@@ -383,6 +384,13 @@
         else:
             reader.add_done_callback(keep)
 
+    def forget(self, place):
+        """Close the idle connections to an address that is silent.
+
+        Connections may go silent for good while new ones work.
+        """
+        self._idle.drop(place)
+
     def close(self):
         """Close all idle connections."""
         self._idle.close()
--- a/balsamwind/adapters/_idle.py
+++ b/balsamwind/adapters/_idle.py
@@ -79,9 +79,12 @@
             stream.close()
         return None
 
+    def drop(self, place):
+        """Close those of one address, as others may be silent too."""
+        for stream, _ in self._streams.pop(place, ()):
+            stream.close()
+
     def close(self):
         """Close all."""
-        for idle in self._streams.values():
-            for stream, _ in idle:
-                stream.close()
-        self._streams.clear()
+        for place in list(self._streams):
+            self.drop(place)
--- a/balsamwind/cli/_main.py
+++ b/balsamwind/cli/_main.py
@@ -1,6 +1,7 @@
 """Commands."""
 
 import asyncio
+import functools
 import json
 import logging
 import sys
@@ -48,9 +49,12 @@
         _configure_logs(sys.stderr)
         asyncio.run(entry_package.run_entry(settings))
         return
-    node_settings = platform.load_node_settings(_find_platform_settings())
+    load = functools.partial(
+        platform.load_node_settings, _find_platform_settings()
+    )
+    node_settings = load()
     _configure_logs(sys.stdout)
-    asyncio.run(node.run_node(node_settings, platform.make_outside))
+    asyncio.run(node.run_node(node_settings, platform.make_outside, load))
 
 
 @cli.command()
--- a/balsamwind/node/_followers.py
+++ b/balsamwind/node/_followers.py
@@ -5,7 +5,7 @@
 from balsamwind import exceptions
 from balsamwind import pool
 
-CONFIGURATION_INTERVAL = 0.7
+CONFIGURATION_INTERVAL = 1.1
 """Time between two reads of the configuration (seconds)."""
 
 CALL_TIMEOUT = 0.8
@@ -17,9 +17,12 @@
 WATCH_TIME = 3.0
 """Longest wait of one watch (seconds)."""
 
-WATCH_PAUSE = 0.06
+WATCH_PAUSE = 0.2
 """Pause between watches, in which changes gather (seconds)."""
 
+LEADER_WATCH_PAUSE = 0.05
+"""The same while this node leads a shard and waits for engines (seconds)."""
+
 LIST_INTERVAL = 8.0
 """Time between two whole lists, in case a watch missed changes (seconds)."""
 
@@ -129,9 +132,12 @@
     ----------
     outside, registry, clock, log
         What it reads from and writes to.
+    leads : callable
+        Whether this node leads a shard.
     """
 
-    def __init__(self, outside, registry, clock, log):
+    def __init__(self, outside, registry, clock, log, leads):
+        self._leads = leads
         self._outside = outside
         self._registry = registry
         self._clock = clock
@@ -158,7 +164,8 @@
         self._registry.replace(records, now)
         self._registry.forget(now)
         while self._clock.monotonic() < self._list_at:
-            await asyncio.sleep(WATCH_PAUSE)
+            leads = self._leads()
+            await asyncio.sleep(LEADER_WATCH_PAUSE if leads else WATCH_PAUSE)
             revision, changes = await self._outside.watch_servers(
                 revision, WATCH_TIME, WATCH_TIME + CALL_TIMEOUT
             )
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -67,7 +67,7 @@
         log,
     ):
         self._data_centre = data_centre
-        self._settings = settings
+        self.settings = settings
         self._book = book
         self._registry = registry
         self._relay = relay
@@ -165,7 +165,7 @@
         now = self._clock.monotonic()
         down = self._prober.down
         before_traffic = (
-            self._settings.first_start
+            self.settings.first_start
             and not self._relay.seen_requests
             and now - self._started_at < START_TIME
         )
@@ -197,7 +197,7 @@
                 < RETURN_TIME
             ),
             knows_past=now - self._started_at > PAST
-            or self._settings.first_start,
+            or self.settings.first_start,
             loads_allowed=self._count_loads_allowed(service, now),
             staging=_keep_current(self._staging, now),
             demand={} if before_traffic else dict(self._demand),
@@ -206,14 +206,14 @@
         )
 
     def _count_loads_allowed(self, service, now):
-        bounds = self._settings.bounds
+        bounds = self.settings.bounds
         while self._loads and self._loads[0] < now - bounds.load_window:
             self._loads.popleft()
         ceiling = (
             service.engine.loads_per_second
             * bounds.load_window
             * LOAD_SAFETY
-            / len(self._settings.data_centres)
+            / len(self.settings.data_centres)
         )
         return max(0, int(ceiling) - len(self._loads))
 
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import signal
 
 import structlog
 
 from balsamwind import adapters
+from balsamwind import exceptions
 from balsamwind.node import _followers
 from balsamwind.node import _journal
 from balsamwind.node import _leader
@@ -24,11 +26,14 @@
 EXIT_MARGIN = 0.6
 """How long before the end of the grace the process exits (seconds)."""
 
+RELOAD_INTERVAL = 3.0
+"""Time between two reads of the settings without a signal (seconds)."""
+
 POLL = 0.05
 """How often open requests are counted while draining (seconds)."""
 
 
-async def run_node(settings, make_outside):
+async def run_node(settings, make_outside, load_settings):
     """Run a node until SIGTERM, then drain it.
 
     Parameters
@@ -37,17 +42,34 @@
         Settings.
     make_outside : callable
         Makes the platform's ports from the settings and an HTTP client.
+    load_settings : callable
+        Reads the settings again.
     """
     stopping = asyncio.Event()
+    reloading = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, reloading.set)
     async with open_node(settings, make_outside) as process:
+        reloader = asyncio.ensure_future(
+            _reload_for_ever(process, load_settings, reloading)
+        )
         await stopping.wait()
+        reloader.cancel()
         await process.drain()
 
 
+async def _reload_for_ever(process, load_settings, reloading):
+    """Read the settings again at SIGHUP, and now and then without it."""
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(reloading.wait(), RELOAD_INTERVAL)
+        signalled = reloading.is_set()
+        reloading.clear()
+        process.reload(load_settings, signalled)
+
+
 @contextlib.asynccontextmanager
 async def open_node(settings, make_outside):
     """Run a node until the block ends.
@@ -82,10 +104,9 @@
         self._client = adapters.HttpClient()
         self._control_client = adapters.HttpClient()
         outside = make_outside(settings, self._control_client)
-        lifetime = settings.bounds.key_revocation
-        if lifetime is not None:
-            lifetime -= REVOCATION_MARGIN
-        self.book = traffic.ConfigurationBook(lifetime)
+        self.book = traffic.ConfigurationBook(
+            _find_key_lifetime(settings.bounds)
+        )
         self.registry = pool.Registry()
         self._journal = _journal.Journal(self._log, self._clock)
         places = relay.PlaceBook(self.registry, pool.find_groups)
@@ -112,7 +133,7 @@
             outside, self.book, self._clock, self._log, self._apply_limits
         )
         self._server_follower = _followers.ServerFollower(
-            outside, self.registry, self._clock, self._log
+            outside, self.registry, self._clock, self._log, self._leads
         )
         self._leaders = [
             _leader.ShardLeader(
@@ -130,6 +151,9 @@
         self._draining = False
         self._tasks = []
 
+    def _leads(self):
+        return any(leader.lease.held for leader in self._leaders)
+
     def is_ready(self):
         """Whether new connections are welcome."""
         return not self._draining and self.book.is_current(
@@ -139,6 +163,44 @@
     def _apply_limits(self):
         self._callers.set_limits(self.book.configuration.limits)
 
+    def reload(self, load_settings, signalled):
+        """Take changed bounds; keep the old settings if there are findings.
+
+        Parameters
+        ----------
+        load_settings : callable
+            Reads the settings.
+        signalled : bool
+            Whether a signal asked for it.
+        """
+        try:
+            settings = load_settings()
+        except exceptions.InvalidInput as error:
+            self._log.warning('settings_refused', findings=str(error))
+            return
+        changed = settings != self._settings
+        if signalled or changed:
+            self._log.info(
+                'settings_read', signalled=signalled, changed=changed
+            )
+        if not changed:
+            return
+        if dataclasses.replace(
+            settings, bounds=self._settings.bounds
+        ) != dataclasses.replace(
+            self._settings, first_start=settings.first_start
+        ):
+            self._log.warning('settings_need_restart')
+        self._settings = dataclasses.replace(
+            self._settings,
+            bounds=settings.bounds,
+            first_start=settings.first_start,
+        )
+        self.relay.set_bounds(settings.bounds)
+        self.book.key_lifetime = _find_key_lifetime(settings.bounds)
+        for leader in self._leaders:
+            leader.settings = self._settings
+
     def start(self):
         """Listen, and start the loops.
 
@@ -207,6 +269,13 @@
         self._log.info('stopped')
 
 
+def _find_key_lifetime(bounds):
+    """How long a proof of the configuration counts (seconds), or None."""
+    if bounds.key_revocation is None:
+        return None
+    return bounds.key_revocation - REVOCATION_MARGIN
+
+
 def _listener(server):
     def listen(address):
         host, port = address.rsplit(':', 1)
--- a/balsamwind/node/tests/test_node.py
+++ b/balsamwind/node/tests/test_node.py
@@ -1,9 +1,12 @@
 """A node that forms groups from a pool and relays streams."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
+from balsamwind import exceptions
+from balsamwind import node
 from balsamwind.node.tests import parts
 
 
@@ -188,6 +191,25 @@
     assert not ready
 
 
+def test_settings_are_read_again():
+    async def scenario(outside, process):
+        settings = process.settings
+        changed = dataclasses.replace(
+            settings, bounds=node.Bounds(key_revocation=3.0)
+        )
+        process.reload(lambda: changed, False)
+        taken = process.book.key_lifetime
+
+        def refuse():
+            raise exceptions.InvalidInput(['bad'])
+
+        process.reload(refuse, True)
+        return taken, process.book.key_lifetime
+
+    taken, kept = _run(scenario, engines=2)
+    assert taken == kept == pytest.approx(2.6)
+
+
 def test_drained_node_finishes_its_streams():
     async def scenario(outside, process):
         for engine in outside.engines.values():
--- a/balsamwind/relay/_choice.py
+++ b/balsamwind/relay/_choice.py
@@ -127,9 +127,8 @@
     ]
     if not fitting:
         return NoPlace('no group serves the model', RETURN)
+    # If all look bad at once, this node is more likely the cause.
     sound = [place for place in fitting if not place.is_avoided(now)]
-    if not sound and terms is not None:
-        return NoPlace('all groups of the model stand still', RETURN)
     best = None
     best_cost = float('inf')
     best_first = 0.0
--- a/balsamwind/relay/_exchange.py
+++ b/balsamwind/relay/_exchange.py
@@ -317,6 +317,7 @@
         if not place.is_stalled(sent_at, now):
             return
         place.note_stall(now)
+        self._relay.client.forget(place.record.address)
         if not self._route.repeatable:
             return
         if self._sends + 1 < self._route.max_attempts:
--- a/balsamwind/relay/_places.py
+++ b/balsamwind/relay/_places.py
@@ -6,8 +6,11 @@
 """Silence after which a group that has work is taken to stand still
 (seconds)."""
 
-SUSPICION = 3.0
-"""How long a place that stood still is avoided (seconds)."""
+SUSPICION = 0.7
+"""How long a place that stood still is avoided at first (seconds)."""
+
+MAX_SUSPICION = 2.8
+"""Longest time that a place that stands still is avoided (seconds)."""
 
 EJECTION = 1.0
 """How long a server is avoided after failures in a row (seconds)."""
@@ -41,6 +44,7 @@
         '_failures',
         '_others',
         '_others_at',
+        '_suspicion',
         'avoid_until',
         'in_flight',
         'key',
@@ -61,6 +65,7 @@
         self.last_progress = float('-inf')
         self.avoid_until = float('-inf')
         self._failures = 0
+        self._suspicion = SUSPICION
         self._others = 0.0
         self._others_at = float('-inf')
 
@@ -80,11 +85,15 @@
         """Note that bytes of an answer came."""
         self.last_progress = now
         self._failures = 0
+        self._suspicion = SUSPICION
         self.avoid_until = float('-inf')
 
     def note_stall(self, now):
         """Note that it stands still with work in it."""
-        self.avoid_until = now + SUSPICION
+        if self.is_avoided(now):
+            return
+        self.avoid_until = now + self._suspicion
+        self._suspicion = min(2.0 * self._suspicion, MAX_SUSPICION)
 
     def note_failure(self, now):
         """Note that a request failed there, not by its own fault."""
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -98,6 +98,11 @@
         self.open_requests = 0
         self.seen_requests = 0
 
+    def set_bounds(self, bounds):
+        """Take other promised figures."""
+        self._bounds = bounds
+        self._budgets.clear()
+
     def budget(self, service):
         """Resend budget of a service."""
         budget = self._budgets.get(service)
--- a/balsamwind/traffic/_book.py
+++ b/balsamwind/traffic/_book.py
@@ -17,10 +17,10 @@
         the newest (seconds); None for ever.
     """
 
-    __slots__ = ('_accounts', '_index', '_key_lifetime', '_proved_at')
+    __slots__ = ('_accounts', '_index', '_proved_at', 'key_lifetime')
 
     def __init__(self, key_lifetime):
-        self._key_lifetime = key_lifetime
+        self.key_lifetime = key_lifetime
         self._index = None
         self._accounts = {}
         self._proved_at = NEVER
@@ -75,8 +75,8 @@
         """Whether keys may be honoured at `now`."""
         if self._index is None:
             return False
-        return self._key_lifetime is None or (
-            self.age(now) <= self._key_lifetime
+        return self.key_lifetime is None or (
+            self.age(now) <= self.key_lifetime
         )
 
     def find_route(self, host, path):
