Watch the configuration; register nodes

Cause: reading the whole configuration each second on each node does not scale to megabytes on small links; the fixed part of the resend budget and the looks at leases have to know how many nodes there are.

--- a/balsamwind/node/_followers.py
+++ b/balsamwind/node/_followers.py
@@ -5,12 +5,22 @@
 from balsamwind import exceptions
 from balsamwind import pool
 
-CONFIGURATION_INTERVAL = 1.1
-"""Time between two reads of the configuration (seconds)."""
+CONFIGURATION_WATCH = 1.0
+"""Longest wait of one watch of the configuration, each of which proves its
+age (seconds)."""
+
+NODES_INTERVAL = 15.0
+"""Time between two looks at which nodes exist (seconds)."""
 
 CALL_TIMEOUT = 0.8
 """Longest wait for the store's answer (seconds)."""
 
+READ_TIMEOUT = 2.0
+"""Longest wait for a whole configuration (seconds)."""
+
+FIRST_LOOK = 0.5
+"""Time in which other nodes register at a common start (seconds)."""
+
 RETRY_INTERVAL = 0.25
 """Wait after a call that failed (seconds)."""
 
@@ -90,24 +100,34 @@
         self._contact = StoreContact('configuration', clock, log)
 
     async def run(self):
-        """Read for ever."""
+        """Follow for ever."""
         while True:
-            read = await self._read()
-            await asyncio.sleep(
-                CONFIGURATION_INTERVAL if read else RETRY_INTERVAL
-            )
+            try:
+                await self._follow()
+            except exceptions.HistoryGone as error:
+                self._log.info('configuration_reread', reason=str(error))
+            except exceptions.StoreError as error:
+                self._contact.note_failure(error)
+                await asyncio.sleep(RETRY_INTERVAL)
 
-    async def _read(self):
+    async def _follow(self):
         sent_at = self._clock.monotonic()
-        try:
-            found = await self._outside.read_configuration(CALL_TIMEOUT)
-        except exceptions.StoreError as error:
-            self._contact.note_failure(error)
-            return False
+        revision, found = await self._outside.read_configuration(READ_TIMEOUT)
+        self._take(found, sent_at)
+        while True:
+            sent_at = self._clock.monotonic()
+            revision, found = await self._outside.watch_configuration(
+                revision,
+                CONFIGURATION_WATCH,
+                CONFIGURATION_WATCH + CALL_TIMEOUT,
+            )
+            self._take(found, sent_at)
+
+    def _take(self, found, sent_at):
         self._contact.note_answer()
         if found is None:
             self._book.confirm(sent_at)
-            return True
+            return
         before = self._book.version
         if self._book.accept(found, sent_at):
             self._log.info(
@@ -122,7 +142,44 @@
             self._log.warning(
                 'configuration_older', version=found.version, kept=before
             )
-        return True
+
+
+class NodeFollower:
+    """Registers this node and keeps which others exist.
+
+    Parameters
+    ----------
+    settings, outside, log
+        Settings of the node, the platform, log.
+    on_nodes : callable
+        Called with the names of the nodes, by data centre.
+    """
+
+    def __init__(self, settings, outside, log, on_nodes):
+        self._settings = settings
+        self._outside = outside
+        self._log = log
+        self._on_nodes = on_nodes
+
+    async def run(self):
+        """Look for ever."""
+        registered = False
+        while True:
+            try:
+                if not registered:
+                    await self._outside.register_node(
+                        self._settings.name,
+                        self._settings.data_centre,
+                        CALL_TIMEOUT,
+                    )
+                    registered = True
+                    await asyncio.sleep(FIRST_LOOK)
+                self._on_nodes(await self._outside.list_nodes(CALL_TIMEOUT))
+            except exceptions.StoreError as error:
+                self._log.debug('nodes_not_listed', reason=str(error))
+                await asyncio.sleep(RETRY_INTERVAL)
+            else:
+                await asyncio.sleep(NODES_INTERVAL)
 
 
 class ServerFollower:
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -20,6 +20,12 @@
 FOREIGN_LOOK_INTERVAL = 3.0
 """How often a node looks at the lease of another one (seconds)."""
 
+CANDIDATES = 3
+"""Nodes of a data centre that look that often (count)."""
+
+RANK_FACTOR = 4.0
+"""How much seldomer the other nodes look (factor)."""
+
 CALL_TIMEOUT = 0.5
 """Longest wait for the store's answer (seconds)."""
 
@@ -44,7 +50,8 @@
         self._outside = outside
         self._clock = clock
         self._log = log
-        self._interval = LOOK_INTERVAL if own else FOREIGN_LOOK_INTERVAL
+        self._own = own
+        self._rank = 0
         self._keeper = control.LeaseKeeper(
             shard, node, DURATION, MARGIN, 0.0 if own else FOREIGN_WAIT
         )
@@ -69,12 +76,22 @@
         self._keeper.lose()
         self._keeper.back_off(self._clock.monotonic() + DURATION)
 
+    def set_rank(self, rank):
+        """Take this node's place among the nodes of its data centre."""
+        self._rank = rank
+
+    def _find_interval(self):
+        interval = LOOK_INTERVAL if self._own else FOREIGN_LOOK_INTERVAL
+        if self._rank >= CANDIDATES:
+            return interval * RANK_FACTOR
+        return interval
+
     async def step(self):
         """Look at the lease, and take or renew it when that is due."""
         now = self._clock.monotonic()
         try:
             if not self.held and now >= self._look_at:
-                self._look_at = now + self._interval
+                self._look_at = now + self._find_interval()
                 await self._look()
             await self._write()
         except exceptions.Conflict:
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -135,6 +135,9 @@
         self._server_follower = _followers.ServerFollower(
             outside, self.registry, self._clock, self._log, self._leads
         )
+        self._node_follower = _followers.NodeFollower(
+            settings, outside, self._log, self._note_nodes
+        )
         self._leaders = [
             _leader.ShardLeader(
                 data_centre,
@@ -150,6 +153,16 @@
         ]
         self._draining = False
         self._tasks = []
+        self._leading = []
+
+    def _note_nodes(self, nodes):
+        """Split budgets over all nodes; let few of them look at leases."""
+        self.relay.set_node_count(sum(len(names) for names in nodes.values()))
+        near = sorted(nodes.get(self._settings.data_centre, ()))
+        name = self._settings.name
+        rank = near.index(name) if name in near else len(near)
+        for leader in self._leaders:
+            leader.lease.set_rank(rank)
 
     def _leads(self):
         return any(leader.lease.held for leader in self._leaders)
@@ -225,12 +238,14 @@
                     )
                 )
         settings_package.raise_findings(findings)
-        for run in (
-            self._configuration_follower.run,
-            self._server_follower.run,
-            *(leader.run for leader in self._leaders),
+        for follower in (
+            self._configuration_follower,
+            self._server_follower,
+            self._node_follower,
         ):
-            self._tasks.append(asyncio.ensure_future(run()))
+            self._tasks.append(asyncio.ensure_future(follower.run()))
+        for leader in self._leaders:
+            self._leading.append(asyncio.ensure_future(leader.run()))
         self._log.info(
             'started',
             data_centre=self._settings.data_centre,
@@ -243,7 +258,7 @@
         self._log.info('draining', open_requests=self.relay.open_requests)
         self._draining = True
         self._callers.close_after_answers()
-        for task in self._tasks[2:]:
+        for task in self._leading:
             task.cancel()
         await asyncio.gather(
             *(leader.lease.release() for leader in self._leaders)
@@ -259,9 +274,10 @@
 
     async def stop(self):
         """Stop the loops and close all connections."""
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._leading]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         self._callers.stop()
         await self._callers.close()
         self._client.close()
--- a/balsamwind/platform/_outside.py
+++ b/balsamwind/platform/_outside.py
@@ -8,6 +8,9 @@
 from balsamwind.platform import _store
 from balsamwind import pool
 
+NODE_KIND = 'balsamwind-nodes'
+"""Kind of the objects that say which nodes exist."""
+
 LEASE_KIND = 'balsamwind-leases'
 """Kind of the leases, which are the system's own objects."""
 
@@ -32,7 +35,7 @@
 class Outside:
     """Meets the ports of :mod:`balsamwind.node`."""
 
-    __slots__ = ('_client', '_last_body', '_store', 'headers')
+    __slots__ = ('_client', '_store', 'headers')
 
     ready_path = '/v1/ready'
     """Path of the readiness page."""
@@ -40,7 +43,6 @@
     def __init__(self, client, store):
         self._client = client
         self._store = store
-        self._last_body = None
         self.headers = _headers.Headers()
 
     @property
@@ -49,21 +51,45 @@
         return self._store.calls
 
     async def read_configuration(self, timeout):
-        """Newest configuration; None if it is the one read last."""
-        body = await self._store.read_raw(
-            _configuration.KIND, _configuration.NAME, timeout
-        )
-        if body is None:
+        """Newest configuration, and the revision to watch from.
+
+        Raises
+        ------
+        balsamwind.exceptions.StoreError
+            There is none, or it can not be read.
+        """
+        revision, items = await self._store.list(_configuration.KIND, timeout)
+        found = _find_configuration(items)
+        if found is None:
             raise exceptions.StoreError('there is no configuration yet')
-        if body == self._last_body:
-            return None
+        return revision, found
+
+    async def watch_configuration(self, since, wait, timeout):
+        """Revision to go on from, and the newest change, or None."""
+        revision, items = await self._store.watch(
+            _configuration.KIND, since, wait, timeout
+        )
+        return revision, _find_configuration(items)
+
+    async def register_node(self, name, data_centre, timeout):
+        """Note in the store that a node exists."""
         try:
-            stored = _store.decode_object(_store.load(body))
-            found = _configuration.decode_configuration(stored.spec)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
-            raise exceptions.StoreError(f'configuration: {error!r}') from None
-        self._last_body = body
-        return found
+            await self._store.create(
+                NODE_KIND, name, {'data_centre': data_centre}, timeout
+            )
+        except exceptions.Conflict:
+            # A node keeps its name over its restarts.
+            return
+
+    async def list_nodes(self, timeout):
+        """Names of all nodes that ever were, by data centre."""
+        _, items = await self._store.list(NODE_KIND, timeout)
+        nodes = {}
+        for item in items:
+            if isinstance(item.spec, dict):
+                place = str(item.spec.get('data_centre', ''))
+                nodes.setdefault(place, []).append(item.name)
+        return nodes
 
     async def list_servers(self, timeout):
         """Entries of all backend servers, and the revision to watch from."""
@@ -158,6 +184,26 @@
         return ((_headers.EXPECT_SERVER, record.server_id),)
 
 
+def _find_configuration(items):
+    """Newest version of the configuration among stored objects.
+
+    Raises
+    ------
+    balsamwind.exceptions.StoreError
+        It can not be read.
+    """
+    stored = None
+    for item in items:
+        if item.name == _configuration.NAME and not item.deleted:
+            stored = item
+    if stored is None:
+        return None
+    try:
+        return _configuration.decode_configuration(stored.spec)
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        raise exceptions.StoreError(f'configuration: {error!r}') from None
+
+
 def _decode_server(item):
     try:
         return _servers.decode_server(item.name, item.revision, item.spec)
--- a/balsamwind/platform/_store.py
+++ b/balsamwind/platform/_store.py
@@ -50,18 +50,13 @@
         self._url = f'http://{address}/v1/objects'
         self.calls = 0
 
-    async def read_raw(self, kind, name, timeout):
-        """Body of one object as it came; None if there is none."""
+    async def get(self, kind, name, timeout):
+        """Read one object; None if there is none."""
         status, body = await self._call('GET', f'/{kind}/{name}', timeout)
         if status == 404:
             return None
         self._check(status, kind)
-        return body
-
-    async def get(self, kind, name, timeout):
-        """Read one object; None if there is none."""
-        body = await self.read_raw(kind, name, timeout)
-        return None if body is None else decode_object(load(body))
+        return decode_object(load(body))
 
     async def list(self, kind, timeout):
         """Read all objects of a kind.
--- a/balsamwind/platform/tests/test_store.py
+++ b/balsamwind/platform/tests/test_store.py
@@ -27,15 +27,28 @@
     return asyncio.run(body())
 
 
-def test_configuration_is_decoded_once():
+def test_configuration_is_read_and_watched():
     async def scenario(outside, port):
-        first = await port.read_configuration(1.0)
-        second = await port.read_configuration(1.0)
-        outside.store.put('config', 'main', {**parts.CONFIGURATION})
-        third = await port.read_configuration(1.0)
-        return first.version, second, third.version
+        since, first = await port.read_configuration(1.0)
+        since, none = await port.watch_configuration(since, 0.05, 1.0)
+        newer = {**parts.CONFIGURATION, 'Version': 9}
+        outside.store.put('config', 'main', newer)
+        _, changed = await port.watch_configuration(since, 1.0, 2.0)
+        outside.store.put('config', 'main', {'Version': 10})
+        with pytest.raises(exceptions.StoreError):
+            await port.watch_configuration(since, 1.0, 2.0)
+        return first.version, none, changed.version
 
-    assert _run(scenario) == (3, None, 3)
+    assert _run(scenario) == (3, None, 9)
+
+
+def test_nodes_register_once():
+    async def scenario(outside, port):
+        for name, data_centre in (('n1', 'a'), ('n2', 'b'), ('n1', 'a')):
+            await port.register_node(name, data_centre, 1.0)
+        return await port.list_nodes(1.0)
+
+    assert _run(scenario) == {'a': ['n1'], 'b': ['n2']}
 
 
 def test_list_of_several_pages():
--- a/balsamwind/relay/_budget.py
+++ b/balsamwind/relay/_budget.py
@@ -19,12 +19,12 @@
         This node's part of what is allowed beyond the ratio (count).
     """
 
-    __slots__ = ('_extra', '_ratio', '_requests', '_resends', '_window')
+    __slots__ = ('_ratio', '_requests', '_resends', '_window', 'extra')
 
     def __init__(self, ratio, window, extra):
         self._ratio = ratio
         self._window = window
-        self._extra = extra
+        self.extra = extra
         self._requests = collections.deque()
         self._resends = collections.deque()
 
@@ -36,7 +36,7 @@
     def take(self, now):
         """Spend one second send; False if none is left in the window."""
         self._trim(now)
-        allowed = self._ratio * len(self._requests) + self._extra
+        allowed = self._ratio * len(self._requests) + self.extra
         if len(self._resends) + 1 > SAFETY * allowed:
             return False
         self._resends.append(now)
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -12,8 +12,12 @@
 """Time that a backend server's own answer may come after the deadline
 (seconds)."""
 
-NODES_ASSUMED = 12
-"""Nodes over which the fixed part of the resend budget is split (count)."""
+NODES_ASSUMED = 100
+"""Nodes over which the fixed part of the resend budget is split until their
+number is known (count)."""
+
+SPARE_NODES = 4
+"""Nodes that may start before the next count (count)."""
 
 RETRY_AFTER = 0.1
 """When to come back after a rejection that names no time (seconds)."""
@@ -95,6 +99,7 @@
         self.rng = random.Random(random_state)
         self._bounds = bounds
         self._budgets = {}
+        self._nodes = NODES_ASSUMED
         self.open_requests = 0
         self.seen_requests = 0
 
@@ -103,6 +108,12 @@
         self._bounds = bounds
         self._budgets.clear()
 
+    def set_node_count(self, count):
+        """Split the fixed part of the resend budget over `count` nodes."""
+        self._nodes = count + SPARE_NODES
+        for budget in self._budgets.values():
+            budget.extra = self._bounds.retry_extra / self._nodes
+
     def budget(self, service):
         """Resend budget of a service."""
         budget = self._budgets.get(service)
@@ -110,7 +121,7 @@
             budget = self._budgets[service] = _budget.ResendBudget(
                 self._bounds.retry_ratio,
                 self._bounds.retry_window,
-                self._bounds.retry_extra / NODES_ASSUMED,
+                self._bounds.retry_extra / self._nodes,
             )
         return budget
 
