Tell an engine from its successor at one address

Ruled out: old heartbeats, stale lists, a silent store (logged revisions). Change: a report counts only for the start that it names, and another start proves the end of the one known; a listed entry goes before one that is not; a node that drains closes idle connections after 2.6 s.

--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -106,7 +106,13 @@
         self._headers = None
         self._received_at = 0.0
 
+    def close_idle(self):
+        """Close the connection, as no request has begun on it."""
+        self._server.note_begun(self)
+        self._connection.close()
+
     def headers_received(self, start_line, headers):
+        self._server.note_begun(self)
         self._connection.stream.set_nodelay(True)
         self._start = start_line
         self._headers = headers
@@ -155,6 +161,7 @@
         self._task.add_done_callback(self._end)
 
     def on_connection_close(self):
+        self._server.note_begun(self)
         self._parts.clear()
         if self._task is not None:
             self._task.cancel()
@@ -188,6 +195,7 @@
         self.clock = clock
         self.limits = limits
         self.log = log
+        self._waiting = set()
         self._server = httpserver.HTTPServer(self, max_body_size=MAX_BODY)
         self.set_limits(limits)
 
@@ -211,9 +219,20 @@
         """Listen no more."""
         self._server.stop()
 
+    def close_idle(self):
+        """Close the connections on which no request has begun."""
+        for message in list(self._waiting):
+            message.close_idle()
+
     async def close(self):
         """Close all connections."""
         await self._server.close_all_connections()
 
     def start_request(self, server_conn, request_conn):
-        return _Message(self, request_conn)
+        message = _Message(self, request_conn)
+        self._waiting.add(message)
+        return message
+
+    def note_begun(self, message):
+        """Note that a request has begun on its connection, or has ended."""
+        self._waiting.discard(message)
--- a/balsamwind/node/_followers.py
+++ b/balsamwind/node/_followers.py
@@ -245,11 +245,11 @@
                 self._log_change(before, change)
 
     def _log_change(self, before, record):
-        """Log a change of state or of place in a group."""
+        """Log a restart, a change of state, an opening or a closing."""
         if before is not None and (
             before.state == record.state
-            and before.membership == record.membership
             and before.born == record.born
+            and _is_open(before) == _is_open(record)
         ):
             return
         place = record.membership
@@ -262,3 +262,9 @@
             member=place and place.state.value,
             restarted=before is not None and before.born != record.born,
         )
+
+
+def _is_open(record):
+    """Whether an engine says that it is the head of an open group."""
+    place = record.membership
+    return place is not None and place.state is pool.MemberState.OPEN
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -83,12 +83,14 @@
             if self._clock.monotonic() - asked_at < PAUSE:
                 self._note_miss(record, 1, str(error))
         else:
+            if not self._registry.note_report(server_id, report):
+                self._note_miss(record, MISSES, 'restarted')
+                return
             if self._misses.get(server_id, 0) >= MISSES:
                 self._log.info('engine_answers_again', engine=server_id)
                 self._returned_at[server_id] = self._clock.monotonic()
             self._misses[server_id] = 0
             self.requests[server_id] = report.requests
-            self._registry.note_report(server_id, report)
         finally:
             self._asked.discard(server_id)
 
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -263,12 +263,12 @@
         await asyncio.gather(
             *(leader.lease.release() for leader in self._leaders)
         )
+        await asyncio.sleep(DRAIN_NOTICE)
+        # A request on a connection that is kept would come too late to end.
+        self._callers.stop()
+        self._callers.close_idle()
         latest = started + self._settings.bounds.grace - EXIT_MARGIN
-        while True:
-            now = self._clock.monotonic()
-            idle = not self.relay.open_requests
-            if now >= latest or (idle and now - started >= DRAIN_NOTICE):
-                break
+        while self.relay.open_requests and self._clock.monotonic() < latest:
             await asyncio.sleep(POLL)
         self._log.info('drained', open_requests=self.relay.open_requests)
 
--- a/balsamwind/node/tests/test_node.py
+++ b/balsamwind/node/tests/test_node.py
@@ -210,6 +210,22 @@
     assert taken == kept == pytest.approx(2.6)
 
 
+def test_kept_connections_are_closed_in_time_when_draining():
+    async def scenario(outside, process):
+        host, port = process.settings.callers.rsplit(':', 1)
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(parts.make_request(path='/nowhere/x'))
+        await reader.readuntil(b'\r\n\r\n')
+        await process.drain()
+        writer.write(parts.make_request())
+        rest = await asyncio.wait_for(reader.read(), 2.0)
+        return rest, sum(len(e.served) for e in outside.engines.values())
+
+    rest, served = _run(scenario, engines=2)
+    assert b'HTTP/1.1' not in rest
+    assert served == 0
+
+
 def test_drained_node_finishes_its_streams():
     async def scenario(outside, process):
         for engine in outside.engines.values():
--- a/balsamwind/pool/_groups.py
+++ b/balsamwind/pool/_groups.py
@@ -111,7 +111,9 @@
     for (name, epoch), found in members.items():
         model = read_model(name)
         known = terms.find_model(model)
-        found.sort(key=lambda record: record.membership.rank)
+        found.sort(
+            key=lambda record: (record.membership.rank, not record.listed)
+        )
         groups[name, epoch] = PoolGroup(
             name=name,
             model=model,
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -93,18 +93,32 @@
         self._dropped_at[server_id] = now
 
     def note_report(self, server_id, report):
-        """Take what an engine said of itself, if it is newer."""
+        """Take what an engine that is no longer listed says of itself.
+
+        Returns
+        -------
+        bool
+            Whether the report is of the engine that is known. Another start
+            at its address proves that the known one has ended.
+        """
         record = self._records.get(server_id)
-        if record is None or record.listed:
-            return
-        self._records[server_id] = dataclasses.replace(
-            record,
-            born=report.born,
-            model=report.model,
-            staged=report.staged,
-            membership=report.membership,
-        )
-        self.changes += 1
+        if record is None:
+            return False
+        if report.born != record.born:
+            if not record.listed:
+                del self._records[server_id]
+                self._dropped_at.pop(server_id, None)
+                self.changes += 1
+            return False
+        if not record.listed:
+            self._records[server_id] = dataclasses.replace(
+                record,
+                model=report.model,
+                staged=report.staged,
+                membership=report.membership,
+            )
+            self.changes += 1
+        return True
 
     def forget(self, now):
         """Drop what has not been listed for long."""
--- a/balsamwind/pool/tests/test_planner.py
+++ b/balsamwind/pool/tests/test_planner.py
@@ -171,6 +171,22 @@
         assert bool(formed) is knows_past
 
 
+def test_entry_of_an_earlier_start_is_not_the_head():
+    """An engine that came back under a new id at the same address."""
+    ghost = dataclasses.replace(
+        PAIR[0],
+        server_id='0',
+        listed=False,
+        membership=dataclasses.replace(PAIR[0].membership, state=READY),
+    )
+    formed = [
+        row
+        for row in _summary(pool.plan_pool(_view([ghost, *PAIR])))
+        if row[0] == 'form'
+    ]
+    assert formed == []
+
+
 def test_survivors_of_a_large_group_form_a_small_one():
     records = _group('abcd', 'large', 3, READY)[:3]
     actions = _summary(pool.plan_pool(_view(records)))
--- a/balsamwind/pool/tests/test_registry.py
+++ b/balsamwind/pool/tests/test_registry.py
@@ -1,5 +1,7 @@
 """Entries of backend servers, as lists and watches bring them."""
 
+import dataclasses
+
 import pytest
 
 from balsamwind import pool
@@ -64,3 +66,25 @@
     assert registry.get('e1') is not None
     registry.forget(100.0)
     assert registry.get('e1') is None
+
+
+@pytest.mark.parametrize(
+    ('born', 'listed', 'kept', 'state'),
+    [
+        pytest.param(5, False, True, READY, id='the same engine'),
+        pytest.param(5, True, True, OPEN, id='its entry says more'),
+        pytest.param(6, False, False, None, id='another took its address'),
+        pytest.param(6, True, False, OPEN, id='its entry will follow'),
+    ],
+)
+def test_reports(born, listed, kept, state):
+    registry = pool.Registry()
+    registry.put(dataclasses.replace(_make(7, OPEN), born=5), 0.0)
+    if not listed:
+        registry.drop('e1', 1.0)
+    report = pool.ServerReport(
+        born, 3, membership=pool.Membership('m.dc.1', 1, 0, READY)
+    )
+    assert registry.note_report('e1', report) is kept
+    record = registry.get('e1')
+    assert (record and record.membership.state) is state
