--- a/balsamwind/cli/_main.py
+++ b/balsamwind/cli/_main.py
@@ -11,6 +11,7 @@
 
 import balsamwind
 from balsamwind.cli import _contracts
+from balsamwind.cli import _explain
 from balsamwind.cli import _output
 from balsamwind.cli import _replay
 from balsamwind.cli import _status
@@ -76,6 +77,7 @@
 
 
 cli.add_command(_contracts.contract)
+cli.add_command(_explain.explain)
 cli.add_command(_replay.replay)
 cli.add_command(_status.status)
 cli.add_command(_store.store)
--- a/balsamwind/relay/_choice.py
+++ b/balsamwind/relay/_choice.py
@@ -126,7 +126,11 @@
         if place.model == demand.model and place.key not in tried
     ]
     if not fitting:
-        return NoPlace('no group serves the model', RETURN)
+        reason = (
+            f'no group serves {demand.model or "the service"}:'
+            f' {len(places)} places, {len(tried)} tried'
+        )
+        return NoPlace(reason, RETURN)
     # If all look bad at once, this node is more likely the cause.
     sound = [place for place in fitting if not place.is_avoided(now)]
     best = None
@@ -141,5 +145,10 @@
         if cost < best_cost:
             best, best_cost, best_first = place, cost, first
     if best_first > demand.time_left:
-        return NoPlace('no room before the deadline', best_first / 2)
+        reason = (
+            f'no room before the deadline: {len(fitting)} places,'
+            f' {len(fitting) - len(sound)} avoided, soonest in'
+            f' {best_first:.2f} s, {demand.time_left:.2f} s left'
+        )
+        return NoPlace(reason, best_first / 2)
     return best
