--- a/balsamwind/node/_followers.py
+++ b/balsamwind/node/_followers.py
@@ -16,7 +16,7 @@
 """Time between a change of the configuration and the next read, in case
 others follow at once (seconds)."""
 
-NODES_INTERVAL = 15.0
+NODES_INTERVAL = 30.0
 """Time between two looks at which nodes exist (seconds)."""
 
 CALL_TIMEOUT = 0.8
@@ -40,7 +40,7 @@
 WATCH_PAUSE = 0.2
 """Pause between watches, in which changes gather (seconds)."""
 
-LEADER_WATCH_PAUSE = 0.05
+LEADER_WATCH_PAUSE = 0.08
 """The same while this node leads a shard and waits for engines (seconds)."""
 
 LIST_INTERVAL = 8.0
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -23,7 +23,7 @@
 CANDIDATES = 3
 """Nodes of a data centre that look that often (count)."""
 
-RANK_FACTOR = 4.0
+RANK_FACTOR = 15.0
 """How much seldomer the other nodes look (factor)."""
 
 CALL_TIMEOUT = 0.5
--- a/balsamwind/pool/_conversion.py
+++ b/balsamwind/pool/_conversion.py
@@ -13,9 +13,6 @@
 CONTRAST = 1.5
 """How much more room the other model must have (factor)."""
 
-MAX_CLOSED = 2
-"""Groups that are closed for one new group (count)."""
-
 
 def plan_conversion(view, groups, free, counts):
     """Plan closings that let the model that is short form one more group.
@@ -43,13 +40,14 @@
     other = _needs.measure_room(view, rich, counts[rich.name])
     if room >= SHORT or other < CONTRAST * room:
         return []
-    # What is left must not be shorter than what is gained.
-    if counts[rich.name] <= MAX_CLOSED:
-        return []
     best = None
     for domain in {record.domain for record in view.records}:
         found = _find_closings(view, groups, free, domain, short, rich)
-        if found is not None and (best is None or len(found) < len(best)):
+        if found is None or not _leaves_enough(
+            view, counts, short, rich, len(found)
+        ):
+            continue
+        if best is None or len(found) < len(best):
             best = found
     return [
         _actions.CloseGroup(group, False, f'{short.name} is short', short.name)
@@ -57,8 +55,15 @@
     ]
 
 
+def _leaves_enough(view, counts, short, rich, closed):
+    """Whether the other model still has more room than the short one gets."""
+    left = _needs.measure_room(view, rich, counts[rich.name] - closed)
+    gained = _needs.measure_room(view, short, counts[short.name] + 1)
+    return counts[rich.name] > closed and left >= min(gained, SHORT)
+
+
 def _find_closings(view, groups, free, domain, short, rich):
-    """Fewest groups of a domain whose engines suffice; None if too many."""
+    """Groups of a domain whose engines suffice; None if there are none."""
     count = sum(
         engine.domain == domain and _needs.is_warm(engine, short.name)
         for engine in free
@@ -70,7 +75,7 @@
         if _is_convertible(view, group, domain, short, rich):
             chosen.append(group)
             count += group.size
-    if count < short.size or not 0 < len(chosen) <= MAX_CLOSED:
+    if count < short.size or not chosen:
         return None
     return chosen
 
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -88,15 +88,17 @@
     }
     free = _find_free(view, groups, held)
     counts = _count_groups(view, groups)
-    formings = _plan_forming(view, free, counts)
+    conversions = []
+    if view.may_convert:
+        conversions = _conversion.plan_conversion(view, groups, free, counts)
+    kept = {action.group.head.domain for action in conversions}
+    usable = [engine for engine in free if engine.domain not in kept]
+    formings = _plan_forming(view, usable, counts)
     formed = {
         member.server_id for action in formings for member in action.members
     }
-    rest = [item for item in free if item.server_id not in formed]
+    rest = [item for item in usable if item.server_id not in formed]
     stagings = _plan_staging(view, rest, counts)
-    conversions = []
-    if view.may_convert and not formings:
-        conversions = _conversion.plan_conversion(view, groups, rest, counts)
     return [*closings, *openings, *formings, *stagings, *conversions]
 
 
--- a/balsamwind/pool/tests/test_planner.py
+++ b/balsamwind/pool/tests/test_planner.py
@@ -231,6 +231,7 @@
     [
         pytest.param(5, {}, 2, id='two pairs become one large group'),
         pytest.param(2, {}, 0, id='too few pairs would be left'),
+        pytest.param(3, {}, 0, id='the pairs would then be short'),
         pytest.param(5, {'may_convert': False}, 0, id='just converted'),
         pytest.param(5, {'demand': {}}, 0, id='no traffic yet'),
         pytest.param(
@@ -256,6 +257,20 @@
         assert action.wanted == 'large' and not action.cut
 
 
+def test_survivors_wait_for_one_more_engine_of_a_pair():
+    """A large group that lost a member takes one from a pair beside it."""
+    records = _group('abcd', 'large', 1, READY)[:3]
+    for number in range(5):
+        names = [f'p{number}', f'q{number}']
+        records += _group(names, 'small', 10 + number)
+    view = _view(
+        records, demand={'large': 9.0, 'small': 9.0}, may_convert=True
+    )
+    (action,) = pool.plan_pool(view)
+    assert isinstance(action, pool.CloseGroup)
+    assert action.wanted == 'large'
+
+
 def test_closed_pairs_are_not_opened_again_but_joined_anew():
     records = _group('abcd', 'large', 1)
     records += _group('ef', 'small', 10, READY)
--- a/balsamwind/relay/_exchange.py
+++ b/balsamwind/relay/_exchange.py
@@ -6,6 +6,7 @@
 from balsamwind.relay import _attempts
 from balsamwind.relay import _choice
 from balsamwind.relay import _events
+from balsamwind.relay import _places
 from balsamwind.relay import _terms
 from balsamwind import traffic
 
@@ -160,18 +161,20 @@
             if not self._may_go_on(failure):
                 raise self._make_final(failure)
 
-    def _choose(self):
-        now = self._relay.clock.monotonic()
-        demand = _choice.Demand(
+    def _demand(self):
+        return _choice.Demand(
             model=self._terms.model if self._service.engine else '',
             prompt_tokens=self._terms.prompt_tokens,
             output_tokens=self._terms.expected_output or TOKENS_GUESS,
             time_left=self._time_left(),
         )
+
+    def _choose(self):
+        now = self._relay.clock.monotonic()
         chosen = _choice.choose_place(
             self._relay.places.of_service(self._service),
             self._service.engine,
-            demand,
+            self._demand(),
             self._relay.data_centre,
             self._tried,
             now,
@@ -272,6 +275,7 @@
             )
         )
         sent_at = self._relay.clock.monotonic()
+        patience = self._find_patience(place, sent_at)
         try:
             while True:
                 started = self._relay.clock.monotonic()
@@ -279,7 +283,7 @@
                 if done:
                     return task.result()
                 sent_at = self._skip_pause(started, sent_at)
-                self._check_progress(place, sent_at)
+                self._check_progress(place, sent_at, patience)
         finally:
             if not task.done():
                 task.cancel()
@@ -303,7 +307,16 @@
         )
         return [*self._passed, *self._relay.codec.encode_request(send)]
 
-    def _check_progress(self, place, sent_at):
+    def _find_patience(self, place, now):
+        """Silence before the first event that is not yet a stall (seconds)."""
+        if self._service.engine is None:
+            return _places.FIRST_STALL
+        predicted = _choice.predict_first_event(
+            place, self._service.engine, self._demand(), now
+        )
+        return _places.FIRST_STALL + 2.0 * predicted
+
+    def _check_progress(self, place, sent_at, patience=_places.STALL):
         """Give up on a group that stands still, if that helps.
 
         Raises
@@ -314,7 +327,7 @@
         if self._service.engine is None:
             return
         now = self._relay.clock.monotonic()
-        if not place.is_stalled(sent_at, now):
+        if not place.is_stalled(sent_at, now, patience):
             return
         place.note_stall(now)
         self._relay.client.forget(place.record.address)
--- a/balsamwind/relay/_places.py
+++ b/balsamwind/relay/_places.py
@@ -6,6 +6,11 @@
 """Silence after which a group that has work is taken to stand still
 (seconds)."""
 
+FIRST_STALL = 0.9
+"""The same before the first event, beyond twice the predicted time: on a node
+that sees few of a group's streams, a queue looks like standing still
+(seconds)."""
+
 SUSPICION = 0.7
 """How long a place that stood still is avoided at first (seconds)."""
 
@@ -106,9 +111,9 @@
         """Whether it is better not used at `now`."""
         return now < self.avoid_until
 
-    def is_stalled(self, sent_at, now):
-        """Whether nothing has come for long; `sent_at` is in seconds."""
-        return now - max(self.last_progress, sent_at) > STALL
+    def is_stalled(self, sent_at, now, patience=STALL):
+        """Whether nothing has come for longer than `patience` (seconds)."""
+        return now - max(self.last_progress, sent_at) > patience
 
     @contextlib.contextmanager
     def track(self, tokens):
