Win back models on hosts; count demand on arrival

Ruled out: leases and orders (taken and accepted in time). Change: hosts win back the other model, few loads side by side; demand is the larger of what heads report and the shard's requests split by what callers ask for; groups are converted if the model with the least room gains a quarter; a quiet group is doubted before it counts as still.

--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -134,7 +134,11 @@
             self.orders.start(action, service.engine)
 
     def _measure_demand(self, service, records):
-        """Smooth what the heads of the shard report to run and wait."""
+        """Smooth what the heads of the shard report to run and wait.
+
+        What this node's callers ask for shows the need of a model that has
+        no group here, or too few.
+        """
         counts = {model.name: 0 for model in service.engine.models}
         for record in records:
             place = record.membership
@@ -143,7 +147,10 @@
                 requests = self._prober.requests.get(record.server_id, 0)
                 if place.state is pool.MemberState.OPEN and model in counts:
                     counts[model] += requests
-        for model, count in counts.items():
+        total = sum(counts.values())
+        shares = self._relay.demand.shares(self._clock.monotonic())
+        for model in counts:
+            count = max(counts[model], total * shares.get(model, 0.0))
             before = self._demand.get(model, count)
             self._demand[model] = before + DEMAND_WEIGHT * (count - before)
 
@@ -199,6 +206,8 @@
             knows_past=now - self._started_at > PAST
             or self.settings.first_start,
             loads_allowed=self._count_loads_allowed(service, now),
+            loads_beside=service.engine.loads_at_once
+            // len(self.settings.data_centres),
             staging=_keep_current(self._staging, now),
             demand={} if before_traffic else dict(self._demand),
             reserved=_keep_current(self._reserved, now),
--- a/balsamwind/platform/_configuration.py
+++ b/balsamwind/platform/_configuration.py
@@ -93,6 +93,7 @@
         prefill_per_pair=data.get('pairs_per_m', 0.0) / 1e9,
         stride=int(data.get('Stride', 1)),
         loads_per_second=float(data.get('LoadsPerS', 1.0)),
+        loads_at_once=int(data.get('loads_at_once', 1)),
         form_time=data.get('FormMs', 0.0) / 1000,
         report_lag=data.get('report_lag_ms', 0.0) / 1000,
     )
--- a/balsamwind/platform/_outside.py
+++ b/balsamwind/platform/_outside.py
@@ -92,8 +92,7 @@
             raise exceptions.StoreError(f'{name}: {error}') from None
 
     async def list_nodes(self, timeout):
-        """Nodes that ever were: pairs of name and address of its news, by
-        data centre."""
+        """Pairs of name and address of news, by data centre."""
         _, items = await self._store.list(NODE_KIND, timeout)
         nodes = {}
         for item in items:
--- a/balsamwind/pool/_conversion.py
+++ b/balsamwind/pool/_conversion.py
@@ -10,8 +10,9 @@
 SHORT = 1.6
 """Places for each request under which a model is short."""
 
-CONTRAST = 1.5
-"""How much more room the other model must have (factor)."""
+GAIN = 1.25
+"""How much more room the model with the least must have afterwards
+(factor)."""
 
 
 def plan_conversion(view, groups, free, counts):
@@ -37,15 +38,12 @@
     ordered = _needs.order_models(view, counts)
     short, rich = ordered[0], ordered[-1]
     room = _needs.measure_room(view, short, counts[short.name])
-    other = _needs.measure_room(view, rich, counts[rich.name])
-    if room >= SHORT or other < CONTRAST * room:
+    if room >= SHORT:
         return []
     best = None
     for domain in {record.domain for record in view.records}:
         found = _find_closings(view, groups, free, domain, short, rich)
-        if found is None or not _leaves_enough(
-            view, counts, short, rich, len(found)
-        ):
+        if found is None or not _pays(view, counts, short, rich, len(found)):
             continue
         if best is None or len(found) < len(best):
             best = found
@@ -55,11 +53,16 @@
     ]
 
 
-def _leaves_enough(view, counts, short, rich, closed):
-    """Whether the other model still has more room than the short one gets."""
-    left = _needs.measure_room(view, rich, counts[rich.name] - closed)
-    gained = _needs.measure_room(view, short, counts[short.name] + 1)
-    return counts[rich.name] > closed and left >= min(gained, SHORT)
+def _pays(view, counts, short, rich, closed):
+    """Whether the model with the least room is better off afterwards."""
+    if counts[rich.name] <= closed:
+        return False
+    before = _needs.measure_room(view, short, counts[short.name])
+    after = min(
+        _needs.measure_room(view, short, counts[short.name] + 1),
+        _needs.measure_room(view, rich, counts[rich.name] - closed),
+    )
+    return after > GAIN * before
 
 
 def _find_closings(view, groups, free, domain, short, rich):
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -38,6 +38,8 @@
         group that may still be open.
     loads_allowed : int
         Loads from the weight store that may begin now (count).
+    loads_beside : int
+        Loads that may run side by side in this shard (count).
     staging : dict of str to str
         Models that are being copied to the hosts of engines.
     demand : dict of str to float
@@ -60,6 +62,7 @@
     returned: frozenset = frozenset()
     knows_past: bool = True
     loads_allowed: int = 0
+    loads_beside: int = 0
     staging: dict = dataclasses.field(default_factory=dict)
     demand: dict = dataclasses.field(default_factory=dict)
     reserved: dict = dataclasses.field(default_factory=dict)
@@ -240,16 +243,15 @@
 def _plan_staging(view, rest, counts):
     """Copy models to hosts ahead of need.
 
-    Before traffic each host gets a model that its engine does not hold, so
-    that the engine can change between both. Later only engines without any
-    weights get a model: of those whose group the domain can complete, the
-    one that lacks most.
+    Engines without any weights come first: of the models whose group the
+    domain can complete, they get the one that lacks most. Then each host gets
+    a model that its engine does not hold, so that the engine can serve either;
+    without traffic that costs nothing, later few run side by side.
     """
     if view.before_traffic:
         return _plan_second_models(view)
     cold = [engine for engine in rest if not _has_weights(view, engine)]
     actions = []
-    counts = dict(counts)
     for engine in cold[: view.loads_allowed]:
         peers = [
             item
@@ -260,6 +262,17 @@
         model = _choose_staged(view, peers, counts)
         if model is not None:
             actions.append(_actions.StageModel(engine, model.name))
+    under_way = len(actions) + sum(
+        model not in record.staged
+        for record in view.records
+        for model in (view.staging.get(record.server_id),)
+        if model is not None
+    )
+    spare = min(
+        view.loads_allowed - len(actions), view.loads_beside - under_way
+    )
+    if spare > 0:
+        actions += _plan_second_models(view)[:spare]
     return actions
 
 
@@ -284,15 +297,17 @@
 
 
 def _plan_second_models(view):
+    """Models for hosts that hold none but their engine's, large ones first."""
     actions = []
     for engine in view.records:
         if not engine.usable or engine.server_id in view.busy:
             continue
         if engine.server_id in view.staging:
             continue
-        if engine.membership is None or not engine.model:
+        place = engine.membership
+        if not engine.model or engine.server_id in view.down:
             continue
-        if engine.membership.state is _records.MemberState.JOINING:
+        if place is None or place.state is _records.MemberState.JOINING:
             continue
         others = [
             model.name
@@ -301,4 +316,5 @@
         ]
         if others and not set(others) & set(engine.staged):
             actions.append(_actions.StageModel(engine, others[0]))
-    return actions
+    sizes = {model.name: model.size for model in view.terms.models}
+    return sorted(actions, key=lambda action: -sizes[action.model])
--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -5,6 +5,8 @@
 from balsamwind.relay._choice import Demand
 from balsamwind.relay._choice import NoPlace
 from balsamwind.relay._choice import predict_first_event
+from balsamwind.relay._demand import DemandMeter
+from balsamwind.relay._demand import predict_busy_time
 from balsamwind.relay._events import EventSplitter
 from balsamwind.relay._places import Place
 from balsamwind.relay._places import PlaceBook
@@ -18,6 +20,7 @@
 __all__ = [
     'AnswerTerms',
     'Demand',
+    'DemandMeter',
     'EventSplitter',
     'IncomingRequest',
     'NoPlace',
@@ -29,5 +32,6 @@
     'ResendBudget',
     'Send',
     'choose_place',
+    'predict_busy_time',
     'predict_first_event',
 ]
--- a/balsamwind/relay/_exchange.py
+++ b/balsamwind/relay/_exchange.py
@@ -308,15 +308,18 @@
         return [*self._passed, *self._relay.codec.encode_request(send)]
 
     def _find_patience(self, place, now):
-        """Silence before the first event that is not yet a stall (seconds)."""
+        """Silences that raise doubt, and that count as a stall (seconds)."""
         if self._service.engine is None:
-            return _places.FIRST_STALL
+            return _places.FIRST_STALL, _places.FIRST_STALL
         predicted = _choice.predict_first_event(
             place, self._service.engine, self._demand(), now
         )
-        return _places.FIRST_STALL + 2.0 * predicted
+        return (
+            _places.FIRST_DOUBT + predicted,
+            _places.FIRST_STALL + 2.0 * predicted,
+        )
 
-    def _check_progress(self, place, sent_at, patience=_places.STALL):
+    def _check_progress(self, place, sent_at, patience=None):
         """Give up on a group that stands still, if that helps.
 
         Raises
@@ -326,10 +329,13 @@
         """
         if self._service.engine is None:
             return
+        doubt, stall = patience or (_places.STALL, _places.STALL)
         now = self._relay.clock.monotonic()
-        if not place.is_stalled(sent_at, now, patience):
+        if not place.is_stalled(sent_at, now, doubt):
             return
         place.note_stall(now)
+        if not place.is_stalled(sent_at, now, stall):
+            return
         self._relay.client.forget(place.record.address)
         if not self._route.repeatable:
             return
--- a/balsamwind/relay/_places.py
+++ b/balsamwind/relay/_places.py
@@ -6,10 +6,14 @@
 """Silence after which a group that has work is taken to stand still
 (seconds)."""
 
+FIRST_DOUBT = 0.3
+"""Silence before a first event, beyond the predicted time, after which a
+group gets no new requests for a while (seconds)."""
+
 FIRST_STALL = 0.9
-"""The same before the first event, beyond twice the predicted time: on a node
-that sees few of a group's streams, a queue looks like standing still
-(seconds)."""
+"""Silence before a first event, beyond twice the predicted time, after which
+the request goes elsewhere: on a node that sees few of a group's streams, a
+queue looks like standing still (seconds)."""
 
 SUSPICION = 0.7
 """How long a place that stood still is avoided at first (seconds)."""
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -6,6 +6,7 @@
 
 from balsamwind import exceptions
 from balsamwind.relay import _budget
+from balsamwind.relay import _demand
 from balsamwind.relay import _exchange
 
 ANSWER_GRACE = 0.1
@@ -100,6 +101,7 @@
         self._bounds = bounds
         self._budgets = {}
         self._nodes = NODES_ASSUMED
+        self.demand = _demand.DemandMeter()
         self.open_requests = 0
         self.seen_requests = 0
 
@@ -169,7 +171,7 @@
         exchange = _exchange.Exchange(
             self, request, terms, responder, route, service, account, limit
         )
-        self.budget(service.name).note_request(self.clock.monotonic())
+        self._count(service, terms)
         left = request.received_at + limit - self.clock.monotonic()
         try:
             async with asyncio.timeout(max(0.0, left) + ANSWER_GRACE):
@@ -178,6 +180,17 @@
             raise exchange.make_timeout() from None
         self.journal.note_request(request, terms, 'ok')
 
+    def _count(self, service, terms):
+        now = self.clock.monotonic()
+        self.budget(service.name).note_request(now)
+        if service.engine is None:
+            return
+        output = terms.expected_output or _exchange.TOKENS_GUESS
+        seconds = _demand.predict_busy_time(
+            service.engine, terms.model, terms.prompt_tokens, output
+        )
+        self.demand.note(terms.model, seconds, now)
+
     def _choose_service(self, route):
         targets = route.targets
         weights = [target.weight for target in targets]
--- a/balsamwind/relay/tests/test_decisions.py
+++ b/balsamwind/relay/tests/test_decisions.py
@@ -222,3 +222,21 @@
 def test_what_an_answer_says_of_having_run(status, answer, run):
     failure = _attempts.judge_answer(status, answer)
     assert (failure.error.run if failure else None) == run
+
+
+def test_refused_model_is_still_seen_to_be_asked_for():
+    meter = relay.DemandMeter()
+    assert meter.shares(0.0) == {}
+    for step in range(50):
+        now = step * 0.1
+        meter.note('large', 1.0, now)
+        meter.note('small', 0.5, now)
+    shares = meter.shares(5.0)
+    assert shares['large'] == pytest.approx(2 / 3)
+    assert meter.shares(60.0) == {}
+
+
+def test_busy_time_follows_the_answer_and_the_model():
+    short = relay.predict_busy_time(TERMS, 'large', 1000, 25)
+    long = relay.predict_busy_time(TERMS, 'large', 1000, 250)
+    assert 5 * short < long
--- a/balsamwind/traffic/_objects.py
+++ b/balsamwind/traffic/_objects.py
@@ -129,6 +129,8 @@
         Steps of a pass that writes (count).
     loads_per_second : float
         Loads from the weight store that may begin (a second).
+    loads_at_once : int
+        Loads that run at full speed side by side (count).
     form_time : float
         Time from the order to open until a group serves (seconds).
     report_lag : float
@@ -145,6 +147,7 @@
     prefill_per_pair: float = 0.0
     stride: int = 1
     loads_per_second: float = 5.0
+    loads_at_once: int = 4
     form_time: float = 0.0
     report_lag: float = 0.2
 
