--- a/balsamwind/node/_followers.py
+++ b/balsamwind/node/_followers.py
@@ -77,6 +77,10 @@
             )
         return silent
 
+    def note_other_way(self):
+        """Note that the store is heard through another node."""
+        self.heard_at = self._clock.monotonic()
+
     def note_failure(self, error):
         """Note a call that failed."""
         if not self._lost:
@@ -116,6 +120,7 @@
         """Follow for ever."""
         while True:
             if self._has_proof():
+                self._contact.note_other_way()
                 await asyncio.sleep(NEWS_PAUSE)
                 continue
             try:
@@ -247,6 +252,7 @@
         """Follow for ever."""
         while True:
             if self._may_listen():
+                self._contact.note_other_way()
                 self._registry.forget(self._clock.monotonic())
                 await asyncio.sleep(NEWS_PAUSE)
                 continue
--- a/balsamwind/node/tests/test_followers.py
+++ b/balsamwind/node/tests/test_followers.py
@@ -117,3 +117,14 @@
         monkeypatch,
     )
     assert book.version == 4
+
+
+def test_store_heard_through_another_node_was_not_away():
+    """Entries must not be kept for long after a node stops listening."""
+    clock = _Clock()
+    contact = _followers.StoreContact('servers', clock, _Log())
+    for _ in range(20):
+        clock.now += 1.0
+        contact.note_other_way()
+    clock.now += 0.5
+    assert contact.note_answer() == pytest.approx(0.5)
--- a/balsamwind/relay/_exchange.py
+++ b/balsamwind/relay/_exchange.py
@@ -6,6 +6,7 @@
 from balsamwind.relay import _attempts
 from balsamwind.relay import _choice
 from balsamwind.relay import _events
+from balsamwind.relay import _pass_headers
 from balsamwind.relay import _places
 from balsamwind.relay import _terms
 from balsamwind import traffic
@@ -29,22 +30,6 @@
 TOKENS_GUESS = 150
 """Tokens of an answer of which nothing is known (count)."""
 
-_HOP_HEADERS = frozenset(
-    (
-        'connection',
-        'content-length',
-        'host',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
-
 
 async def _drain(response):
     """Read a short answer to its end, so that its connection is kept."""
@@ -113,20 +98,9 @@
         self._may_run = False
         self._doubt = None
         self._events = _events.EventSplitter()
-        self._passed = self._make_passed_headers()
-
-    def _make_passed_headers(self):
-        headers = self._request.headers
-        dropped = _HOP_HEADERS | self._relay.codec.replaced
-        named = headers.get('Connection', '').lower()
-        extra = {part.strip() for part in named.split(',')}
-        rows = [
-            (name, value)
-            for name, value in headers.get_all()
-            if name.lower() not in dropped and name.lower() not in extra
-        ]
-        rows.append(('Host', self._request.host))
-        return rows
+        self._passed = _pass_headers.keep_request(
+            request.headers, request.host, relay.codec.replaced
+        )
 
     @property
     def _is_stream(self):
@@ -386,10 +360,5 @@
         if self._started:
             return
         self._started = True
-        kept = [
-            (name, value)
-            for name, value in response.headers.get_all()
-            if name.lower() not in _HOP_HEADERS
-            or (with_length and name.lower() == 'content-length')
-        ]
+        kept = _pass_headers.keep_answer(response.headers, with_length)
         self._responder.start(response.status, kept)
