Trust a source's proof by its age, not its answer

Ruled out: a slow link (the source answered at once). Change: the time of the proof counts, up to 2.2 s; a newer version is read at once. Test fails before and passes now.

--- a/balsamwind/node/_news_reader.py
+++ b/balsamwind/node/_news_reader.py
@@ -15,8 +15,8 @@
 QUESTION_INTERVAL = 0.6
 """Time between two questions for the proof (seconds)."""
 
-PROOF_MEMORY = 1.6
-"""How long an answer keeps this node from asking the store (seconds)."""
+PROOF_MEMORY = 2.2
+"""Age of a proof up to which this node does not ask the store (seconds)."""
 
 RETRY_INTERVAL = 1.0
 """Wait before another source is tried (seconds)."""
@@ -107,10 +107,20 @@
                 self._take_servers(message, now)
             case _news.Proof(number=number, version=version, age=age):
                 asked_at = self._asked.pop(number, None)
-                if asked_at is not None and version == self._book.version:
-                    self._book.confirm(asked_at - age)
-                    if self._book.is_current(now):
-                        self._proved_at = now
+                if asked_at is not None:
+                    self._take_proof(version, asked_at - age)
+
+    def _take_proof(self, version, proved_at):
+        """Take a proof; ask the store itself if the version is newer.
+
+        A source that is cut off from the store goes on answering: what
+        counts is when it heard the store, not when it answered.
+        """
+        if version == self._book.version:
+            self._book.confirm(proved_at)
+            self._proved_at = max(self._proved_at, proved_at)
+        elif version > self._book.version:
+            self._proved_at = float('-inf')
 
     def _take_servers(self, message, now):
         if message.whole:
--- a/balsamwind/node/tests/test_news.py
+++ b/balsamwind/node/tests/test_news.py
@@ -7,8 +7,10 @@
 
 from balsamwind import exceptions
 from balsamwind.node import _news
+from balsamwind.node import _news_reader
 from balsamwind.node.tests import parts
 from balsamwind import pool
+from balsamwind import traffic
 
 RECORD = pool.ServerRecord(
     'e1',
@@ -104,7 +106,35 @@
         await parts.wait_until(third.news.has_proof)
         newer = {**parts.CONFIGURATION, 'Version': 9}
         outside.store.put('config', 'main', newer)
-        await parts.wait_until(lambda: third.book.version == 9, 2.5)
+        await parts.wait_until(lambda: third.book.version == 9, 1.5)
         return True
 
     assert _run(scenario)
+
+
+class _Clock:
+    now = 100.0
+
+    def monotonic(self):
+        return self.now
+
+
+@pytest.mark.parametrize(
+    ('version', 'age', 'listens'),
+    [
+        pytest.param(5, 0.5, True, id='fresh'),
+        pytest.param(5, 3.0, False, id='its source is cut off'),
+        pytest.param(6, 0.0, False, id='a newer version is in force'),
+        pytest.param(4, 0.0, False, id='its source is behind'),
+    ],
+)
+def test_only_a_fresh_proof_spares_the_store(version, age, listens):
+    clock = _Clock()
+    book = traffic.ConfigurationBook(4.6)
+    book.accept(traffic.Configuration(5, (), ()), 99.0)
+    reader = _news_reader.NewsReader('n3', pool.Registry(), book, clock, None)
+    reader.set_nodes([('n1', 'x'), ('n2', 'y'), ('n3', 'z')])
+    reader._asked = {1: clock.now}
+    reader._take(_news.Proof(1, version, age))
+    assert reader.has_proof() is listens
+    assert book.version == 5
