Run no request that crosses a close

Ruled out: an open request at the close (none was counted). Change: a connection with unread bytes is not closed as idle, its request is answered; a request that the library hands over after the close is not run.

--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 from tornado import httpserver
 from tornado import httputil
@@ -92,6 +93,18 @@
         future.add_done_callback(lambda item: item.exception())
 
 
+def _has_unread(stream):
+    """Whether bytes of a caller wait to be read."""
+    if stream.closed():
+        return False
+    try:
+        return bool(
+            stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        )
+    except OSError:
+        return False
+
+
 class _Message(httputil.HTTPMessageDelegate):
     """Collects one request and runs it."""
 
@@ -107,11 +120,21 @@
         self._received_at = 0.0
 
     def close_idle(self):
-        """Close the connection, as no request has begun on it."""
+        """Close the connection, unless a request is on its way in.
+
+        Bytes that have come are read to a whole request and answered; what
+        comes after the close is not run.
+        """
+        stream = self._connection.stream
+        if stream is None or _has_unread(stream):
+            return
         self._server.note_begun(self)
+        self._responder.done = True
         self._connection.close()
 
     def headers_received(self, start_line, headers):
+        if self._responder.done:
+            return
         self._server.note_begun(self)
         self._connection.stream.set_nodelay(True)
         self._start = start_line
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -287,6 +287,7 @@
         # A request on a connection that is kept would come too late to end.
         self._callers.stop()
         self._callers.close_idle()
+        await asyncio.sleep(POLL)
         latest = started + self._settings.bounds.grace - EXIT_MARGIN
         while self.relay.open_requests and self._clock.monotonic() < latest:
             await asyncio.sleep(POLL)
