Observe by one module in entries and replays

Cause: which VMs a node polls, and when silence counts, stood twice, in the entry's observer and in the node of a replay, and had drifted: replays chose observers by plain rendezvous hashing, entries with bounded load. Change: membership finds what is observed, plans the polls of a node and counts failures; both run it. The data centre of a listed VM is asked of the group table.

--- a/balsamwind/entry/_entry.py
+++ b/balsamwind/entry/_entry.py
@@ -58,7 +58,7 @@
         self.log = log
         self.catalogue = catalogue.Catalogue()
         self.observations = membership.Observations(
-            stale_after, self._find_place
+            stale_after, lambda vm: self.groups.find_data_centre(vm)
         )
         self.groups = membership.GroupTable(self.catalogue, self.observations)
         self.registry = peers.PeerRegistry(
@@ -152,10 +152,6 @@
         }
         return {group: count for group, count in counts.items() if count}
 
-    def _find_place(self, vm):
-        row = self.groups.listed.get(vm)
-        return '' if row is None else row.data_centre
-
     def has_reader(self, data_centre):
         """Whether a peer in `data_centre` lives and follows the store."""
         return any(
--- a/balsamwind/entry/_observer.py
+++ b/balsamwind/entry/_observer.py
@@ -27,8 +27,8 @@
         '_failures',
         '_groups',
         '_inputs',
-        '_known_units',
         '_listed',
+        '_observed',
         '_places',
         '_polling',
         '_publisher',
@@ -41,10 +41,12 @@
         self._engine = engine
         self._publisher = peers.Publisher(rng)
         self._assigned = {}
-        self._failures = {}
+        self._failures = membership.PollFailures(
+            entry.settings.observation.failures_to_down
+        )
         self._groups = None
         self._inputs = None
-        self._known_units = {}
+        self._observed = {}
         self._listed = None
         self._version = 0
         self._places = frozenset()
@@ -107,11 +109,13 @@
         if inputs == self._inputs:
             return
         self._inputs = inputs
-        assigned = self._plan_assigned(inputs)
+        assigned = membership.plan_polls(
+            self._observed, inputs[1], self._entry.settings.node.name
+        )
         dropped = tuple(vm for vm in self._assigned if vm not in assigned)
         self._assigned = assigned
         for vm in dropped:
-            self._failures.pop(vm, None)
+            self._failures.forget(vm)
         self._drop(dropped)
 
     def _make_inputs(self):
@@ -122,8 +126,10 @@
         groups = entry.catalogue.items('group')
         if listed is not self._listed or groups is not self._groups:
             self._listed, self._groups = listed, groups
-            self._known_units = self._units()
-            self._places = {unit[2] for unit in self._known_units.values()}
+            self._observed = membership.find_observed(
+                listed, [stored.value for stored in groups]
+            )
+            self._places = {vm.data_centre for vm in self._observed.values()}
             self._version += 1
         observers = {
             place: tuple(
@@ -135,38 +141,6 @@
         }
         return self._version, observers
 
-    def _plan_assigned(self, inputs):
-        node = self._entry.settings.node.name
-        _, observers = inputs
-        sizes = {place: {} for place in observers}
-        for unit, _, place in self._known_units.values():
-            sizes[place][unit] = sizes[place].get(unit, 0) + 1
-        chosen = {
-            place: membership.plan_observers(sizes[place], nodes)
-            for place, nodes in observers.items()
-            if node in nodes
-        }
-        return {
-            vm: address
-            for vm, (unit, address, place) in self._known_units.items()
-            if place in chosen and chosen[place][unit] == node
-        }
-
-    def _units(self):
-        """VM -> (what is observed together, address, data centre)."""
-        units = {}
-        for row in self._entry.groups.listed.values():
-            units[row.name] = (row.name, row.address, row.data_centre)
-        for stored in self._entry.catalogue.items('group'):
-            group = stored.value
-            for member in group.members:
-                units[member.vm] = (
-                    group.name,
-                    member.address,
-                    group.data_centre,
-                )
-        return units
-
     def _drop(self, vms):
         """Stop vouching for some VMs."""
         entry = self._entry
@@ -192,7 +166,7 @@
         if vm not in self._assigned:
             return
         entry = self._entry
-        reachable = self._check_reachable(vm, error)
+        reachable = self._failures.check_reachable(vm, error)
         if report is None and reachable:
             self._drop((vm,))
             return
@@ -216,22 +190,6 @@
         if reports is not None:
             self._entry.links.broadcast(reports)
 
-    def _check_reachable(self, vm, error):
-        """Whether a VM still counts as reachable after a poll.
-
-        A refused connection is a solid sign; silence has to be repeated.
-        """
-        if error is None:
-            self._failures.pop(vm, None)
-            return True
-        failures = self._failures.get(vm, 0) + 1
-        self._failures[vm] = failures
-        refused = (
-            isinstance(error, exceptions.TransportError) and not error.sent
-        )
-        limit = self._entry.settings.observation.failures_to_down
-        return not refused and failures < limit
-
 
 def _health(reachable, report):
     """What of a view decides whether a group may serve."""
--- a/balsamwind/membership/_groups.py
+++ b/balsamwind/membership/_groups.py
@@ -136,6 +136,11 @@
         """Group -> why it may not serve; empty if it may."""
         return self._reasons
 
+    def find_data_centre(self, vm):
+        """Data centre of a listed VM; empty if it is not listed."""
+        row = self.listed.get(vm)
+        return '' if row is None else row.data_centre
+
     def invalidate(self):
         """Check all groups before the next use."""
         self._dirty = True
--- a/balsamwind/replay/_node.py
+++ b/balsamwind/replay/_node.py
@@ -52,7 +52,7 @@
         self._rng = rng
         stale_after = settings.observation.stale_after
         self.observations = membership.Observations(
-            stale_after, self._find_place
+            stale_after, lambda vm: self.groups.find_data_centre(vm)
         )
         self.groups = membership.GroupTable(self.catalogue, self.observations)
         self.catalogue.listen(lambda stored: self.groups.invalidate())
@@ -71,7 +71,9 @@
         self.controller = control.Controller(
             self._make_view, self._executor, settings, rng
         )
-        self._failures = {}
+        self._failures = membership.PollFailures(
+            settings.observation.failures_to_down
+        )
         self._polling = set()
         self._tasks = []
 
@@ -157,54 +159,37 @@
                     self._polling.add(vm)
                     asyncio.ensure_future(self._poll(vm, address))
 
-    def _find_place(self, vm):
-        row = self.groups.listed.get(vm)
-        return '' if row is None else row.data_centre
-
     def _assigned(self):
         now = self._ports.clock.monotonic()
-        units = {
-            row.name: (row.name, row.address, row.data_centre)
-            for row in self.groups.listed.values()
-        }
-        for stored in self.catalogue.items('group'):
-            group = stored.value
-            for member in group.members:
-                units[member.vm] = (
-                    group.name,
-                    member.address,
-                    group.data_centre,
-                )
-        assigned = {}
-        for vm, (unit, address, data_centre) in units.items():
-            nodes = self.observations.trusted(
-                self.registry.observers(data_centre, now), now, data_centre
+        groups = [stored.value for stored in self.catalogue.items('group')]
+        observed = membership.find_observed(self.groups.listed, groups)
+        observers = {
+            place: self.observations.trusted(
+                self.registry.observers(place, now), now, place
             )
-            if membership.choose_observer(unit, nodes) == self.name:
-                assigned[vm] = address
+            for place in {vm.data_centre for vm in observed.values()}
+        }
+        assigned = membership.plan_polls(observed, observers, self.name)
         for view in self.observations.views_of(self.name):
             if view.vm not in assigned:
+                self._failures.forget(view.vm)
                 self.observations.drop(view.vm, self.name)
         return assigned
 
     async def _poll(self, vm, address):
-        settings = self.settings.observation
+        timeout = self.settings.observation.timeout
+        report = error = None
         try:
-            report = await self._ports.engines.report(
-                address, settings.timeout
-            )
-        except exceptions.TransportError as error:
-            failures = self._failures.get(vm, 0) + 1
-            self._failures[vm] = failures
-            if error.sent and failures < settings.failures_to_down:
-                self.observations.drop(vm, self.name)
-                return
-            report = None
-        else:
-            self._failures.pop(vm, None)
+            report = await self._ports.engines.report(address, timeout)
+        except exceptions.BalsamwindError as failure:
+            error = failure
         finally:
             self._polling.discard(vm)
-        self.observe(vm, report is not None, report, self.name)
+        reachable = self._failures.check_reachable(vm, error)
+        if report is None and reachable:
+            self.observations.drop(vm, self.name)
+            return
+        self.observe(vm, reachable, report, self.name)
 
     def observe(self, vm, reachable, report, observer):
         """Take in an observation."""
