Restart one entry at a time in the soak

Two faults that chose one entry both waited for its end and both started it. As all addresses that are taken are findings of their own, each of the two can hold an address that the other needs, and both end. An exception while a fault was given or taken back ended its thread without a violation.

Change: the lock is taken; exceptions of a fault's thread are raised.

--- a/build_tools/soak.py
+++ b/build_tools/soak.py
@@ -9,6 +9,7 @@
 
 import argparse
 import collections
+from concurrent import futures
 import json
 import random
 import signal
@@ -204,10 +205,12 @@
 
     def _kill_entry(self):
         name = self._rng.choice(list(self._cluster.entries))
-        process = self._cluster.processes[name]
-        process.send_signal(self._rng.choice((signal.SIGKILL, signal.SIGTERM)))
-        process.wait(60)
-        self._cluster.start_entry(name)
+        number = self._rng.choice((signal.SIGKILL, signal.SIGTERM))
+        with RESTARTING:
+            process = self._cluster.processes[name]
+            process.send_signal(number)
+            process.wait(60)
+            self._cluster.start_entry(name)
         return f'{name} was restarted'
 
     def _platform(self, **faults):
@@ -258,18 +261,23 @@
 
 
 def give_faults(cluster, seed, seconds, at_once):
-    """Give faults for some time, several independent ones at a time."""
-    threads = [
-        threading.Thread(
-            target=Faults(cluster, random.Random(f'{seed}/{number}')).run,
-            args=(seconds,),
-        )
-        for number in range(at_once)
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    """Give faults for some time, several independent ones at a time.
+
+    Raises
+    ------
+    Exception
+        A fault could not be given or taken back.
+    """
+    with futures.ThreadPoolExecutor(at_once) as pool:
+        running = [
+            pool.submit(
+                Faults(cluster, random.Random(f'{seed}/{number}')).run,
+                seconds,
+            )
+            for number in range(at_once)
+        ]
+    for each in running:
+        each.result()
 
 
 def print_state(cluster):
