--- a/balsamwind/node/tests/parts.py
+++ b/balsamwind/node/tests/parts.py
@@ -7,7 +7,7 @@
 
 from balsamwind import node
 from balsamwind import platform
-from standins import pool_platform
+from standins import pool as pool_standin
 
 KEY = 'k1'
 """Key of the client account."""
@@ -90,7 +90,7 @@
 @contextlib.asynccontextmanager
 async def open_platform(engines=4):
     """Stand-in of the platform with engines of one domain."""
-    outside = pool_platform.PoolPlatform(find_free_port)
+    outside = pool_standin.PoolPlatform(find_free_port)
     outside.start()
     outside.store.put('config', 'main', CONFIGURATION)
     for number in range(engines):
--- a/balsamwind/node/tests/test_node.py
+++ b/balsamwind/node/tests/test_node.py
@@ -180,7 +180,7 @@
 
 def test_without_proof_of_the_configuration_no_key_is_honoured():
     async def scenario(outside, process):
-        outside.store.refuse = True
+        outside.store.faults.down = 'refuse'
         process.book._proved_at -= 10.0
         answer = await parts.call(process, parts.make_request())
         return answer, process.is_ready()
--- a/balsamwind/platform/tests/test_store.py
+++ b/balsamwind/platform/tests/test_store.py
@@ -105,10 +105,10 @@
     _run(scenario)
 
 
-@pytest.mark.parametrize('fault', ['refuse', 'down'])
+@pytest.mark.parametrize('fault', ['refuse', 'reset', 'silent'])
 def test_store_that_does_not_serve(fault):
     async def scenario(outside, port):
-        setattr(outside.store, fault, True)
+        outside.store.faults.down = fault
         for call in (
             port.read_configuration(0.1),
             port.list_servers(0.1),
@@ -130,7 +130,10 @@
         for expected in (0, stored.revision + 5):
             with pytest.raises(exceptions.Conflict):
                 await port.write_lease(lease, expected, 1.0)
-        again = await port.write_lease(lease, stored.revision, 1.0)
+        same = await port.write_lease(lease, stored.revision, 1.0)
+        assert same.revision == stored.revision
+        renewed = objects.Lease('s', 'n1', 1, 2.0, 'op2')
+        again = await port.write_lease(renewed, stored.revision, 1.0)
         return again.revision > stored.revision
 
     assert _run(scenario)
