--- a/balsamwind/node/tests/test_node.py
+++ b/balsamwind/node/tests/test_node.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind import node
 from balsamwind.node.tests import parts
@@ -240,3 +241,35 @@
     answer, ready = _run(scenario, engines=2)
     assert answer.count(b'data: token') == 6
     assert not ready
+
+
+def test_answer_that_comes_as_the_caller_leaves_is_closed(monkeypatch):
+    """The engine must not work on for nobody."""
+
+    async def scenario(outside, process):
+        for engine in outside.engines.values():
+            engine.pause = 0.2
+        opened = []
+        client_open = adapters.HttpClient.open
+
+        async def open_and_leave(client, method, url, **values):
+            response = await client_open(client, method, url, **values)
+            if '/ask/' not in url:
+                return response
+            opened.append(response)
+            for task in asyncio.all_tasks():
+                if 'Relay.run' in repr(task.get_coro()):
+                    task.cancel()
+            return response
+
+        monkeypatch.setattr(adapters.HttpClient, 'open', open_and_leave)
+        caller = asyncio.ensure_future(
+            parts.call(process, parts.make_request())
+        )
+        await parts.wait_until(
+            lambda: any(run.ending for run in outside.witness.runs)
+        )
+        caller.cancel()
+        return [run.ending for run in outside.witness.runs]
+
+    assert _run(scenario, engines=2) == ['caller gone']
--- a/balsamwind/relay/_exchange.py
+++ b/balsamwind/relay/_exchange.py
@@ -40,6 +40,12 @@
         return
 
 
+def _close_answer(task):
+    """Close an answer that nobody waits for any more."""
+    if not task.cancelled() and task.exception() is None:
+        task.result().close()
+
+
 class Exchange:
     """One request and its attempts.
 
@@ -258,9 +264,10 @@
                     return task.result()
                 sent_at = self._skip_pause(started, sent_at)
                 self._check_progress(place, sent_at, patience)
-        finally:
-            if not task.done():
-                task.cancel()
+        except BaseException:
+            task.add_done_callback(_close_answer)
+            task.cancel()
+            raise
 
     def _skip_pause(self, started, sent_at):
         """Do not hold this node's own pause against a place."""
--- a/standins/pool/_engine.py
+++ b/standins/pool/_engine.py
@@ -40,6 +40,7 @@
         self._born = 1700000000000 + port
         self._work = set()
         self._staging = {}
+        self.handlers = set()
         self.staged = []
         self.state = 'ready'
         self.slots = 9
@@ -114,12 +115,19 @@
             **self._describe(),
         }
 
-    def restart(self):
-        """End all that runs and start again under the same id."""
+    def end(self):
+        """End as a process that is killed."""
         for task in self._work:
             task.cancel()
         self._work.clear()
+        self._staging.clear()
+        for handler in list(self.handlers):
+            handler.request.connection.stream.close()
         self._forget()
+
+    def restart(self):
+        """End all that runs and start again under the same id."""
+        self.end()
         self._born += 1
         self.state = 'ready'
         self.write_entry()
--- a/standins/pool/_engine_pages.py
+++ b/standins/pool/_engine_pages.py
@@ -4,6 +4,7 @@
 import json
 import random
 
+from tornado import iostream
 from tornado import web
 
 from standins.pool import _engine
@@ -21,9 +22,14 @@
         self._engine = engine
         self._platform = platform
         self._left = False
+        engine.handlers.add(self)
+
+    def on_finish(self):
+        self._engine.handlers.discard(self)
 
     def on_connection_close(self):
         self._left = True
+        self._engine.handlers.discard(self)
 
     def _reset(self):
         self.request.connection.stream.close()
@@ -141,7 +147,7 @@
                 await asyncio.sleep(engine.pause)
             ending = 'whole'
             return await self.finish()
-        except (_engine.GroupBroken, web.HTTPError):
+        except (_engine.GroupBroken, iostream.StreamClosedError):
             return self._reset()
         finally:
             self._platform.witness.end(run, ending)
--- a/standins/pool/_services.py
+++ b/standins/pool/_services.py
@@ -42,6 +42,9 @@
         """Whether it does its work."""
         return not self.dark and not self.gone
 
+    def end(self):
+        """End as a process that is killed; what runs there goes on."""
+
     def write_entry(self):
         """Write this server's entry, if it reaches the store."""
         if not self._platform.may_write(self):
