Show what a node believes in its metrics and log

Change: NodeState is a collector, read at each scrape: version and age of the proof, leases held, groups by model and state, demand by model where the shard is led, store calls by object and purpose, open requests. The same goes to the log every 15 s. The adapter counts calls by purpose in the product's words.

--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -76,7 +76,7 @@
         self._started_at = clock.monotonic()
         self._loads = collections.deque()
         self._staging = {}
-        self._demand = {}
+        self.demand = {}
         self._reserved = {}
         self._convert_at = 0.0
         self.lease = _lease.ShardLease(
@@ -151,8 +151,8 @@
         shares = self._relay.demand.shares(self._clock.monotonic())
         for model in counts:
             count = max(counts[model], total * shares.get(model, 0.0))
-            before = self._demand.get(model, count)
-            self._demand[model] = before + DEMAND_WEIGHT * (count - before)
+            before = self.demand.get(model, count)
+            self.demand[model] = before + DEMAND_WEIGHT * (count - before)
 
     def _note_plan(self, action, service):
         now = self._clock.monotonic()
@@ -209,7 +209,7 @@
             loads_beside=service.engine.loads_at_once
             // len(self.settings.data_centres),
             staging=_keep_current(self._staging, now),
-            demand={} if before_traffic else dict(self._demand),
+            demand={} if before_traffic else dict(self.demand),
             reserved=_keep_current(self._reserved, now),
             may_convert=now >= self._convert_at and not before_traffic,
         )
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -46,7 +46,7 @@
     """
 
     def __init__(self, shard, node, own, outside, clock, log):
-        self._shard = shard
+        self.shard = shard
         self._outside = outside
         self._clock = clock
         self._log = log
@@ -104,7 +104,7 @@
         self._note_change()
 
     async def _look(self):
-        found = await self._outside.read_lease(self._shard, CALL_TIMEOUT)
+        found = await self._outside.read_lease(self.shard, CALL_TIMEOUT)
         if found != self._stored:
             self._stored = found
             self._seen_at = self._clock.monotonic()
@@ -122,7 +122,7 @@
             )
         except exceptions.StoreError:
             # The write may have taken effect: read before the next one.
-            written = await self._outside.read_lease(self._shard, CALL_TIMEOUT)
+            written = await self._outside.read_lease(self.shard, CALL_TIMEOUT)
             if written is None or written.value != decision.value:
                 raise
         self._stored = written
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -13,6 +13,7 @@
 from balsamwind.node import _journal
 from balsamwind.node import _leader
 from balsamwind.node import _news_reader
+from balsamwind.node import _state
 from balsamwind import pool
 from balsamwind import relay
 from balsamwind import settings as settings_package
@@ -30,6 +31,9 @@
 RELOAD_INTERVAL = 3.0
 """Time between two reads of the settings without a signal (seconds)."""
 
+STATE_INTERVAL = 15.0
+"""Time between two log lines about the node's state (seconds)."""
+
 POLL = 0.05
 """How often open requests are counted while draining (seconds)."""
 
@@ -167,6 +171,15 @@
             )
             for data_centre in settings.data_centres
         ]
+        self._state = _state.NodeState(
+            self.book,
+            self.registry,
+            self._leaders,
+            outside,
+            self.relay,
+            self._clock,
+        )
+        self._journal.registry.register(self._state)
         self._draining = False
         self._tasks = []
         self._leading = []
@@ -264,6 +277,7 @@
             self.news,
         ):
             self._tasks.append(asyncio.ensure_future(follower.run()))
+        self._tasks.append(asyncio.ensure_future(self._tell_state()))
         for leader in self._leaders:
             self._leading.append(asyncio.ensure_future(leader.run()))
         self._log.info(
@@ -272,6 +286,12 @@
             first_start=self._settings.first_start,
         )
 
+    async def _tell_state(self):
+        """Log what this node believes, now and then."""
+        while True:
+            await asyncio.sleep(STATE_INTERVAL)
+            self._log.info('node_state', **self._state.make_line())
+
     async def drain(self):
         """Finish what callers wait for; hand the leases over."""
         started = self._clock.monotonic()
--- /dev/null
+++ b/balsamwind/node/_state.py
@@ -0,0 +1,149 @@
+"""What a node believes, for its metrics and, now and then, its log."""
+
+import collections
+
+from prometheus_client import core
+
+from balsamwind import pool
+
+
+class NodeState:
+    """Reads the parts of a node when somebody asks.
+
+    Parameters
+    ----------
+    book : balsamwind.traffic.ConfigurationBook
+        Configuration in force.
+    registry : balsamwind.pool.Registry
+        Entries of the backend servers.
+    leaders : list of ShardLeader
+        Leads the shards, or waits to.
+    outside : balsamwind.node.Outside
+        The platform.
+    relay : balsamwind.relay.Relay
+        Request path.
+    clock : balsamwind.ports.Clock
+        Boot time.
+    """
+
+    __slots__ = (
+        '_book',
+        '_clock',
+        '_leaders',
+        '_outside',
+        '_registry',
+        '_relay',
+    )
+
+    def __init__(self, book, registry, leaders, outside, relay, clock):
+        self._book = book
+        self._registry = registry
+        self._leaders = leaders
+        self._outside = outside
+        self._relay = relay
+        self._clock = clock
+
+    def count_groups(self):
+        """Replica groups by model and state of the head (count)."""
+        counts = collections.Counter()
+        configuration = self._book.configuration
+        if configuration is None:
+            return counts
+        for service in configuration.services:
+            if service.engine is None:
+                continue
+            records = self._registry.of_service(service.name)
+            groups = pool.find_groups(records, service.engine)
+            for group in groups.values():
+                state = group.state.value if group.state else 'headless'
+                if group.state is pool.MemberState.OPEN and not group.serving:
+                    state = 'open, not whole'
+                counts[group.model, state] += 1
+        return counts
+
+    def make_line(self):
+        """Fields of a log line."""
+        now = self._clock.monotonic()
+        return {
+            'version': self._book.version,
+            'proof_age': round(min(self._book.age(now), 1e6), 2),
+            'open_requests': self._relay.open_requests,
+            'leads': [
+                leader.lease.shard
+                for leader in self._leaders
+                if leader.lease.held
+            ],
+            'groups': {
+                f'{model} {state}': count
+                for (model, state), count in self.count_groups().items()
+            },
+            'store_calls': {
+                ' '.join(key): count
+                for key, count in sorted(self._outside.store_calls.items())
+            },
+        }
+
+    def collect(self):
+        """Metric families; called at each scrape."""
+        now = self._clock.monotonic()
+        yield core.GaugeMetricFamily(
+            'balsamwind_configuration_version',
+            'Version of the configuration in force.',
+            value=self._book.version,
+        )
+        yield core.GaugeMetricFamily(
+            'balsamwind_configuration_proof_age_seconds',
+            'Time since the configuration was proved to be the newest.',
+            value=self._book.age(now),
+        )
+        yield core.GaugeMetricFamily(
+            'balsamwind_open_requests',
+            'Requests without their final answer.',
+            value=self._relay.open_requests,
+        )
+        yield self._collect_leases()
+        yield self._collect_groups()
+        yield self._collect_demand()
+        yield self._collect_store_calls()
+
+    def _collect_leases(self):
+        family = core.GaugeMetricFamily(
+            'balsamwind_lease_held',
+            'Whether this node leads the shard.',
+            labels=('shard',),
+        )
+        for leader in self._leaders:
+            family.add_metric((leader.lease.shard,), leader.lease.held)
+        return family
+
+    def _collect_groups(self):
+        family = core.GaugeMetricFamily(
+            'balsamwind_groups',
+            'Replica groups, by model and state.',
+            labels=('model', 'state'),
+        )
+        for key, count in self.count_groups().items():
+            family.add_metric(key, count)
+        return family
+
+    def _collect_demand(self):
+        family = core.GaugeMetricFamily(
+            'balsamwind_shard_demand',
+            'Requests that run and wait, as the leader of a shard sees it.',
+            labels=('shard', 'model'),
+        )
+        for leader in self._leaders:
+            if leader.lease.held:
+                for model, count in leader.demand.items():
+                    family.add_metric((leader.lease.shard, model), count)
+        return family
+
+    def _collect_store_calls(self):
+        family = core.CounterMetricFamily(
+            'balsamwind_store_calls',
+            "Calls to the platform's store.",
+            labels=('object', 'purpose'),
+        )
+        for key, count in self._outside.store_calls.items():
+            family.add_metric(key, count)
+        return family
--- a/balsamwind/node/tests/parts.py
+++ b/balsamwind/node/tests/parts.py
@@ -133,6 +133,14 @@
     )
 
 
+def count_served(process):
+    """Groups that a node would send requests to (count)."""
+    service = process.book.find_service('llm')
+    if service is None:
+        return 0
+    return len(process.relay.places.of_service(service))
+
+
 def make_request(path='/ask/x', request_id='r1', key=KEY, extra=''):
     """Bytes of a caller's request."""
     return (
--- a/balsamwind/node/tests/test_news.py
+++ b/balsamwind/node/tests/test_news.py
@@ -73,9 +73,9 @@
         )
         outside.store.put('config', 'main', {**parts.CONFIGURATION})
         await asyncio.sleep(0.3)
-        calls = [n.outside.store_calls for n in nodes]
+        calls = [sum(n.outside.store_calls.values()) for n in nodes]
         await asyncio.sleep(2.0)
-        after = [n.outside.store_calls for n in nodes]
+        after = [sum(n.outside.store_calls.values()) for n in nodes]
         outside.add_engine('e9', 'llm', 'z1', 'd1')
         await parts.wait_until(lambda: third.registry.get('e9') is not None)
         age = third.book.age(third._clock.monotonic())
--- a/balsamwind/platform/_outside.py
+++ b/balsamwind/platform/_outside.py
@@ -14,6 +14,14 @@
 LEASE_KIND = 'balsamwind-leases'
 """Kind of the leases, which are the system's own objects."""
 
+_WORDS = {
+    _servers.KIND: 'servers',
+    _configuration.KIND: 'configuration',
+    NODE_KIND: 'nodes',
+    LEASE_KIND: 'leases',
+}
+"""What the kinds of objects are called in logs and metrics."""
+
 
 def make_outside(settings, client):
     """Connect a node to the platform.
@@ -47,8 +55,11 @@
 
     @property
     def store_calls(self):
-        """Calls to the store so far (count)."""
-        return self._store.calls
+        """Calls to the store so far, by what was asked and how (count)."""
+        return {
+            (_WORDS[kind], purpose): count
+            for (kind, purpose), count in self._store.calls.items()
+        }
 
     async def read_configuration(self, timeout):
         """Newest configuration, and the revision to watch from.
--- a/balsamwind/platform/_store.py
+++ b/balsamwind/platform/_store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store."""
 
+import collections
 import dataclasses
 import json
 import urllib.parse
@@ -33,7 +34,7 @@
 
 
 class Store:
-    """Calls to the store; each one is counted.
+    """Calls to the store; `calls` counts them by kind and purpose.
 
     Parameters
     ----------
@@ -48,10 +49,11 @@
     def __init__(self, client, address):
         self._client = client
         self._url = f'http://{address}/v1/objects'
-        self.calls = 0
+        self.calls = collections.Counter()
 
     async def get(self, kind, name, timeout):
         """Read one object; None if there is none."""
+        self.calls[kind, 'read'] += 1
         status, body = await self._call('GET', f'/{kind}/{name}', timeout)
         if status == 404:
             return None
@@ -70,6 +72,7 @@
         revision = None
         after = ''
         for _ in range(PAGES):
+            self.calls[kind, 'list'] += 1
             query = f'?{urllib.parse.urlencode({"After": after})}'
             status, body = await self._call(
                 'GET', f'/{kind}{query if after else ""}', timeout
@@ -98,6 +101,7 @@
         balsamwind.exceptions.HistoryGone
             The store no longer holds that revision: list again.
         """
+        self.calls[kind, 'watch'] += 1
         path = f'/{kind}?Watch={since}&WaitMs={int(wait * 1000)}'
         status, body = await self._call('GET', path, timeout)
         if status == 410:
@@ -123,6 +127,7 @@
         balsamwind.exceptions.Conflict
             It exists.
         """
+        self.calls[kind, 'write'] += 1
         value = {'Metadata': {'Name': name}, 'Spec': spec}
         status, body = await self._call('POST', f'/{kind}', timeout, value)
         return self._check_written(status, body, kind, name)
@@ -135,6 +140,7 @@
         balsamwind.exceptions.Conflict
             It has another revision, or is gone.
         """
+        self.calls[kind, 'write'] += 1
         value = {
             'Metadata': {'Name': name, 'Revision': revision},
             'Spec': spec,
@@ -155,7 +161,6 @@
             raise exceptions.StoreError(f'{kind}: store answered {status}')
 
     async def _call(self, method, path, timeout, value=None):
-        self.calls += 1
         body = b'' if value is None else json.dumps(value).encode('ascii')
         headers = (('Content-Type', 'application/json'),) if body else ()
         try:
