Take a silent head's members once it must be broken

The head of a large group went dark; its entry lapsed 1.4 s later, and the leader, which took an engine without an answer and without an entry for gone, formed a new group of its three members 0.9 s after the first miss. A head that is dark by itself stands still and is broken only after the promised stall time.

Ruled out: orders that are carried out late (the joins came in order and were answered); the wait after the return of a dark domain (nothing had returned).

Change: an engine counts as gone once it is not listed and has been silent for the stall time and 0.2 s, counted from the first question without an answer.

Price: survivors of a lost head wait up to about 1 s longer where entries lapse after 3.6 s.

--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -23,6 +23,10 @@
 """Time in which the engines of a domain that was dark come back one after
 the other (seconds)."""
 
+BREAK_SLACK = 0.2
+"""How much longer than promised a head that stands still may take to be
+broken (seconds)."""
+
 PAST = 10.0
 """Time after which a node has seen the head of each open group (seconds)."""
 
@@ -187,7 +191,7 @@
             gone=frozenset(
                 record.server_id
                 for record in records
-                if record.server_id in down and not record.listed
+                if record.server_id in down and self._is_gone(record, now)
             ),
             busy=frozenset(self.orders.busy),
             forming=dict(self.orders.forming),
@@ -214,6 +218,16 @@
             may_convert=now >= self._convert_at and not before_traffic,
         )
 
+    def _is_gone(self, record, now):
+        """Whether an engine, if it is back, can't be an open head any more.
+
+        A head that is dark by itself stands still, and is broken after a
+        while. The entry of an engine that has been cut off lapses sooner.
+        """
+        silent = self._prober.silent_for(record.server_id, now)
+        stall = self.settings.bounds.stall + BREAK_SLACK
+        return not record.listed and silent > stall
+
     def _count_loads_allowed(self, service, now):
         bounds = self.settings.bounds
         while self._loads and self._loads[0] < now - bounds.load_window:
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -37,6 +37,7 @@
         self._next_at = {}
         self._asked = set()
         self._returned_at = {}
+        self._silent_since = {}
         self.requests = {}
 
     @property
@@ -52,6 +53,10 @@
         """How long an engine has answered since it was down (seconds)."""
         return now - self._returned_at.get(server_id, float('-inf'))
 
+    def silent_for(self, server_id, now):
+        """How long an engine has not answered (seconds)."""
+        return now - self._silent_since.get(server_id, now)
+
     def step(self, records):
         """Ask the engines that are due."""
         now = self._clock.monotonic()
@@ -66,10 +71,12 @@
         known = {record.server_id for record in records}
         for server_id in [item for item in self._misses if item not in known]:
             del self._misses[server_id]
+            self._silent_since.pop(server_id, None)
 
     def clear(self):
         """Forget all, as this node no longer leads."""
         self._misses.clear()
+        self._silent_since.clear()
 
     async def _ask(self, record):
         server_id = record.server_id
@@ -78,23 +85,25 @@
             report = await self._outside.ask_engine(record, TIMEOUT)
         except exceptions.BadAnswer:
             # Another engine has the address, or this one is confused.
-            self._note_miss(record, MISSES, 'bad report')
+            self._note_miss(record, MISSES, 'bad report', asked_at)
         except exceptions.TransportError as error:
             if self._clock.monotonic() - asked_at < PAUSE:
-                self._note_miss(record, 1, str(error))
+                self._note_miss(record, 1, str(error), asked_at)
         else:
             if not self._registry.note_report(server_id, report):
-                self._note_miss(record, MISSES, 'restarted')
+                self._note_miss(record, MISSES, 'restarted', asked_at)
                 return
             if self._misses.get(server_id, 0) >= MISSES:
                 self._log.info('engine_answers_again', engine=server_id)
                 self._returned_at[server_id] = self._clock.monotonic()
             self._misses[server_id] = 0
+            self._silent_since.pop(server_id, None)
             self.requests[server_id] = report.requests
         finally:
             self._asked.discard(server_id)
 
-    def _note_miss(self, record, count, reason):
+    def _note_miss(self, record, count, reason, asked_at):
+        self._silent_since.setdefault(record.server_id, asked_at)
         before = self._misses.get(record.server_id, 0)
         # A second question at once tells a lost packet from a lost engine.
         self._next_at[record.server_id] = 0.0
--- a/balsamwind/node/tests/parts.py
+++ b/balsamwind/node/tests/parts.py
@@ -70,7 +70,7 @@
         return probe.getsockname()[1]
 
 
-def make_settings(name, store_port, **values):
+def make_settings(name, store_port, stall=4.0, **values):
     """Settings of a node."""
     return node.NodeSettings(
         name=name,
@@ -82,15 +82,15 @@
         news=f'127.0.0.1:{find_free_port()}',
         store=f'127.0.0.1:{store_port}',
         first_start=True,
-        bounds=node.Bounds(key_revocation=5.0, retry_extra=100.0),
+        bounds=node.Bounds(key_revocation=5.0, retry_extra=100.0, stall=stall),
         **values,
     )
 
 
 @contextlib.asynccontextmanager
-async def open_platform(engines=4):
+async def open_platform(engines=4, times=None):
     """Stand-in of the platform with engines of one domain."""
-    outside = pool_standin.PoolPlatform(find_free_port)
+    outside = pool_standin.PoolPlatform(find_free_port, times)
     outside.start()
     outside.store.put('config', 'main', CONFIGURATION)
     for number in range(engines):
@@ -104,7 +104,7 @@
 @contextlib.asynccontextmanager
 async def open_node(outside, name='n1'):
     """A node that serves from the stand-in's engines."""
-    settings = make_settings(name, outside.store_port)
+    settings = make_settings(name, outside.store_port, outside.times.stall)
     async with node.open_node(settings, platform.make_outside) as process:
         process.settings = settings
         yield process
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -22,7 +22,8 @@
     down : frozenset of str
         Engines that do not answer.
     gone : frozenset of str
-        Engines that do not answer and are no longer listed.
+        Engines that are no longer listed, and have not answered for so long
+        that none of them can be an open head any more.
     busy : frozenset of str
         Engines that an action under way deals with.
     forming : dict of str to int
