--- a/build_tools/pool_soak/__main__.py
+++ b/build_tools/pool_soak/__main__.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import json
 import pathlib
 import shutil
 import sys
@@ -18,6 +19,9 @@
 from build_tools.pool_soak import _fleet
 from build_tools.pool_soak import _traffic
 
+REGRESSIONS = pathlib.Path(__file__).parent / 'regressions.json'
+"""Seeds that have failed, with their causes."""
+
 START = 20.0
 """Longest time until every node serves at first (seconds)."""
 
@@ -127,7 +131,24 @@
     parser.add_argument('--nodes-per-zone', type=int, default=2)
     parser.add_argument('--callers', type=int, default=24)
     parser.add_argument('--keep', default=None, help='folder for logs')
+    parser.add_argument(
+        '--regressions',
+        action='store_true',
+        help='run each seed that has failed, instead of --seed',
+    )
     arguments = parser.parse_args()
+    if not arguments.regressions:
+        return _run(arguments)
+    failed = 0
+    for row in json.loads(REGRESSIONS.read_text(encoding='utf-8')):
+        print(f'seed {row["seed"]}: {row.pop("cause")}', flush=True)
+        for name, value in row.items():
+            setattr(arguments, name, value)
+        failed += _run(arguments)
+    return 1 if failed else 0
+
+
+def _run(arguments):
     with tempfile.TemporaryDirectory() as folder:
         return asyncio.run(_main(arguments, pathlib.Path(folder)))
 
