One node of a data centre asks the store; leave a source that hears nothing

The test of the second source showed more: a source that has lost the store but lives goes on answering questions for its proof, so its listeners never left it, and a new listener got a whole list from it that was old. All of them asked the store themselves meanwhile.

Ruled out: the configuration (8 to 12 watches a second, one a source).

Change: the first node of a data centre takes a lease that never was first, so it mostly leads and tells; the second listens to it and passes news on; looks depend on the place in the list. A listener leaves a source without news of servers for 1.3 s, at once for the other one; a source that does not hear the store gives no first list.

--- a/balsamwind/adapters/_news_link.py
+++ b/balsamwind/adapters/_news_link.py
@@ -33,7 +33,7 @@
     Parameters
     ----------
     make_first : callable
-        Makes the first frame for a new reader.
+        Makes the first frame for a new reader, or None.
     answer : callable
         Makes the answer to a reader's frame, or None.
     log : structlog logger
@@ -72,7 +72,9 @@
 
     async def _serve(self, connection):
         try:
-            await connection.send(self._make_first())
+            first = self._make_first()
+            if first is not None:
+                await connection.send(first)
             self._connections.add(connection)
             async for data in connection:
                 answer = self._answer(data)
--- a/balsamwind/control/_lease.py
+++ b/balsamwind/control/_lease.py
@@ -51,6 +51,7 @@
         '_duration',
         '_extra_wait',
         '_fencing',
+        '_first_wait',
         '_free_since',
         '_inherited_wait',
         '_margin',
@@ -74,6 +75,7 @@
         self._taken_at = float('inf')
         self._not_before = float('-inf')
         self._free_since = None
+        self._first_wait = 0.0
         self._planned_wait = None
         self._inherited_wait = None
         self._revision = 0
@@ -94,6 +96,10 @@
         """Fencing number of the lease held, or last held."""
         return self._fencing
 
+    def set_first_wait(self, wait):
+        """How long to leave a lease that never was to others (seconds)."""
+        self._first_wait = wait
+
     def find_wait(self, lease):
         """Time without a renewal after which a lease is free (seconds)."""
         return lease.duration + self._margin + self._extra_wait
@@ -174,7 +180,10 @@
             return False
         if self._free_since is None:
             self._free_since = now
-        return now - self._free_since < self._extra_wait
+        wait = self._extra_wait
+        if stored is None:
+            wait += self._first_wait
+        return now - self._free_since < wait
 
     def _write(self, fencing, expected, operation):
         lease = objects.Lease(
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -14,17 +14,22 @@
 FOREIGN_WAIT = 2.5
 """How much longer a node of another data centre waits (seconds)."""
 
-LOOK_INTERVAL = 0.7
-"""How often a node looks at the lease of its own data centre (seconds)."""
+LOOK_INTERVALS = (0.7, 0.7, 2.0)
+"""How often the first nodes of a data centre look at its lease (seconds)."""
 
-FOREIGN_LOOK_INTERVAL = 3.0
-"""How often a node looks at the lease of another one (seconds)."""
+LATER_LOOK_INTERVAL = 12.0
+"""How often the other nodes look at it (seconds)."""
 
-CANDIDATES = 3
-"""Nodes of a data centre that look that often (count)."""
+FOREIGN_LOOK_INTERVALS = (3.0, 6.0, 12.0)
+"""How often the first nodes look at the lease of another data centre
+(seconds)."""
 
-RANK_FACTOR = 15.0
-"""How much seldomer the other nodes look (factor)."""
+LATER_FOREIGN_LOOK_INTERVAL = 60.0
+"""How often the other nodes look at it (seconds)."""
+
+RANK_WAIT = 0.4
+"""How much longer each next node leaves a lease that never was to others
+(seconds)."""
 
 CONFLICT_PAUSE = 0.2
 """Wait after a write that another node was faster with (seconds)."""
@@ -82,12 +87,14 @@
     def set_rank(self, rank):
         """Take this node's place among the nodes of its data centre."""
         self._rank = rank
+        first_wait = RANK_WAIT * min(rank, len(LOOK_INTERVALS))
+        self._keeper.set_first_wait(first_wait)
 
     def _find_interval(self):
-        interval = LOOK_INTERVAL if self._own else FOREIGN_LOOK_INTERVAL
-        if self._rank >= CANDIDATES:
-            return interval * RANK_FACTOR
-        return interval
+        first, later = LOOK_INTERVALS, LATER_LOOK_INTERVAL
+        if not self._own:
+            first, later = FOREIGN_LOOK_INTERVALS, LATER_FOREIGN_LOOK_INTERVAL
+        return first[self._rank] if self._rank < len(first) else later
 
     async def step(self):
         """Look at the lease, and take or renew it when that is due.
@@ -118,7 +125,7 @@
         if found != self._stored:
             self._stored = found
             self._seen_at = now
-        elif found is not None and self._rank < CANDIDATES:
+        elif found is not None and self._rank < len(LOOK_INTERVALS):
             # Look again as soon as it could be free.
             free_at = self._seen_at + self._keeper.find_wait(found.value)
             if now < free_at:
--- a/balsamwind/node/_news_reader.py
+++ b/balsamwind/node/_news_reader.py
@@ -7,7 +7,8 @@
 from balsamwind.node import _news
 
 SOURCES = 2
-"""Nodes of a data centre that the others listen to (count)."""
+"""Nodes of a data centre that the others listen to; the second one itself
+listens to the first (count)."""
 
 SILENCE = 1.3
 """Silence after which a source is given up (seconds)."""
@@ -31,10 +32,13 @@
         This node.
     registry, book, clock, log
         What it fills; boot time; log.
+    pass_on : callable
+        Tells news to those who listen to this node.
     """
 
-    def __init__(self, name, registry, book, clock, log):
+    def __init__(self, name, registry, book, clock, log, pass_on):
         self._name = name
+        self._pass_on = pass_on
         self._registry = registry
         self._book = book
         self._clock = clock
@@ -49,11 +53,12 @@
     def set_nodes(self, nodes):
         """Take the nodes of the own data centre: pairs of name, address."""
         ordered = sorted(nodes)
-        names = [name for name, _ in ordered[:SOURCES]]
-        self._is_source = self._name in names or self._name not in {
-            name for name, _ in ordered
-        }
-        self._sources = tuple(address for _, address in ordered[:SOURCES])
+        names = [name for name, _ in ordered]
+        rank = names.index(self._name) if self._name in names else 0
+        self._is_source = rank == 0
+        self._sources = tuple(
+            address for _, address in ordered[: min(rank, SOURCES)]
+        )
 
     def has_servers(self):
         """Whether a source keeps the registry fresh."""
@@ -74,23 +79,39 @@
                 continue
             address = self._sources[turn % len(self._sources)]
             turn += 1
+            heard_before = self._heard_at
             try:
                 await self._listen(address)
             except exceptions.TransportError as error:
                 self._log.info('news_lost', source=address, reason=str(error))
-            await asyncio.sleep(RETRY_INTERVAL)
+            if self._heard_at == heard_before:
+                await asyncio.sleep(RETRY_INTERVAL)
 
     async def _listen(self, address):
         async with adapters.open_news(address) as connection:
             self._log.info('news_heard', source=address)
+            heard_at = self._clock.monotonic()
             asker = asyncio.ensure_future(self._ask(connection))
             try:
                 while not self._is_source:
                     data = await adapters.receive(connection, SILENCE)
                     self._take(_news.decode_news(data))
+                    heard_at = max(heard_at, self._heard_at)
+                    self._check_silence(heard_at)
             finally:
                 asker.cancel()
 
+    def _check_silence(self, heard_at):
+        """Check that the source tells of servers, not only of its proof.
+
+        Raises
+        ------
+        balsamwind.exceptions.TransportError
+            It answers, but does not hear the store itself.
+        """
+        if self._clock.monotonic() - heard_at > SILENCE:
+            raise exceptions.AnswerTimeout('no news of servers')
+
     async def _ask(self, connection):
         while True:
             self._number += 1
@@ -105,6 +126,7 @@
             case _news.ServerNews():
                 self._heard_at = now
                 self._take_servers(message, now)
+                self._pass_on(message)
             case _news.Proof(number=number, version=version, age=age):
                 asked_at = self._asked.pop(number, None)
                 if asked_at is not None:
@@ -145,9 +167,13 @@
         self._registry = registry
         self._book = book
         self._clock = clock
+        self._told_at = float('-inf')
         self.server = adapters.NewsServer(self._make_first, self._answer, log)
 
     def _make_first(self):
+        """First frame for a new reader; None while the store is not heard."""
+        if self._clock.monotonic() - self._told_at > SILENCE:
+            return None
         return _news.encode_news(self._make_whole())
 
     def _make_whole(self):
@@ -156,13 +182,15 @@
 
     def tell_whole(self):
         """Tell all entries, after a whole list was read."""
-        self._tell(self._make_whole())
+        self.tell(self._make_whole())
 
     def tell_changes(self, records, removed):
         """Tell changes; with none, that nothing has changed."""
-        self._tell(_news.ServerNews(False, tuple(records), tuple(removed)))
+        self.tell(_news.ServerNews(False, tuple(records), tuple(removed)))
 
-    def _tell(self, message):
+    def tell(self, message):
+        """Tell one message to all who listen."""
+        self._told_at = self._clock.monotonic()
         if self.server.readers:
             self.server.broadcast(_news.encode_news(message))
 
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -136,8 +136,10 @@
             self._journal.registry
         )
         parts = (self.registry, self.book, self._clock, self._log)
-        self.news = _news_reader.NewsReader(settings.name, *parts)
         self._source = _news_reader.NewsSource(*parts)
+        self.news = _news_reader.NewsReader(
+            settings.name, *parts, self._source.tell
+        )
         self._configuration_follower = _followers.ConfigurationFollower(
             outside,
             self.book,
--- a/balsamwind/node/tests/test_news.py
+++ b/balsamwind/node/tests/test_news.py
@@ -106,6 +106,49 @@
     assert age < 3.0
 
 
+def _count_watches(node):
+    return node.outside.store_calls.get(('servers', 'watch'), 0)
+
+
+def test_second_node_listens_until_the_first_is_gone():
+    async def scenario(outside, nodes):
+        first, second, third = nodes
+        await parts.wait_until(
+            lambda: second.news.has_servers() and third.news.has_servers()
+        )
+        leads = [leader.lease.held for leader in first._leaders]
+        before = _count_watches(second)
+        await asyncio.sleep(1.5)
+        quiet = _count_watches(second) - before
+        await first.stop()
+        await parts.wait_until(lambda: _count_watches(second) > before + 1)
+        await parts.wait_until(third.news.has_servers, 4.0)
+        outside.add_engine('e9', 'llm', 'z1', 'd1')
+        await parts.wait_until(lambda: third.registry.get('e9') is not None)
+        return leads, quiet, _count_watches(third)
+
+    leads, quiet, _ = _run(scenario)
+    assert leads == [True]
+    assert quiet == 0
+
+
+def test_news_are_passed_on():
+    """A node that can't reach the first one hears the second."""
+
+    async def scenario(outside, nodes):
+        second, third = nodes[1:]
+        await parts.wait_until(second.news.has_servers)
+        addresses = [('n2', second.settings.news), ('n3', 'unused')]
+        third.news.set_nodes(addresses)
+        await parts.wait_until(third.news.has_servers)
+        await asyncio.sleep(1.5)
+        outside.add_engine('e9', 'llm', 'z1', 'd1')
+        await parts.wait_until(lambda: third.registry.get('e9') is not None)
+        return third.news.has_servers(), second.news.has_servers()
+
+    assert _run(scenario) == (True, True)
+
+
 def test_node_asks_the_store_itself_when_its_sources_are_gone():
     async def scenario(outside, nodes):
         third = nodes[2]
@@ -152,7 +195,9 @@
     clock = _Clock()
     book = traffic.ConfigurationBook(4.6)
     book.accept(traffic.Configuration(5, (), ()), 99.0)
-    reader = _news_reader.NewsReader('n3', pool.Registry(), book, clock, None)
+    reader = _news_reader.NewsReader(
+        'n3', pool.Registry(), book, clock, None, lambda message: None
+    )
     reader.set_nodes([('n1', 'x'), ('n2', 'y'), ('n3', 'z')])
     reader._asked = {1: clock.now}
     reader._take(_news.Proof(1, version, age))
