Let others take a data centre's lease sooner where it has few nodes

Nodes of other data centres look every 3 to 12 s since the last change, and a lease is taken on a look only.

Change: other nodes wait and look by how many nodes the data centre has; a node that sees a free or unchanged lease looks again when it may take it.

--- a/balsamwind/control/_lease.py
+++ b/balsamwind/control/_lease.py
@@ -96,12 +96,18 @@
         """Fencing number of the lease held, or last held."""
         return self._fencing
 
+    def set_extra_wait(self, wait):
+        """How much longer than the duration this node waits (seconds)."""
+        self._extra_wait = wait
+
     def set_first_wait(self, wait):
         """How long to leave a lease that never was to others (seconds)."""
         self._first_wait = wait
 
     def find_wait(self, lease):
-        """Time without a renewal after which a lease is free (seconds)."""
+        """How long unchanged until this node may take it (seconds)."""
+        if not lease.holder:
+            return self._extra_wait
         return lease.duration + self._margin + self._extra_wait
 
     def holds(self, now):
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -11,8 +11,12 @@
 MARGIN = 0.3
 """Part of the duration in which the holder no longer acts (seconds)."""
 
-FOREIGN_WAIT = 2.5
-"""How much longer a node of another data centre waits (seconds)."""
+FOREIGN_WAITS = (0.5, 0.5, 1.2)
+"""How much longer a node of another data centre waits, by the number of nodes
+that the lease's own one has (seconds)."""
+
+LONG_FOREIGN_WAIT = 2.5
+"""The same where it has more nodes (seconds)."""
 
 LOOK_INTERVALS = (0.7, 0.7, 2.0)
 """How often the first nodes of a data centre look at its lease (seconds)."""
@@ -24,6 +28,13 @@
 """How often the first nodes look at the lease of another data centre
 (seconds)."""
 
+FEW_NODES = 2
+"""Nodes of a data centre up to which others look at its lease more often
+(count)."""
+
+FEW_NODES_FACTOR = 3.0
+"""How much more often (factor)."""
+
 LATER_FOREIGN_LOOK_INTERVAL = 60.0
 """How often the other nodes look at it (seconds)."""
 
@@ -60,8 +71,9 @@
         self._log = log
         self._own = own
         self._rank = 0
+        self._candidates = FEW_NODES + 1
         self._keeper = control.LeaseKeeper(
-            shard, node, DURATION, MARGIN, 0.0 if own else FOREIGN_WAIT
+            shard, node, DURATION, MARGIN, 0.0 if own else LONG_FOREIGN_WAIT
         )
         self._stored = None
         self._seen_at = clock.monotonic()
@@ -84,17 +96,34 @@
         self._keeper.lose()
         self._keeper.back_off(self._clock.monotonic() + DURATION)
 
-    def set_rank(self, rank):
-        """Take this node's place among the nodes of its data centre."""
+    def set_rank(self, rank, candidates):
+        """Take this node's place among the nodes.
+
+        Parameters
+        ----------
+        rank : int
+            Its place among those of its own data centre.
+        candidates : int
+            Nodes in the shard's data centre (count).
+        """
         self._rank = rank
+        self._candidates = candidates
         first_wait = RANK_WAIT * min(rank, len(LOOK_INTERVALS))
         self._keeper.set_first_wait(first_wait)
+        if not self._own:
+            few = candidates < len(FOREIGN_WAITS)
+            wait = FOREIGN_WAITS[candidates] if few else LONG_FOREIGN_WAIT
+            self._keeper.set_extra_wait(wait)
 
     def _find_interval(self):
-        first, later = LOOK_INTERVALS, LATER_LOOK_INTERVAL
-        if not self._own:
+        if self._own:
+            first, later = LOOK_INTERVALS, LATER_LOOK_INTERVAL
+        else:
             first, later = FOREIGN_LOOK_INTERVALS, LATER_FOREIGN_LOOK_INTERVAL
-        return first[self._rank] if self._rank < len(first) else later
+        interval = first[self._rank] if self._rank < len(first) else later
+        if not self._own and self._candidates <= FEW_NODES:
+            return interval / FEW_NODES_FACTOR
+        return interval
 
     async def step(self):
         """Look at the lease, and take or renew it when that is due.
@@ -122,14 +151,17 @@
     async def _look(self):
         found = await self._outside.read_lease(self.shard, CALL_TIMEOUT)
         now = self._clock.monotonic()
-        if found != self._stored:
+        unchanged = found == self._stored
+        if not unchanged:
             self._stored = found
             self._seen_at = now
-        elif found is not None and self._rank < len(LOOK_INTERVALS):
-            # Look again as soon as it could be free.
-            free_at = self._seen_at + self._keeper.find_wait(found.value)
-            if now < free_at:
-                self._look_at = min(self._look_at, free_at)
+        if found is None or (found.value.holder and not unchanged):
+            return
+        # Look again as soon as the lease could be taken.
+        wait = self._keeper.find_wait(found.value)
+        free_at = self._seen_at + wait
+        if now < free_at:
+            self._look_at = min(self._look_at, free_at)
 
     async def _write(self):
         now = self._clock.monotonic()
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -195,7 +195,8 @@
         name = self._settings.name
         rank = near.index(name) if name in near else len(near)
         for leader in self._leaders:
-            leader.lease.set_rank(rank)
+            candidates = nodes.get(leader.lease.shard, ())
+            leader.lease.set_rank(rank, len(candidates))
 
     def _leads(self):
         return any(leader.lease.held for leader in self._leaders)
--- a/balsamwind/node/tests/test_lease.py
+++ b/balsamwind/node/tests/test_lease.py
@@ -38,9 +38,9 @@
         return self.stored
 
 
-def _make_lease(store, clock, node, own=True, rank=0):
+def _make_lease(store, clock, node, own=True, rank=0, candidates=9):
     lease = _lease.ShardLease('s', node, own, store, clock, doubles.Log())
-    lease.set_rank(rank)
+    lease.set_rank(rank, candidates)
     return lease
 
 
@@ -92,6 +92,34 @@
     assert other.fencing == holder.fencing + 1
 
 
+@pytest.mark.parametrize('released', [True, False])
+@pytest.mark.parametrize(
+    ('own', 'rank', 'candidates', 'latest'),
+    [
+        (True, 1, 2, 1.0),
+        (True, 2, 3, 2.2),
+        (False, 0, 1, 1.8),
+        (False, 0, 2, 2.5),
+        (False, 0, 9, 5.8),
+    ],
+)
+def test_lease_is_led_again_soon(released, own, rank, candidates, latest):
+    """Also where the data centre has no other node."""
+    clock = doubles.Clock()
+    store = _Store()
+    holder = _make_lease(store, clock, 'n0', candidates=candidates)
+    other = _make_lease(store, clock, 'n1', own, rank, candidates)
+    _play([holder, other], clock, 31.3)
+    if released:
+        asyncio.run(holder.release())
+    else:
+        latest += _lease.DURATION + _lease.MARGIN
+    began = clock.now
+    while not other.held and clock.now < began + 60.0:
+        _play([other], clock, STEP)
+    assert clock.now - began <= latest
+
+
 def test_many_nodes_of_two_data_centres_start_at_once():
     """A lease that has just been made is not written by those who saw none."""
     clock = doubles.Clock()
