Let a new leader use how long an entry has been missing

Ruled out: the lease (taken within 1.8 s now).

Change: an engine that is not listed counts as gone when it has been missing for the stall time less two heartbeats, which are the least silence before an entry lapses, unless it has answered since. HeartbeatMs is read for that.

--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -222,11 +222,20 @@
         """Whether an engine, if it is back, can't be an open head any more.
 
         A head that is dark by itself stands still, and is broken after a
-        while. The entry of an engine that has been cut off lapses sooner.
+        while. Its entry lapses sooner, after it has been silent for two
+        heartbeats at least; a leader that has just begun knows only that.
         """
-        silent = self._prober.silent_for(record.server_id, now)
-        stall = self.settings.bounds.stall + BREAK_SLACK
-        return not record.listed and silent > stall
+        if record.listed:
+            return False
+        name = record.server_id
+        bounds = self.settings.bounds
+        stall = bounds.stall + BREAK_SLACK
+        if self._prober.silent_for(name, now) > stall:
+            return True
+        missing = self._registry.missing_for(name, now)
+        if self._prober.has_answered_for(name, missing, now):
+            return False
+        return missing + 2.0 * bounds.heartbeat > stall
 
     def _count_loads_allowed(self, service, now):
         bounds = self.settings.bounds
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -38,6 +38,7 @@
         self._asked = set()
         self._returned_at = {}
         self._silent_since = {}
+        self._answered_at = {}
         self.requests = {}
 
     @property
@@ -57,6 +58,11 @@
         """How long an engine has not answered (seconds)."""
         return now - self._silent_since.get(server_id, now)
 
+    def has_answered_for(self, server_id, seconds, now):
+        """Whether an engine has answered in the last `seconds`."""
+        answered_at = self._answered_at.get(server_id, float('-inf'))
+        return now - answered_at < seconds
+
     def step(self, records):
         """Ask the engines that are due."""
         now = self._clock.monotonic()
@@ -72,6 +78,7 @@
         for server_id in [item for item in self._misses if item not in known]:
             del self._misses[server_id]
             self._silent_since.pop(server_id, None)
+            self._answered_at.pop(server_id, None)
 
     def clear(self):
         """Forget all, as this node no longer leads."""
@@ -97,6 +104,7 @@
                 self._log.info('engine_answers_again', engine=server_id)
                 self._returned_at[server_id] = self._clock.monotonic()
             self._misses[server_id] = 0
+            self._answered_at[server_id] = self._clock.monotonic()
             self._silent_since.pop(server_id, None)
             self.requests[server_id] = report.requests
         finally:
--- a/balsamwind/node/_settings.py
+++ b/balsamwind/node/_settings.py
@@ -28,6 +28,9 @@
         Factor on the ceiling.
     stall : float
         How long a group that lost a member stands still (seconds).
+    heartbeat : float
+        Time between two heartbeats of a backend server; its entry is removed
+        after three without one (seconds).
     """
 
     drain_time: float = 2.0
@@ -39,6 +42,7 @@
     load_window: float = 5.0
     load_excess: float = 1.0
     stall: float = 4.0
+    heartbeat: float = 1.2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/node/tests/parts.py
+++ b/balsamwind/node/tests/parts.py
@@ -70,7 +70,7 @@
         return probe.getsockname()[1]
 
 
-def make_settings(name, store_port, stall=4.0, **values):
+def make_settings(name, store_port, stall=4.0, heartbeat=1.2, **values):
     """Settings of a node."""
     return node.NodeSettings(
         name=name,
@@ -82,7 +82,12 @@
         news=f'127.0.0.1:{find_free_port()}',
         store=f'127.0.0.1:{store_port}',
         first_start=True,
-        bounds=node.Bounds(key_revocation=5.0, retry_extra=100.0, stall=stall),
+        bounds=node.Bounds(
+            key_revocation=5.0,
+            retry_extra=100.0,
+            stall=stall,
+            heartbeat=heartbeat,
+        ),
         **values,
     )
 
@@ -104,7 +109,12 @@
 @contextlib.asynccontextmanager
 async def open_node(outside, name='n1'):
     """A node that serves from the stand-in's engines."""
-    settings = make_settings(name, outside.store_port, outside.times.stall)
+    settings = make_settings(
+        name,
+        outside.store_port,
+        outside.times.stall,
+        outside.times.heartbeat or 1.2,
+    )
     async with node.open_node(settings, platform.make_outside) as process:
         process.settings = settings
         yield process
--- a/balsamwind/platform/_settings.py
+++ b/balsamwind/platform/_settings.py
@@ -86,6 +86,7 @@
         load_window=reader.bound('CeilingWindowS', 5),
         load_excess=reader.bound('CeilingExcess', 1.0),
         stall=reader.bound('StallMs', 4000) / 1000,
+        heartbeat=reader.figure('HeartbeatMs', 1200) / 1000,
     )
 
 
@@ -137,7 +138,15 @@
         """A figure of the table of bounds."""
         rows = self._data.get('Bounds', {})
         value = rows.get(name, default) if isinstance(rows, dict) else None
+        return self._check_figure(f'/Bounds/{name}', value, default)
+
+    def figure(self, name, default):
+        """A figure of the file itself."""
+        value = self._data.get(name, default)
+        return self._check_figure(f'/{name}', value, default)
+
+    def _check_figure(self, pointer, value, default):
         if not isinstance(value, (int, float)) or value < 0:
-            self._note(f'/Bounds/{name}', value, 'a number, 0 or more')
+            self._note(pointer, value, 'a number, 0 or more')
             return default
         return value
--- a/build_tools/pool_soak/_fleet.py
+++ b/build_tools/pool_soak/_fleet.py
@@ -136,6 +136,7 @@
             f'Zone = "{self.zone}"',
             f'Ip = "{self.host}"',
             'PortRange = [7340, 7355]',
+            f'HeartbeatMs = {int(TIMES["heartbeat"] * 1000)}',
             f'Bootstrap = {str(self.settings["first_start"]).lower()}',
             '[Zones]',
             *(f'{zone} = "r"' for zone in ZONES),
