--- a/balsamwind/cli/_explain.py
+++ b/balsamwind/cli/_explain.py
@@ -18,7 +18,7 @@
     Logs are read from PATHS, or from standard input. Lines of one node stand
     in the order in which it wrote them; wall clocks are not compared.
     """
-    rows = list(read_rows(_read_lines(paths)))
+    rows = list(read_rows(read_lines(paths)))
     story = plan_story(rows, request_id)
     if not story.request:
         raise click.ClickException(f'{request_id}: no line names it')
@@ -31,7 +31,8 @@
             click.echo(f'  {format_row(row)}')
 
 
-def _read_lines(paths):
+def read_lines(paths):
+    """Lines of files, or of standard input where there are none."""
     if not paths:
         yield from sys.stdin
     for path in paths:
--- a/balsamwind/cli/_main.py
+++ b/balsamwind/cli/_main.py
@@ -13,6 +13,7 @@
 from balsamwind.cli import _contracts
 from balsamwind.cli import _explain
 from balsamwind.cli import _output
+from balsamwind.cli import _repairs
 from balsamwind.cli import _replay
 from balsamwind.cli import _status
 from balsamwind.cli import _store
@@ -78,6 +79,7 @@
 
 cli.add_command(_contracts.contract)
 cli.add_command(_explain.explain)
+cli.add_command(_repairs.repairs)
 cli.add_command(_replay.replay)
 cli.add_command(_status.status)
 cli.add_command(_store.store)
