--- a/build_tools/pool_soak/_callers.py
+++ b/build_tools/pool_soak/_callers.py
@@ -107,6 +107,11 @@
         Takes each `Call` that has ended.
     number, seed : int
         Which caller, and the soak's seed.
+
+    Attributes
+    ----------
+    leaves : bool
+        Whether it leaves some requests early.
     """
 
     def __init__(self, fleet, note, number, seed):
@@ -117,6 +122,7 @@
         self._count = 0
         self._node = None
         self._streams = None
+        self.leaves = True
 
     async def run(self, stopping):
         """Send until told to stop."""
@@ -165,7 +171,7 @@
         self._streams = None
 
     async def _send(self, call):
-        leaves = self._rng.random() < LEAVERS
+        leaves = self.leaves and self._rng.random() < LEAVERS
         after = self._rng.uniform(0.0, 0.4) if leaves else None
         call.sent_at = time.monotonic()
         task = asyncio.ensure_future(self._exchange(call))
