Plan on entries read since the lease was taken; ask heads before members join

Ruled out: the wait for silent heads (the heads of both groups were up and open).

Change: a leader plans only after it has listed the entries itself, 0.15 s after it took the lease; before members join, the heads of their last groups are asked whether they are open.

--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 
+from balsamwind import exceptions
 from balsamwind.node import _lease
 from balsamwind.node import _orders
 from balsamwind.node import _prober
@@ -11,6 +12,13 @@
 INTERVAL = 0.1
 """Time between two rounds (seconds)."""
 
+SETTLE_TIME = 0.15
+"""Time in which the last orders of the holder before show in the entries
+(seconds)."""
+
+LIST_TIMEOUT = 0.8
+"""Longest wait for a page of the list of entries (seconds)."""
+
 START_TIME = 20.0
 """Time after the first start in which traffic may not have begun
 (seconds)."""
@@ -83,6 +91,8 @@
         self.demand = {}
         self._reserved = {}
         self._convert_at = 0.0
+        self._outside = outside
+        self._listed_for = None
         self.lease = _lease.ShardLease(
             data_centre,
             settings.name,
@@ -106,14 +116,33 @@
         while True:
             try:
                 await self.lease.step()
-                if self.lease.held:
-                    self._round()
-                else:
+                if not self.lease.held:
                     self._prober.clear()
+                elif await self._has_own_view():
+                    self._round()
             except Exception:
                 self._log.exception('round_crashed')
             await asyncio.sleep(INTERVAL)
 
+    async def _has_own_view(self):
+        """Whether the entries were listed since the lease was taken.
+
+        What was heard before may lack the last orders of the holder before:
+        a group that it has just opened would look free.
+        """
+        fencing = self.lease.fencing
+        if self._listed_for == fencing:
+            return True
+        await asyncio.sleep(SETTLE_TIME)
+        try:
+            _, records = await self._outside.list_servers(LIST_TIMEOUT)
+        except exceptions.StoreError as error:
+            self._log.info('entries_not_listed', reason=str(error))
+            return False
+        self._registry.replace(records, self._clock.monotonic())
+        self._listed_for = fencing
+        return self.lease.held
+
     def _round(self):
         configuration = self._book.configuration
         if configuration is None:
--- a/balsamwind/node/_orders.py
+++ b/balsamwind/node/_orders.py
@@ -150,6 +150,7 @@
         size = len(ids)
         self.forming[action.model] = self.forming.get(action.model, 0) + size
         try:
+            await self._check_released(members)
             results = await asyncio.gather(
                 *(self._join(member, order) for member in members)
             )
@@ -166,6 +167,34 @@
         finally:
             self.forming[action.model] -= size
 
+    async def _check_released(self, members):
+        """Ask the heads of the members' last groups whether they are open.
+
+        Raises
+        ------
+        balsamwind.exceptions.Conflict
+            One is, whatever the entries say.
+        balsamwind.exceptions.TransportError
+            One does not answer.
+        """
+        keys = {item.membership.key for item in members if item.membership}
+        heads = [
+            record
+            for record in self._registry
+            if record.membership is not None
+            and record.membership.rank == 0
+            and record.membership.key in keys
+            and record.server_id not in self._prober.down
+        ]
+        reports = await asyncio.gather(
+            *(self._outside.ask_engine(head, ORDER_TIMEOUT) for head in heads)
+        )
+        for head, report in zip(heads, reports, strict=True):
+            if report.born == head.born and _heads_open_group(report):
+                raise exceptions.Conflict(
+                    f'{head.server_id} heads {report.membership}'
+                )
+
     def _states(self, ids):
         rows = {}
         for server_id in ids:
@@ -284,6 +313,15 @@
                 await asyncio.sleep(POLL)
 
 
+def _heads_open_group(report):
+    place = report.membership
+    return (
+        place is not None
+        and place.rank == 0
+        and place.state in (pool.MemberState.OPEN, pool.MemberState.CLOSING)
+    )
+
+
 def _expect_join(members, model, terms):
     """Longest time that the joins of these members take (seconds)."""
     known = terms.find_model(model)
