--- a/balsamwind/node/_orders.py
+++ b/balsamwind/node/_orders.py
@@ -50,6 +50,7 @@
         self._log = log
         self._count = 0
         self._sequences = {}
+        self._closed = set()
         self.busy = set()
         self.forming = {}
         self.orders = 0
@@ -170,6 +171,8 @@
     async def _check_released(self, members):
         """Ask the heads of the members' last groups whether they are open.
 
+        Heads that were closed from here are not asked, as reports lag.
+
         Raises
         ------
         balsamwind.exceptions.Conflict
@@ -178,6 +181,7 @@
             One does not answer.
         """
         keys = {item.membership.key for item in members if item.membership}
+        keys -= self._closed
         heads = [
             record
             for record in self._registry
@@ -288,6 +292,7 @@
                 group.head, group.key, states, limit
             )
             if state != 'late':
+                self._closed.add(group.key)
                 break
             cut = True
         self._log.info(
