--- a/balsamwind/node/_orders.py
+++ b/balsamwind/node/_orders.py
@@ -291,8 +291,9 @@
             state = await self._wait_state(
                 group.head, group.key, states, limit
             )
-            if state != 'late':
+            if state == pool.MemberState.READY.value:
                 self._closed.add(group.key)
+            if state != 'late':
                 break
             cut = True
         self._log.info(
