Name the place of a request whose time is up

Change: a request that is in flight when its time is up logs the attempt with its place, as any other attempt without an answer.

--- a/balsamwind/node/tests/test_node.py
+++ b/balsamwind/node/tests/test_node.py
@@ -130,10 +130,15 @@
         for engine in outside.engines.values():
             engine.dark = True
         request = parts.make_request(path='/once/x')
-        return await parts.call(process, request)
+        answer = await parts.call(process, request)
+        return answer, process._journal.registry.get_sample_value(
+            'balsamwind_failed_attempts_total', {'reason': 'deadline_exceeded'}
+        )
 
-    answer = _run(scenario, engines=2)
+    answer, attempts = _run(scenario, engines=2)
     assert answer.split(b' ')[1] == b'504'
+    # A line names the place, so that the cause can be found.
+    assert attempts == 1
 
 
 def test_lost_member_is_replaced_by_a_spare():
--- a/balsamwind/relay/_exchange.py
+++ b/balsamwind/relay/_exchange.py
@@ -74,6 +74,7 @@
         '_events',
         '_may_run',
         '_passed',
+        '_place',
         '_relay',
         '_request',
         '_responder',
@@ -102,6 +103,7 @@
         self._connects = 0
         self._started = False
         self._may_run = False
+        self._place = None
         self._doubt = None
         self._events = _events.EventSplitter()
         self._passed = _pass_headers.keep_request(
@@ -116,9 +118,16 @@
         return self._deadline - self._relay.clock.monotonic()
 
     def make_timeout(self):
-        """Error for a request whose time is up."""
+        """Error for a request whose time is up; where it was is logged."""
         if self._may_run or self._doubt is not None:
-            return exceptions.DeadlineExceeded('time is up')
+            error = exceptions.DeadlineExceeded('time is up')
+            if self._may_run:
+                self._relay.journal.note_attempt(
+                    self._terms.request_id,
+                    self._place,
+                    _attempts.Failure(error),
+                )
+            return error
         return exceptions.Overloaded('no place became free in time')
 
     async def run(self):
@@ -130,7 +139,7 @@
             The request was given up.
         """
         while True:
-            place = self._choose()
+            place = self._place = self._choose()
             self._may_run = True
             with place.track(self._terms.prompt_tokens) as note_read:
                 failure = await self._attempt(place, note_read)
