Let one piece serve where the change had written it twice

Found on reading the whole change again.

- Entries and nodes opened, watched signals and stopped by the same lines: now balsamwind/lifecycle.py.
- State that could be derived: the exchange's flag beside the place of the attempt under way, the news reader's flag beside its sources, the repairs' list beside its dictionary.
OrderGiver counted orders that nobody read.
- Both soaks looked for crashes in logs: build_tools/logs.py, with the longer list of words for both.
Free ports: standins/ports.py.
- The stand-in's handlers used private attributes of its engine.
Two heartbeats of silence have a name.

--- a/balsamwind/__main__.py
+++ b/balsamwind/__main__.py
@@ -1,10 +1,12 @@
 """Start the command line: ``python -m balsamwind``."""
 
 import signal
+import sys
 
-# A node reads its settings again at SIGHUP; while it starts, the signal must
-# not end it.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+if sys.argv[1:2] == ['entry']:
+    # A node reads its settings again at SIGHUP; while it starts, the signal
+    # must not end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 from balsamwind import cli  # noqa: E402
 
--- a/balsamwind/adapters/_clock.py
+++ b/balsamwind/adapters/_clock.py
@@ -17,7 +17,7 @@
         return time.time()
 
 
-class BootClock:
+class BootClock(SystemClock):
     """Clock that also counts the time that the VM was suspended."""
 
     __slots__ = ()
@@ -25,7 +25,3 @@
     def monotonic(self):
         """Seconds since the VM started."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-    def time(self):
-        """Seconds since the epoch, UTC."""
-        return time.time()
--- a/balsamwind/cli/_repairs.py
+++ b/balsamwind/cli/_repairs.py
@@ -86,15 +86,17 @@
     -------
     list of Repair
     """
-    found = []
     followers = {}
     for row in rows:
         node = row.get('node', '')
         if node not in followers:
             followers[node] = _Follower()
-            found.append(followers[node])
         followers[node].take(row)
-    return [item for follower in found for item in follower.repairs.values()]
+    return [
+        item
+        for follower in followers.values()
+        for item in follower.repairs.values()
+    ]
 
 
 class _Follower:
--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -1,9 +1,7 @@
 """Start, loops and shutdown of an entry process."""
 
 import asyncio
-import contextlib
 import random
-import signal
 
 import structlog
 
@@ -16,6 +14,7 @@
 from balsamwind.entry import _registration
 from balsamwind.entry import _sweeper
 from balsamwind import exceptions
+from balsamwind import lifecycle
 from balsamwind import objects
 from balsamwind import peers
 from balsamwind import settings as settings_package
@@ -25,8 +24,7 @@
 (seconds)."""
 
 
-@contextlib.asynccontextmanager
-async def open_entry(settings, random_state=None):
+def open_entry(settings, random_state=None):
     """Run an entry until the block ends.
 
     Parameters
@@ -36,25 +34,17 @@
     random_state : int or None
         Seed.
 
-    Yields
-    ------
-    _Process
+    Returns
+    -------
+    asynchronous context manager
+        Of the `_Process`.
     """
-    process = _Process(settings, random_state)
-    async with contextlib.AsyncExitStack() as stack:
-        await process.start(stack)
-        try:
-            yield process
-        finally:
-            await process.stop()
+    return lifecycle.open_process(_Process(settings, random_state))
 
 
 async def run_entry(settings, random_state=None):
     """Run an entry until SIGTERM or SIGINT, then drain it."""
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+    stopping = lifecycle.watch_stop()
     async with open_entry(settings, random_state) as process:
         await stopping.wait()
         await process.drain()
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -35,6 +35,9 @@
 """How much longer than promised a head that stands still may take to be
 broken (seconds)."""
 
+SILENT_HEARTBEATS = 2.0
+"""Least silence of a backend server before its entry lapses (heartbeats)."""
+
 PAST = 10.0
 """Time after which a node has seen the head of each open group (seconds)."""
 
@@ -264,7 +267,7 @@
         missing = self._registry.missing_for(name, now)
         if self._prober.has_answered_for(name, missing, now):
             return False
-        return missing + 2.0 * bounds.heartbeat > stall
+        return missing + SILENT_HEARTBEATS * bounds.heartbeat > stall
 
     def _count_loads_allowed(self, service, now):
         bounds = self.settings.bounds
--- a/balsamwind/node/_news_reader.py
+++ b/balsamwind/node/_news_reader.py
@@ -44,19 +44,22 @@
         self._clock = clock
         self._log = log
         self._sources = ()
-        self._is_source = True
         self._heard_at = float('-inf')
         self._proved_at = float('-inf')
         self._newest = 0
         self._number = 0
         self._asked = {}
 
+    @property
+    def _is_source(self):
+        """Whether this node has nobody to listen to."""
+        return not self._sources
+
     def set_nodes(self, nodes):
         """Take the nodes of the own data centre: pairs of name, address."""
         ordered = sorted(nodes)
         names = [name for name, _ in ordered]
         rank = names.index(self._name) if self._name in names else 0
-        self._is_source = rank == 0
         self._sources = tuple(
             address for _, address in ordered[: min(rank, SOURCES)]
         )
@@ -79,7 +82,7 @@
         """Listen for ever."""
         turn = 0
         while True:
-            if self._is_source or not self._sources:
+            if self._is_source:
                 await asyncio.sleep(RETRY_INTERVAL)
                 continue
             address = self._sources[turn % len(self._sources)]
--- a/balsamwind/node/_orders.py
+++ b/balsamwind/node/_orders.py
@@ -53,7 +53,6 @@
         self._closed = set()
         self.busy = set()
         self.forming = {}
-        self.orders = 0
 
     def start(self, action, terms):
         """Carry out an action of the planner, beside others."""
@@ -105,7 +104,6 @@
         sequence = await self._find_sequence(record)
         if not self._lease.held:
             raise exceptions.Conflict('the lease is no longer held')
-        self.orders += 1
         result = await self._outside.order(
             record, order, self._lease.fencing, sequence, ORDER_TIMEOUT
         )
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -9,10 +9,12 @@
 
 from balsamwind import adapters
 from balsamwind import exceptions
+from balsamwind import lifecycle
 from balsamwind.node import _followers
 from balsamwind.node import _journal
 from balsamwind.node import _leader
 from balsamwind.node import _news_reader
+from balsamwind.node import _node_follower
 from balsamwind.node import _state
 from balsamwind import pool
 from balsamwind import relay
@@ -50,12 +52,8 @@
     load_settings : callable
         Reads the settings again.
     """
-    stopping = asyncio.Event()
-    reloading = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    loop.add_signal_handler(signal.SIGHUP, reloading.set)
+    stopping = lifecycle.watch_stop()
+    reloading = lifecycle.watch_signals(signal.SIGHUP)
     async with open_node(settings, make_outside) as process:
         reloader = asyncio.ensure_future(
             _reload_for_ever(process, load_settings, reloading)
@@ -75,21 +73,15 @@
         process.reload(load_settings, signalled)
 
 
-@contextlib.asynccontextmanager
-async def open_node(settings, make_outside):
+def open_node(settings, make_outside):
     """Run a node until the block ends.
 
-    Yields
-    ------
-    Process
+    Returns
+    -------
+    asynchronous context manager
+        Of the `Process`.
     """
-    process = Process(settings, make_outside)
-    async with contextlib.AsyncExitStack() as stack:
-        await process.start(stack)
-        try:
-            yield process
-        finally:
-            await process.stop()
+    return lifecycle.open_process(Process(settings, make_outside))
 
 
 class Process:
@@ -157,7 +149,7 @@
             self.news.has_servers,
             self._source,
         )
-        self._node_follower = _followers.NodeFollower(
+        self._node_follower = _node_follower.NodeFollower(
             settings, outside, self._log, self._note_nodes
         )
         self._leaders = [
--- a/balsamwind/node/tests/parts.py
+++ b/balsamwind/node/tests/parts.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import contextlib
-import socket
 import time
 
 from balsamwind import node
 from balsamwind import platform
 from standins import pool as pool_standin
+from standins import ports
 
 KEY = 'k1'
 """Key of the client account."""
@@ -63,23 +63,16 @@
 }
 
 
-def find_free_port():
-    """A port of the loopback address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def make_settings(name, store_port, stall=4.0, heartbeat=1.2, **values):
     """Settings of a node."""
     return node.NodeSettings(
         name=name,
         data_centre='z1',
         data_centres=('z1',),
-        callers=f'127.0.0.1:{find_free_port()}',
-        readiness=f'127.0.0.1:{find_free_port()}',
-        metrics=f'127.0.0.1:{find_free_port()}',
-        news=f'127.0.0.1:{find_free_port()}',
+        callers=f'127.0.0.1:{ports.find_free_port()}',
+        readiness=f'127.0.0.1:{ports.find_free_port()}',
+        metrics=f'127.0.0.1:{ports.find_free_port()}',
+        news=f'127.0.0.1:{ports.find_free_port()}',
         store=f'127.0.0.1:{store_port}',
         first_start=True,
         bounds=node.Bounds(
@@ -95,7 +88,7 @@
 @contextlib.asynccontextmanager
 async def open_platform(engines=4, times=None):
     """Stand-in of the platform with engines of one domain."""
-    outside = pool_standin.PoolPlatform(find_free_port, times)
+    outside = pool_standin.PoolPlatform(ports.find_free_port, times)
     outside.start()
     outside.store.put('config', 'main', CONFIGURATION)
     for number in range(engines):
@@ -143,12 +136,42 @@
     )
 
 
-def count_served(process):
-    """Groups that a node would send requests to (count)."""
+def find_open(outside, but=None):
+    """An engine that is the head of an open group, or None."""
+    for engine in outside.engines.values():
+        is_open = engine.group and engine.group['State'] == 'open'
+        if is_open and engine is not but:
+            return engine
+    return None
+
+
+def add_spare(outside):
+    """Add an engine whose host holds the model."""
+    spare = outside.add_engine('spare', 'llm', 'z1', 'd1')
+    spare.staged = [MODEL]
+    spare.write_entry()
+    return spare
+
+
+async def stop_leading(process):
+    """Let a node lead no more, and give its leases back."""
+    for task in process._leading:
+        task.cancel()
+    for leader in process._leaders:
+        await leader.lease.release()
+
+
+def find_served(process):
+    """Places of groups that a node would send requests to."""
     service = process.book.find_service('llm')
     if service is None:
-        return 0
-    return len(process.relay.places.of_service(service))
+        return []
+    return process.relay.places.of_service(service)
+
+
+def count_served(process):
+    """Groups that a node would send requests to (count)."""
+    return len(find_served(process))
 
 
 def make_request(path='/ask/x', request_id='r1', key=KEY, extra=''):
--- a/balsamwind/node/tests/test_news.py
+++ b/balsamwind/node/tests/test_news.py
@@ -8,6 +8,7 @@
 from balsamwind import exceptions
 from balsamwind.node import _news
 from balsamwind.node import _news_reader
+from balsamwind.node.tests import doubles
 from balsamwind.node.tests import parts
 from balsamwind import pool
 from balsamwind import traffic
@@ -175,13 +176,6 @@
     assert _run(scenario)
 
 
-class _Clock:
-    now = 100.0
-
-    def monotonic(self):
-        return self.now
-
-
 @pytest.mark.parametrize(
     ('version', 'age', 'listens'),
     [
@@ -192,7 +186,7 @@
     ],
 )
 def test_only_a_fresh_proof_spares_the_store(version, age, listens):
-    clock = _Clock()
+    clock = doubles.Clock()
     book = traffic.ConfigurationBook(4.6)
     book.accept(traffic.Configuration(5, (), ()), 99.0)
     reader = _news_reader.NewsReader(
--- a/balsamwind/node/tests/test_node.py
+++ b/balsamwind/node/tests/test_node.py
@@ -18,20 +18,13 @@
             parts.open_node(outside) as process,
         ):
             await parts.wait_until(
-                lambda: len(_serving(process)) == engines // 2
+                lambda: parts.count_served(process) == engines // 2
             )
             return await scenario(outside, process)
 
     return asyncio.run(body())
 
 
-def _serving(process):
-    service = process.book.find_service('llm')
-    if service is None:
-        return []
-    return process.relay.places.of_service(service)
-
-
 def _heads(outside):
     return [
         engine
@@ -144,8 +137,7 @@
 def test_lost_member_is_replaced_by_a_spare():
     async def scenario(outside, process):
         before = {e.server_id for e in outside.engines.values() if e.group}
-        outside.add_engine('spare', 'llm', 'z1', 'd1').staged = [parts.MODEL]
-        outside.engines['spare'].write_entry()
+        parts.add_spare(outside)
         lost = next(
             e
             for e in outside.engines.values()
@@ -155,8 +147,9 @@
         await parts.wait_until(
             lambda: (
                 outside.engines['spare'].group is not None
-                and len(_serving(process)) == 1
-                and _serving(process)[0].key[1] in _open_names(outside)
+                and parts.count_served(process) == 1
+                and parts.find_served(process)[0].key[1]
+                in _open_names(outside)
             )
         )
         answer = await parts.call(process, parts.make_request())
@@ -173,10 +166,14 @@
     async def body():
         async with parts.open_platform(4) as outside:
             async with parts.open_node(outside) as process:
-                await parts.wait_until(lambda: len(_serving(process)) == 2)
+                await parts.wait_until(
+                    lambda: parts.count_served(process) == 2
+                )
             orders = [e.orders for e in outside.engines.values()]
             async with parts.open_node(outside) as process:
-                await parts.wait_until(lambda: len(_serving(process)) == 2)
+                await parts.wait_until(
+                    lambda: parts.count_served(process) == 2
+                )
                 await asyncio.sleep(0.5)
             return orders, [e.orders for e in outside.engines.values()]
 
--- a/balsamwind/node/tests/test_take_over.py
+++ b/balsamwind/node/tests/test_take_over.py
@@ -16,16 +16,13 @@
             parts.open_node(outside, 'n2') as second,
         ):
             await parts.wait_until(lambda: parts.count_served(second) == 1)
-            outside.add_engine('spare', 'llm', 'z1', 'd1').staged = [
-                parts.MODEL
-            ]
-            outside.engines['spare'].write_entry()
+            parts.add_spare(outside)
             await parts.wait_until(lambda: _has_staged(second, 'spare'))
             # Members that have only just come back would be left alone.
             await asyncio.sleep(2.6)
             orders = [engine.orders for engine in outside.engines.values()]
             _keep_stale(second, outside)
-            await _stop_leading(first)
+            await parts.stop_leading(first)
             await parts.wait_until(lambda: second._leaders[0].lease.held)
             await asyncio.sleep(1.5)
             after = [engine.orders for engine in outside.engines.values()]
@@ -45,21 +42,10 @@
     """Let a node believe that the group has no head that is open."""
     for task in process._tasks:
         task.cancel()
-    head = next(
-        engine
-        for engine in outside.engines.values()
-        if engine.group['State'] == 'open'
-    )
+    head = parts.find_open(outside)
     del process.registry._records[head.server_id]
 
 
-async def _stop_leading(process):
-    for task in process._leading:
-        task.cancel()
-    for leader in process._leaders:
-        await leader.lease.release()
-
-
 def test_engine_that_heads_an_open_group_is_not_joined_elsewhere():
     """Its report says so, whatever the entries say."""
 
--- a/balsamwind/relay/_exchange.py
+++ b/balsamwind/relay/_exchange.py
@@ -72,7 +72,6 @@
         '_deadline',
         '_doubt',
         '_events',
-        '_may_run',
         '_passed',
         '_place',
         '_relay',
@@ -102,7 +101,6 @@
         self._sends = 0
         self._connects = 0
         self._started = False
-        self._may_run = False
         self._place = None
         self._doubt = None
         self._events = _events.EventSplitter()
@@ -119,9 +117,9 @@
 
     def make_timeout(self):
         """Error for a request whose time is up; where it was is logged."""
-        if self._may_run or self._doubt is not None:
+        if self._place is not None or self._doubt is not None:
             error = exceptions.DeadlineExceeded('time is up')
-            if self._may_run:
+            if self._place is not None:
                 self._relay.journal.note_attempt(
                     self._terms.request_id,
                     self._place,
@@ -140,12 +138,11 @@
         """
         while True:
             place = self._place = self._choose()
-            self._may_run = True
             with place.track(self._terms.prompt_tokens) as note_read:
                 failure = await self._attempt(place, note_read)
             if failure is None:
                 return
-            self._may_run = False
+            self._place = None
             self._note_failure(place, failure)
             if not self._may_go_on(failure):
                 raise self._make_final(failure)
--- a/build_tools/pool_soak/_checks.py
+++ b/build_tools/pool_soak/_checks.py
@@ -4,6 +4,7 @@
 import json
 import time
 
+from build_tools import logs
 from build_tools.pool_soak import _fleet
 from build_tools.pool_soak import _traffic
 
@@ -33,9 +34,6 @@
 """Time before a request in which its node must have been left alone for its
 answer to be judged (seconds)."""
 
-CRASHES = ('round_crashed', 'request_crashed', 'action_crashed', 'Traceback')
-"""Words in a node's log that tell of a defect."""
-
 
 class Checks:
     """Compares what callers were told with what ran.
@@ -268,11 +266,8 @@
     def _check_logs(self):
         for node in self._fleet.nodes:
             text = node.log_path.read_text(encoding='utf-8', errors='replace')
-            for word in CRASHES:
-                if word in text:
-                    place = text.index(word)
-                    excerpt = text[max(0, place - 300) : place + 2500]
-                    self.violate('LOG', f'{node.name}: {excerpt}')
+            for crash in logs.find_crashes(text):
+                self.violate('LOG', f'{node.name}: {crash}')
 
     def print(self):
         """Print outcomes, and what was broken."""
--- a/build_tools/pool_soak/_fleet.py
+++ b/build_tools/pool_soak/_fleet.py
@@ -13,6 +13,7 @@
 
 from build_tools import conditions
 from build_tools.pool_soak import _traffic
+from standins import ports as ports_module
 from standins import wire
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -74,15 +75,6 @@
     raise OSError('all loopback networks are in use')
 
 
-def find_free_ports(count):
-    """Ports of the loopback address that nobody listens on."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(('127.0.0.1', 0))
-        return [probe.getsockname()[1] for probe in probes]
-
-
 class Node:
     """One node and its wire to the store.
 
@@ -198,7 +190,9 @@
         engines = len(ZONES) * ENGINES
         servers = engines + 2 * len(ZONES)
         ports = iter(
-            find_free_ports(3 + len(ZONES) * nodes_per_zone + 2 * servers)
+            ports_module.find_free_ports(
+                3 + len(ZONES) * nodes_per_zone + 2 * servers
+            )
         )
         self.store_port = next(ports)
         self.admin_port = next(ports)
--- a/build_tools/soak.py
+++ b/build_tools/soak.py
@@ -20,6 +20,7 @@
 from build_tools import callers
 from build_tools import cluster as cluster_module
 from build_tools import conditions
+from build_tools import logs
 
 PROMPT = 'one two three four five six seven'
 CALLERS = 8
@@ -345,11 +346,8 @@
             print(f'{count:6d}  {outcome}')
         for name in cluster.entries:
             log = cluster.log(name)
-            for word in ('round_crashed', 'Traceback'):
-                if word in log:
-                    place = log.index(word)
-                    excerpt = log[max(0, place - 300) : place + 3000]
-                    tally.violate(f'{name}: {word} in the log: {excerpt}')
+            for crash in logs.find_crashes(log):
+                tally.violate(f'{name}: {crash}')
             if arguments.logs and tally.violations:
                 print(f'--- {name}\n{log[-4000:]}')
     for violation in tally.violations:
--- a/standins/pool/_engine.py
+++ b/standins/pool/_engine.py
@@ -33,11 +33,11 @@
         self.server_id = server_id
         self.port = port
         self._platform = platform
-        self._service = service
+        self.service = service
         self._zone = zone
         self._domain = domain
         self._address = address or f'127.0.0.1:{port}'
-        self._born = 1700000000000 + port
+        self.born = 1700000000000 + port
         self._work = set()
         self._staging = {}
         self.handlers = set()
@@ -85,7 +85,7 @@
         if not self._platform.may_write(self):
             return
         spec = {
-            'Service': self._service,
+            'Service': self.service,
             'Address': self._address,
             'Zone': self._zone,
             'SlotCount': self.slots,
@@ -99,7 +99,7 @@
     def _describe(self):
         models = [{'Name': self.model}] if self.model else []
         return {
-            'born': self._born,
+            'born': self.born,
             'Models': models,
             'Staged': list(self.staged),
             'group': self.group and dict(self.group),
@@ -128,7 +128,7 @@
     def restart(self):
         """End all that runs and start again under the same id."""
         self.end()
-        self._born += 1
+        self.born += 1
         self.state = 'ready'
         self.write_entry()
 
--- a/standins/pool/_engine_pages.py
+++ b/standins/pool/_engine_pages.py
@@ -38,10 +38,10 @@
     async def prepare(self):
         if self._engine.gone:
             self._reset()
-        born = self._engine._born
+        born = self._engine.born
         while self._engine.dark:
             await asyncio.sleep(0.02)
-            if self._engine._born != born or self._left:
+            if self._engine.born != born or self._left:
                 self._reset()
 
 
@@ -63,7 +63,7 @@
             return self.finish()
         if random.random() < self._engine.late_orders:
             loop = asyncio.get_running_loop()
-            life = self._engine._born
+            life = self._engine.born
             loop.call_later(random.uniform(*LATE), self._carry_out, data, life)
             await asyncio.sleep(HANG)
             self._reset()
@@ -71,7 +71,7 @@
         return self.finish()
 
     def _carry_out(self, data, life):
-        if self._engine.alive and self._engine._born == life:
+        if self._engine.alive and self._engine.born == life:
             self._engine.order(data)
 
 
@@ -88,7 +88,7 @@
             self.set_status(421)
             return self.finish()
         self._platform.witness.note_arrival(
-            engine._service, request_id, engine.server_id
+            engine.service, request_id, engine.server_id
         )
         with engine.admit() as admitted:
             if not admitted or group['State'] != 'open':
@@ -116,7 +116,7 @@
         run = self._platform.witness.begin(
             _witness.Run(
                 request_id=headers['X-Balsamwind-Request-Id'],
-                service=engine._service,
+                service=engine.service,
                 server_id=engine.server_id,
                 path=self.request.path,
                 body=self.request.body.decode('latin-1'),
