Let only its continuation follow a started stream

A long error body on a stream route that was cut could be sent again after its start. Ruled out: cut of the first stream (a partial event is held back). Change: a started stream takes only a 200 of the same media type whose events come after the last one relayed; anything else is retried within the budget or ends the response as cut. A request is checked for a caller that has left and for its deadline immediately before each send, after each wait; a request that was never sent is refused as not run (503).

--- a/balsamwind/relay/_event_stream.py
+++ b/balsamwind/relay/_event_stream.py
@@ -2,6 +2,8 @@
 
 import re
 
+from balsamwind import exceptions
+
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
 _EVENT_ID = re.compile(rb'^id: ?(\d+)', re.MULTILINE)
 
@@ -18,10 +20,11 @@
         Id of the last event that was released; -1 if none.
     """
 
-    __slots__ = ('_partial', 'last_event_id')
+    __slots__ = ('_is_resuming', '_partial', 'last_event_id')
 
     def __init__(self, last_event_id=-1):
         self.last_event_id = last_event_id
+        self._is_resuming = False
         self._partial = b''
 
     def feed(self, data):
@@ -36,6 +39,12 @@
         -------
         bytes
             Events that are now complete, unchanged; empty if there are none.
+
+        Raises
+        ------
+        balsamwind.exceptions.BadAnswer
+            The first event of a resumed stream does not come after the last
+            event that was released.
         """
         data = self._partial + data
         end = 0
@@ -45,12 +54,25 @@
         if complete:
             ids = _EVENT_ID.findall(complete)
             if ids:
+                self._check_order(int(ids[0]))
                 self.last_event_id = int(ids[-1])
         return complete
 
-    def discard_partial(self):
-        """Discard a partial event; the next attempt sends it as a whole."""
+    def _check_order(self, first_event_id):
+        if self._is_resuming and first_event_id <= self.last_event_id:
+            raise exceptions.BadAnswer(
+                f'the resumed stream begins with event {first_event_id},'
+                f' expected one after {self.last_event_id}'
+            )
+        self._is_resuming = False
+
+    def start_attempt(self):
+        """Begin the stream of the next attempt.
+
+        A partial event is discarded, because the attempt sends it as a whole.
+        """
         self._partial = b''
+        self._is_resuming = self.last_event_id >= 0
 
     def finish(self):
         """Release what is left after the regular end of the stream.
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -40,6 +40,11 @@
         return
 
 
+def _get_media_type(headers):
+    """Return the media type of a body, without parameters."""
+    return headers.get('Content-Type', '').partition(';')[0].strip().lower()
+
+
 def _close_response(task):
     """Close the response of a cancelled task if it arrived nevertheless."""
     if not task.cancelled() and task.exception() is None:
@@ -75,6 +80,7 @@
         '_attempts_sent',
         '_backend',
         '_connect_failures',
+        '_current_attempt_sent',
         '_deadline',
         '_event_buffer',
         '_forwarded_headers',
@@ -86,6 +92,7 @@
         '_retry_budget',
         '_route',
         '_service',
+        '_stream_media_type',
         '_tried',
     )
 
@@ -111,8 +118,10 @@
         self._retry_budget = relay.get_retry_budget(service.name)
         self._tried = set()
         self._attempts_sent = 0
+        self._current_attempt_sent = False
         self._connect_failures = 0
         self._response_started = False
+        self._stream_media_type = None
         self._backend = None
         self._ambiguous_failure = None
         self._event_buffer = _event_stream.EventStreamBuffer()
@@ -124,6 +133,16 @@
     def _is_stream(self):
         return self._route.kind is traffic.RequestKind.STREAM
 
+    @property
+    def _may_continue_response(self):
+        """Whether another attempt can still complete the response.
+
+        Once the response has started, only an event stream can be continued.
+        """
+        return not self._response_started or (
+            self._stream_media_type is not None
+        )
+
     def _time_left(self):
         return self._deadline - self._relay.clock.monotonic()
 
@@ -138,7 +157,10 @@
         balsamwind.exceptions.BalsamwindError
             `DeadlineExceeded` if the request may have run, else `Overloaded`.
         """
-        if self._backend is not None or self._ambiguous_failure is not None:
+        may_have_run = self._current_attempt_sent or (
+            self._ambiguous_failure is not None
+        )
+        if may_have_run:
             error = exceptions.DeadlineExceeded(
                 'the deadline passed after a backend server may have received'
                 ' the request'
@@ -164,6 +186,7 @@
         """
         while True:
             backend = self._backend = self._choose_backend()
+            self._current_attempt_sent = False
             with backend.track(
                 self._request_metadata.prompt_tokens
             ) as mark_prompt_processed:
@@ -171,6 +194,7 @@
             if failure is None:
                 return
             self._backend = None
+            self._current_attempt_sent = False
             self._record_failure(backend, failure)
             if not self._may_retry(failure):
                 raise self._select_final_error(failure)
@@ -223,8 +247,7 @@
     def _may_retry(self, failure):
         if self._time_left() <= 0:
             return False
-        # Only an event stream can be resumed after its response has started.
-        if self._response_started and not self._is_stream:
+        if not self._may_continue_response:
             return False
         if not failure.sent:
             return self._connect_failures < MAX_CONNECT_FAILURES
@@ -236,8 +259,32 @@
         # A later refusal must not hide that an earlier attempt may have run.
         if self._ambiguous_failure is not None:
             return self._ambiguous_failure.error
+        if not failure.sent:
+            # The caller may send the request again, whatever its kind.
+            return exceptions.NoCapacity(failure.error.message)
         return failure.error
 
+    def _check_before_send(self):
+        """Check that somebody still waits for the response.
+
+        On a slow node, the caller may have left, or its deadline may have
+        passed, while the request waited for the event loop or a connection.
+
+        Raises
+        ------
+        asyncio.CancelledError
+            The caller has left.
+        balsamwind.exceptions.TransportError
+            The deadline has passed; nothing was sent.
+        """
+        if self._responder.is_caller_gone():
+            raise asyncio.CancelledError
+        if self._time_left() <= 0:
+            raise exceptions.TransportError(
+                'the deadline passed before the request was sent', sent=False
+            )
+        self._current_attempt_sent = True
+
     async def _attempt(self, backend, mark_prompt_processed):
         """Send the request once.
 
@@ -271,6 +318,15 @@
                     ),
                     counts_for_ejection=response.status != 504,
                 )
+            if self._response_started and not self._continues_stream(response):
+                await _discard_body(response)
+                return _attempts.Failure(
+                    exceptions.BadAnswer(
+                        'the backend server did not resume the stream: status'
+                        f' {response.status}'
+                    ),
+                    counts_for_ejection=response.status != 504,
+                )
             if self._is_stream and response.status == 200:
                 return await self._relay_events(
                     backend, response, mark_prompt_processed
@@ -288,6 +344,17 @@
             if response is not None:
                 response.close()
 
+    def _continues_stream(self, response):
+        """Tell whether a response can follow the events relayed so far.
+
+        Any other body would end the response to the caller as if it were
+        complete.
+        """
+        return (
+            response.status == 200
+            and _get_media_type(response.headers) == self._stream_media_type
+        )
+
     def _should_retry_server_error(self, status):
         """Tell whether to retry a server error instead of relaying it."""
         return (
@@ -308,6 +375,7 @@
                 timeout=max(self._time_left(), 0.0) + 1.0,
                 connect_timeout=CONNECT_TIMEOUT,
                 is_own_response=self._is_response_to_request,
+                before_send=self._check_before_send,
             )
         )
         waiting_since = self._relay.clock.monotonic()
@@ -413,7 +481,7 @@
             raise _attempts.GroupStalled
 
     async def _relay_events(self, backend, response, mark_prompt_processed):
-        self._event_buffer.discard_partial()
+        self._event_buffer.start_attempt()
         waiting_since = self._relay.clock.monotonic()
         while True:
             poll_started_at = self._relay.clock.monotonic()
@@ -430,9 +498,9 @@
             backend.record_progress(self._relay.clock.monotonic())
             complete_events = self._event_buffer.feed(chunk)
             if complete_events:
-                self._start_response(response, with_content_length=False)
+                self._start_event_stream(response)
                 await self._responder.write(complete_events)
-        self._start_response(response, with_content_length=False)
+        self._start_event_stream(response)
         remainder = self._event_buffer.finish()
         if remainder:
             await self._responder.write(remainder)
@@ -454,6 +522,11 @@
             await self._responder.write(b''.join(chunks))
         self._responder.finish()
 
+    def _start_event_stream(self, response):
+        if not self._response_started:
+            self._stream_media_type = _get_media_type(response.headers)
+        self._start_response(response, with_content_length=False)
+
     def _start_response(self, response, with_content_length):
         if self._response_started:
             return
