Notice a caller's close before the loop has

Cause: on a node that lags, the close of a caller waits behind its own request, so the request was sent to a backend server after it (GONE). Change: Responder.is_caller_gone peeks at the socket; HttpClient calls before_send after each wait for a connection. Test: fails without it.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -151,6 +151,7 @@
         retry_on_new_connection=False,
         connect_timeout=CONNECT_TIMEOUT,
         is_own_response=None,
+        before_send=None,
     ):
         """Send a request and wait for the headers of the response.
 
@@ -179,6 +180,10 @@
             Takes the headers of a response and returns whether it belongs to
             this request. A response to an earlier request is skipped. None
             accepts any response.
+        before_send : callable or None
+            Called without arguments each time immediately before the request
+            is sent, after any wait for a connection. If it raises, the
+            request is not sent.
 
         Returns
         -------
@@ -200,6 +205,7 @@
             body,
             timeout,
             is_own_response,
+            before_send,
         )
         stream = (
             None if new_connection else self._connection_pool.take(endpoint)
@@ -232,9 +238,12 @@
         body,
         timeout,
         is_own_response,
+        before_send,
     ):
         connection = _make_connection(stream)
         try:
+            if before_send is not None:
+                before_send()
             async with asyncio.timeout(timeout):
                 self._send(connection, endpoint, method, parts, headers, body)
                 return await self._receive(
--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -50,6 +50,17 @@
         self.done = False
         self.status = 0
 
+    def is_caller_gone(self):
+        """Tell whether the caller has closed its connection.
+
+        A close that the event loop has not processed yet counts as well: on
+        a slow node it may wait behind the request itself.
+        """
+        stream = self._connection.stream
+        if self._closed or stream is None or stream.closed():
+            return True
+        return _is_closed_by_peer(stream.socket)
+
     def start(self, status, headers):
         """Write the status line and the headers.
 
@@ -131,6 +142,16 @@
         future.add_done_callback(lambda done_future: done_future.exception())
 
 
+def _is_closed_by_peer(sock):
+    """Return whether the next read of a socket finds the end of its data."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def _has_unread_bytes(stream):
     """Return whether bytes of a caller have arrived and were not read yet."""
     if stream.closed():
--- a/balsamwind/adapters/tests/test_relay_server.py
+++ b/balsamwind/adapters/tests/test_relay_server.py
@@ -79,3 +79,40 @@
     targets, response = asyncio.run(scenario())
     assert targets == ['/1']
     assert response == b''
+
+
+def test_close_that_the_loop_has_not_processed_is_seen():
+    """A slow node must not send the request of a caller that has left."""
+
+    async def scenario():
+        gone = []
+
+        class Relay(_FakeRelay):
+            async def run(self, request, responder):
+                gone.append(responder.is_caller_gone())
+                if request.target == '/2':
+                    # The loop does not run between the close and the check.
+                    caller.shutdown(socket.SHUT_RDWR)
+                    gone.append(responder.is_caller_gone())
+                await super().run(request, responder)
+
+        relay = Relay()
+        server = _relay_server.RelayServer(
+            relay, _FakeClock(), traffic.RequestLimits(), logging.getLogger()
+        )
+        with socket.socket() as probe:
+            probe.bind(('127.0.0.1', 0))
+            port = probe.getsockname()[1]
+        server.listen(f'127.0.0.1:{port}')
+        caller = socket.create_connection(('127.0.0.1', port))
+        caller.sendall(REQUEST_FORMAT % 1)
+        while not relay.targets:
+            await asyncio.sleep(0.01)
+        caller.sendall(REQUEST_FORMAT % 2)
+        while len(gone) < 3:
+            await asyncio.sleep(0.01)
+        await server.close()
+        caller.close()
+        return gone
+
+    assert asyncio.run(scenario()) == [False, False, True]
