--- a/balsamwind/node/__init__.py
+++ b/balsamwind/node/__init__.py
@@ -3,7 +3,15 @@
 from balsamwind.node._process import open_node
 from balsamwind.node._process import Process
 from balsamwind.node._process import run_node
+from balsamwind.node._ranking import RegisteredNode
 from balsamwind.node._settings import Bounds
 from balsamwind.node._settings import NodeSettings
 
-__all__ = ['Bounds', 'NodeSettings', 'Process', 'open_node', 'run_node']
+__all__ = [
+    'Bounds',
+    'NodeSettings',
+    'Process',
+    'RegisteredNode',
+    'open_node',
+    'run_node',
+]
--- /dev/null
+++ b/balsamwind/node/_configuration_updater.py
@@ -0,0 +1,112 @@
+"""Puts versions of the configuration in force and passes them on."""
+
+from balsamwind import traffic
+
+
+class ConfigurationUpdater:
+    """Puts what the store or a publisher sends in force.
+
+    All changes and proofs of the configuration pass through here, whether
+    this node has read them itself or heard them from another one, so that
+    its own subscribers get them either way.
+
+    Parameters
+    ----------
+    configuration_cache : balsamwind.traffic.ConfigurationCache
+        Configuration in force.
+    publisher : UpdatePublisher
+        Passes changes and proofs on to the subscribers of this node.
+    log : structlog logger
+        Logger of the node.
+    on_change : callable
+        Called without arguments after the version in force has changed.
+
+    Attributes
+    ----------
+    revision : int
+        Store revision up to which the version in force is known to be the
+        newest; 0 if unknown.
+    """
+
+    def __init__(self, configuration_cache, publisher, log, on_change):
+        self._configuration_cache = configuration_cache
+        self._publisher = publisher
+        self._log = log
+        self._on_change = on_change
+        self.revision = 0
+
+    @property
+    def version(self):
+        """Version in force; 0 if there is none."""
+        return self._configuration_cache.version
+
+    def accept(self, configuration, revision, proved_at):
+        """Put a configuration in force unless it is older or the same.
+
+        Parameters
+        ----------
+        configuration : balsamwind.traffic.Configuration
+            Configuration that was the newest in the store.
+        revision : int
+            Store revision at which it was.
+        proved_at : float
+            When the read of the store was sent (seconds, boot clock).
+        """
+        previous = self._configuration_cache.configuration
+        if configuration.version < self.version:
+            self._log.warning(
+                'configuration_older',
+                version=configuration.version,
+                kept=self.version,
+            )
+            return
+        if not self._configuration_cache.accept(configuration, proved_at):
+            self.confirm(revision, proved_at)
+            return
+        self.revision = revision
+        self._log.info(
+            'configuration_in_force',
+            version=configuration.version,
+            before=0 if previous is None else previous.version,
+            routes=len(configuration.routes),
+            accounts=len(configuration.accounts or ()),
+        )
+        self._on_change()
+        self._publisher.publish_configuration(
+            previous, configuration, revision, proved_at
+        )
+
+    def confirm(self, revision, proved_at):
+        """Record a proof that the version in force is the newest.
+
+        Parameters
+        ----------
+        revision : int
+            Store revision at which it was.
+        proved_at : float
+            When the read of the store was sent, or a lower bound of it
+            (seconds, boot clock).
+        """
+        self.revision = max(self.revision, revision)
+        self._configuration_cache.record_proof(proved_at)
+        self._publisher.publish_proof(self.revision, proved_at)
+
+    def apply(self, change, revision, proved_at):
+        """Put a version in force that a publisher sent as a difference.
+
+        Parameters
+        ----------
+        change : balsamwind.traffic.ConfigurationChange
+            Difference to the version in force.
+        revision, proved_at
+            As for `accept`.
+
+        Raises
+        ------
+        ValueError
+            The change applies to another version.
+        """
+        base = (
+            self._configuration_cache.configuration or traffic.NO_CONFIGURATION
+        )
+        self.accept(traffic.apply_change(base, change), revision, proved_at)
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -25,7 +25,7 @@
 """Time between two reads of the lease of the own data centre, by the rank of
 the node in that data centre (seconds)."""
 
-MAX_LOCAL_READ_INTERVAL = 12.0
+MAX_LOCAL_READ_INTERVAL = 6.0
 """Time between two such reads for nodes of a higher rank (seconds)."""
 
 REMOTE_READ_INTERVALS = (3.0, 6.0, 12.0)
@@ -54,6 +54,13 @@
 RENEWAL_RETRY_INTERVAL = 0.25
 """Wait after a renewal that failed (seconds)."""
 
+DISCOVERY_TIME = 2.0
+"""Time after the start in which a node waits for its rank (seconds)."""
+
+FIRST_READ_STEPS = 8
+"""Steps over which the first reads of nodes of a high rank are spread
+(count)."""
+
 CALL_TIMEOUT = 0.5
 """Timeout of one call to the store (seconds)."""
 
@@ -84,6 +91,8 @@
         self._log = log
         self._local = local
         self._rank = 0
+        self._rank_known = False
+        self._acts_unranked_at = clock.monotonic() + DISCOVERY_TIME
         self._candidate_count = SMALL_DATA_CENTRE + 1
         self._manager = control.LeaseManager(
             shard,
@@ -135,6 +144,9 @@
         """
         self._rank = rank
         self._candidate_count = candidate_count
+        if not self._rank_known:
+            self._rank_known = True
+            self._next_read_at = self._find_first_read_time()
         first_wait = RANK_DELAY * min(rank, len(LOCAL_READ_INTERVALS))
         self._manager.set_creation_delay(first_wait)
         if not self._local:
@@ -158,21 +170,33 @@
             return interval / SMALL_DATA_CENTRE_FACTOR
         return interval
 
+    def _find_first_read_time(self):
+        """Spread the first reads of the nodes of a high rank over time."""
+        if self._rank < len(LOCAL_READ_INTERVALS):
+            return 0.0
+        fraction = self._rank % FIRST_READ_STEPS / FIRST_READ_STEPS
+        return self._clock.monotonic() + fraction * self._find_read_interval()
+
     async def step(self):
         """Read the lease, and take or renew it when that is due.
 
-        A lease is only taken on a read of the same step, because a lease that
-        was read earlier may have been renewed since.
+        A read that may be stale shows whether the lease looks free. It is
+        only taken on a current read of the same step, because it may have
+        been renewed since.
         """
         now = self._clock.monotonic()
+        if not self._rank_known and now < self._acts_unranked_at:
+            return
         try:
             if self.held:
                 if now >= self._next_write_at:
                     await self._write()
             elif now >= self._next_read_at:
                 self._next_read_at = now + self._find_read_interval()
-                await self._read()
-                await self._write()
+                await self._read(may_be_stale=True)
+                if self._plan_write() is not None:
+                    await self._read(may_be_stale=False)
+                    await self._write()
         except exceptions.Conflict:
             self._manager.invalidate()
             self._next_read_at = self._clock.monotonic() + CONFLICT_BACKOFF
@@ -183,8 +207,12 @@
             )
         self._log_change()
 
-    async def _read(self):
-        found = await self._platform.read_lease(self.shard, CALL_TIMEOUT)
+    async def _read(self, may_be_stale):
+        found = await self._platform.read_lease(
+            self.shard, CALL_TIMEOUT, may_be_stale
+        )
+        if may_be_stale and _is_older(found, self._stored):
+            return
         now = self._clock.monotonic()
         unchanged = found == self._stored
         if not unchanged:
@@ -198,14 +226,18 @@
         if now < takeover_at:
             self._next_read_at = min(self._next_read_at, takeover_at)
 
-    async def _write(self):
+    def _plan_write(self):
         now = self._clock.monotonic()
-        decision = self._manager.plan_write(
+        return self._manager.plan_write(
             self._stored,
             now - self._unchanged_since,
             now,
             uuid.uuid4().hex[:12],
         )
+
+    async def _write(self):
+        now = self._clock.monotonic()
+        decision = self._plan_write()
         if decision is None:
             return
         try:
@@ -241,3 +273,10 @@
         except (exceptions.StoreError, exceptions.Conflict) as error:
             self._log.info('lease_not_returned', reason=str(error))
         self._log_change()
+
+
+def _is_older(found, known):
+    """Whether a read that may be stale returned less than what is known."""
+    if known is None:
+        return False
+    return found is None or found.revision < known.revision
--- a/balsamwind/node/_node_discovery.py
+++ b/balsamwind/node/_node_discovery.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from balsamwind import exceptions
+from balsamwind.node import _ranking
 
 LIST_INTERVAL = 30.0
 """Time between two reads of the list of nodes (seconds)."""
@@ -30,8 +31,7 @@
     log : structlog logger
         Logger of the node.
     on_nodes : callable
-        Called with a dict of each data centre's nodes, as pairs of a name and
-        the address where the node publishes updates.
+        Called with a dict of each data centre's `RegisteredNode` objects.
     """
 
     def __init__(self, settings, platform, log, on_nodes):
@@ -43,20 +43,30 @@
     async def run(self):
         """Register, then read the list of nodes regularly; never returns."""
         registered = False
+        listed = False
         while True:
             try:
                 if not registered:
-                    await self._platform.register_node(
-                        self._settings.name,
-                        self._settings.data_centre,
-                        self._settings.news,
-                        CALL_TIMEOUT,
-                    )
+                    await self._register()
                     registered = True
-                    await asyncio.sleep(REGISTRATION_DELAY)
-                self._on_nodes(await self._platform.list_nodes(CALL_TIMEOUT))
+                # An old list does no harm later: it only sets ranks.
+                nodes = await self._platform.list_nodes(
+                    CALL_TIMEOUT, may_be_stale=listed
+                )
             except exceptions.StoreError as error:
                 self._log.debug('nodes_not_listed', reason=str(error))
                 await asyncio.sleep(RETRY_INTERVAL)
             else:
+                listed = True
+                self._on_nodes(nodes)
                 await asyncio.sleep(LIST_INTERVAL)
+
+    async def _register(self):
+        node = _ranking.RegisteredNode(
+            self._settings.name, self._settings.news, self._settings.capacity
+        )
+        await self._platform.register_node(
+            node, self._settings.data_centre, CALL_TIMEOUT
+        )
+        if self._settings.first_start:
+            await asyncio.sleep(REGISTRATION_DELAY)
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -10,8 +10,10 @@
 from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind import lifecycle
+from balsamwind.node import _configuration_updater
 from balsamwind.node import _leader
 from balsamwind.node import _node_discovery
+from balsamwind.node import _ranking
 from balsamwind.node import _request_log
 from balsamwind.node import _state
 from balsamwind.node import _update_feed
@@ -25,6 +27,14 @@
 """Time before the configured bound at which keys of an unproved configuration
 are no longer accepted (seconds)."""
 
+CONFIGURATION_READ_TIME = 0.7
+"""Time in which a node reads the configuration and puts it in force
+(seconds)."""
+
+MIN_RELIANCE_TIME = 0.6
+"""Shortest age of a proof up to which a node relies on its publisher
+(seconds)."""
+
 READINESS_PROPAGATION_TIME = 2.6
 """Time after readiness has ended until no new connections are opened to this
 node (seconds)."""
@@ -139,23 +149,27 @@
         self._metrics_server = adapters.make_metrics_server(
             self._request_log.metrics_registry
         )
-        shared = (
-            self.registry,
+        self._publisher = _update_feed.UpdatePublisher(
+            self.registry, self.configuration_cache, self._clock, self._log
+        )
+        updater = _configuration_updater.ConfigurationUpdater(
             self.configuration_cache,
-            self._clock,
+            self._publisher,
             self._log,
+            self._apply_limits,
         )
-        self._publisher = _update_feed.UpdatePublisher(*shared)
         self.subscriber = _update_feed.UpdateSubscriber(
-            settings.name, *shared, self._publisher.publish
-        )
-        self._configuration_watcher = _watchers.ConfigurationWatcher(
-            platform,
-            self.configuration_cache,
+            settings.name,
+            self.registry,
+            updater,
             self._clock,
             self._log,
-            self._apply_limits,
-            self.subscriber,
+            self._publisher.publish,
+            _find_reliance_time(settings.bounds),
+            settings.bounds.drain_time,
+        )
+        self._configuration_watcher = _watchers.ConfigurationWatcher(
+            platform, updater, self._clock, self._log, self.subscriber
         )
         self._server_watcher = _watchers.ServerWatcher(
             platform,
@@ -163,7 +177,7 @@
             self._clock,
             self._log,
             self._is_leader,
-            self.subscriber.has_fresh_servers,
+            self.subscriber,
             self._publisher,
         )
         self._node_discovery = _node_discovery.NodeDiscovery(
@@ -203,18 +217,14 @@
         that few nodes load the store.
         """
         self.relay.set_node_count(sum(len(names) for names in nodes.values()))
-        local_nodes = nodes.get(self._settings.data_centre, ())
-        self.subscriber.set_nodes(local_nodes)
-        local_names = sorted(name for name, _ in local_nodes)
-        name = self._settings.name
-        rank = (
-            local_names.index(name)
-            if name in local_names
-            else len(local_names)
-        )
+        ranked = _ranking.rank_nodes(nodes.get(self._settings.data_centre, ()))
+        self.subscriber.set_nodes(ranked)
+        rank = _ranking.find_rank(ranked, self._settings.name)
         for leader in self._leaders:
             candidates = nodes.get(leader.lease.shard, ())
-            leader.lease.set_rank(rank, len(candidates))
+            leader.lease.set_rank(
+                len(ranked) if rank is None else rank, len(candidates)
+            )
 
     def _is_leader(self):
         return any(leader.lease.held for leader in self._leaders)
@@ -269,6 +279,8 @@
         self.configuration_cache.max_proof_age = _find_max_proof_age(
             settings.bounds
         )
+        self.subscriber.max_proof_age = _find_reliance_time(settings.bounds)
+        self.subscriber.drain_time = settings.bounds.drain_time
         for leader in self._leaders:
             leader.settings = self._settings
 
@@ -378,6 +390,22 @@
     return bounds.key_revocation - REVOCATION_MARGIN
 
 
+def _find_reliance_time(bounds):
+    """Return how old a proof may be before a node reads the store itself.
+
+    A version must be in force within a bound after it was acknowledged, and
+    the read takes a part of that time.
+
+    Returns
+    -------
+    float
+        Time (seconds).
+    """
+    limits = [bounds.configuration_apply, _find_max_proof_age(bounds)]
+    shortest = min(limit for limit in limits if limit is not None)
+    return max(shortest - CONFIGURATION_READ_TIME, MIN_RELIANCE_TIME)
+
+
 def _make_listener(server):
     def listen(address):
         host, port = address.rsplit(':', 1)
--- a/balsamwind/node/_settings.py
+++ b/balsamwind/node/_settings.py
@@ -2,6 +2,12 @@
 
 import dataclasses
 
+REFERENCE_CORES = 1.0
+"""Processor time of a node of capacity 1 (cores)."""
+
+REFERENCE_LINK_RATE = 100.0
+"""Rate of the network link of a node of capacity 1 (Mbit/s)."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Bounds:
@@ -14,6 +20,9 @@
         (seconds).
     grace : float
         Time from SIGTERM to SIGKILL (seconds).
+    configuration_apply : float
+        Time after the acknowledgement of a version within which it must be in
+        force (seconds).
     key_revocation : float or None
         Longest time for which a revoked key may still be accepted (seconds);
         None if there is no bound.
@@ -37,6 +46,7 @@
 
     drain_time: float = 2.0
     grace: float = 8.0
+    configuration_apply: float = 2.0
     key_revocation: float | None = None
     retry_ratio: float = 0.2
     retry_window: float = 10.0
@@ -71,6 +81,10 @@
         Address of the platform's store, ``host:port``.
     first_start : bool
         Whether the whole system starts for the first time.
+    cores : float
+        Processor time of the node (cores).
+    link_rate : float
+        Rate of the network link (Mbit/s).
     bounds : Bounds
         Bounds and timing of the deployment.
     """
@@ -84,4 +98,21 @@
     news: str
     store: str
     first_start: bool = False
+    cores: float = 1.0
+    link_rate: float = 100.0
     bounds: Bounds = Bounds()
+
+    @property
+    def capacity(self):
+        """Capacity for work that a node does for others of its data centre.
+
+        It is relative to `REFERENCE_CORES` and `REFERENCE_LINK_RATE`; the
+        scarcer of the two counts.
+        """
+        return round(
+            min(
+                self.cores / REFERENCE_CORES,
+                self.link_rate / REFERENCE_LINK_RATE,
+            ),
+            2,
+        )
--- a/balsamwind/node/_update_feed.py
+++ b/balsamwind/node/_update_feed.py
@@ -5,30 +5,77 @@
 """
 
 import asyncio
+import dataclasses
 
 from balsamwind import adapters
 from balsamwind import exceptions
+from balsamwind.node import _ranking
 from balsamwind.node import _updates
+from balsamwind import traffic
 
 PUBLISHER_COUNT = 2
-"""Nodes of a data centre, first by name, that the other nodes subscribe to
-(count). The second of them itself subscribes to the first."""
+"""Nodes of a data centre, first by rank, that read the store without waiting
+for a successor of a lost publisher (count). The second of them itself
+subscribes to the first."""
 
 PUBLISHER_TIMEOUT = 1.3
 """Time without server updates after which a publisher is given up
 (seconds)."""
 
-PROOF_REQUEST_INTERVAL = 0.5
-"""Time between two requests for the proof of the configuration (seconds)."""
-
-MAX_PROOF_AGE = 2.9
-"""Age of a proof up to which this node does not read the store itself
+CLOCK_REQUEST_INTERVAL = 5.0
+"""Time between two comparisons of the clocks of subscriber and publisher
 (seconds)."""
 
+MAX_CHANGE_BYTES = 256 * 1024
+"""Largest change of the configuration that is published; subscribers read a
+larger one from the store (bytes)."""
+
 RECONNECT_INTERVAL = 1.0
+"""Wait before the publishers are tried again, if none sent anything
+(seconds)."""
+
+NEXT_PUBLISHER_INTERVAL = 0.05
 """Wait before the next publisher is tried, if the last one sent nothing
 (seconds)."""
 
+DISCOVERY_TIME = 2.0
+"""Time after the start in which a node waits for the list of nodes before it
+reads the store itself (seconds)."""
+
+SUBSCRIPTION_TIME = 1.5
+"""Time after the list of nodes is known in which a node waits for a publisher
+before it reads the store itself (seconds)."""
+
+PROPAGATION_TIME = 0.2
+"""Time in which a proof reaches the subscribers of its reader (seconds)."""
+
+READ_TIME = 0.7
+"""Time in which a node that has lost its publishers reads the entries and
+applies them (seconds)."""
+
+MAX_SUCCESSION_TIME = 1.5
+"""Longest time that a node leaves to the second publisher before it reads the
+entries itself (seconds)."""
+
+
+def find_succession_time(drain_time):
+    """Find how long subscribers wait for a successor of a silent publisher.
+
+    A draining backend server must be known before its drain time is over.
+
+    Parameters
+    ----------
+    drain_time : float
+        Drain time of backend servers (seconds).
+
+    Returns
+    -------
+    float
+        Time (seconds); 0 if the drain time leaves none.
+    """
+    spare_time = drain_time - PUBLISHER_TIMEOUT - READ_TIME
+    return min(max(spare_time, 0.0), MAX_SUCCESSION_TIME)
+
 
 class UpdateSubscriber:
     """Applies a publisher's updates to the registry and the configuration.
@@ -39,95 +86,160 @@
         Name of this node.
     registry : balsamwind.pool.ServerRegistry
         Entries of the backend servers.
-    configuration_cache : balsamwind.traffic.ConfigurationCache
-        Configuration in force.
+    updater : ConfigurationUpdater
+        Puts the publisher's versions and proofs in force.
     clock : balsamwind.ports.Clock
         Monotonic clock.
     log : structlog logger
         Logger of the node.
     forward : callable
         Forwards a `ServerUpdate` to the subscribers of this node.
+    max_proof_age : float
+        Age of a proof up to which this node does not read the store itself
+        (seconds).
+    drain_time : float
+        Drain time of backend servers (seconds).
+
+    Attributes
+    ----------
+    max_proof_age, drain_time : float
+        As given; replaced when the settings are read again.
     """
 
     def __init__(
-        self, name, registry, configuration_cache, clock, log, forward
+        self,
+        name,
+        registry,
+        updater,
+        clock,
+        log,
+        forward,
+        max_proof_age,
+        drain_time,
     ):
         self._name = name
         self._forward = forward
         self._registry = registry
-        self._configuration_cache = configuration_cache
+        self._updater = updater
         self._clock = clock
         self._log = log
+        self.max_proof_age = max_proof_age
+        self.drain_time = drain_time
+        self._rank = 0
+        self._nodes_known = False
+        self._grace_until = clock.monotonic() + DISCOVERY_TIME
         self._publishers = ()
         self._last_update_at = float('-inf')
         self._proved_at = float('-inf')
         self._newest_version = 0
         self._request_number = 0
         self._pending_requests = {}
+        self._clock_offset = None
 
     @property
     def _is_root(self):
         """Whether this node has no publisher, and reads the store itself."""
         return not self._publishers
 
-    def set_nodes(self, nodes):
+    @property
+    def reads_store_first(self):
+        """Whether this node reads the store without waiting for others."""
+        return self._rank < PUBLISHER_COUNT
+
+    def set_nodes(self, ranked):
         """Choose the publishers among the nodes of the own data centre.
 
+        They are all nodes of a lower rank. Nodes of a high rank turn to
+        another subscriber only if the first publishers can't be reached.
+
         Parameters
         ----------
-        nodes : iterable of (str, str)
-            Name of each node, and the address where it publishes updates.
+        ranked : list of RegisteredNode
+            Nodes by rank, see `rank_nodes`.
         """
-        ordered = sorted(nodes)
-        names = [name for name, _ in ordered]
-        rank = names.index(self._name) if self._name in names else 0
-        self._publishers = tuple(
-            address for _, address in ordered[: min(rank, PUBLISHER_COUNT)]
-        )
+        self._rank = _ranking.find_rank(ranked, self._name) or 0
+        self._publishers = tuple(node.address for node in ranked[: self._rank])
+        if not self._nodes_known:
+            self._nodes_known = True
+            self._grace_until = self._clock.monotonic() + SUBSCRIPTION_TIME
+
+    def is_starting(self):
+        """Whether to wait for a first publisher instead of the store."""
+        if self._nodes_known and self._is_root:
+            return False
+        return self._clock.monotonic() < self._grace_until
 
     def has_fresh_servers(self):
         """Whether a publisher keeps the registry up to date."""
+        timeout = PUBLISHER_TIMEOUT
+        if not self.reads_store_first:
+            timeout += find_succession_time(self.drain_time)
         now = self._clock.monotonic()
-        return (
-            not self._is_root
-            and now - self._last_update_at < PUBLISHER_TIMEOUT
-        )
+        return not self._is_root and now - self._last_update_at < timeout
 
     def has_fresh_proof(self):
-        """Whether a publisher keeps the proof of the configuration fresh."""
+        """Whether a publisher keeps the proof of the configuration fresh.
+
+        The second publisher reads the store sooner than its subscribers, so
+        that they hear from it in time if the first one is silent.
+        """
+        max_age = self.max_proof_age
+        if self.reads_store_first:
+            max_age = max_age * 2 / 3 + PROPAGATION_TIME
         now = self._clock.monotonic()
-        return not self._is_root and now - self._proved_at < MAX_PROOF_AGE
+        return not self._is_root and now - self._proved_at < max_age
 
     def knows_newer_version(self):
         """Whether a publisher has a newer version of the configuration."""
-        return self._newest_version > self._configuration_cache.version
+        return self._newest_version > self._updater.version
 
     async def run(self):
         """Subscribe to one publisher after another; never returns."""
-        attempt = 0
         while True:
-            if self._is_root:
+            if self._nodes_known and not await self._search_publisher():
                 await asyncio.sleep(RECONNECT_INTERVAL)
-                continue
-            address = self._publishers[attempt % len(self._publishers)]
-            attempt += 1
+            await asyncio.sleep(NEXT_PUBLISHER_INTERVAL)
+
+    async def _search_publisher(self):
+        """Subscribe to the first publisher that sends updates, by rank.
+
+        Nodes that can't be reached are passed over. While the store is down,
+        no node sends updates, so only a few are waited for.
+
+        Returns
+        -------
+        bool
+            Whether there were updates, until the publisher was lost.
+        """
+        silent_count = 0
+        for rank, address in enumerate(self._publishers):
             previous_update_at = self._last_update_at
             try:
                 await self._subscribe(address)
+            except exceptions.AnswerTimeout as error:
+                self._log.info('news_lost', source=address, reason=str(error))
+                silent_count += 1
             except exceptions.TransportError as error:
                 self._log.info('news_lost', source=address, reason=str(error))
-            if self._last_update_at == previous_update_at:
-                await asyncio.sleep(RECONNECT_INTERVAL)
+            # The successor of the first publisher is the next one; that of
+            # another may be the first, which is searched for anew.
+            if self._last_update_at != previous_update_at and rank > 0:
+                return True
+            if silent_count >= PUBLISHER_COUNT:
+                return False
+            await asyncio.sleep(NEXT_PUBLISHER_INTERVAL)
+        return False
 
     async def _subscribe(self, address):
         async with adapters.open_update_connection(address) as connection:
             self._log.info('news_heard', source=address)
+            self._clock_offset = None
             last_update_at = self._clock.monotonic()
             request_task = asyncio.ensure_future(
-                self._request_proofs(connection)
+                self._request_clock(connection)
             )
             try:
-                while not self._is_root:
+                while address in self._publishers:
                     data = await adapters.receive_frame(
                         connection, PUBLISHER_TIMEOUT
                     )
@@ -150,43 +262,92 @@
                 'no server updates from the publisher'
             )
 
-    async def _request_proofs(self, connection):
+    async def _request_clock(self, connection):
         while True:
             self._request_number += 1
             self._pending_requests = {
                 self._request_number: self._clock.monotonic()
             }
-            request = _updates.ConfigurationProofRequest(self._request_number)
+            request = _updates.ClockRequest(
+                self._request_number, self._updater.version
+            )
             await connection.send(_updates.encode_frame(request))
-            await asyncio.sleep(PROOF_REQUEST_INTERVAL)
+            await asyncio.sleep(CLOCK_REQUEST_INTERVAL)
 
     def _handle(self, message):
-        now = self._clock.monotonic()
         match message:
             case _updates.ServerUpdate():
+                now = self._clock.monotonic()
                 self._last_update_at = now
                 self._apply_servers(message, now)
                 self._forward(message)
-            case _updates.ConfigurationProof(
-                number=number, version=version, age=age
-            ):
-                sent_at = self._pending_requests.pop(number, None)
-                if sent_at is not None:
-                    self._accept_proof(version, sent_at - age)
-
-    def _accept_proof(self, version, proved_at):
+            case _updates.ClockReading():
+                self._compare_clocks(message)
+                if message.update is not None:
+                    self._accept_change(message.update)
+                elif message.proof is not None:
+                    self._accept_proof(message.proof)
+            case _updates.ConfigurationProof():
+                self._accept_proof(message)
+            case _updates.ConfigurationUpdate():
+                self._accept_change(message)
+
+    def _compare_clocks(self, reading):
+        """Find a lower bound of the time between the two clocks.
+
+        The publisher read its clock after the request was sent, so a time of
+        the publisher plus the bound is never later than the same moment by
+        this clock.
+        """
+        sent_at = self._pending_requests.pop(reading.number, None)
+        if sent_at is None:
+            return
+        offset = sent_at - reading.time
+        if self._clock_offset is None or offset > self._clock_offset:
+            self._clock_offset = offset
+
+    def _accept_proof(self, proof):
         """Use a proof, or note that the publisher has a newer version.
 
         A newer version is read from the store. A publisher that is cut off
-        from the store goes on answering, so the time that counts is when it
-        heard from the store, not when it answered.
+        from the store goes on sending, so the time that counts is when it
+        heard from the store, not when its message came.
         """
-        if version == self._configuration_cache.version:
-            self._configuration_cache.record_proof(proved_at)
-            self._proved_at = max(self._proved_at, proved_at)
-        elif version > self._configuration_cache.version:
+        if proof.version > self._updater.version:
             self._proved_at = float('-inf')
-            self._newest_version = version
+            self._newest_version = proof.version
+            return
+        if proof.version == self._updater.version:
+            proved_at = self._convert_time(proof.proved_at)
+            if proved_at > self._proved_at:
+                self._proved_at = proved_at
+                self._updater.confirm(proof.revision, proved_at)
+
+    def _accept_change(self, message):
+        """Apply a change to the version in force, if it fits that version."""
+        proof = message.proof
+        proved_at = self._convert_time(proof.proved_at)
+        if (
+            message.change.base_version != self._updater.version
+            or proved_at == float('-inf')
+        ):
+            self._accept_proof(proof)
+            return
+        self._updater.apply(message.change, proof.revision, proved_at)
+        self._proved_at = proved_at
+
+    def _convert_time(self, publisher_time):
+        """Convert a boot time of the publisher to one of this node.
+
+        Returns
+        -------
+        float
+            Never later than the true time (seconds); infinitely early while
+            the clocks have not been compared.
+        """
+        if self._clock_offset is None:
+            return float('-inf')
+        return publisher_time + self._clock_offset
 
     def _apply_servers(self, message, now):
         if message.whole:
@@ -222,6 +383,7 @@
         self._registry = registry
         self._configuration_cache = configuration_cache
         self._clock = clock
+        self._last_proof = None
         self._last_publish_at = float('-inf')
         self.server = adapters.UpdateServer(
             self._make_first_frame, self._answer_request, log
@@ -259,16 +421,78 @@
         if self.server.subscriber_count:
             self.server.broadcast(_updates.encode_frame(message))
 
+    def publish_configuration(
+        self, previous, configuration, revision, proved_at
+    ):
+        """Publish a version that is now in force here.
+
+        Subscribers without the previous version, and those of a change that
+        is too large for a frame, learn of the version and read the store.
+
+        Parameters
+        ----------
+        previous : balsamwind.traffic.Configuration or None
+            Version in force before; None if there was none.
+        configuration : balsamwind.traffic.Configuration
+            Version in force.
+        revision : int
+            Store revision at which it was the newest.
+        proved_at : float
+            When the read of the store was sent that showed this (seconds,
+            boot clock).
+        """
+        self._last_proof = _updates.ConfigurationProof(
+            configuration.version, revision, proved_at
+        )
+        if not self.server.subscriber_count:
+            return
+        change = traffic.plan_change(
+            previous or traffic.NO_CONFIGURATION, configuration
+        )
+        if change is not None:
+            frame = _updates.encode_frame(
+                _updates.ConfigurationUpdate(change, self._last_proof)
+            )
+            if len(frame) <= MAX_CHANGE_BYTES:
+                self.server.broadcast(frame)
+                return
+        self.server.broadcast(_updates.encode_frame(self._last_proof))
+
+    def publish_proof(self, revision, proved_at):
+        """Publish a proof that the version in force is the newest.
+
+        Parameters
+        ----------
+        revision, proved_at
+            As for `publish_configuration`.
+        """
+        self._last_proof = _updates.ConfigurationProof(
+            self._configuration_cache.version, revision, proved_at
+        )
+        if self.server.subscriber_count:
+            self.server.broadcast(_updates.encode_frame(self._last_proof))
+
     def _answer_request(self, data):
         match _updates.decode_frame(data):
-            case _updates.ConfigurationProofRequest(number=number):
-                age = self._configuration_cache.get_proof_age(
-                    self._clock.monotonic()
+            case _updates.ClockRequest(number=number, version=version):
+                reading = _updates.ClockReading(
+                    number, self._clock.monotonic(), self._last_proof
                 )
-                if not self._configuration_cache.version:
-                    return None
-                proof = _updates.ConfigurationProof(
-                    number, self._configuration_cache.version, age
-                )
-                return _updates.encode_frame(proof)
+                if version == 0 and self._last_proof is not None:
+                    return self._add_first_configuration(reading)
+                return _updates.encode_frame(reading)
         return None
+
+    def _add_first_configuration(self, reading):
+        """Encode a reading for a subscriber that has no configuration yet."""
+        change = traffic.plan_change(
+            traffic.NO_CONFIGURATION, self._configuration_cache.configuration
+        )
+        if change is not None:
+            update = _updates.ConfigurationUpdate(change, reading.proof)
+            frame = _updates.encode_frame(
+                dataclasses.replace(reading, update=update)
+            )
+            if len(frame) <= MAX_CHANGE_BYTES:
+                return frame
+        return _updates.encode_frame(reading)
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -2,7 +2,8 @@
 
 A frame is a CBOR array of the type tag of a message and a map of its fields.
 The proof of a configuration is the time at which its version was last known to
-be the newest in the store.
+be the newest in the store. Publishers send it in their own boot time; a
+subscriber asks for that time to find how far the two clocks are apart.
 """
 
 import dataclasses
@@ -12,6 +13,7 @@
 from balsamwind import exceptions
 from balsamwind import objects
 from balsamwind import pool
+from balsamwind import traffic
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -34,39 +36,88 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class ConfigurationProofRequest:
-    """Asks a publisher for the age of its proof of the configuration.
+class ClockRequest:
+    """Asks a publisher for its boot time.
 
     Parameters
     ----------
     number : int
-        Identifies the request; the subscriber counts the age from the time
-        at which it sent this number.
+        Identifies the request.
+    version : int
+        Version in force at the subscriber; 0 if none.
     """
 
     number: int
+    version: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ConfigurationProof:
-    """Answer to a `ConfigurationProofRequest`.
+    """States until when a version was known to be the newest.
 
     Parameters
     ----------
-    number : int
-        Number of the request.
     version : int
         Version of the configuration in force at the publisher.
-    age : float
-        Time since that version was proved to be the newest (seconds).
+    revision : int
+        Store revision up to which no newer version was written.
+    proved_at : float
+        When the read of the store was sent that showed this (seconds, boot
+        time of the publisher).
     """
 
-    number: int
     version: int
-    age: float
+    revision: int
+    proved_at: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigurationUpdate:
+    """A newer version of the configuration, as a difference.
+
+    Parameters
+    ----------
+    change : balsamwind.traffic.ConfigurationChange
+        Difference to the version before.
+    proof : ConfigurationProof
+        Proof of the newer version.
+    """
+
+    change: traffic.ConfigurationChange
+    proof: ConfigurationProof
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClockReading:
+    """Answer to a `ClockRequest`.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request.
+    time : float
+        Boot time of the publisher (seconds).
+    proof : ConfigurationProof or None
+        Latest proof of the publisher; None while it has none.
+    update : ConfigurationUpdate or None
+        The whole version in force, for a subscriber without any version.
+    """
+
+    number: int
+    time: float
+    proof: ConfigurationProof | None = None
+    update: ConfigurationUpdate | None = None
+
 
+_TYPES = {
+    1: ServerUpdate,
+    4: ClockRequest,
+    5: ClockReading,
+    6: ConfigurationProof,
+    7: ConfigurationUpdate,
+}
+"""Messages by type tag; 2 and 3 were used by earlier versions."""
 
-_TYPES = {1: ServerUpdate, 2: ConfigurationProofRequest, 3: ConfigurationProof}
 _TAGS = {cls: tag for tag, cls in _TYPES.items()}
 
 
--- a/balsamwind/node/_watchers.py
+++ b/balsamwind/node/_watchers.py
@@ -5,7 +5,10 @@
 from balsamwind import exceptions
 from balsamwind import pool
 
-CONFIGURATION_WATCH_TIME = 1.0
+CHECK_WAIT = 0.001
+"""Wait of a watch that only checks whether there are changes (seconds)."""
+
+MAX_CONFIGURATION_WATCH_TIME = 1.0
 """Longest wait of one watch of the configuration (seconds). Each answer proves
 how recent the configuration is."""
 
@@ -17,7 +20,7 @@
 """Time that a publisher has to prove that the version just read is the newest
 (seconds)."""
 
-SETTLE_INTERVAL = 0.6
+SETTLE_INTERVAL = 0.4
 """Time between a change of the configuration and the next read, as further
 changes may follow at once (seconds)."""
 
@@ -34,6 +37,10 @@
 MAX_RETRY_INTERVAL = 0.6
 """Longest wait after consecutive failures (seconds)."""
 
+SUBSCRIBER_RETRY_INTERVAL = 2.0
+"""Wait after a call that failed, at a node that has publishers (seconds). Most
+nodes have, and all of them lose their publishers while the store is down."""
+
 WATCH_TIME = 0.8
 """Longest wait of one watch of the servers (seconds)."""
 
@@ -60,6 +67,19 @@
 (seconds)."""
 
 
+async def _wait_for_retry(wait, has_publisher, reads_store_first):
+    """Wait after a failed call, at most until a publisher is heard again."""
+    if reads_store_first:
+        await asyncio.sleep(wait)
+        return
+    for _ in range(
+        round(SUBSCRIBER_RETRY_INTERVAL / PUBLISHER_CHECK_INTERVAL)
+    ):
+        await asyncio.sleep(PUBLISHER_CHECK_INTERVAL)
+        if has_publisher():
+            return
+
+
 class StoreAvailability:
     """Tracks whether the store answers, and logs when that changes.
 
@@ -138,6 +158,26 @@
         return min(self._failures * RETRY_INTERVAL, MAX_RETRY_INTERVAL)
 
 
+def find_watch_time(max_proof_age):
+    """Find how long a watch of the configuration may wait.
+
+    A proof dates from the moment at which its watch was sent, and the next
+    one comes a whole watch later. The last third of the age is left to the
+    second publisher, which reads the store before the subscribers do.
+
+    Parameters
+    ----------
+    max_proof_age : float
+        Age up to which subscribers rely on a proof (seconds).
+
+    Returns
+    -------
+    float
+        Time (seconds).
+    """
+    return min(max_proof_age / 3, MAX_CONFIGURATION_WATCH_TIME)
+
+
 class ConfigurationWatcher:
     """Keeps the newest configuration in force.
 
@@ -145,34 +185,32 @@
     ----------
     platform : balsamwind.platform.PlatformClient
         Client of the platform's store.
-    configuration_cache : balsamwind.traffic.ConfigurationCache
-        Configuration in force.
+    updater : ConfigurationUpdater
+        Puts what is read in force.
     clock : balsamwind.ports.Clock
         Monotonic clock.
     log : structlog logger
         Logger of the node.
-    on_change : callable
-        Called without arguments after the version in force has changed.
     subscriber : UpdateSubscriber
         Tells whether a publisher keeps the proof of the configuration fresh,
         or knows a newer version.
     """
 
-    def __init__(
-        self, platform, configuration_cache, clock, log, on_change, subscriber
-    ):
+    def __init__(self, platform, updater, clock, log, subscriber):
         self._platform = platform
         self._subscriber = subscriber
-        self._configuration_cache = configuration_cache
+        self._updater = updater
         self._clock = clock
         self._log = log
-        self._on_change = on_change
         self._availability = StoreAvailability('configuration', clock, log)
 
     async def run(self):
         """Keep the configuration up to date; never returns."""
         while True:
-            if self._subscriber.has_fresh_proof():
+            if (
+                self._subscriber.is_starting()
+                or self._subscriber.has_fresh_proof()
+            ):
                 self._availability.record_indirect_answer()
                 await asyncio.sleep(PUBLISHER_CHECK_INTERVAL)
                 continue
@@ -182,9 +220,15 @@
                 else:
                     await self._watch()
             except exceptions.HistoryGone as error:
+                self._updater.revision = 0
                 self._log.info('configuration_reread', reason=str(error))
             except exceptions.StoreError as error:
-                await asyncio.sleep(self._availability.record_failure(error))
+                self._updater.revision = 0
+                await _wait_for_retry(
+                    self._availability.record_failure(error),
+                    self._subscriber.has_fresh_proof,
+                    self._subscriber.reads_store_first,
+                )
 
     async def _read_once(self):
         """Read once, then wait until a publisher proves it or has a newer one.
@@ -192,7 +236,10 @@
         When the configuration changes at many nodes at once, this limits each
         node to one read for each version.
         """
-        await self._read()
+        if self._subscriber.knows_newer_version():
+            await self._read()
+        else:
+            await self._check()
         deadline = self._clock.monotonic() + PUBLISHER_PROOF_TIMEOUT
         await asyncio.sleep(PUBLISHER_CHECK_INTERVAL)
         while self._clock.monotonic() < deadline:
@@ -203,20 +250,33 @@
                 return
             await asyncio.sleep(PUBLISHER_CHECK_INTERVAL)
 
+    async def _check(self):
+        """Read only what has changed since the last proof, if it is known."""
+        if self._updater.revision:
+            await self._watch_once(self._updater.revision, CHECK_WAIT)
+        else:
+            await self._read()
+
     async def _watch(self):
-        revision = await self._read_until_settled()
+        revision = await self._find_first_revision()
         while not self._subscriber.has_fresh_proof():
-            sent_at = self._clock.monotonic()
-            revision, found = await self._platform.watch_configuration(
-                revision,
-                CONFIGURATION_WATCH_TIME,
-                CONFIGURATION_WATCH_TIME + CALL_TIMEOUT,
-            )
-            self._accept(found, sent_at)
-            if found is not None:
+            wait = find_watch_time(self._subscriber.max_proof_age)
+            revision, changed = await self._watch_once(revision, wait)
+            if changed:
                 await asyncio.sleep(SETTLE_INTERVAL)
                 revision = await self._read_until_settled()
 
+    async def _find_first_revision(self):
+        """Return the revision to watch from, after a first read."""
+        if self._updater.revision:
+            revision, changed = await self._watch_once(
+                self._updater.revision, CHECK_WAIT
+            )
+            if not changed:
+                return revision
+            await asyncio.sleep(SETTLE_INTERVAL)
+        return await self._read_until_settled()
+
     async def _read_until_settled(self):
         """Read until the version no longer changes.
 
@@ -229,9 +289,9 @@
             Store revision to watch from.
         """
         while True:
-            previous = self._configuration_cache.version
+            previous = self._updater.version
             revision = await self._read()
-            if self._configuration_cache.version == previous:
+            if self._updater.version == previous:
                 return revision
             await asyncio.sleep(SETTLE_INTERVAL)
 
@@ -239,28 +299,28 @@
         """Read the newest version and return the revision to watch from."""
         sent_at = self._clock.monotonic()
         revision, found = await self._platform.read_configuration(READ_TIMEOUT)
-        self._accept(found, sent_at)
+        self._availability.record_answer()
+        self._updater.accept(found, revision, sent_at)
         return revision
 
-    def _accept(self, found, sent_at):
+    async def _watch_once(self, revision, wait):
+        """Watch from a revision.
+
+        Returns
+        -------
+        (int, bool)
+            Revision to watch from next, and whether there was a change.
+        """
+        sent_at = self._clock.monotonic()
+        revision, found = await self._platform.watch_configuration(
+            revision, wait, wait + CALL_TIMEOUT
+        )
         self._availability.record_answer()
         if found is None:
-            self._configuration_cache.record_proof(sent_at)
-            return
-        previous = self._configuration_cache.version
-        if self._configuration_cache.accept(found, sent_at):
-            self._log.info(
-                'configuration_in_force',
-                version=found.version,
-                before=previous,
-                routes=len(found.routes),
-                accounts=len(found.accounts or ()),
-            )
-            self._on_change()
-        elif found.version < previous:
-            self._log.warning(
-                'configuration_older', version=found.version, kept=previous
-            )
+            self._updater.confirm(revision, sent_at)
+            return revision, False
+        self._updater.accept(found, revision, sent_at)
+        return revision, True
 
 
 class ServerWatcher:
@@ -278,17 +338,17 @@
         Logger of the node.
     is_leader : callable
         Returns whether this node leads a shard.
-    has_updates : callable
-        Returns whether a publisher keeps the registry up to date.
+    subscriber : UpdateSubscriber
+        Tells whether a publisher keeps the registry up to date.
     publisher : UpdatePublisher
         Passes on what is read to the subscribers of this node.
     """
 
     def __init__(
-        self, platform, registry, clock, log, is_leader, has_updates, publisher
+        self, platform, registry, clock, log, is_leader, subscriber, publisher
     ):
         self._is_leader = is_leader
-        self._has_updates = has_updates
+        self._subscriber = subscriber
         self._publisher = publisher
         self._platform = platform
         self._registry = registry
@@ -310,10 +370,16 @@
             except exceptions.HistoryGone as error:
                 self._log.info('watch_restarted', reason=str(error))
             except exceptions.StoreError as error:
-                await asyncio.sleep(self._availability.record_failure(error))
+                await _wait_for_retry(
+                    self._availability.record_failure(error),
+                    self._subscriber.has_fresh_servers,
+                    self._is_leader() or self._subscriber.reads_store_first,
+                )
 
     def _relies_on_publisher(self):
-        return self._has_updates() and not self._is_leader()
+        return self._subscriber.is_starting() or (
+            self._subscriber.has_fresh_servers() and not self._is_leader()
+        )
 
     async def _watch(self):
         revision, records = await self._platform.list_servers(CALL_TIMEOUT)
--- a/balsamwind/node/tests/test_lease.py
+++ b/balsamwind/node/tests/test_lease.py
@@ -20,11 +20,17 @@
         self.stored = None
         self.revision = 0
         self.reads = 0
+        self.current_reads = 0
         self.writes = 0
         self.conflicts = 0
+        self.stale = None
+        self.serves_stale = False
 
-    async def read_lease(self, shard, timeout):
+    async def read_lease(self, shard, timeout, may_be_stale=False):
         self.reads += 1
+        if may_be_stale:
+            return self.stale if self.serves_stale else self.stored
+        self.current_reads += 1
         return self.stored
 
     async def write_lease(self, lease, expected, timeout):
@@ -64,11 +70,29 @@
     holder = _make_lease(store, clock, 'n0')
     _step_all([holder], clock, 1.0)
     other = _make_lease(store, clock, 'n1', own, rank)
-    store.reads = 0
+    store.reads = store.current_reads = 0
     _step_all([holder, other], clock, 60.0)
     assert holder.held
     assert store.conflicts == 0
     assert store.reads <= most_reads
+    assert store.current_reads == 0
+
+
+@pytest.mark.parametrize('known_before', [True, False])
+def test_lease_that_only_looks_expired_is_not_taken(known_before):
+    """A read that may be stale shows an old renewal for seconds."""
+    clock = doubles.Clock()
+    store = _Store()
+    holder = _make_lease(store, clock, 'n0')
+    _step_all([holder], clock, 1.0)
+    other = _make_lease(store, clock, 'n1', rank=1)
+    if known_before:
+        _step_all([holder, other], clock, 3.0)
+    store.stale, store.serves_stale = store.stored, True
+    _step_all([holder, other], clock, 8.0)
+    assert holder.held
+    assert not other.held
+    assert store.conflicts == 0
 
 
 @pytest.mark.parametrize(
--- a/balsamwind/node/tests/test_updates.py
+++ b/balsamwind/node/tests/test_updates.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import pytest
 
 from balsamwind import exceptions
+from balsamwind.node import _configuration_updater
+from balsamwind.node import _ranking
 from balsamwind.node import _update_feed
 from balsamwind.node import _updates
 from balsamwind.node.tests import doubles
@@ -28,14 +31,47 @@
 )
 
 
+ROUTE = traffic.Route(
+    'ask',
+    'a.example',
+    '/ask/',
+    traffic.RequestKind.STREAM,
+    4.0,
+    0.3,
+    1,
+    (traffic.Target('llm', 0.5), traffic.Target('llm2', 0.5)),
+)
+
+CONFIGURATION = traffic.Configuration(
+    5,
+    (ROUTE,),
+    (
+        traffic.Service(
+            'llm',
+            engine=traffic.EngineProfile((traffic.ModelProfile('m0', 4),)),
+        ),
+    ),
+    accounts=(traffic.ClientAccount('acme', ('k1', 'k2')),),
+)
+
+PROOF = _updates.ConfigurationProof(5, 70, 11.25)
+
+UPDATE = _updates.ConfigurationUpdate(
+    traffic.plan_change(traffic.NO_CONFIGURATION, CONFIGURATION), PROOF
+)
+
+
 @pytest.mark.parametrize(
     'message',
     [
         _updates.ServerUpdate(),
         _updates.ServerUpdate(True, (RECORD,), ()),
         _updates.ServerUpdate(False, (), (pool.RemovedServer('e1', 13),)),
-        _updates.ConfigurationProofRequest(4),
-        _updates.ConfigurationProof(4, 7, 0.25),
+        _updates.ClockRequest(4, 7),
+        _updates.ClockReading(4, 12.5),
+        _updates.ClockReading(4, 12.5, PROOF, UPDATE),
+        PROOF,
+        UPDATE,
     ],
 )
 def test_frame_round_trip(message):
@@ -132,6 +168,7 @@
                 and third.subscriber.has_fresh_servers()
             )
         )
+        await helpers.wait_until(first._is_leader)
         leads = [leader.lease.held for leader in first._leaders]
         before = _count_watches(second)
         await asyncio.sleep(1.5)
@@ -154,8 +191,11 @@
     async def scenario(fake_platform, nodes):
         second, third = nodes[1:]
         await helpers.wait_until(second.subscriber.has_fresh_servers)
-        addresses = [('n2', second.settings.news), ('n3', 'unused')]
-        third.subscriber.set_nodes(addresses)
+        ranked = [
+            _ranking.RegisteredNode('n2', second.settings.news),
+            _ranking.RegisteredNode('n3', 'unused'),
+        ]
+        third.subscriber.set_nodes(ranked)
         await helpers.wait_until(third.subscriber.has_fresh_servers)
         await asyncio.sleep(1.5)
         fake_platform.add_engine('e9', 'llm', 'z1', 'd1')
@@ -198,6 +238,54 @@
     assert _run_scenario(scenario)
 
 
+class _Publisher:
+    """Records what a node passes on to its own subscribers."""
+
+    def __init__(self):
+        self.proofs = []
+        self.versions = []
+
+    def publish_proof(self, revision, proved_at):
+        self.proofs.append((revision, proved_at))
+
+    def publish_configuration(
+        self, previous, configuration, revision, proved_at
+    ):
+        self.versions.append(configuration.version)
+
+
+def _make_subscriber(clock, configuration=CONFIGURATION, rank=2):
+    """Make a subscriber that has compared its clock with the publisher's.
+
+    The clock of the publisher is 50 s behind that of the subscriber.
+    """
+    cache = traffic.ConfigurationCache(4.6)
+    if configuration is not None:
+        cache.accept(configuration, 80.0)
+    updater = _configuration_updater.ConfigurationUpdater(
+        cache, _Publisher(), doubles.Log(), lambda: None
+    )
+    nodes = [
+        _ranking.RegisteredNode(f'n{number}', 'x')
+        for number in range(rank + 1)
+    ]
+    subscriber = _update_feed.UpdateSubscriber(
+        f'n{rank}',
+        pool.ServerRegistry(),
+        updater,
+        clock,
+        doubles.Log(),
+        lambda message: None,
+        2.0,
+        4.0,
+    )
+    subscriber.set_nodes(nodes)
+    clock.now += _update_feed.SUBSCRIPTION_TIME
+    subscriber._pending_requests = {1: clock.now}
+    subscriber._handle(_updates.ClockReading(1, clock.now - 50.0))
+    return subscriber, updater, cache
+
+
 @pytest.mark.parametrize(
     ('version', 'age', 'listens'),
     [
@@ -211,18 +299,116 @@
 )
 def test_only_a_fresh_proof_of_the_same_version_counts(version, age, listens):
     clock = doubles.Clock()
-    configuration_cache = traffic.ConfigurationCache(4.6)
-    configuration_cache.accept(traffic.Configuration(5, (), ()), 99.0)
-    subscriber = _update_feed.UpdateSubscriber(
-        'n3',
-        pool.ServerRegistry(),
-        configuration_cache,
-        clock,
-        None,
-        lambda message: None,
-    )
-    subscriber.set_nodes([('n1', 'x'), ('n2', 'y'), ('n3', 'z')])
-    subscriber._pending_requests = {1: clock.now}
-    subscriber._handle(_updates.ConfigurationProof(1, version, age))
+    subscriber, updater, cache = _make_subscriber(clock)
+    proved_at = clock.now - 50.0 - age
+    subscriber._handle(_updates.ConfigurationProof(version, 70, proved_at))
     assert subscriber.has_fresh_proof() is listens
-    assert configuration_cache.version == 5
+    assert cache.version == 5
+
+
+def test_proof_without_compared_clocks_does_not_count():
+    clock = doubles.Clock()
+    subscriber, updater, cache = _make_subscriber(clock)
+    subscriber._clock_offset = None
+    subscriber._handle(_updates.ConfigurationProof(5, 70, clock.now))
+    assert not subscriber.has_fresh_proof()
+    assert cache.get_proof_age(clock.now) > 10.0
+
+
+def test_slow_clock_reading_makes_a_proof_older_never_younger():
+    clock = doubles.Clock()
+    subscriber, updater, cache = _make_subscriber(clock)
+    subscriber._clock_offset = None
+    subscriber._pending_requests = {2: clock.now}
+    clock.now += 0.9
+    # The publisher reads its clock just before the answer arrives.
+    subscriber._handle(_updates.ClockReading(2, clock.now - 50.0))
+    subscriber._handle(
+        _updates.ConfigurationProof(5, 70, clock.now - 50.0 - 0.5)
+    )
+    assert cache.get_proof_age(clock.now) == pytest.approx(1.4)
+
+
+NEWER = dataclasses.replace(
+    CONFIGURATION,
+    version=8,
+    routes=(dataclasses.replace(ROUTE, timeout=3.0),),
+    accounts=(traffic.ClientAccount('acme', ('k2',)),),
+)
+
+
+def _send_change(subscriber, clock, base, configuration, age=0.1):
+    change = traffic.plan_change(base, configuration)
+    proof = _updates.ConfigurationProof(
+        configuration.version, 90, clock.now - 50.0 - age
+    )
+    subscriber._handle(_updates.ConfigurationUpdate(change, proof))
+
+
+def test_change_is_put_in_force_without_the_store():
+    clock = doubles.Clock()
+    subscriber, updater, cache = _make_subscriber(clock)
+    _send_change(subscriber, clock, CONFIGURATION, NEWER)
+    assert cache.configuration == NEWER
+    assert subscriber.has_fresh_proof()
+    assert updater.revision == 90
+    assert updater._publisher.versions == [8]
+
+
+def test_first_configuration_comes_from_the_publisher():
+    clock = doubles.Clock()
+    subscriber, updater, cache = _make_subscriber(clock, None)
+    _send_change(subscriber, clock, traffic.NO_CONFIGURATION, NEWER)
+    assert cache.configuration == NEWER
+
+
+def test_change_of_another_version_is_read_from_the_store():
+    clock = doubles.Clock()
+    subscriber, updater, cache = _make_subscriber(clock)
+    base = dataclasses.replace(CONFIGURATION, version=6)
+    _send_change(subscriber, clock, base, NEWER)
+    assert cache.version == 5
+    assert not subscriber.has_fresh_proof()
+    assert subscriber.knows_newer_version()
+
+
+def test_change_does_not_bring_back_an_older_version():
+    clock = doubles.Clock()
+    subscriber, updater, cache = _make_subscriber(clock, NEWER)
+    older = dataclasses.replace(CONFIGURATION, version=7)
+    _send_change(subscriber, clock, CONFIGURATION, older)
+    assert cache.configuration == NEWER
+
+
+@pytest.mark.parametrize(
+    ('rank', 'servers_after', 'proof_after'),
+    [
+        pytest.param(1, 1.3, 2.0 * 2 / 3 + 0.2, id='second publisher'),
+        pytest.param(2, 2.8, 2.0, id='subscriber'),
+    ],
+)
+def test_second_publisher_turns_to_the_store_first(
+    rank, servers_after, proof_after
+):
+    """Subscribers of a silent publisher wait for its successor."""
+    clock = doubles.Clock()
+    subscriber, updater, cache = _make_subscriber(clock, rank=rank)
+    subscriber._handle(_updates.ServerUpdate())
+    subscriber._handle(_updates.ConfigurationProof(5, 70, clock.now - 50.0))
+    start = clock.now
+    clock.now = start + servers_after - 0.01
+    assert subscriber.has_fresh_servers()
+    clock.now = start + servers_after + 0.01
+    assert not subscriber.has_fresh_servers()
+    clock.now = start + proof_after - 0.01
+    assert subscriber.has_fresh_proof()
+    clock.now = start + proof_after + 0.01
+    assert not subscriber.has_fresh_proof()
+
+
+@pytest.mark.parametrize(
+    ('drain_time', 'expected'), [(2.0, 0.0), (3.0, 1.0), (4.0, 1.5)]
+)
+def test_succession_fits_into_the_drain_time(drain_time, expected):
+    time = _update_feed.find_succession_time(drain_time)
+    assert time == pytest.approx(expected)
--- a/balsamwind/node/tests/test_watchers.py
+++ b/balsamwind/node/tests/test_watchers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from balsamwind import exceptions
+from balsamwind.node import _configuration_updater
 from balsamwind.node import _watchers
 from balsamwind.node.tests import doubles
 from balsamwind import traffic
@@ -47,6 +48,11 @@
         self.is_subscribed = is_subscribed
         self.newest_version = newest_version
         self.configuration_cache = None
+        self.max_proof_age = 3.0
+        self.reads_store_first = True
+
+    def is_starting(self):
+        return False
 
     def has_fresh_servers(self):
         return self.is_subscribed
@@ -61,6 +67,18 @@
         )
 
 
+class _Publisher:
+    """Publisher without subscribers."""
+
+    def publish_proof(self, revision, proved_at):
+        pass
+
+    def publish_configuration(
+        self, previous, configuration, revision, proved_at
+    ):
+        pass
+
+
 def _run_watcher(script, monkeypatch, subscriber=None):
     subscriber = subscriber or _FakeSubscriber()
     monkeypatch.setattr(_watchers, 'PUBLISHER_CHECK_INTERVAL', 0.0)
@@ -70,13 +88,11 @@
     configuration_cache = traffic.ConfigurationCache(4.0)
     scripted_platform = _ScriptedPlatform(clock, script)
     subscriber.configuration_cache = configuration_cache
+    updater = _configuration_updater.ConfigurationUpdater(
+        configuration_cache, _Publisher(), doubles.Log(), lambda: None
+    )
     watcher = _watchers.ConfigurationWatcher(
-        scripted_platform,
-        configuration_cache,
-        clock,
-        doubles.Log(),
-        lambda: None,
-        subscriber,
+        scripted_platform, updater, clock, doubles.Log(), subscriber
     )
 
     async def run():
--- a/balsamwind/platform/_client.py
+++ b/balsamwind/platform/_client.py
@@ -1,6 +1,7 @@
 """Client of the platform's store and model engines, used by nodes."""
 
 from balsamwind import exceptions
+from balsamwind import node
 from balsamwind import objects
 from balsamwind.platform import _configuration
 from balsamwind.platform import _headers
@@ -39,8 +40,10 @@
 class PlatformClient:
     """Calls to the store and the engines that :mod:`balsamwind.node` needs.
 
-    Calls to the store raise `balsamwind.exceptions.StoreError` if it does
-    not answer in time or its response is an error. `fetch_engine_report`
+    A `timeout` is the longest wait for each response (seconds). Calls to the
+    store raise `balsamwind.exceptions.StoreError` if it does not answer in
+    time or its response is an error; one that `may_be_stale` may return data
+    that is seconds old. `fetch_engine_report`
     raises `TransportError`, or its subclass `BadAnswer` if the report is
     malformed.
 
@@ -73,11 +76,6 @@
     async def read_configuration(self, timeout):
         """Read the revision to watch from and the newest configuration.
 
-        Parameters
-        ----------
-        timeout : float
-            Longest wait for each response of the store (seconds).
-
         Raises
         ------
         balsamwind.exceptions.StoreError
@@ -106,25 +104,17 @@
         )
         return revision, _find_configuration(items)
 
-    async def register_node(self, name, data_centre, update_address, timeout):
-        """Register a node in the store, or update its registration.
-
-        Parameters
-        ----------
-        name : str
-            Name of the node.
-        data_centre : str
-            Data centre of the node.
-        update_address : str
-            ``host:port`` where other nodes subscribe to this node's updates.
-        timeout : float
-            Longest wait for each response of the store (seconds).
-        """
-        spec = {'data_centre': data_centre, 'news': update_address}
+    async def register_node(self, registered, data_centre, timeout):
+        """Register a `RegisteredNode`, or update its registration."""
+        spec = {
+            'data_centre': data_centre,
+            'news': registered.address,
+            'capacity': registered.capacity,
+        }
         try:
-            await self._store.create(NODE_KIND, name, spec, timeout)
+            await self._store.create(NODE_KIND, registered.name, spec, timeout)
         except exceptions.Conflict:
-            await self._update_node(name, spec, timeout)
+            await self._update_node(registered.name, spec, timeout)
 
     async def _update_node(self, name, spec, timeout):
         """Replace the registration of a node that has changed its address."""
@@ -138,32 +128,23 @@
         except exceptions.Conflict as error:
             raise exceptions.StoreError(f'node {name}: {error}') from None
 
-    async def list_nodes(self, timeout):
-        """List pairs of a node's name and update address, by data centre.
+    async def list_nodes(self, timeout, may_be_stale=False):
+        """List the `RegisteredNode` objects of each data centre, by its name.
 
-        Parameters
-        ----------
-        timeout : float
-            Longest wait for each response of the store (seconds).
+        Malformed registrations are left out.
         """
-        _, items = await self._store.list(NODE_KIND, timeout)
+        _, items = await self._store.list(NODE_KIND, timeout, may_be_stale)
         nodes = {}
         for item in items:
             if isinstance(item.spec, dict):
                 data_centre = str(item.spec.get('data_centre', ''))
-                address = str(item.spec.get('news', ''))
-                nodes.setdefault(data_centre, []).append((item.name, address))
+                nodes.setdefault(data_centre, []).append(_decode_node(item))
         return nodes
 
     async def list_servers(self, timeout):
         """List the revision to watch from and a `ServerRecord` per server.
 
         Malformed entries are left out.
-
-        Parameters
-        ----------
-        timeout : float
-            Longest wait for each response of the store (seconds).
         """
         revision, items = await self._store.list(_servers.KIND, timeout)
         return revision, [
@@ -176,16 +157,8 @@
         """Wait for changes; the next revision and the changes in order.
 
         A change is a `ServerRecord`, or a `RemovedServer` if the entry was
-        deleted or is malformed.
-
-        Parameters
-        ----------
-        since : int
-            Store revision after which changes are returned.
-        wait : float
-            Time that the store waits for a change (seconds).
-        timeout : float
-            Longest wait for the response, more than `wait` (seconds).
+        deleted or is malformed. The parameters are those of
+        `watch_configuration`.
         """
         revision, items = await self._store.watch(
             _servers.KIND, since, wait, timeout
@@ -198,17 +171,11 @@
             changes.append(record)
         return revision, changes
 
-    async def read_lease(self, shard, timeout):
-        """Read the lease of a shard; an `ObjectVersion`, or None.
-
-        Parameters
-        ----------
-        shard : str
-            Name of the shard.
-        timeout : float
-            Longest wait for the response (seconds).
-        """
-        stored = await self._store.get(LEASE_KIND, shard, timeout)
+    async def read_lease(self, shard, timeout, may_be_stale=False):
+        """Read the lease of a shard; an `ObjectVersion`, or None."""
+        stored = await self._store.get(
+            LEASE_KIND, shard, timeout, may_be_stale
+        )
         return None if stored is None else _decode_lease(shard, stored)
 
     async def write_lease(self, lease, expected_revision, timeout):
@@ -220,8 +187,6 @@
             Lease to write.
         expected_revision : int
             Revision that the stored lease must have; 0 if none must exist.
-        timeout : float
-            Longest wait for the response (seconds).
 
         Raises
         ------
@@ -251,8 +216,6 @@
         ----------
         record : balsamwind.pool.ServerRecord
             Entry of the engine.
-        timeout : float
-            Longest wait for the response (seconds).
         """
         response = await self._client.fetch(
             'GET',
@@ -281,8 +244,6 @@
             Fencing number of the lease under which it is sent.
         sequence : int or None
             Orders that the engine must have accepted so far (count).
-        timeout : float
-            Longest wait for the response (seconds).
 
         Returns
         -------
@@ -317,12 +278,17 @@
             stored = item
     if stored is None:
         return None
-    try:
+    with _store.check_malformed('configuration'):
         return _configuration.decode_configuration(stored.spec)
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise exceptions.StoreError(
-            f'malformed configuration object: {error!r}'
-        ) from None
+
+
+def _decode_node(item):
+    capacity = item.spec.get('capacity')
+    return node.RegisteredNode(
+        item.name,
+        str(item.spec.get('news', '')),
+        float(capacity) if isinstance(capacity, (int, float)) else 0.0,
+    )
 
 
 def _decode_server(item):
@@ -333,7 +299,7 @@
 
 
 def _decode_lease(shard, stored):
-    try:
+    with _store.check_malformed(f'lease of shard {shard}'):
         spec = stored.spec
         lease = objects.Lease(
             shard,
@@ -342,8 +308,4 @@
             float(spec['duration']),
             str(spec['operation']),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise exceptions.StoreError(
-            f'malformed lease of shard {shard}: {error!r}'
-        ) from None
     return objects.ObjectVersion('lease', shard, stored.revision, lease)
--- a/balsamwind/platform/_settings.py
+++ b/balsamwind/platform/_settings.py
@@ -56,6 +56,9 @@
     store_address = reader.read_address('Platform', 'Address')
     update_port = reader.read_first_port('PortRange')
     bounds = _read_bounds(reader)
+    cores = reader.read_number_in('Limits', 'CpuShare', 1)
+    cores *= reader.read_number_in('Limits', 'CpuCores', 1)
+    link_rate = reader.read_number_in('Limits', 'LinkMbps', 100)
     settings_package.raise_findings(findings)
     zones = data.get('Zones')
     return node.NodeSettings(
@@ -68,6 +71,8 @@
         news=f'{ip_address}:{update_port}',
         store=store_address,
         first_start=data.get('Bootstrap') is True,
+        cores=cores,
+        link_rate=link_rate,
         bounds=bounds,
     )
 
@@ -77,6 +82,7 @@
     return node.Bounds(
         drain_time=reader.read_bound('DrainMs', 2000) / 1000,
         grace=reader.read_bound('GraceS', 8),
+        configuration_apply=reader.read_bound('ConfigApplyMs', 2000) / 1000,
         key_revocation=reader.read_bound('RevokeMs', 5000) / 1000
         if revocation_is_bounded
         else None,
@@ -136,9 +142,13 @@
 
     def read_bound(self, name, default):
         """Read an optional number of the table ``Bounds``."""
-        table = self._data.get('Bounds', {})
+        return self.read_number_in('Bounds', name, default)
+
+    def read_number_in(self, table_name, name, default):
+        """Read an optional number of a table."""
+        table = self._data.get(table_name, {})
         value = table.get(name, default) if isinstance(table, dict) else None
-        return self._check_number(f'/Bounds/{name}', value, default)
+        return self._check_number(f'/{table_name}/{name}', value, default)
 
     def read_number(self, name, default):
         """Read an optional number at the top level of the file."""
--- a/balsamwind/platform/_store.py
+++ b/balsamwind/platform/_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's object store."""
 
 import collections
+import contextlib
 import dataclasses
 import json
 import urllib.parse
@@ -39,8 +40,9 @@
     All methods take the `kind` of the objects (str) and a `timeout`, the
     longest wait for each response (seconds). They raise `StoreError` if the
     store does not answer in time, or answers with another status than 200 or
-    201, or not with a JSON object. `call_counts` holds the number of requests
-    by kind and purpose.
+    201, or with a malformed body. A read that `may_be_stale` may return data
+    that is seconds old. `call_counts` holds the number of requests by kind and
+    purpose.
 
     Parameters
     ----------
@@ -57,16 +59,19 @@
         self._objects_url = f'http://{address}/v1/objects'
         self.call_counts = collections.Counter()
 
-    async def get(self, kind, name, timeout):
+    async def get(self, kind, name, timeout, may_be_stale=False):
         """Read an object; a `StoredObject`, or None if it does not exist."""
-        self.call_counts[kind, 'read'] += 1
-        status, body = await self._call('GET', f'/{kind}/{name}', timeout)
+        self._count_read(kind, 'read', may_be_stale)
+        query = '?Serializable=1' if may_be_stale else ''
+        status, body = await self._call(
+            'GET', f'/{kind}/{name}{query}', timeout
+        )
         if status == 404:
             return None
         self._check_status(status, kind)
-        return _decode_object(_parse_json_object(body))
+        return _decode_stored_object(body)
 
-    async def list(self, kind, timeout):
+    async def list(self, kind, timeout, may_be_stale=False):
         """Read all objects of a kind.
 
         Returns
@@ -77,23 +82,25 @@
         """
         items = []
         revision = None
-        after = ''
+        parameters = {'Serializable': 1} if may_be_stale else {}
         for _ in range(MAX_PAGES):
-            self.call_counts[kind, 'list'] += 1
-            query = f'?{urllib.parse.urlencode({"After": after})}'
+            self._count_read(kind, 'list', may_be_stale)
+            query = f'?{urllib.parse.urlencode(parameters)}'
             status, body = await self._call(
-                'GET', f'/{kind}{query if after else ""}', timeout
+                'GET', f'/{kind}{query if parameters else ""}', timeout
             )
             self._check_status(status, kind)
             page = _parse_json_object(body)
             page_items = _decode_valid_objects(page.get('Items') or ())
             items.extend(page_items)
             if revision is None:
-                revision = int(page['StoreRevision'])
-            if not page.get('HasMore') or not page_items:
-                break
-            after = page_items[-1].name
-        return revision, items
+                revision = _decode_revision(page)
+            if not page.get('HasMore'):
+                return revision, items
+            if not page_items:
+                raise exceptions.StoreError(f'{kind}: a page has no objects')
+            parameters['After'] = page_items[-1].name
+        raise exceptions.StoreError(f'{kind}: more than {MAX_PAGES} pages')
 
     async def watch(self, kind, since, wait, timeout):
         """Wait up to `wait` seconds for changes after revision `since`.
@@ -106,7 +113,8 @@
         Raises
         ------
         balsamwind.exceptions.HistoryGone
-            The store has discarded changes after `since`; a new list is due.
+            The store has discarded changes after `since`, or a change can't be
+            read; a new list is due.
         """
         self.call_counts[kind, 'watch'] += 1
         path = f'/{kind}?Watch={since}&WaitMs={int(wait * 1000)}'
@@ -120,11 +128,13 @@
             try:
                 item = _decode_object(event['Object'])
             except (KeyError, TypeError, ValueError):
-                continue
+                raise exceptions.HistoryGone(
+                    f'{kind}: malformed change after revision {since}'
+                ) from None
             if event.get('Deleted') is True:
                 item = dataclasses.replace(item, deleted=True)
             changes.append(item)
-        return int(page['StoreRevision']), changes
+        return _decode_revision(page), changes
 
     async def create(self, kind, name, spec, timeout):
         """Create an object with the content `spec`.
@@ -161,7 +171,13 @@
         if status in (404, 409):
             raise exceptions.Conflict(f'{kind}/{name}: got status {status}')
         self._check_status(status, kind)
-        return _decode_object(_parse_json_object(body))
+        return _decode_stored_object(body)
+
+    def _count_read(self, kind, purpose, may_be_stale):
+        """Count a read; one that may return old data costs much less."""
+        if may_be_stale:
+            purpose = f'stale {purpose}'
+        self.call_counts[kind, purpose] += 1
 
     def _check_status(self, status, kind):
         if status not in (200, 201):
@@ -184,14 +200,28 @@
         return response.status, response.body
 
 
-def _parse_json_object(body):
+@contextlib.contextmanager
+def check_malformed(what):
+    """Raise `StoreError` if the block can't decode the object named `what`."""
     try:
-        data = json.loads(body)
-    except ValueError as error:
-        raise exceptions.StoreError(f'malformed response: {error}') from None
-    if not isinstance(data, dict):
-        raise exceptions.StoreError('malformed response: not a JSON object')
-    return data
+        yield
+    except (AttributeError, LookupError, TypeError, ValueError) as error:
+        raise exceptions.StoreError(f'malformed {what}: {error!r}') from None
+
+
+def _parse_json_object(body):
+    with check_malformed('response'):
+        return dict(json.loads(body))
+
+
+def _decode_stored_object(body):
+    with check_malformed('object'):
+        return _decode_object(_parse_json_object(body))
+
+
+def _decode_revision(page):
+    with check_malformed('page'):
+        return int(page['StoreRevision'])
 
 
 def _decode_valid_objects(rows):
--- a/balsamwind/platform/tests/test_store.py
+++ b/balsamwind/platform/tests/test_store.py
@@ -6,6 +6,7 @@
 
 from balsamwind import adapters
 from balsamwind import exceptions
+from balsamwind import node
 from balsamwind.node.tests import helpers
 from balsamwind import objects
 from balsamwind import platform
@@ -50,10 +51,14 @@
             ('n2', 'b', 'x:2'),
             ('n1', 'a', 'x:3'),
         ):
-            await client.register_node(name, data_centre, address, 1.0)
+            registered = node.RegisteredNode(name, address, 0.5)
+            await client.register_node(registered, data_centre, 1.0)
         return await client.list_nodes(1.0)
 
-    assert _run(scenario) == {'a': [('n1', 'x:3')], 'b': [('n2', 'x:2')]}
+    assert _run(scenario) == {
+        'a': [node.RegisteredNode('n1', 'x:3', 0.5)],
+        'b': [node.RegisteredNode('n2', 'x:2', 0.5)],
+    }
 
 
 def test_list_reads_all_pages():
--- a/balsamwind/traffic/__init__.py
+++ b/balsamwind/traffic/__init__.py
@@ -1,5 +1,10 @@
 """Configuration of routes, services, request limits and client accounts."""
 
+from balsamwind.traffic._changes import apply_change
+from balsamwind.traffic._changes import ConfigurationChange
+from balsamwind.traffic._changes import NO_CONFIGURATION
+from balsamwind.traffic._changes import plan_change
+from balsamwind.traffic._changes import RouteKey
 from balsamwind.traffic._configuration_cache import ConfigurationCache
 from balsamwind.traffic._index import RouteIndex
 from balsamwind.traffic._objects import ClientAccount
@@ -13,15 +18,20 @@
 from balsamwind.traffic._objects import Target
 
 __all__ = [
+    'NO_CONFIGURATION',
     'ClientAccount',
     'Configuration',
     'ConfigurationCache',
+    'ConfigurationChange',
     'EngineProfile',
     'ModelProfile',
     'RequestKind',
     'RequestLimits',
     'Route',
     'RouteIndex',
+    'RouteKey',
     'Service',
     'Target',
+    'apply_change',
+    'plan_change',
 ]
--- a/balsamwind/traffic/_objects.py
+++ b/balsamwind/traffic/_objects.py
@@ -77,7 +77,7 @@
     timeout: float
     latency_objective: float
     priority: int
-    targets: tuple
+    targets: tuple[Target, ...]
     max_attempts: int = 1
     public: bool = False
     resumable: bool = False
@@ -157,7 +157,7 @@
         Age of the state in an engine's report (seconds).
     """
 
-    models: tuple
+    models: tuple[ModelProfile, ...]
     slots: int = 8
     kv_cache_tokens: int = 1 << 20
     step_time: float = 0.01
@@ -252,7 +252,7 @@
     """
 
     name: str
-    keys: tuple
+    keys: tuple[str, ...]
     priority: int = 0
 
 
@@ -275,7 +275,7 @@
     """
 
     version: int
-    routes: tuple
-    services: tuple
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
     limits: RequestLimits = RequestLimits()
-    accounts: tuple | None = None
+    accounts: tuple[ClientAccount, ...] | None = None
