Keep groups and backends up to date entry by entry

Cause: each change of any of 760 entries made every node sort all entries into groups anew at its next request (read in the code; five changes a second at 195 nodes). Change: GroupIndex follows the registry's changes and finds only groups anew whose members changed; BackendTable keeps its backends by it. Slots of a backend follow its entry and the engine profile.

--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -129,7 +129,7 @@
         )
         self.registry = pool.ServerRegistry()
         self._request_log = _request_log.RequestLog(self._log, self._clock)
-        backends = relay.BackendTable(self.registry, pool.find_groups)
+        backends = relay.BackendTable(self.registry, pool.GroupIndex)
         self.relay = relay.Relay(
             settings.data_centre,
             settings.bounds,
--- a/balsamwind/pool/__init__.py
+++ b/balsamwind/pool/__init__.py
@@ -5,6 +5,7 @@
 from balsamwind.pool._actions import OpenGroup
 from balsamwind.pool._actions import StageModel
 from balsamwind.pool._groups import find_groups
+from balsamwind.pool._groups import GroupIndex
 from balsamwind.pool._groups import make_group_name
 from balsamwind.pool._groups import parse_model_name
 from balsamwind.pool._groups import PoolGroup
@@ -25,6 +26,7 @@
 from balsamwind.pool._registry import ServerRegistry
 
 __all__ = [
+    'GroupIndex',
     'Close',
     'CloseGroup',
     'FormGroup',
--- a/balsamwind/pool/_groups.py
+++ b/balsamwind/pool/_groups.py
@@ -139,20 +139,107 @@
     for record in records:
         if record.membership is not None:
             members_by_key.setdefault(record.membership.key, []).append(record)
-    groups = {}
-    for (name, epoch), members in members_by_key.items():
-        model = parse_model_name(name)
-        model_profile = engine_profile.find_model(model)
-        # An engine that restarts under a new id leaves an unlisted entry with
-        # the same rank; the listed entry comes first, so it can be the head.
-        members.sort(
-            key=lambda record: (record.membership.rank, not record.listed)
-        )
-        groups[name, epoch] = PoolGroup(
-            name=name,
-            model=model,
-            epoch=epoch,
-            size=model_profile.group_size if model_profile is not None else 0,
-            members=tuple(members),
-        )
-    return groups
+    return {
+        key: _make_group(key, members, engine_profile)
+        for key, members in members_by_key.items()
+    }
+
+
+def _make_group(key, members, engine_profile):
+    name, epoch = key
+    model = parse_model_name(name)
+    model_profile = engine_profile.find_model(model)
+    # An engine that restarts under a new id leaves an unlisted entry with the
+    # same rank; the listed entry comes first, so it can be the head.
+    members = sorted(
+        members,
+        key=lambda record: (record.membership.rank, not record.listed),
+    )
+    return PoolGroup(
+        name=name,
+        model=model,
+        epoch=epoch,
+        size=model_profile.group_size if model_profile is not None else 0,
+        members=tuple(members),
+    )
+
+
+class GroupIndex:
+    """Groups of one service, kept up to date entry by entry.
+
+    A change of an entry only affects the groups that the engine has left or
+    joined, so its cost does not grow with the number of engines.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    registry : ServerRegistry
+        Entries of the backend servers.
+    """
+
+    __slots__ = (
+        '_changed_keys',
+        '_engine_profile',
+        '_members_by_key',
+        '_service',
+    )
+
+    def __init__(self, service, registry):
+        self._service = service
+        self._engine_profile = None
+        self._members_by_key = {}
+        self._changed_keys = set()
+        for record in registry.get_by_service(service):
+            self._handle_change(None, record)
+        registry.add_listener(self._handle_change)
+
+    def _handle_change(self, previous, record):
+        if previous is not None and previous.service == self._service:
+            self._remove_member(previous)
+        if record is not None and record.service == self._service:
+            self._add_member(record)
+
+    def _remove_member(self, record):
+        if record.membership is None:
+            return
+        key = record.membership.key
+        self._changed_keys.add(key)
+        del self._members_by_key[key][record.server_id]
+        if not self._members_by_key[key]:
+            del self._members_by_key[key]
+
+    def _add_member(self, record):
+        if record.membership is None:
+            return
+        key = record.membership.key
+        self._changed_keys.add(key)
+        members = self._members_by_key.setdefault(key, {})
+        members[record.server_id] = record
+
+    def take_changes(self, engine_profile):
+        """Return the groups that have changed since the last call.
+
+        Parameters
+        ----------
+        engine_profile : balsamwind.traffic.EngineProfile
+            Profile of the engines. If it is another one than in the last
+            call, all groups count as changed.
+
+        Returns
+        -------
+        dict of (str, int) to PoolGroup or None
+            Groups by name and epoch; None for a group without members.
+        """
+        keys = self._changed_keys
+        if engine_profile is not self._engine_profile:
+            keys = keys | self._members_by_key.keys()
+        self._engine_profile = engine_profile
+        self._changed_keys = set()
+        return {key: self._find_group(key) for key in keys}
+
+    def _find_group(self, key):
+        members = self._members_by_key.get(key)
+        if members is None:
+            return None
+        return _make_group(key, members.values(), self._engine_profile)
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -31,13 +31,17 @@
     __slots__ = (
         '_grace_until',
         '_listed_since',
+        '_listeners',
         '_records',
+        '_records_by_service',
         '_unlisted_since',
         'change_count',
     )
 
     def __init__(self):
         self._records = {}
+        self._records_by_service = {}
+        self._listeners = []
         self._unlisted_since = {}
         self._listed_since = {}
         self._grace_until = float('-inf')
@@ -73,7 +77,38 @@
         -------
         list of ServerRecord
         """
-        return [record for record in self if record.service == service]
+        return list(self._records_by_service.get(service, {}).values())
+
+    def add_listener(self, listener):
+        """Report each change of an entry from now on.
+
+        Parameters
+        ----------
+        listener : callable
+            Takes the entry before and after the change (`ServerRecord`);
+            None where there is none.
+        """
+        self._listeners.append(listener)
+
+    def _set_record(self, server_id, record):
+        """Replace an entry; None removes it."""
+        known = self._records.get(server_id)
+        if known is not None and (
+            record is None or record.service != known.service
+        ):
+            del self._records[server_id]
+            del self._records_by_service[known.service][server_id]
+        if record is not None:
+            self._records[server_id] = record
+            of_service = self._records_by_service.setdefault(
+                record.service, {}
+            )
+            of_service[server_id] = record
+        if known == record:
+            return
+        self.change_count += 1
+        for listener in self._listeners:
+            listener(known, record)
 
     def start_relisting_grace(self, now):
         """Note that the store answers again after an outage.
@@ -126,8 +161,7 @@
         if known is not None and known.revision > record.revision:
             return known
         if known != record:
-            self.change_count += 1
-        self._records[record.server_id] = record
+            self._set_record(record.server_id, record)
         self._unlisted_since.pop(record.server_id, None)
         if known is None or not known.listed:
             self._listed_since[record.server_id] = now
@@ -160,8 +194,7 @@
         record = self._records.get(server_id)
         if record is None or not record.listed:
             return
-        self.change_count += 1
-        self._records[server_id] = dataclasses.replace(record, listed=False)
+        self._set_record(server_id, dataclasses.replace(record, listed=False))
         self._unlisted_since[server_id] = now
 
     def apply_report(self, server_id, report):
@@ -190,18 +223,17 @@
             return False
         if report.born != record.born:
             if not record.listed:
-                del self._records[server_id]
+                self._set_record(server_id, None)
                 self._unlisted_since.pop(server_id, None)
-                self.change_count += 1
             return False
         if not record.listed:
-            self._records[server_id] = dataclasses.replace(
+            reported = dataclasses.replace(
                 record,
                 model=report.model,
                 staged=report.staged,
                 membership=report.membership,
             )
-            self.change_count += 1
+            self._set_record(server_id, reported)
         return True
 
     def evict_expired(self, now):
@@ -215,7 +247,7 @@
         for server_id, unlisted_since in list(self._unlisted_since.items()):
             if now - unlisted_since > UNLISTED_RETENTION:
                 del self._unlisted_since[server_id]
-                del self._records[server_id]
+                self._set_record(server_id, None)
                 self._listed_since.pop(server_id, None)
 
     def listed_for(self, server_id, now):
--- a/balsamwind/relay/_backends.py
+++ b/balsamwind/relay/_backends.py
@@ -255,24 +255,21 @@
     ----------
     registry : balsamwind.pool.ServerRegistry
         Entries of the backend servers.
-    find_groups : callable
-        Takes the records and engine profile of a service and returns a mapping
-        of its replica groups.
+    make_group_index : callable
+        Takes the name of a service and the registry and returns its
+        `balsamwind.pool.GroupIndex`.
     """
 
-    __slots__ = ('_backends', '_cache', '_find_groups', '_registry')
+    __slots__ = ('_make_group_index', '_registry', '_tables')
 
-    def __init__(self, registry, find_groups):
+    def __init__(self, registry, make_group_index):
         self._registry = registry
-        self._find_groups = find_groups
-        self._cache = {}
-        self._backends = {}
+        self._make_group_index = make_group_index
+        self._tables = {}
 
     def get_by_service(self, service):
         """Return the backends of a service that may take requests.
 
-        The result is cached until the registry or the engine profile changes.
-
         Parameters
         ----------
         service : balsamwind.traffic.Service
@@ -284,54 +281,82 @@
             One for each replica group that serves, or for each usable
             backend server of a plain service.
         """
-        cached = self._cache.get(service.name)
-        if cached is not None:
-            change_count, engine, backends = cached
-            if (
-                change_count == self._registry.change_count
-                and engine is service.engine
-            ):
-                return backends
-        backends = self._update_backends(service)
-        self._cache[service.name] = (
-            self._registry.change_count,
-            service.engine,
-            backends,
+        table = self._tables.get(service.name)
+        if table is None or table.serves_groups != (
+            service.engine is not None
+        ):
+            table = self._tables[service.name] = self._make_table(service)
+        return table.get_backends(service)
+
+    def _make_table(self, service):
+        if service.engine is None:
+            return _PlainTable(service.name, self._registry)
+        return _GroupTable(
+            service.name, self._make_group_index(service.name, self._registry)
         )
-        return backends
 
-    def _update_backends(self, service):
-        records = self._registry.get_by_service(service.name)
-        if service.engine is None:
-            available = [
-                ((service.name, server.server_id, server.born), server, '')
-                for server in records
-                if server.usable
-            ]
-        else:
-            available = [
-                ((service.name, *group.key), group.head, group.model)
-                for group in self._find_groups(
-                    records, service.engine
-                ).values()
-                if group.serving
-            ]
-        backends = []
-        for key, record, model in available:
-            backend = self._backends.get(key)
-            if backend is None:
-                slots = (
-                    record.slots
-                    if service.engine is None
-                    else service.engine.slots
-                )
-                backend = self._backends[key] = Backend(
-                    key, record, slots, model
-                )
+
+class _PlainTable:
+    """Backends of a plain service: its usable servers."""
+
+    __slots__ = ('_backends', '_change_count', '_registry', '_service')
+
+    serves_groups = False
+
+    def __init__(self, service, registry):
+        self._service = service
+        self._registry = registry
+        self._change_count = -1
+        self._backends = {}
+
+    def get_backends(self, service):
+        if self._change_count != self._registry.change_count:
+            self._change_count = self._registry.change_count
+            self._update()
+        return list(self._backends.values())
+
+    def _update(self):
+        known, self._backends = self._backends, {}
+        for record in self._registry.get_by_service(self._service):
+            if not record.usable:
+                continue
+            key = (self._service, record.server_id, record.born)
+            backend = known.get(key) or Backend(key, record, record.slots)
             backend.record = record
-            backends.append(backend)
-        available_keys = {key for key, _, _ in available}
-        for key in list(self._backends):
-            if key[0] == service.name and key not in available_keys:
-                del self._backends[key]
-        return backends
+            backend.slots = record.slots
+            self._backends[key] = backend
+
+
+class _GroupTable:
+    """Backends of a service of model engines: its serving groups."""
+
+    __slots__ = ('_backend_list', '_backends', '_index', '_service')
+
+    serves_groups = True
+
+    def __init__(self, service, index):
+        self._service = service
+        self._index = index
+        self._backends = {}
+        self._backend_list = []
+
+    def get_backends(self, service):
+        changes = self._index.take_changes(service.engine)
+        if changes:
+            for group_key, group in changes.items():
+                self._update_backend(group_key, group, service.engine.slots)
+            self._backend_list = list(self._backends.values())
+        return self._backend_list
+
+    def _update_backend(self, group_key, group, slots):
+        key = (self._service, *group_key)
+        if group is None or not group.serving:
+            self._backends.pop(key, None)
+            return
+        backend = self._backends.get(key)
+        if backend is None:
+            backend = self._backends[key] = Backend(
+                key, group.head, slots, group.model
+            )
+        backend.record = group.head
+        backend.slots = slots
