Wake idle nodes less, publish only what a list changed

Cause (read in the code): every node ran a round for each of five leases ten times a second; the publisher sent all entries to each subscriber every 8 s; a leader watched the entries every 80 ms whether it waited for anything or not. Change: a node that does not lead sleeps to its next read of the lease, at most 0.5 s; a full list is published as what it changed; the short watch interval holds while engines carry out orders, 0.3 s otherwise. Tests: apply_full_list returns its changes.

--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -16,6 +16,9 @@
 ROUND_INTERVAL = 0.1
 """Time between two planning rounds (seconds)."""
 
+MAX_IDLE_TIME = 0.5
+"""Longest time between two rounds of a node that does not lead (seconds)."""
+
 ORDER_SETTLE_TIME = 0.15
 """Wait after taking the lease, in which the effects of the previous holder's
 last orders reach the entries of the engines (seconds)."""
@@ -144,6 +147,11 @@
             self._log,
         )
 
+    @property
+    def awaits_changes(self):
+        """Whether engines of the shard are carrying out orders."""
+        return self.lease.held and bool(self.executor.busy)
+
     async def run(self):
         """Run planning rounds while the lease is held; never returns."""
         while True:
@@ -155,7 +163,16 @@
                     self._run_round()
             except Exception:
                 self._log.exception('round_crashed')
-            await asyncio.sleep(ROUND_INTERVAL)
+            await asyncio.sleep(
+                ROUND_INTERVAL if self.lease.held else self._find_idle_time()
+            )
+
+    def _find_idle_time(self):
+        """Find how long a node that does not lead need not wake up."""
+        return min(
+            max(self.lease.time_to_next_read(), ROUND_INTERVAL),
+            MAX_IDLE_TIME,
+        )
 
     async def _has_listed_since_takeover(self):
         """Whether the entries were listed since the lease was taken.
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -158,6 +158,10 @@
             )
             self._manager.set_extra_takeover_delay(wait)
 
+    def time_to_next_read(self):
+        """Return the time until the lease is read again (seconds)."""
+        return self._next_read_at - self._clock.monotonic()
+
     def _find_read_interval(self):
         if self._local:
             by_rank, longest = LOCAL_READ_INTERVALS, MAX_LOCAL_READ_INTERVAL
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -186,6 +186,7 @@
             self._clock,
             self._log,
             self._is_leader,
+            self._awaits_changes,
             self.subscriber,
             self._publisher,
         )
@@ -238,6 +239,9 @@
     def _is_leader(self):
         return any(leader.lease.held for leader in self._leaders)
 
+    def _awaits_changes(self):
+        return any(leader.awaits_changes for leader in self._leaders)
+
     def is_ready(self):
         """Whether this node accepts new connections."""
         return not self._draining and self.configuration_cache.is_current(
--- a/balsamwind/node/_update_feed.py
+++ b/balsamwind/node/_update_feed.py
@@ -422,10 +422,6 @@
         records = tuple(item for item in self._registry if item.listed)
         return _updates.ServerUpdate(whole=True, records=records)
 
-    def publish_snapshot(self):
-        """Publish all listed entries, after the whole list was read."""
-        self.publish(self._make_snapshot())
-
     def publish_changes(self, records, removed):
         """Publish changed entries; without any, a sign of life."""
         self.publish(
--- a/balsamwind/node/_watchers.py
+++ b/balsamwind/node/_watchers.py
@@ -47,11 +47,11 @@
 WATCH_MARGIN = 0.5
 """Time added to the longest wait of a watch for its timeout (seconds)."""
 
-WATCH_INTERVAL = 0.2
+WATCH_INTERVAL = 0.3
 """Time between two watches, in which changes are batched (seconds)."""
 
 LEADER_WATCH_INTERVAL = 0.08
-"""Time between two watches while this node leads a shard and waits for its
+"""Time between two watches while this node leads a shard and has ordered its
 engines to change state (seconds)."""
 
 RELIST_INTERVAL = 8.0
@@ -338,6 +338,8 @@
         Logger of the node.
     is_leader : callable
         Returns whether this node leads a shard.
+    awaits_changes : callable
+        Returns whether this node waits for engines to carry out its orders.
     subscriber : UpdateSubscriber
         Tells whether a publisher keeps the registry up to date.
     publisher : UpdatePublisher
@@ -345,9 +347,18 @@
     """
 
     def __init__(
-        self, platform, registry, clock, log, is_leader, subscriber, publisher
+        self,
+        platform,
+        registry,
+        clock,
+        log,
+        is_leader,
+        awaits_changes,
+        subscriber,
+        publisher,
     ):
         self._is_leader = is_leader
+        self._awaits_changes = awaits_changes
         self._subscriber = subscriber
         self._publisher = publisher
         self._platform = platform
@@ -386,15 +397,17 @@
         now = self._clock.monotonic()
         self._next_list_at = now + RELIST_INTERVAL
         self._record_answer(now)
-        self._registry.apply_full_list(records, now)
+        changed, removed = self._registry.apply_full_list(records, now)
         self._registry.evict_expired(now)
-        self._publisher.publish_snapshot()
+        # Subscribers have the rest since they connected.
+        self._publisher.publish_changes(changed, removed)
         while self._clock.monotonic() < self._next_list_at:
             if self._relies_on_publisher():
                 return
-            is_leader = self._is_leader()
             await asyncio.sleep(
-                LEADER_WATCH_INTERVAL if is_leader else WATCH_INTERVAL
+                LEADER_WATCH_INTERVAL
+                if self._awaits_changes()
+                else WATCH_INTERVAL
             )
             revision, changes = await self._platform.watch_servers(
                 revision, WATCH_TIME, WATCH_TIME + WATCH_MARGIN
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from balsamwind.pool import _records
+
 RELISTING_GRACE = 2.5
 """Time after an outage of the store during which listed servers that are
 absent from a full list stay listed (seconds).
@@ -132,15 +134,32 @@
             All entries that the platform lists.
         now : float
             Current monotonic time (seconds).
+
+        Returns
+        -------
+        (list of ServerRecord, list of RemovedServer)
+            Entries that were not known like this, and those that became
+            unlisted.
         """
         listed_ids = {record.server_id for record in records}
-        for record in records:
-            self.apply_entry(record, now)
+        changed = [
+            record
+            for record in records
+            if self.apply_entry(record, now) != record
+        ]
         if now < self._grace_until:
-            return
-        for record in list(self):
-            if record.listed and record.server_id not in listed_ids:
-                self.mark_unlisted(record.server_id, now)
+            return changed, []
+        missing = [
+            record
+            for record in self
+            if record.listed and record.server_id not in listed_ids
+        ]
+        for record in missing:
+            self.mark_unlisted(record.server_id, now)
+        return changed, [
+            _records.RemovedServer(record.server_id, record.revision)
+            for record in missing
+        ]
 
     def apply_entry(self, record, now):
         """Store an entry, unless a newer revision of it is known.
--- a/balsamwind/pool/tests/test_group_index.py
+++ b/balsamwind/pool/tests/test_group_index.py
@@ -126,3 +126,18 @@
     assert table.get_by_service(service)[0] is backend
     assert backend.record.revision == 2
     assert backend.in_flight == 3
+
+
+def test_full_list_returns_only_what_it_changed():
+    registry = pool.ServerRegistry()
+    first = [
+        _make_record(name, 'llm', None, revision)
+        for revision, name in enumerate(('e1', 'e2', 'e3'), 1)
+    ]
+    assert registry.apply_full_list(first, 0.0) == (first, [])
+    assert registry.apply_full_list(first, 1.0) == ([], [])
+    newer = _make_record('e2', 'llm', None, 9)
+    changed, removed = registry.apply_full_list([first[0], newer], 2.0)
+    assert changed == [newer]
+    assert removed == [pool.RemovedServer('e3', 3)]
+    assert not registry.get('e3').listed
--- a/balsamwind/relay/_backends.py
+++ b/balsamwind/relay/_backends.py
@@ -303,10 +303,8 @@
         Backend or None
             None if it may not take requests.
         """
-        for backend in self.get_by_service(service):
-            if backend.key == key:
-                return backend
-        return None
+        self.get_by_service(service)
+        return self._tables[service.name].find(key)
 
     def _make_table(self, service):
         if service.engine is None:
@@ -335,6 +333,9 @@
             self._update()
         return list(self._backends.values())
 
+    def find(self, key):
+        return self._backends.get(key)
+
     def _update(self):
         known, self._backends = self._backends, {}
         for record in self._registry.get_by_service(self._service):
@@ -368,6 +369,9 @@
             self._backend_list = list(self._backends.values())
         return self._backend_list
 
+    def find(self, key):
+        return self._backends.get(key)
+
     def _update_backend(self, group_key, group, slots):
         key = (self._service, *group_key)
         if group is None or not group.serving:
