Mend faults that were read in the logic

Prober: it forgot the failures of one service's engines when those of another were probed; counts of an earlier lease stayed. Planner: a group of a withdrawn model was closed for a reason that does not hold.

--- a/balsamwind/adapters/tests/test_relay_server.py
+++ b/balsamwind/adapters/tests/test_relay_server.py
@@ -6,6 +6,7 @@
 
 from balsamwind.adapters import _relay_server
 from balsamwind import traffic
+from standins import ports
 
 
 class _FakeClock:
@@ -34,9 +35,7 @@
     server = _relay_server.RelayServer(
         relay, _FakeClock(), traffic.RequestLimits(), logging.getLogger()
     )
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        port = probe.getsockname()[1]
+    port = ports.find_free_port()
     server.listen(f'127.0.0.1:{port}')
     reader, writer = await asyncio.open_connection('127.0.0.1', port)
     writer.write(REQUEST_FORMAT % 1)
@@ -100,9 +99,7 @@
         server = _relay_server.RelayServer(
             relay, _FakeClock(), traffic.RequestLimits(), logging.getLogger()
         )
-        with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
-            port = probe.getsockname()[1]
+        port = ports.find_free_port()
         server.listen(f'127.0.0.1:{port}')
         caller = socket.create_connection(('127.0.0.1', port))
         caller.sendall(REQUEST_FORMAT % 1)
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -197,19 +197,32 @@
         configuration = self._configuration_cache.configuration
         if configuration is None:
             return
-        for service in configuration.services:
-            if service.engine is not None:
-                self._plan_service(service)
+        records_by_service = [
+            (service, self._find_own_engines(service))
+            for service in configuration.services
+            if service.engine is not None
+        ]
+        # One call for all services: engines that it does not name are
+        # forgotten.
+        self._prober.probe_due(
+            [
+                record
+                for _, records in records_by_service
+                for record in records
+                if record.membership is not None
+            ]
+        )
+        for service, records in records_by_service:
+            self._plan_service(service, records)
 
-    def _plan_service(self, service):
-        records = tuple(
+    def _find_own_engines(self, service):
+        return tuple(
             record
             for record in self._registry.get_by_service(service.name)
             if record.data_centre == self._data_centre
         )
-        self._prober.probe_due(
-            [record for record in records if record.membership is not None]
-        )
+
+    def _plan_service(self, service, records):
         self._update_demand(service, records)
         for action in pool.plan_pool(self._build_view(service, records)):
             self._record_loads(action)
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -94,9 +94,10 @@
             self._answered_at.pop(server_id, None)
 
     def reset(self):
-        """Forget the failures, as this node no longer leads the shard."""
+        """Forget what was seen, as this node no longer leads the shard."""
         self._failures.clear()
         self._silent_since.clear()
+        self.requests.clear()
 
     async def _probe(self, record):
         server_id = record.server_id
--- /dev/null
+++ b/balsamwind/node/tests/test_prober.py
@@ -0,0 +1,75 @@
+"""What the prober of a shard remembers."""
+
+import asyncio
+
+from balsamwind import exceptions
+from balsamwind.node import _leader
+from balsamwind.node import _prober
+from balsamwind.node.tests import doubles
+from balsamwind.node.tests import helpers
+from balsamwind import pool
+from balsamwind import traffic
+
+
+class _SilentPlatform:
+    """Platform whose engines do not answer."""
+
+    def __init__(self):
+        self.probes = []
+
+    async def fetch_engine_report(self, record, timeout):
+        self.probes.append(record.server_id)
+        raise exceptions.AnswerTimeout('silent')
+
+
+def _make_engine(name, service):
+    membership = pool.Membership('m.z1.1', 1, 1, pool.MemberState.READY)
+    return pool.ServerRecord(
+        name, service, 'x:1', 'z1', membership=membership, revision=1
+    )
+
+
+def test_failures_of_engines_of_two_services_are_remembered(monkeypatch):
+    """A round probes the engines of all services, not of one at a time."""
+    clock = doubles.Clock()
+    platform = _SilentPlatform()
+    registry = pool.ServerRegistry()
+    profile = traffic.EngineProfile((traffic.ModelProfile('m', 2),))
+    cache = traffic.ConfigurationCache(4.6)
+    services = tuple(
+        traffic.Service(name, engine=profile) for name in ('llm', 'vlm')
+    )
+    cache.accept(traffic.Configuration(3, (), services), clock.now)
+    for service in ('llm', 'vlm'):
+        engine = _make_engine(f'{service}-1', service)
+        registry.apply_entry(engine, clock.now)
+    leader = _leader.ShardLeader(
+        'z1',
+        helpers.make_settings('n1', 1),
+        platform,
+        cache,
+        registry,
+        None,
+        clock,
+        doubles.Log(),
+    )
+    monkeypatch.setattr(leader, '_plan_service', lambda *arguments: None)
+
+    async def run_rounds():
+        for _ in range(_prober.FAILURE_THRESHOLD):
+            leader._run_round()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            clock.now += _prober.PROBE_INTERVAL
+
+    asyncio.run(run_rounds())
+    assert leader._prober.down == {'llm-1', 'vlm-1'}
+
+
+def test_counts_of_an_earlier_lease_are_forgotten():
+    prober = _prober.Prober(
+        None, pool.ServerRegistry(), doubles.Clock(), doubles.Log()
+    )
+    prober.requests['e1'] = 7
+    prober.reset()
+    assert prober.requests == {}
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -177,6 +177,10 @@
         return _actions.CloseGroup(
             group, True, f'{sorted(down_ids)} do not answer'
         )
+    if not group.size:
+        return _actions.CloseGroup(
+            group, False, 'its model is not configured any more'
+        )
     if len(group.members) < group.size:
         return _actions.CloseGroup(group, True, 'a member is missing')
     if not group.all_ranks_usable:
--- a/balsamwind/pool/tests/test_planner.py
+++ b/balsamwind/pool/tests/test_planner.py
@@ -121,6 +121,12 @@
         pytest.param(
             PAIR, {'busy': frozenset('ab')}, [], id='an action is in progress'
         ),
+        pytest.param(
+            _make_group(['a', 'b'], 'withdrawn', 7),
+            {},
+            [('close', 'withdrawn.dc.7', False)],
+            id='the model is not configured any more',
+        ),
         pytest.param(
             PAIR_READY,
             {'down': frozenset('a')},
@@ -135,6 +141,12 @@
     )
 
 
+def test_group_of_a_withdrawn_model_is_closed_for_that_reason():
+    records = _make_group(['a', 'b'], 'withdrawn', 7)
+    (action,) = pool.plan_pool(_make_view(records))
+    assert action.reason == 'its model is not configured any more'
+
+
 def _make_group_without_head(extra):
     records = _replace_fields(PAIR, 'a', listed=False)
     return [*records, _make_engine('c', 'small', ('large', 'small'))], {
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,15 +1,17 @@
 """Free ports of the loopback address."""
 
-import contextlib
 import socket
 
+_HELD_SOCKETS = []
+"""Sockets that hold the ports that were handed out, until the process ends."""
+
 
 def find_free_ports(count):
     """Find ports of the loopback address that nobody listens on.
 
-    All sockets stay bound until every port is known, so that the ports differ.
-    They are closed before the function returns: another process may take a
-    port before the caller binds it.
+    The ports stay bound by sockets that do not listen, so that the kernel
+    gives them to no connection or other test. A server that sets
+    ``SO_REUSEADDR``, as those of asyncio and tornado do, can listen on them.
 
     Parameters
     ----------
@@ -20,11 +22,14 @@
     -------
     list of int
     """
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(('127.0.0.1', 0))
-        return [sock.getsockname()[1] for sock in sockets]
+    ports = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(('127.0.0.1', 0))
+        _HELD_SOCKETS.append(sock)
+        ports.append(sock.getsockname()[1])
+    return ports
 
 
 def find_free_port():
