--- a/balsamwind/node/tests/doubles.py
+++ b/balsamwind/node/tests/doubles.py
@@ -17,5 +17,9 @@
 class Log:
     """Passes events on to the logging module, where tests can read them."""
 
+    def bind(self, **fields):
+        """Return the log itself; the fields are left out."""
+        return self
+
     def __getattr__(self, name):
         return lambda event, **fields: logging.info('%s %s', event, fields)
