Let a restarted node read the store at once

Change: only the first start of the system waits; a node leaves the store as soon as a publisher keeps it up to date.

--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -176,6 +176,7 @@
             _find_reliance_time(settings.bounds),
             settings.bounds.drain_time,
             self.relay.placement,
+            settings.first_start,
         )
         self._configuration_watcher = _watchers.ConfigurationWatcher(
             platform, updater, self._clock, self._log, self.subscriber
--- a/balsamwind/node/_update_feed.py
+++ b/balsamwind/node/_update_feed.py
@@ -102,6 +102,9 @@
         Drain time of backend servers (seconds).
     placement : PlacementClient
         Asks the publisher to place requests.
+    waits_at_start : bool
+        Whether to wait for a publisher at the start, because no caller waits
+        for this node yet and all others start as well.
 
     Attributes
     ----------
@@ -120,6 +123,7 @@
         max_proof_age,
         drain_time,
         placement,
+        waits_at_start,
     ):
         self._name = name
         self._forward = forward
@@ -132,6 +136,7 @@
         self._placement = placement
         self._rank = 0
         self._nodes_known = False
+        self._waits_at_start = waits_at_start
         self._grace_until = clock.monotonic() + DISCOVERY_TIME
         self._publishers = ()
         self._last_update_at = float('-inf')
@@ -170,7 +175,7 @@
 
     def is_starting(self):
         """Whether to wait for a first publisher instead of the store."""
-        if self._nodes_known and self._is_root:
+        if not self._waits_at_start or (self._nodes_known and self._is_root):
             return False
         return self._clock.monotonic() < self._grace_until
 
--- a/balsamwind/node/_watchers.py
+++ b/balsamwind/node/_watchers.py
@@ -294,6 +294,8 @@
             if self._updater.version == previous:
                 return revision
             await asyncio.sleep(SETTLE_INTERVAL)
+            if self._subscriber.has_fresh_proof():
+                return revision
 
     async def _read(self):
         """Read the newest version and return the revision to watch from."""
@@ -402,13 +404,13 @@
         # Subscribers have the rest since they connected.
         self._publisher.publish_changes(changed, removed)
         while self._clock.monotonic() < self._next_list_at:
-            if self._relies_on_publisher():
-                return
             await asyncio.sleep(
                 LEADER_WATCH_INTERVAL
                 if self._awaits_changes()
                 else WATCH_INTERVAL
             )
+            if self._relies_on_publisher():
+                return
             revision, changes = await self._platform.watch_servers(
                 revision, WATCH_TIME, WATCH_TIME + WATCH_MARGIN
             )
--- a/balsamwind/node/tests/test_proofs_state_machine.py
+++ b/balsamwind/node/tests/test_proofs_state_machine.py
@@ -79,6 +79,7 @@
             1.3,
             2.0,
             _placement_client.PlacementClient(self.clock, doubles.Log()),
+            True,
         )
         self.subscriber.set_nodes(
             [_ranking.RegisteredNode(name, name) for name in NAMES]
--- a/balsamwind/node/tests/test_updates.py
+++ b/balsamwind/node/tests/test_updates.py
@@ -268,7 +268,9 @@
         self.versions.append(configuration.version)
 
 
-def _make_subscriber(clock, configuration=CONFIGURATION, rank=2):
+def _make_subscriber(
+    clock, configuration=CONFIGURATION, rank=2, waits_at_start=True
+):
     """Make a subscriber that has compared its clock with the publisher's.
 
     The clock of the publisher is 50 s behind that of the subscriber.
@@ -293,6 +295,7 @@
         2.0,
         4.0,
         _placement_client.PlacementClient(clock, doubles.Log()),
+        waits_at_start,
     )
     subscriber.set_nodes(nodes)
     clock.now += _update_feed.SUBSCRIPTION_TIME
@@ -427,3 +430,24 @@
 def test_succession_fits_into_the_drain_time(drain_time, expected):
     time = _update_feed.find_succession_time(drain_time)
     assert time == pytest.approx(expected)
+
+
+@pytest.mark.parametrize(
+    ('waits_at_start', 'rank', 'waits'),
+    [
+        pytest.param(True, 2, True, id='all nodes start, one publishes'),
+        pytest.param(True, 0, False, id='the first node has no publisher'),
+        pytest.param(False, 2, False, id='callers wait for a restarted node'),
+    ],
+)
+def test_only_a_first_start_waits_for_the_publisher(
+    waits_at_start, rank, waits
+):
+    clock = doubles.Clock()
+    subscriber, updater, cache = _make_subscriber(
+        clock, None, rank, waits_at_start
+    )
+    clock.now -= _update_feed.SUBSCRIPTION_TIME
+    assert subscriber.is_starting() is waits
+    clock.now += _update_feed.DISCOVERY_TIME
+    assert not subscriber.is_starting()
