Give up an answer whose body never ends

Cause (read in the code): a body was read whole with a timeout for each chunk and no bound of its size, so that a backend server or store that trickles bytes held a probe, a watch or a retry for ever.

--- a/balsamwind/adapters/tests/test_http_client.py
+++ b/balsamwind/adapters/tests/test_http_client.py
@@ -8,6 +8,7 @@
 import pytest
 
 from balsamwind.adapters import _http_client
+from balsamwind.adapters import _streamed_response
 from balsamwind import exceptions
 
 
@@ -196,3 +197,67 @@
             return client.opened_connections - opened_before
 
     assert asyncio.run(scenario()) == 1
+
+
+async def _send_endless(writer, data, interval):
+    while True:
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(interval)
+
+
+ENDLESS_ANSWERS = [
+    pytest.param(b'', b'X-Filler: 1\r\n', 0.0, id='head, at once'),
+    pytest.param(b'', b'X', 0.02, id='head, by single bytes'),
+    pytest.param(b'', b'\x00\xff garbage', 0.0, id='no answer at all'),
+    pytest.param(
+        b'\r\n', b'x' * 65536, 0.0, id='body without a length, at once'
+    ),
+    pytest.param(b'\r\n', b'x', 0.02, id='body by single bytes'),
+    pytest.param(
+        b'Transfer-Encoding: chunked\r\n\r\n',
+        b'1\r\nx\r\n',
+        0.02,
+        id='chunks by single bytes',
+    ),
+    pytest.param(
+        b'Transfer-Encoding: chunked\r\n\r\n',
+        b'1',
+        0.02,
+        id='length of a chunk',
+    ),
+]
+
+
+@pytest.mark.parametrize(('head', 'filler', 'interval'), ENDLESS_ANSWERS)
+def test_answer_without_end_is_given_up(head, filler, interval, monkeypatch):
+    """Time and memory are bounded, and the connection is not used again."""
+    monkeypatch.setattr(_streamed_response, 'MAX_BODY_SIZE', 1 << 20)
+    closed = []
+
+    async def handle(reader, writer):
+        await _read_request(reader)
+        writer.write(b'HTTP/1.1 200 OK\r\n' + head)
+        try:
+            await _send_endless(writer, filler, interval)
+        finally:
+            closed.append(True)
+
+    async def scenario():
+        async with _open_server(handle) as (client, url):
+            started_at = asyncio.get_running_loop().time()
+            with pytest.raises(exceptions.TransportError):
+                await client.fetch('GET', url, timeout=0.2)
+            duration = asyncio.get_running_loop().time() - started_at
+            for _ in range(100):
+                if closed:
+                    break
+                await asyncio.sleep(0.02)
+            return duration, client._connection_pool.take(
+                url.removeprefix('http://').removesuffix('/x')
+            )
+
+    duration, reusable = asyncio.run(scenario())
+    assert duration < 3.0
+    assert reusable is None
+    assert closed
