Load the JSON schema library with the first contract

Cause: nodes of the platform imported it for a type of the stored objects (123 of 600 ms of imports here, beside other jobs). Change: loaded when a contract is checked. Ruled out: a second module for stored objects without contracts.

--- a/balsamwind/objects/_contract.py
+++ b/balsamwind/objects/_contract.py
@@ -5,11 +5,14 @@
 import functools
 import hashlib
 
-import jsonschema
+import lazy_loader
 
 from balsamwind.objects import _codec
 from balsamwind.settings import _findings
 
+# Nodes that read no contracts do without the library.
+jsonschema = lazy_loader.load('jsonschema')
+
 _NAME = {'type': 'string', 'pattern': '^[a-z0-9][a-z0-9-]{0,62}$'}
 _TIMESTAMP = {
     'type': 'string',
@@ -227,7 +230,9 @@
     return hashlib.sha256(api_key.encode('utf-8')).hexdigest()
 
 
-_VALIDATOR = jsonschema.Draft202012Validator(CONTRACT_SCHEMA)
+@functools.cache
+def _make_validator():
+    return jsonschema.Draft202012Validator(CONTRACT_SCHEMA)
 
 
 def check_contract(data, place='contract', allow_unknown=False):
@@ -253,7 +258,7 @@
         The contract is invalid; the exception has all findings.
     """
     ignored = ('additionalProperties',) if allow_unknown else ()
-    findings = _findings.list_findings(_VALIDATOR, data, place, ignored)
+    findings = _findings.list_findings(_make_validator(), data, place, ignored)
     if not findings:
         findings = _check_semantics(data, place)
     _findings.raise_findings(findings)
