Split the update feed and the watchers by job

Moves only: publisher and subscriber, the two watchers, and what both know of the store's outages are modules of their own. Tests of the node: pass.

--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -11,14 +11,16 @@
 from balsamwind import exceptions
 from balsamwind import lifecycle
 from balsamwind.node import _configuration_updater
+from balsamwind.node import _configuration_watcher
 from balsamwind.node import _leader
 from balsamwind.node import _node_discovery
 from balsamwind.node import _placement_client
 from balsamwind.node import _ranking
 from balsamwind.node import _request_log
+from balsamwind.node import _server_watcher
 from balsamwind.node import _state
-from balsamwind.node import _update_feed
-from balsamwind.node import _watchers
+from balsamwind.node import _update_publisher
+from balsamwind.node import _update_subscriber
 from balsamwind import pool
 from balsamwind import relay
 from balsamwind import settings as settings_package
@@ -153,7 +155,7 @@
         self._metrics_server = adapters.make_metrics_server(
             self._request_log.metrics_registry
         )
-        self._publisher = _update_feed.UpdatePublisher(
+        self._publisher = _update_publisher.UpdatePublisher(
             self.registry,
             self.configuration_cache,
             self._clock,
@@ -166,7 +168,7 @@
             self._log,
             self._apply_limits,
         )
-        self.subscriber = _update_feed.UpdateSubscriber(
+        self.subscriber = _update_subscriber.UpdateSubscriber(
             settings.name,
             self.registry,
             updater,
@@ -178,10 +180,12 @@
             self.relay.placement,
             settings.first_start,
         )
-        self._configuration_watcher = _watchers.ConfigurationWatcher(
-            platform, updater, self._clock, self._log, self.subscriber
+        self._configuration_watcher = (
+            _configuration_watcher.ConfigurationWatcher(
+                platform, updater, self._clock, self._log, self.subscriber
+            )
         )
-        self._server_watcher = _watchers.ServerWatcher(
+        self._server_watcher = _server_watcher.ServerWatcher(
             platform,
             self.registry,
             self._clock,
--- /dev/null
+++ b/balsamwind/node/_server_watcher.py
@@ -0,0 +1,177 @@
+"""Watch that keeps the registry of backend servers up to date."""
+
+import asyncio
+
+from balsamwind import exceptions
+from balsamwind.node import _store_availability
+from balsamwind import pool
+
+CALL_TIMEOUT = 0.8
+"""Timeout of one call to the store (seconds)."""
+
+WATCH_TIME = 0.8
+"""Longest wait of one watch of the servers (seconds)."""
+
+WATCH_MARGIN = 0.5
+"""Time added to the longest wait of a watch for its timeout (seconds)."""
+
+WATCH_INTERVAL = 0.3
+"""Time between two watches, in which changes are batched (seconds)."""
+
+LEADER_WATCH_INTERVAL = 0.08
+"""Time between two watches while this node leads a shard and has ordered its
+engines to change state (seconds)."""
+
+RELIST_INTERVAL = 8.0
+"""Time between two reads of the whole list, in case a watch missed changes
+(seconds)."""
+
+RELIST_DELAY_AFTER_OUTAGE = 2.7
+"""Time until the whole list is read again after an outage of the store
+(seconds)."""
+
+OUTAGE_THRESHOLD = 1.5
+"""Time without answers of the store after which entries may have expired there
+(seconds)."""
+
+
+class ServerWatcher:
+    """Keeps the registry of backend servers up to date.
+
+    Parameters
+    ----------
+    platform : balsamwind.platform.PlatformClient
+        Client of the platform's store.
+    registry : balsamwind.pool.ServerRegistry
+        Entries of the backend servers.
+    clock : balsamwind.ports.Clock
+        Monotonic clock.
+    log : structlog logger
+        Logger of the node.
+    is_leader : callable
+        Returns whether this node leads a shard.
+    awaits_changes : callable
+        Returns whether this node waits for engines to carry out its orders.
+    subscriber : UpdateSubscriber
+        Tells whether a publisher keeps the registry up to date.
+    publisher : UpdatePublisher
+        Passes on what is read to the subscribers of this node.
+    """
+
+    def __init__(
+        self,
+        platform,
+        registry,
+        clock,
+        log,
+        is_leader,
+        awaits_changes,
+        subscriber,
+        publisher,
+    ):
+        self._is_leader = is_leader
+        self._awaits_changes = awaits_changes
+        self._subscriber = subscriber
+        self._publisher = publisher
+        self._platform = platform
+        self._registry = registry
+        self._clock = clock
+        self._log = log
+        self._availability = _store_availability.StoreAvailability(
+            'servers', clock, log
+        )
+        self._next_list_at = 0.0
+
+    async def run(self):
+        """Keep the registry up to date; never returns."""
+        while True:
+            if self._relies_on_publisher():
+                self._availability.record_indirect_answer()
+                self._registry.evict_expired(self._clock.monotonic())
+                await asyncio.sleep(
+                    _store_availability.PUBLISHER_CHECK_INTERVAL
+                )
+                continue
+            try:
+                await self._watch()
+            except exceptions.HistoryGone as error:
+                self._log.info('watch_restarted', reason=str(error))
+            except exceptions.StoreError as error:
+                await _store_availability.wait_for_retry(
+                    self._availability.record_failure(error),
+                    self._subscriber.has_fresh_servers,
+                    self._is_leader() or self._subscriber.reads_store_first,
+                )
+
+    def _relies_on_publisher(self):
+        return self._subscriber.is_starting() or (
+            self._subscriber.has_fresh_servers() and not self._is_leader()
+        )
+
+    async def _watch(self):
+        revision, records = await self._platform.list_servers(CALL_TIMEOUT)
+        now = self._clock.monotonic()
+        self._next_list_at = now + RELIST_INTERVAL
+        self._record_answer(now)
+        changed, removed = self._registry.apply_full_list(records, now)
+        self._registry.evict_expired(now)
+        # Subscribers have the rest since they connected.
+        self._publisher.publish_changes(changed, removed)
+        while self._clock.monotonic() < self._next_list_at:
+            await asyncio.sleep(
+                LEADER_WATCH_INTERVAL
+                if self._awaits_changes()
+                else WATCH_INTERVAL
+            )
+            if self._relies_on_publisher():
+                return
+            revision, changes = await self._platform.watch_servers(
+                revision, WATCH_TIME, WATCH_TIME + WATCH_MARGIN
+            )
+            now = self._clock.monotonic()
+            self._record_answer(now)
+            self._apply(changes, now)
+
+    def _record_answer(self, now):
+        silence = self._availability.record_answer()
+        if silence > WATCH_TIME + OUTAGE_THRESHOLD:
+            self._registry.start_relisting_grace(now)
+            self._next_list_at = now + RELIST_DELAY_AFTER_OUTAGE
+
+    def _apply(self, changes, now):
+        records = []
+        removed = []
+        for change in changes:
+            if isinstance(change, pool.RemovedServer):
+                self._registry.apply_removal(change, now)
+                removed.append(change)
+            else:
+                previous = self._registry.apply_entry(change, now)
+                self._log_change(previous, change)
+                records.append(change)
+        self._publisher.publish_changes(records, removed)
+
+    def _log_change(self, previous, record):
+        """Log a restart, a change of state, or a group opened or closed."""
+        if previous is not None and (
+            previous.state == record.state
+            and previous.born == record.born
+            and _heads_open_group(previous) == _heads_open_group(record)
+        ):
+            return
+        membership = record.membership
+        self._log.info(
+            'engine_changed',
+            engine=record.server_id,
+            revision=record.revision,
+            state=record.state.value,
+            group=membership and membership.group,
+            member=membership and membership.state.value,
+            restarted=previous is not None and previous.born != record.born,
+        )
+
+
+def _heads_open_group(record):
+    """Whether an engine reports that it is the head of an open group."""
+    membership = record.membership
+    return membership is not None and membership.state is pool.MemberState.OPEN
--- /dev/null
+++ b/balsamwind/node/_update_publisher.py
@@ -0,0 +1,174 @@
+"""Updates that a node sends to others, so that they need not ask the store."""
+
+import dataclasses
+
+from balsamwind import adapters
+from balsamwind.node import _subscriber_session
+from balsamwind.node import _updates
+from balsamwind import traffic
+
+PUBLISHER_TIMEOUT = 1.3
+"""Time without server updates after which a publisher is given up
+(seconds)."""
+
+MAX_CHANGE_BYTES = 256 * 1024
+"""Largest change of the configuration that is published; subscribers read a
+larger one from the store (bytes)."""
+
+
+class UpdatePublisher:
+    """Publishes what this node has read from the store.
+
+    Parameters
+    ----------
+    registry : balsamwind.pool.ServerRegistry
+        Entries of the backend servers.
+    configuration_cache : balsamwind.traffic.ConfigurationCache
+        Configuration in force.
+    clock : balsamwind.ports.Clock
+        Monotonic clock.
+    log : structlog logger
+        Logger of the node.
+    open_placement_session : callable
+        Takes no arguments and returns the
+        `balsamwind.relay.PlacementSession` of a subscriber.
+
+    Attributes
+    ----------
+    clock : balsamwind.ports.Clock
+        As given.
+    server : balsamwind.adapters.UpdateServer
+        Connections of the subscribers.
+    """
+
+    def __init__(
+        self, registry, configuration_cache, clock, log, open_placement_session
+    ):
+        self._registry = registry
+        self._configuration_cache = configuration_cache
+        self.clock = self._clock = clock
+        self._open_placement_session = open_placement_session
+        self._last_proof = None
+        self._last_publish_at = float('-inf')
+        self.server = adapters.UpdateServer(
+            self._make_first_frame, self.open_session, log
+        )
+
+    def _make_first_frame(self):
+        """Make the first frame for a new subscriber.
+
+        Returns
+        -------
+        bytes or None
+            Snapshot of the registry; None while the store does not answer.
+        """
+        if self._clock.monotonic() - self._last_publish_at > PUBLISHER_TIMEOUT:
+            return None
+        return _updates.encode_frame(self._make_snapshot())
+
+    def _make_snapshot(self):
+        records = tuple(item for item in self._registry if item.listed)
+        return _updates.ServerUpdate(whole=True, records=records)
+
+    def publish_changes(self, records, removed):
+        """Publish changed entries; without any, a sign of life."""
+        self.publish(
+            _updates.ServerUpdate(False, tuple(records), tuple(removed))
+        )
+
+    def publish(self, message):
+        """Send one message to all subscribers."""
+        self._last_publish_at = self._clock.monotonic()
+        if self.server.subscriber_count:
+            self.server.broadcast(_updates.encode_frame(message))
+
+    def publish_configuration(
+        self, previous, configuration, revision, proved_at
+    ):
+        """Publish a version that is now in force here.
+
+        Subscribers without the previous version, and those of a change that
+        is too large for a frame, learn of the version and read the store.
+
+        Parameters
+        ----------
+        previous : balsamwind.traffic.Configuration or None
+            Version in force before; None if there was none.
+        configuration : balsamwind.traffic.Configuration
+            Version in force.
+        revision : int
+            Store revision at which it was the newest.
+        proved_at : float
+            When the read of the store was sent that showed this (seconds,
+            boot clock).
+        """
+        self._last_proof = _updates.ConfigurationProof(
+            configuration.version, revision, proved_at
+        )
+        if not self.server.subscriber_count:
+            return
+        change = traffic.plan_change(
+            previous or traffic.NO_CONFIGURATION, configuration
+        )
+        if change is not None:
+            frame = _updates.encode_frame(
+                _updates.ConfigurationUpdate(change, self._last_proof)
+            )
+            if len(frame) <= MAX_CHANGE_BYTES:
+                self.server.broadcast(frame)
+                return
+        self.server.broadcast(_updates.encode_frame(self._last_proof))
+
+    def publish_proof(self, revision, proved_at):
+        """Publish a proof that the version in force is the newest.
+
+        Parameters
+        ----------
+        revision, proved_at
+            As for `publish_configuration`.
+        """
+        self._last_proof = _updates.ConfigurationProof(
+            self._configuration_cache.version, revision, proved_at
+        )
+        if self.server.subscriber_count:
+            self.server.broadcast(_updates.encode_frame(self._last_proof))
+
+    def open_session(self):
+        """Open the session of a new subscriber; a `SubscriberSession`."""
+        return _subscriber_session.SubscriberSession(
+            self, self._open_placement_session(), self._configuration_cache
+        )
+
+    def answer_clock_request(self, request):
+        """Make the answer to a `ClockRequest`.
+
+        Parameters
+        ----------
+        request : ClockRequest
+            Request of a subscriber.
+
+        Returns
+        -------
+        bytes
+            Frame to send.
+        """
+        reading = _updates.ClockReading(
+            request.number, self._clock.monotonic(), self._last_proof
+        )
+        if request.version == 0 and self._last_proof is not None:
+            return self._add_first_configuration(reading)
+        return _updates.encode_frame(reading)
+
+    def _add_first_configuration(self, reading):
+        """Encode a reading for a subscriber that has no configuration yet."""
+        change = traffic.plan_change(
+            traffic.NO_CONFIGURATION, self._configuration_cache.configuration
+        )
+        if change is not None:
+            update = _updates.ConfigurationUpdate(change, reading.proof)
+            frame = _updates.encode_frame(
+                dataclasses.replace(reading, update=update)
+            )
+            if len(frame) <= MAX_CHANGE_BYTES:
+                return frame
+        return _updates.encode_frame(reading)
--- a/balsamwind/node/_update_feed.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -5,32 +5,22 @@
 """
 
 import asyncio
-import dataclasses
 
 from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind.node import _ranking
-from balsamwind.node import _subscriber_session
+from balsamwind.node import _update_publisher
 from balsamwind.node import _updates
-from balsamwind import traffic
 
 PUBLISHER_COUNT = 2
 """Nodes of a data centre, first by rank, that read the store without waiting
 for a successor of a lost publisher (count). The second of them itself
 subscribes to the first."""
 
-PUBLISHER_TIMEOUT = 1.3
-"""Time without server updates after which a publisher is given up
-(seconds)."""
-
 CLOCK_REQUEST_INTERVAL = 5.0
 """Time between two comparisons of the clocks of subscriber and publisher
 (seconds)."""
 
-MAX_CHANGE_BYTES = 256 * 1024
-"""Largest change of the configuration that is published; subscribers read a
-larger one from the store (bytes)."""
-
 RECONNECT_INTERVAL = 1.0
 """Wait before the publishers are tried again, if none sent anything
 (seconds)."""
@@ -74,7 +64,7 @@
     float
         Time (seconds); 0 if the drain time leaves none.
     """
-    spare_time = drain_time - PUBLISHER_TIMEOUT - READ_TIME
+    spare_time = drain_time - _update_publisher.PUBLISHER_TIMEOUT - READ_TIME
     return min(max(spare_time, 0.0), MAX_SUCCESSION_TIME)
 
 
@@ -181,7 +171,7 @@
 
     def has_fresh_servers(self):
         """Whether a publisher keeps the registry up to date."""
-        timeout = PUBLISHER_TIMEOUT
+        timeout = _update_publisher.PUBLISHER_TIMEOUT
         if not self.reads_store_first:
             timeout += find_succession_time(self.drain_time)
         now = self._clock.monotonic()
@@ -252,7 +242,7 @@
             try:
                 while address in self._publishers:
                     data = await adapters.receive_frame(
-                        connection, PUBLISHER_TIMEOUT
+                        connection, _update_publisher.PUBLISHER_TIMEOUT
                     )
                     self._handle(_updates.decode_frame(data))
                     last_update_at = max(last_update_at, self._last_update_at)
@@ -269,7 +259,10 @@
         balsamwind.exceptions.TransportError
             The publisher answers, but does not hear from the store itself.
         """
-        if self._clock.monotonic() - last_update_at > PUBLISHER_TIMEOUT:
+        if (
+            self._clock.monotonic() - last_update_at
+            > _update_publisher.PUBLISHER_TIMEOUT
+        ):
             raise exceptions.AnswerTimeout(
                 'no server updates from the publisher'
             )
@@ -371,161 +364,3 @@
             self._registry.apply_entry(record, now)
         for removed in message.removed:
             self._registry.apply_removal(removed, now)
-
-
-class UpdatePublisher:
-    """Publishes what this node has read from the store.
-
-    Parameters
-    ----------
-    registry : balsamwind.pool.ServerRegistry
-        Entries of the backend servers.
-    configuration_cache : balsamwind.traffic.ConfigurationCache
-        Configuration in force.
-    clock : balsamwind.ports.Clock
-        Monotonic clock.
-    log : structlog logger
-        Logger of the node.
-    open_placement_session : callable
-        Takes no arguments and returns the
-        `balsamwind.relay.PlacementSession` of a subscriber.
-
-    Attributes
-    ----------
-    clock : balsamwind.ports.Clock
-        As given.
-    server : balsamwind.adapters.UpdateServer
-        Connections of the subscribers.
-    """
-
-    def __init__(
-        self, registry, configuration_cache, clock, log, open_placement_session
-    ):
-        self._registry = registry
-        self._configuration_cache = configuration_cache
-        self.clock = self._clock = clock
-        self._open_placement_session = open_placement_session
-        self._last_proof = None
-        self._last_publish_at = float('-inf')
-        self.server = adapters.UpdateServer(
-            self._make_first_frame, self.open_session, log
-        )
-
-    def _make_first_frame(self):
-        """Make the first frame for a new subscriber.
-
-        Returns
-        -------
-        bytes or None
-            Snapshot of the registry; None while the store does not answer.
-        """
-        if self._clock.monotonic() - self._last_publish_at > PUBLISHER_TIMEOUT:
-            return None
-        return _updates.encode_frame(self._make_snapshot())
-
-    def _make_snapshot(self):
-        records = tuple(item for item in self._registry if item.listed)
-        return _updates.ServerUpdate(whole=True, records=records)
-
-    def publish_changes(self, records, removed):
-        """Publish changed entries; without any, a sign of life."""
-        self.publish(
-            _updates.ServerUpdate(False, tuple(records), tuple(removed))
-        )
-
-    def publish(self, message):
-        """Send one message to all subscribers."""
-        self._last_publish_at = self._clock.monotonic()
-        if self.server.subscriber_count:
-            self.server.broadcast(_updates.encode_frame(message))
-
-    def publish_configuration(
-        self, previous, configuration, revision, proved_at
-    ):
-        """Publish a version that is now in force here.
-
-        Subscribers without the previous version, and those of a change that
-        is too large for a frame, learn of the version and read the store.
-
-        Parameters
-        ----------
-        previous : balsamwind.traffic.Configuration or None
-            Version in force before; None if there was none.
-        configuration : balsamwind.traffic.Configuration
-            Version in force.
-        revision : int
-            Store revision at which it was the newest.
-        proved_at : float
-            When the read of the store was sent that showed this (seconds,
-            boot clock).
-        """
-        self._last_proof = _updates.ConfigurationProof(
-            configuration.version, revision, proved_at
-        )
-        if not self.server.subscriber_count:
-            return
-        change = traffic.plan_change(
-            previous or traffic.NO_CONFIGURATION, configuration
-        )
-        if change is not None:
-            frame = _updates.encode_frame(
-                _updates.ConfigurationUpdate(change, self._last_proof)
-            )
-            if len(frame) <= MAX_CHANGE_BYTES:
-                self.server.broadcast(frame)
-                return
-        self.server.broadcast(_updates.encode_frame(self._last_proof))
-
-    def publish_proof(self, revision, proved_at):
-        """Publish a proof that the version in force is the newest.
-
-        Parameters
-        ----------
-        revision, proved_at
-            As for `publish_configuration`.
-        """
-        self._last_proof = _updates.ConfigurationProof(
-            self._configuration_cache.version, revision, proved_at
-        )
-        if self.server.subscriber_count:
-            self.server.broadcast(_updates.encode_frame(self._last_proof))
-
-    def open_session(self):
-        """Open the session of a new subscriber; a `SubscriberSession`."""
-        return _subscriber_session.SubscriberSession(
-            self, self._open_placement_session(), self._configuration_cache
-        )
-
-    def answer_clock_request(self, request):
-        """Make the answer to a `ClockRequest`.
-
-        Parameters
-        ----------
-        request : ClockRequest
-            Request of a subscriber.
-
-        Returns
-        -------
-        bytes
-            Frame to send.
-        """
-        reading = _updates.ClockReading(
-            request.number, self._clock.monotonic(), self._last_proof
-        )
-        if request.version == 0 and self._last_proof is not None:
-            return self._add_first_configuration(reading)
-        return _updates.encode_frame(reading)
-
-    def _add_first_configuration(self, reading):
-        """Encode a reading for a subscriber that has no configuration yet."""
-        change = traffic.plan_change(
-            traffic.NO_CONFIGURATION, self._configuration_cache.configuration
-        )
-        if change is not None:
-            update = _updates.ConfigurationUpdate(change, reading.proof)
-            frame = _updates.encode_frame(
-                dataclasses.replace(reading, update=update)
-            )
-            if len(frame) <= MAX_CHANGE_BYTES:
-                return frame
-        return _updates.encode_frame(reading)
--- a/balsamwind/node/tests/test_proofs_state_machine.py
+++ b/balsamwind/node/tests/test_proofs_state_machine.py
@@ -14,7 +14,8 @@
 from balsamwind.node import _configuration_updater
 from balsamwind.node import _placement_client
 from balsamwind.node import _ranking
-from balsamwind.node import _update_feed
+from balsamwind.node import _update_publisher
+from balsamwind.node import _update_subscriber
 from balsamwind.node import _updates
 from balsamwind.node.tests import doubles
 from balsamwind import pool
@@ -58,7 +59,7 @@
     def __init__(self, machine, rank):
         self.clock = _NodeClock(machine, 1000.0 * rank - 700.0)
         self.cache = traffic.ConfigurationCache(4.6)
-        self.publisher = _update_feed.UpdatePublisher(
+        self.publisher = _update_publisher.UpdatePublisher(
             pool.ServerRegistry(),
             self.cache,
             self.clock,
@@ -69,7 +70,7 @@
         self.updater = _configuration_updater.ConfigurationUpdater(
             self.cache, self.publisher, doubles.Log(), lambda: None
         )
-        self.subscriber = _update_feed.UpdateSubscriber(
+        self.subscriber = _update_subscriber.UpdateSubscriber(
             NAMES[rank],
             pool.ServerRegistry(),
             self.updater,
--- a/balsamwind/node/tests/test_updates.py
+++ b/balsamwind/node/tests/test_updates.py
@@ -10,7 +10,7 @@
 from balsamwind.node import _configuration_updater
 from balsamwind.node import _placement_client
 from balsamwind.node import _ranking
-from balsamwind.node import _update_feed
+from balsamwind.node import _update_subscriber
 from balsamwind.node import _updates
 from balsamwind.node.tests import doubles
 from balsamwind.node.tests import helpers
@@ -285,7 +285,7 @@
         _ranking.RegisteredNode(f'n{number}', 'x')
         for number in range(rank + 1)
     ]
-    subscriber = _update_feed.UpdateSubscriber(
+    subscriber = _update_subscriber.UpdateSubscriber(
         f'n{rank}',
         pool.ServerRegistry(),
         updater,
@@ -298,7 +298,7 @@
         waits_at_start,
     )
     subscriber.set_nodes(nodes)
-    clock.now += _update_feed.SUBSCRIPTION_TIME
+    clock.now += _update_subscriber.SUBSCRIPTION_TIME
     subscriber._pending_requests = {1: clock.now}
     subscriber._handle(_updates.ClockReading(1, clock.now - 50.0))
     return subscriber, updater, cache
@@ -428,7 +428,7 @@
     ('drain_time', 'expected'), [(2.0, 0.0), (3.0, 1.0), (4.0, 1.5)]
 )
 def test_succession_fits_into_the_drain_time(drain_time, expected):
-    time = _update_feed.find_succession_time(drain_time)
+    time = _update_subscriber.find_succession_time(drain_time)
     assert time == pytest.approx(expected)
 
 
@@ -447,7 +447,7 @@
     subscriber, updater, cache = _make_subscriber(
         clock, None, rank, waits_at_start
     )
-    clock.now -= _update_feed.SUBSCRIPTION_TIME
+    clock.now -= _update_subscriber.SUBSCRIPTION_TIME
     assert subscriber.is_starting() is waits
-    clock.now += _update_feed.DISCOVERY_TIME
+    clock.now += _update_subscriber.DISCOVERY_TIME
     assert not subscriber.is_starting()
--- a/balsamwind/node/tests/test_watchers.py
+++ b/balsamwind/node/tests/test_watchers.py
@@ -6,7 +6,8 @@
 
 from balsamwind import exceptions
 from balsamwind.node import _configuration_updater
-from balsamwind.node import _watchers
+from balsamwind.node import _configuration_watcher
+from balsamwind.node import _store_availability
 from balsamwind.node.tests import doubles
 from balsamwind import traffic
 
@@ -81,9 +82,9 @@
 
 def _run_watcher(script, monkeypatch, subscriber=None):
     subscriber = subscriber or _FakeSubscriber()
-    monkeypatch.setattr(_watchers, 'PUBLISHER_CHECK_INTERVAL', 0.0)
-    monkeypatch.setattr(_watchers, 'SETTLE_INTERVAL', 0.0)
-    monkeypatch.setattr(_watchers, 'RETRY_INTERVAL', 0.0)
+    monkeypatch.setattr(_store_availability, 'PUBLISHER_CHECK_INTERVAL', 0.0)
+    monkeypatch.setattr(_configuration_watcher, 'SETTLE_INTERVAL', 0.0)
+    monkeypatch.setattr(_store_availability, 'RETRY_INTERVAL', 0.0)
     clock = doubles.Clock()
     configuration_cache = traffic.ConfigurationCache(4.0)
     scripted_platform = _ScriptedPlatform(clock, script)
@@ -91,7 +92,7 @@
     updater = _configuration_updater.ConfigurationUpdater(
         configuration_cache, _Publisher(), doubles.Log(), lambda: None
     )
-    watcher = _watchers.ConfigurationWatcher(
+    watcher = _configuration_watcher.ConfigurationWatcher(
         scripted_platform, updater, clock, doubles.Log(), subscriber
     )
 
@@ -196,7 +197,9 @@
 def test_indirect_answers_count_as_contact_with_the_store():
     """A node that stops subscribing keeps no entries as after an outage."""
     clock = doubles.Clock()
-    availability = _watchers.StoreAvailability('servers', clock, doubles.Log())
+    availability = _store_availability.StoreAvailability(
+        'servers', clock, doubles.Log()
+    )
     for _ in range(20):
         clock.now += 1.0
         availability.record_indirect_answer()
