Give back a placement at a backend not known here

Cause (read in the change): the attempt went to a backend that this node chose itself, but its stall or failure was reported for the placed one, which could eject a sound group for the whole data centre. Change: such a placement ends at once, without an outcome. Test: the case fails on the code before.

--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -223,18 +223,12 @@
         ------
         Backend
         """
-        placement = await self._place()
         self._placement_number = None
         self._outcome = _placement.Outcome.REFUSED
         self._reported_load = None
+        placed_backend = await self._find_placed_backend()
         try:
-            backend = None
-            if placement is not None:
-                self._placement_number = placement.number
-                backend = self._relay.backends.find(
-                    self._service, dataclasses.astuple(placement.key)
-                )
-            self._backend = backend or self._choose_backend()
+            self._backend = placed_backend or self._choose_backend()
             yield self._backend
         finally:
             if self._placement_number is not None:
@@ -242,6 +236,26 @@
                     self._placement_number, self._outcome, self._reported_load
                 )
 
+    async def _find_placed_backend(self):
+        """Return the backend that another node has placed the attempt at.
+
+        A placement at a backend that is not known here is given back at once:
+        what becomes of the attempt elsewhere says nothing of that backend.
+        """
+        placement = await self._place()
+        if placement is None:
+            return None
+        backend = self._relay.backends.find(
+            self._service, dataclasses.astuple(placement.key)
+        )
+        if backend is None:
+            self._relay.placement.end(
+                placement.number, _placement.Outcome.REFUSED, None
+            )
+        else:
+            self._placement_number = placement.number
+        return backend
+
     async def _place(self):
         if self._service.engine is None:
             return None
--- a/balsamwind/relay/tests/test_stream_retries.py
+++ b/balsamwind/relay/tests/test_stream_retries.py
@@ -198,9 +198,20 @@
     def get_by_service(self, service):
         return self._backends
 
+    def find(self, service, key):
+        for backend in self._backends:
+            if backend.key == key:
+                return backend
+        return None
+
 
 async def _forward(
-    scripts, max_attempts=3, responder=None, client=None, clock=None
+    scripts,
+    max_attempts=3,
+    responder=None,
+    client=None,
+    clock=None,
+    placement=None,
 ):
     engine = _ScriptedEngine(scripts)
     responder = responder or _Responder()
@@ -218,6 +229,7 @@
         client = client or adapters.HttpClient()
         stack.callback(client.close)
         fake_relay = _Relay(addresses, client, clock or _Clock())
+        fake_relay.placement = placement
         request = relay.IncomingRequest(
             'POST',
             '/x',
@@ -232,7 +244,7 @@
             relay.RequestMetadata('r1'),
             responder,
             _make_route(max_attempts),
-            traffic.Service('llm'),
+            traffic.Service('llm', engine=placement and ENGINE),
             None,
             1.5,
         )
@@ -247,6 +259,8 @@
     return responder, engine, error
 
 
+ENGINE = traffic.EngineProfile((traffic.ModelProfile('', 1),), slots=4)
+
 FIRST_TWO = _make_event(0) + _make_event(1)
 ALL_FOUR = FIRST_TWO + _make_event(2) + _make_event(3)
 
@@ -377,3 +391,49 @@
     assert engine.requests == 0
     assert error.run == exceptions.NOT_RUN
     assert error.status == 503
+
+
+class _FakePlacement:
+    """Places each attempt at the backends of a list, by their names."""
+
+    def __init__(self, names):
+        self._names = list(names)
+        self.ends = []
+        self.stalls = []
+
+    async def place(self, service, requirements, tried):
+        number = len(self.ends) + 1
+        name = self._names.pop(0)
+        return relay.Placement(number, relay.BackendKey('llm', name, 1))
+
+    def report_stall(self, number):
+        self.stalls.append(number)
+
+    def end(self, number, outcome, load):
+        self.ends.append((number, outcome))
+
+
+@pytest.mark.parametrize(
+    ('names', 'expected'),
+    [
+        pytest.param(
+            ['e2', 'e3'],
+            [(1, relay.Outcome.FAILED), (2, relay.Outcome.ANSWERED)],
+            id='each attempt ends its own placement',
+        ),
+        pytest.param(
+            ['unknown', 'e3'],
+            [(1, relay.Outcome.REFUSED), (2, relay.Outcome.ANSWERED)],
+            id='unknown here: given back, without the outcome of another',
+        ),
+    ],
+)
+def test_placement_gets_the_outcome_of_its_own_backend(names, expected):
+    placement = _FakePlacement(names)
+    responder, _, error = asyncio.run(
+        _forward([CUT_CHUNKED, REST], placement=placement)
+    )
+    assert error is None
+    assert responder.complete
+    assert placement.ends == expected
+    assert placement.stalls == []
