--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -90,6 +90,9 @@
         Monotonic clock.
     log : structlog logger
         Logger of the node.
+    publish_changes : callable
+        Takes the changed and the removed entries of a list and publishes them
+        to the subscribers of this node.
 
     Attributes
     ----------
@@ -113,7 +116,9 @@
         relay,
         clock,
         log,
+        publish_changes,
     ):
+        self._publish_changes = publish_changes
         self._data_centre = data_centre
         self.settings = settings
         self._configuration_cache = configuration_cache
@@ -189,7 +194,12 @@
         except exceptions.StoreError as error:
             self._log.info('entries_not_listed', reason=str(error))
             return False
-        self._registry.apply_full_list(records, self._clock.monotonic())
+        changed, removed = self._registry.apply_full_list(
+            records, self._clock.monotonic()
+        )
+        # The next regular list finds nothing new, so nobody else would tell
+        # the subscribers of this node.
+        self._publish_changes(changed, removed)
         self._listed_fencing = fencing
         return self.lease.held
 
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -208,6 +208,7 @@
                 self.relay,
                 self._clock,
                 self._log,
+                self._publisher.publish_changes,
             )
             for data_centre in settings.data_centres
         ]
--- a/balsamwind/node/tests/test_prober.py
+++ b/balsamwind/node/tests/test_prober.py
@@ -52,6 +52,7 @@
         None,
         clock,
         doubles.Log(),
+        lambda changed, removed: None,
     )
     monkeypatch.setattr(leader, '_plan_service', lambda *arguments: None)
 
@@ -66,6 +67,36 @@
     assert leader._prober.down == {'llm-1', 'vlm-1'}
 
 
+class _ListingPlatform:
+    """Platform that lists one engine."""
+
+    async def list_servers(self, timeout):
+        return 5, [_make_engine('llm-1', 'llm')]
+
+
+def test_list_of_a_new_leader_is_published():
+    """No later list would show its changes to the subscribers."""
+    clock = doubles.Clock()
+    registry = pool.ServerRegistry()
+    registry.apply_entry(_make_engine('llm-2', 'llm'), clock.now)
+    published = []
+    leader = _leader.ShardLeader(
+        'z1',
+        helpers.make_settings('n1', 1),
+        _ListingPlatform(),
+        traffic.ConfigurationCache(4.6),
+        registry,
+        None,
+        clock,
+        doubles.Log(),
+        lambda changed, removed: published.append((changed, removed)),
+    )
+    asyncio.run(leader._has_listed_since_takeover())
+    assert published == [
+        ([_make_engine('llm-1', 'llm')], [pool.RemovedServer('llm-2', 1)])
+    ]
+
+
 def test_counts_of_an_earlier_lease_are_forgotten():
     prober = _prober.Prober(
         None, pool.ServerRegistry(), doubles.Clock(), doubles.Log()
