Reckon with orders that are carried out late

An order to open without an answer was forgotten, and the members were free while the head could still open. A group that was closed and opened again by the same leader was still taken for closed, so its head was not asked before its members joined another. Change: unanswered joins and openings are remembered for 13 s, or until the engine has begun a later order; the planner neither opens such a group nor frees such members; an opened group is no longer among the closed ones. Tests: planner rows and test_late_orders.py fail before.

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -30,6 +30,10 @@
 CUT_TIMEOUT = 1.0
 """Time that a group has to close when its requests are aborted (seconds)."""
 
+LATE_ORDER_TIME = 13.0
+"""Time within which an engine may still carry out an order that it has not
+answered (seconds)."""
+
 EPOCHS_PER_LEASE = 100000
 """Epochs reserved for one holder of a lease (count). Epochs of a later holder
 are larger, because they begin at the fencing number times this number."""
@@ -50,6 +54,8 @@
         Lease of the shard.
     prober : Prober
         Health checks of the shard's engines.
+    clock : balsamwind.ports.Clock
+        Monotonic clock.
     log : structlog logger
         Logger of the shard.
 
@@ -61,19 +67,44 @@
         Engines of the groups that are being formed, by model (count).
     """
 
-    def __init__(self, shard, platform, registry, lease, prober, log):
+    def __init__(self, shard, platform, registry, lease, prober, clock, log):
         self._shard = shard
         self._platform = platform
         self._registry = registry
         self._lease = lease
         self._prober = prober
+        self._clock = clock
         self._log = log
+        self._unanswered = {}
         self._epoch_count = 0
         self._sequences = {}
         self._closed_groups = set()
         self.busy = set()
         self.forming = {}
 
+    def find_unanswered(self, order_type):
+        """Find the engines that may still carry out an unanswered order.
+
+        Parameters
+        ----------
+        order_type : type
+            `balsamwind.pool.Join` or `balsamwind.pool.Open`.
+
+        Returns
+        -------
+        frozenset of str
+            Ids of the engines.
+        """
+        now = self._clock.monotonic()
+        for key, expires_at in list(self._unanswered.items()):
+            if now >= expires_at:
+                del self._unanswered[key]
+        return frozenset(
+            server_id
+            for server_id, found_type in self._unanswered
+            if found_type is order_type
+        )
+
     def start(self, action, engine_profile):
         """Start executing an action concurrently with those in progress.
 
@@ -138,6 +169,7 @@
             record, order, self._lease.fencing, sequence, ORDER_TIMEOUT
         )
         self._record_result(record, sequence, result)
+        self._record_answer(record, order, result)
         if result is pool.OrderResult.FENCED:
             self._lease.step_down(f'{record.server_id}: {order}')
         self._log.debug(
@@ -169,6 +201,21 @@
         elif result is not pool.OrderResult.DONE:
             self._sequences.pop(incarnation, None)
 
+    def _record_answer(self, record, order, result):
+        """Note an order without an answer until the engine can't begin it.
+
+        The engine counts its orders, so an order that it has begun since
+        makes the earlier ones fail.
+        """
+        server_id = record.server_id
+        if result is pool.OrderResult.BEGUN:
+            self._unanswered.pop((server_id, pool.Join), None)
+            self._unanswered.pop((server_id, pool.Open), None)
+        elif result is pool.OrderResult.UNKNOWN:
+            self._unanswered[server_id, type(order)] = (
+                self._clock.monotonic() + LATE_ORDER_TIME
+            )
+
     async def _form_group(self, action, engine_profile):
         members = action.members
         epoch = self._next_epoch()
@@ -288,6 +335,7 @@
         return False
 
     async def _open_group(self, head, name, epoch, engine_profile):
+        self._closed_groups.discard((name, epoch))
         for _ in range(MAX_ATTEMPTS):
             result = await self._send_order(head, pool.Open(name, epoch))
             if result.accepted:
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -149,6 +149,7 @@
             registry,
             self.lease,
             self._prober,
+            clock,
             self._log,
         )
 
@@ -302,6 +303,8 @@
                 and self._cannot_head_open_group(record, now)
             ),
             busy=frozenset(self.executor.busy),
+            late_joiners=self.executor.find_unanswered(pool.Join),
+            late_openers=self.executor.find_unanswered(pool.Open),
             forming_engines=dict(self.executor.forming),
             before_traffic=before_traffic,
             growing_domains=frozenset(
--- /dev/null
+++ b/balsamwind/node/tests/test_late_orders.py
@@ -0,0 +1,114 @@
+"""Orders that engines leave unanswered and may carry out late."""
+
+import asyncio
+
+import pytest
+
+from balsamwind.node import _action_executor
+from balsamwind.node.tests import doubles
+from balsamwind import pool
+from balsamwind import traffic
+
+JOIN = pool.Join('m.z1.2', 2, 'm', ('e1', 'e2'))
+
+CLOSE = pool.Close('m.z1.1', 1, True)
+
+
+class _Lease:
+    """Lease that is held."""
+
+    held = True
+    fencing = 4
+
+    def step_down(self, reason):
+        self.held = False
+
+
+class _Platform:
+    """Engines that answer orders by script."""
+
+    def __init__(self, results):
+        self._results = list(results)
+
+    async def fetch_engine_report(self, record, timeout):
+        return pool.ServerReport(born=1, sequence=7)
+
+    async def send_order(self, record, order, fencing, sequence, timeout):
+        return self._results.pop(0)
+
+
+def _make_executor(results, clock):
+    executor = _action_executor.ActionExecutor(
+        'z1',
+        _Platform(results),
+        pool.ServerRegistry(),
+        _Lease(),
+        None,
+        clock,
+        doubles.Log(),
+    )
+    return executor, pool.ServerRecord('e1', 'llm', 'x:1', 'z1', born=1)
+
+
+UNKNOWN = pool.OrderResult.UNKNOWN
+BEGUN = pool.OrderResult.BEGUN
+
+
+@pytest.mark.parametrize(
+    ('orders', 'results', 'wait', 'late'),
+    [
+        pytest.param([JOIN], [UNKNOWN], 12.0, True, id='no answer'),
+        pytest.param([JOIN], [UNKNOWN], 14.0, False, id='too late to begin'),
+        pytest.param([JOIN], [BEGUN], 0.0, False, id='begun'),
+        pytest.param(
+            [JOIN, JOIN], [UNKNOWN, BEGUN], 0.0, False, id='begun at last'
+        ),
+        pytest.param(
+            [JOIN, CLOSE],
+            [UNKNOWN, BEGUN],
+            0.0,
+            False,
+            id='a later order makes it fail',
+        ),
+        pytest.param(
+            [CLOSE], [UNKNOWN], 0.0, False, id='a close takes nobody away'
+        ),
+    ],
+)
+def test_unanswered_join_is_remembered(orders, results, wait, late):
+    clock = doubles.Clock()
+    executor, record = _make_executor(results, clock)
+
+    async def send_orders():
+        for order in orders:
+            await executor._send_order(record, order)
+
+    asyncio.run(send_orders())
+    clock.now += wait
+    found = executor.find_unanswered(pool.Join)
+    assert found == frozenset({'e1'} if late else ())
+
+
+def test_unanswered_open_is_remembered_apart_from_a_join():
+    clock = doubles.Clock()
+    executor, record = _make_executor([UNKNOWN, BEGUN], clock)
+    asyncio.run(executor._send_order(record, pool.Open('m.z1.1', 1)))
+    assert executor.find_unanswered(pool.Open) == {'e1'}
+    assert executor.find_unanswered(pool.Join) == frozenset()
+    asyncio.run(executor._send_order(record, CLOSE))
+    assert executor.find_unanswered(pool.Open) == frozenset()
+
+
+def test_head_of_a_group_that_was_opened_again_is_asked():
+    """Its entry may be out of date for as long as it is cut off."""
+    clock = doubles.Clock()
+    executor, record = _make_executor([BEGUN], clock)
+    executor._closed_groups.add(('m.z1.1', 1))
+
+    async def wait_state(head, key, states, timeout):
+        return 'open'
+
+    executor._wait_state = wait_state
+    profile = traffic.EngineProfile((traffic.ModelProfile('m', 2),))
+    asyncio.run(executor._open_group(record, 'm.z1.1', 1, profile))
+    assert ('m.z1.1', 1) not in executor._closed_groups
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -31,6 +31,12 @@
         long that none of them can be the head of an open group any more.
     busy : frozenset of str
         Ids of engines that an action in progress affects.
+    late_joiners : frozenset of str
+        Ids of engines that may still carry out a join that they have not
+        answered.
+    late_openers : frozenset of str
+        Ids of heads that may still carry out an order to open that they have
+        not answered.
     forming_engines : dict of str to int
         Number of engines in groups that are being formed, by model (count).
     before_traffic : bool
@@ -67,6 +73,8 @@
     down: frozenset = frozenset()
     presumed_dead: frozenset = frozenset()
     busy: frozenset = frozenset()
+    late_joiners: frozenset = frozenset()
+    late_openers: frozenset = frozenset()
     forming_engines: dict = dataclasses.field(default_factory=dict)
     before_traffic: bool = False
     growing_domains: frozenset = frozenset()
@@ -155,13 +163,15 @@
 def _may_open(view, group, member_ids):
     """Whether a group whose head is ready is complete and still needed.
 
-    A group in a domain that is reserved for another model is not needed.
+    A group in a domain that is reserved for another model is not needed. A
+    group is not opened while one of its members may yet join another one.
     """
     needed_model = view.reserved_domains.get(group.head.domain, group.model)
     return (
         group.all_ranks_usable
         and group.all_ready
         and not member_ids & view.down
+        and not member_ids & view.late_joiners
         and needed_model == group.model
     )
 
@@ -212,7 +222,8 @@
 def _is_released(view, group):
     """Whether the head of a group can't be open any more.
 
-    Only then may the members of the group join another one. After an outage
+    Only then may the members of the group join another one. A head that has
+    not answered the order to open may carry it out later. After an outage
     of a domain its engines come back one after another, so the head of a
     group whose member has just come back may still be open, although it has
     not been seen again yet. A head without any entry may be open as well,
@@ -223,6 +234,8 @@
         member_ids = {member.server_id for member in group.members}
         settled = not member_ids & view.recently_returned
         return settled and (head is not None or view.knows_all_heads)
+    if head.server_id in view.late_openers:
+        return False
     return group.state not in (
         _records.MemberState.OPEN,
         _records.MemberState.CLOSING,
--- a/balsamwind/pool/tests/test_planner.py
+++ b/balsamwind/pool/tests/test_planner.py
@@ -76,6 +76,10 @@
 PAIR = _make_group(['a', 'b'], 'small', 7)
 PAIR_READY = _make_group(['a', 'b'], 'small', 7, READY)
 PAIR_NAME = 'small.dc.7'
+HALF_AND_SPARE = [
+    *_replace_fields(PAIR_READY, 'b', listed=False),
+    _make_engine('c', 'small', ('large', 'small')),
+]
 
 
 @pytest.mark.parametrize(
@@ -121,6 +125,24 @@
         pytest.param(
             PAIR, {'busy': frozenset('ab')}, [], id='an action is in progress'
         ),
+        pytest.param(
+            PAIR_READY,
+            {'late_joiners': frozenset('b')},
+            [('form', 'small', ('a', 'b'))],
+            id='a member may yet carry out a join of another group',
+        ),
+        pytest.param(
+            HALF_AND_SPARE,
+            {},
+            [('form', 'small', ('a', 'c'))],
+            id='the head of half a group is free',
+        ),
+        pytest.param(
+            HALF_AND_SPARE,
+            {'late_openers': frozenset('a')},
+            [],
+            id='the head may yet open: its members are not free',
+        ),
         pytest.param(
             _make_group(['a', 'b'], 'withdrawn', 7),
             {},
