Record how the streams of backend servers end

Now each end of a stream without an error of its connection is counted by what marks the end of the body and whether an event is unfinished; an end inside an event is logged with the request's id; the reset of a body without a length has a reason of its own.

--- a/balsamwind/adapters/_streamed_response.py
+++ b/balsamwind/adapters/_streamed_response.py
@@ -1,6 +1,7 @@
 """HTTP response whose body is read as it arrives."""
 
 import asyncio
+import enum
 
 from balsamwind import exceptions
 
@@ -15,6 +16,14 @@
 not reused (seconds)."""
 
 
+class BodyFraming(enum.Enum):
+    """How the end of a response body is marked."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CLOSE = 'close'
+
+
 class StreamedResponse:
     """Response whose body is read as it arrives.
 
@@ -59,6 +68,15 @@
         self._reader = reader
         self.status, self.headers = receiver.head.result()
 
+    @property
+    def framing(self):
+        """How the end of the body is marked (`BodyFraming`)."""
+        if 'Transfer-Encoding' in self.headers:
+            return BodyFraming.CHUNKED
+        if 'Content-Length' in self.headers:
+            return BodyFraming.LENGTH
+        return BodyFraming.CLOSE
+
     async def wait_for_data(self, timeout):
         """Wait until `read` would return without waiting.
 
@@ -120,12 +138,12 @@
         balsamwind.exceptions.TransportError
             The connection was reset, so the body may be incomplete.
         """
-        if 'Content-Length' in self.headers or not self._reader.done():
+        if self.framing is not BodyFraming.CLOSE or not self._reader.done():
             return
         if self._stream.error is not None:
             self.close()
             raise exceptions.TransportError(
-                f'{self._endpoint}: connection closed before end of body'
+                f'{self._endpoint}: connection reset, body without length'
             )
 
     async def read_all(self, timeout):
--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -36,6 +36,7 @@
         '_durations',
         '_failed_attempts',
         '_refilled_at',
+        '_stream_ends',
         '_suppressed_lines',
         '_tokens',
         'log',
@@ -61,6 +62,13 @@
             ('reason',),
             registry=self.metrics_registry,
         )
+        self._stream_ends = prometheus_client.Counter(
+            'balsamwind_stream_ends',
+            'Event streams of backend servers that ended without an error of'
+            ' the connection.',
+            ('framing', 'inside_event'),
+            registry=self.metrics_registry,
+        )
         self._durations = prometheus_client.Histogram(
             'balsamwind_answer_seconds',
             'Time to the end of the final answer.',
@@ -123,6 +131,35 @@
             in_flight=backend.in_flight,
         )
 
+    def record_stream_end(
+        self, request_id, backend, framing, unfinished_bytes
+    ):
+        """Record how the event stream of an attempt ended.
+
+        Parameters
+        ----------
+        request_id : str
+            Id of the request.
+        backend : balsamwind.relay.Backend
+            Backend server or replica group that sent the stream.
+        framing : str
+            How the end was marked: 'length', 'chunked' or 'close'.
+        unfinished_bytes : int
+            Bytes after the last complete event (count).
+        """
+        inside_event = 'yes' if unfinished_bytes else 'no'
+        self._stream_ends.labels(framing, inside_event).inc()
+        if not unfinished_bytes or not self._take_token():
+            return
+        self.log.info(
+            'stream_ended_inside_event',
+            id=request_id,
+            place=':'.join(str(part) for part in backend.key),
+            server=backend.record.server_id,
+            framing=framing,
+            unfinished_bytes=unfinished_bytes,
+        )
+
     def _take_token(self):
         now = self._clock.monotonic()
         self._tokens = min(
--- a/balsamwind/node/tests/test_request_log.py
+++ b/balsamwind/node/tests/test_request_log.py
@@ -94,3 +94,27 @@
         'balsamwind_answers_total', {'outcome': 'ok'}
     )
     assert count == round(USUAL_RATE * 5.0)
+
+
+@pytest.mark.parametrize(
+    ('framing', 'unfinished_bytes', 'inside_event', 'logged'),
+    [
+        pytest.param('chunked', 0, 'no', False, id='regular end'),
+        pytest.param('close', 0, 'no', False, id='close between events'),
+        pytest.param('close', 7, 'yes', True, id='close inside an event'),
+    ],
+)
+def test_end_of_a_stream_is_counted_by_how_it_was_marked(
+    framing, unfinished_bytes, inside_event, logged
+):
+    log = _RecordingLog()
+    request_log = _request_log.RequestLog(log, doubles.Clock())
+    request_log.record_stream_end('r1', _Backend, framing, unfinished_bytes)
+    count = request_log.metrics_registry.get_sample_value(
+        'balsamwind_stream_ends_total',
+        {'framing': framing, 'inside_event': inside_event},
+    )
+    assert count == 1
+    assert [event for event, _ in log.rows] == (
+        ['stream_ended_inside_event'] if logged else []
+    )
--- a/balsamwind/relay/_event_stream.py
+++ b/balsamwind/relay/_event_stream.py
@@ -74,6 +74,11 @@
         self._partial = b''
         self._is_resuming = self.last_event_id >= 0
 
+    @property
+    def unfinished_bytes(self):
+        """Bytes after the last complete event (count)."""
+        return len(self._partial)
+
     def finish(self):
         """Release what is left after the regular end of the stream.
 
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -583,6 +583,7 @@
             if complete_events:
                 self._start_event_stream(response)
                 await self._responder.write(complete_events)
+        self._record_stream_end(backend, response)
         self._start_event_stream(response)
         remainder = self._event_buffer.finish()
         if remainder:
@@ -590,6 +591,14 @@
         self._responder.finish()
         return None
 
+    def _record_stream_end(self, backend, response):
+        self._relay.request_log.record_stream_end(
+            self._request_metadata.request_id,
+            backend,
+            response.framing.value,
+            self._event_buffer.unfinished_bytes,
+        )
+
     async def _relay_body(self, response):
         chunks = []
         size = 0
--- a/balsamwind/relay/tests/test_stream_retries.py
+++ b/balsamwind/relay/tests/test_stream_retries.py
@@ -142,6 +142,11 @@
     def record_failed_attempt(self, request_id, backend, failure):
         pass
 
+    def record_stream_end(
+        self, request_id, backend, framing, unfinished_bytes
+    ):
+        pass
+
 
 class _Clock:
     def monotonic(self):
