Take a stream that ends in an event as cut

Cause: the relay took each regular end of a body as the end of the stream. An engine may answer without a length or chunks; its close then ends the body regularly wherever it happens, and EventStreamBuffer.finish() handed out the unfinished event, after which the relay ended its own response as complete. The class of fault: the end of the transport was taken for the end of the message.

Ruled out: a missed reset (cases with a reset passed before the change). A close between two events can't be told from the end.

Change: finish() is a verdict. Whatever marks the end of the body, a stream that ends within an event is broken off: it is resumed at another backend or ends as cut. Where only the connection marks the end, a stream without any event is broken off too. Line ends after the last event still pass. A 200 of a stream route with another media type is relayed as a body, not as events.

--- a/balsamwind/adapters/_streamed_response.py
+++ b/balsamwind/adapters/_streamed_response.py
@@ -77,6 +77,11 @@
             return BodyFraming.LENGTH
         return BodyFraming.CLOSE
 
+    @property
+    def has_marked_end(self):
+        """Whether the body itself shows that it is complete."""
+        return self.framing is not BodyFraming.CLOSE
+
     async def wait_for_data(self, timeout):
         """Wait until `read` would return without waiting.
 
@@ -138,7 +143,7 @@
         balsamwind.exceptions.TransportError
             The connection was reset, so the body may be incomplete.
         """
-        if self.framing is not BodyFraming.CLOSE or not self._reader.done():
+        if self.has_marked_end:
             return
         if self._stream.error is not None:
             self.close()
--- a/balsamwind/relay/_event_stream.py
+++ b/balsamwind/relay/_event_stream.py
@@ -20,10 +20,11 @@
         Id of the last event that was released; -1 if none.
     """
 
-    __slots__ = ('_is_resuming', '_partial', 'last_event_id')
+    __slots__ = ('_has_events', '_is_resuming', '_partial', 'last_event_id')
 
     def __init__(self, last_event_id=-1):
         self.last_event_id = last_event_id
+        self._has_events = False
         self._is_resuming = False
         self._partial = b''
 
@@ -52,6 +53,7 @@
             end = match.end()
         complete, self._partial = data[:end], data[end:]
         if complete:
+            self._has_events = True
             ids = _EVENT_ID.findall(complete)
             if ids:
                 self._check_order(int(ids[0]))
@@ -72,20 +74,39 @@
         A partial event is discarded, because the attempt sends it as a whole.
         """
         self._partial = b''
+        self._has_events = False
         self._is_resuming = self.last_event_id >= 0
 
     @property
     def unfinished_bytes(self):
-        """Bytes after the last complete event (count)."""
-        return len(self._partial)
+        """Bytes of an event that has begun and not ended (count)."""
+        return len(self._partial.strip(b'\r\n'))
 
-    def finish(self):
-        """Release what is left after the regular end of the stream.
+    def finish(self, has_marked_end):
+        """Check that the stream is complete, and release what is left.
+
+        Parameters
+        ----------
+        has_marked_end : bool
+            Whether the body marks its end by a length or by a last chunk, and
+            not only by the end of its connection.
 
         Returns
         -------
         bytes
-            Bytes after the last complete event; empty if there are none.
+            Line ends after the last complete event; empty if there are none.
+
+        Raises
+        ------
+        balsamwind.exceptions.BadAnswer
+            The stream was broken off: it ends within an event, or its
+            connection ended before the first event.
         """
-        partial, self._partial = self._partial, b''
-        return partial
+        if self.unfinished_bytes:
+            raise exceptions.BadAnswer('the stream ended within an event')
+        if not has_marked_end and not self._has_events:
+            raise exceptions.BadAnswer(
+                'the connection ended before the first event of the stream'
+            )
+        rest, self._partial = self._partial, b''
+        return rest
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -33,6 +33,9 @@
 DEFAULT_OUTPUT_TOKENS = 150
 """Expected length of an output if the caller gives no estimate (tokens)."""
 
+EVENT_STREAM_TYPE = 'text/event-stream'
+"""Media type of event streams; a stream route may also answer without one."""
+
 
 async def _discard_body(response):
     """Read a short response to its end, so that its connection is reused."""
@@ -138,10 +141,6 @@
             request.headers, request.host, relay.header_codec.stripped_names
         )
 
-    @property
-    def _is_stream(self):
-        return self._route.kind is traffic.RequestKind.STREAM
-
     @property
     def _may_continue_response(self):
         """Whether another attempt can still complete the response.
@@ -401,7 +400,7 @@
                     ),
                     counts_for_ejection=response.status != 504,
                 )
-            if self._is_stream and response.status == 200:
+            if self._is_event_stream(response):
                 return await self._relay_events(
                     backend, response, mark_prompt_processed
                 )
@@ -418,6 +417,13 @@
             if response is not None:
                 response.close()
 
+    def _is_event_stream(self, response):
+        return (
+            self._route.kind is traffic.RequestKind.STREAM
+            and response.status == 200
+            and _get_media_type(response.headers) in ('', EVENT_STREAM_TYPE)
+        )
+
     def _continues_stream(self, response):
         """Tell whether a response can follow the events relayed so far.
 
@@ -584,10 +590,10 @@
                 self._start_event_stream(response)
                 await self._responder.write(complete_events)
         self._record_stream_end(backend, response)
+        rest = self._event_buffer.finish(response.has_marked_end)
         self._start_event_stream(response)
-        remainder = self._event_buffer.finish()
-        if remainder:
-            await self._responder.write(remainder)
+        if rest:
+            await self._responder.write(rest)
         self._responder.finish()
         return None
 
--- a/balsamwind/relay/tests/test_streams_without_length.py
+++ b/balsamwind/relay/tests/test_streams_without_length.py
@@ -113,3 +113,15 @@
     assert responder.complete
     assert responder.body.startswith(b''.join(EVENTS))
     assert engine.requests == 1
+
+
+def test_answer_of_another_media_type_needs_no_events():
+    script = [
+        forwarding.make_head(200, 'application/json', 'Content-Length: 2\r\n'),
+        b'{}',
+    ]
+    responder, engine, error = asyncio.run(forwarding.forward([script]))
+    assert error is None
+    assert responder.complete
+    assert responder.body == b'{}'
+    assert engine.requests == 1
