Reset the connection of a cut HTTP/1.0 response

A cut response without a length and without chunks now ends with a reset. The new test failed for HTTP/1.0 before and passed for 1.1.

--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import struct
 
 from tornado import httpserver
 from tornado import httputil
@@ -39,16 +40,28 @@
         Whether the response has ended or the connection was closed.
     status : int
         Status code of the response; 0 before the start.
+    http_version : str
+        Version of the request, as in its request line.
     """
 
-    __slots__ = ('_closed', '_connection', 'done', 'started', 'status')
+    __slots__ = (
+        '_closed',
+        '_connection',
+        '_has_marked_end',
+        'done',
+        'http_version',
+        'started',
+        'status',
+    )
 
     def __init__(self, connection):
         self._connection = connection
         self._closed = False
+        self._has_marked_end = True
         self.started = False
         self.done = False
         self.status = 0
+        self.http_version = 'HTTP/1.1'
 
     def is_caller_gone(self):
         """Tell whether the caller has closed its connection.
@@ -76,6 +89,10 @@
         fields = httputil.HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
+        # HTTP/1.0 has no chunks.
+        self._has_marked_end = (
+            'Content-Length' in fields or self.http_version != 'HTTP/1.0'
+        )
         reason = httputil.responses.get(status, 'Unknown')
         line = httputil.ResponseStartLine('HTTP/1.1', status, reason)
         self._retrieve_exception(self._connection.write_headers(line, fields))
@@ -135,6 +152,8 @@
         """Close the connection, so that the caller sees a cut response."""
         self._closed = True
         self.done = True
+        if self.started and not self._has_marked_end:
+            _reset_on_close(self._connection.stream)
         self._connection.close()
 
     def _retrieve_exception(self, future):
@@ -142,6 +161,13 @@
         future.add_done_callback(lambda done_future: done_future.exception())
 
 
+def _reset_on_close(stream):
+    """Make the close of a stream visible as a reset."""
+    if stream is not None and not stream.closed():
+        linger = struct.pack('ii', 1, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _is_closed_by_peer(sock):
     """Return whether the next read of a socket finds the end of its data."""
     try:
@@ -197,6 +223,7 @@
         self._server.discard_idle_receiver(self)
         self._connection.stream.set_nodelay(True)
         self._start_line = start_line
+        self._responder.http_version = start_line.version
         self._headers = headers
         self._received_at = self._server.clock.monotonic()
         limits = self._server.limits
--- a/balsamwind/adapters/tests/test_relay_server.py
+++ b/balsamwind/adapters/tests/test_relay_server.py
@@ -4,7 +4,10 @@
 import logging
 import socket
 
+import pytest
+
 from balsamwind.adapters import _relay_server
+from balsamwind import exceptions
 from balsamwind import traffic
 from standins import ports
 
@@ -113,3 +116,42 @@
         return gone
 
     assert asyncio.run(scenario()) == [False, False, True]
+
+
+class _CuttingRelay(_FakeRelay):
+    """Relay that cuts each response after its first bytes."""
+
+    async def run(self, request, responder):
+        responder.start(200, [('Content-Type', 'text/event-stream')])
+        await responder.write(b'id: 0\ndata: a\n\n')
+        responder.fail(exceptions.BadAnswer('cut'))
+
+
+@pytest.mark.parametrize('version', ['1.0', '1.1'])
+def test_cut_response_does_not_look_complete_to_an_older_caller(version):
+    """A caller of HTTP/1.0 knows the end of a body by its connection only."""
+
+    async def scenario():
+        server = _relay_server.RelayServer(
+            _CuttingRelay(),
+            _FakeClock(),
+            traffic.RequestLimits(),
+            logging.getLogger(),
+        )
+        port = ports.find_free_port()
+        server.listen(f'127.0.0.1:{port}')
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(f'GET / HTTP/{version}\r\nHost: a\r\n\r\n'.encode())
+        try:
+            return await asyncio.wait_for(reader.read(), 2.0)
+        except ConnectionResetError:
+            return None
+        finally:
+            writer.close()
+            await server.close()
+
+    response = asyncio.run(scenario())
+    assert response is None or (
+        b'Transfer-Encoding: chunked' in response
+        and not response.endswith(b'0\r\n\r\n')
+    )
