Bound the event that is held back

Cause: an event is held back until it is complete, without a bound; a faulty backend server that sends bytes without an event end makes a node hold all of them until the deadline, and each chunk searched them all again.

An event over 1 MiB now ends the attempt as a bad answer; only new bytes are searched. The test failed before.

--- a/balsamwind/relay/_event_stream.py
+++ b/balsamwind/relay/_event_stream.py
@@ -4,7 +4,13 @@
 
 from balsamwind import exceptions
 
+MAX_EVENT_SIZE = 1 << 20
+"""Largest event that is held back until it is complete (bytes)."""
+
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+_MAX_EVENT_END_SIZE = 4
+"""Length of the longest event end (bytes)."""
+
 _EVENT_ID = re.compile(rb'^id: ?(\d+)', re.MULTILINE)
 
 
@@ -45,12 +51,18 @@
         ------
         balsamwind.exceptions.BadAnswer
             The first event of a resumed stream does not come after the last
-            event that was released.
+            event that was released, or an event is too large.
         """
+        # An event end may begin in the last bytes that came before.
+        searched = max(0, len(self._partial) - _MAX_EVENT_END_SIZE + 1)
         data = self._partial + data
         end = 0
-        for match in _EVENT_END.finditer(data):
+        for match in _EVENT_END.finditer(data, searched):
             end = match.end()
+        if len(data) - end > MAX_EVENT_SIZE:
+            raise exceptions.BadAnswer(
+                f'an event is larger than {MAX_EVENT_SIZE} bytes'
+            )
         complete, self._partial = data[:end], data[end:]
         if complete:
             self._has_events = True
--- a/balsamwind/relay/tests/test_decisions.py
+++ b/balsamwind/relay/tests/test_decisions.py
@@ -8,6 +8,7 @@
 from balsamwind import pool
 from balsamwind import relay
 from balsamwind.relay import _attempts
+from balsamwind.relay import _event_stream
 from balsamwind.relay import _load_balancing
 from balsamwind import traffic
 
@@ -178,6 +179,25 @@
     assert buffer.last_event_id == last
 
 
+def test_event_that_never_ends_is_given_up_at_a_bounded_size():
+    buffer = relay.EventStreamBuffer()
+    chunk = b'x' * 65536
+    with pytest.raises(exceptions.BadAnswer):
+        for _ in range(2 * _event_stream.MAX_EVENT_SIZE // len(chunk)):
+            buffer.feed(chunk)
+    assert buffer.unfinished_bytes <= _event_stream.MAX_EVENT_SIZE
+
+
+def test_event_of_the_largest_size_is_released():
+    buffer = relay.EventStreamBuffer()
+    event = b'data: ' + b'x' * (_event_stream.MAX_EVENT_SIZE - 8) + b'\n\n'
+    released = b''.join(
+        buffer.feed(event[start : start + 65536])
+        for start in range(0, len(event), 65536)
+    )
+    assert released == event
+
+
 ROUTES = {
     kind: traffic.Route(
         'r',
