Log prompt parts and progress of failed attempts

The logs could not tell the request that crashes its engine from those under way beside it. attempt_failed now names the parts that other requests may share, whether the engine had begun to answer, and for how long it had written.

No decision changes.

--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -105,30 +105,33 @@
             seconds=round(duration, 3),
         )
 
-    def record_failed_attempt(self, request_id, backend, failure):
+    def record_failed_attempt(self, metadata, backend, failure, progress=None):
         """Record an attempt whose answer could not be relayed to the caller.
 
         Parameters
         ----------
-        request_id : str
-            Id of the request.
+        metadata : balsamwind.relay.RequestMetadata
+            Decoded headers of the request.
         backend : balsamwind.relay.Backend
             Backend server or replica group that the request was sent to.
         failure : balsamwind.relay.Failure
             Why the attempt failed.
+        progress : balsamwind.relay.AttemptProgress or None
+            How far the attempt had come; None if that is not known.
         """
         self._failed_attempts.labels(failure.error.code).inc()
         if not self._take_token():
             return
         self.log.info(
             'attempt_failed',
-            id=request_id,
+            id=metadata.request_id,
             place=':'.join(str(part) for part in backend.key),
             server=backend.record.server_id,
             reason=str(failure.error),
             sent=failure.sent,
             stalled=failure.stalled,
             in_flight=backend.in_flight,
+            **_describe_progress(metadata, progress, self._clock.monotonic()),
         )
 
     def record_stream_end(
@@ -175,3 +178,17 @@
             self.log.info('lines_left_out', count=self._suppressed_lines)
             self._suppressed_lines = 0
         return True
+
+
+def _describe_progress(metadata, progress, now):
+    """Make the log fields that tell which of several requests was at fault."""
+    if progress is None or not metadata.shared_parts:
+        return {}
+    first_event_at = progress.first_event_at
+    return {
+        'parts': list(metadata.shared_parts),
+        'began': progress.began,
+        'writing': None
+        if first_event_at is None
+        else round(now - first_event_at, 3),
+    }
--- a/balsamwind/node/tests/test_request_log.py
+++ b/balsamwind/node/tests/test_request_log.py
@@ -7,6 +7,7 @@
 from balsamwind import exceptions
 from balsamwind.node import _request_log
 from balsamwind.node.tests import doubles
+from balsamwind import relay
 from balsamwind.relay import _attempts
 
 USUAL_RATE = 85.0
@@ -29,11 +30,6 @@
     path: str = '/ask/x'
 
 
-@dataclasses.dataclass
-class _RequestMetadata:
-    request_id: str
-
-
 class _Backend:
     key = ('llm', 'm.dc.1', 1)
     in_flight = 3
@@ -49,9 +45,9 @@
     failure = _attempts.Failure(exceptions.BadAnswer('bad'))
     for number in range(round(rate * seconds)):
         clock.now += 1.0 / rate
+        metadata = relay.RequestMetadata(f'r{number}')
         for _ in range(attempts):
-            request_log.record_failed_attempt(f'r{number}', _Backend, failure)
-        metadata = _RequestMetadata(f'r{number}')
+            request_log.record_failed_attempt(metadata, _Backend, failure)
         request_log.record_request(
             _Request(clock.now), metadata, outcome, 'why'
         )
@@ -118,3 +114,19 @@
     assert [event for event, _ in log.rows] == (
         ['stream_ended_inside_event'] if logged else []
     )
+
+
+def test_failed_attempt_tells_what_a_crashed_engine_had_begun():
+    log = _RecordingLog()
+    clock = doubles.Clock()
+    request_log = _request_log.RequestLog(log, clock)
+    failure = _attempts.Failure(exceptions.TransportError('cut'))
+    metadata = relay.RequestMetadata('r1', shared_parts=('a1', 'b2'))
+    progress = relay.AttemptProgress(clock.now - 0.5, began=True)
+    request_log.record_failed_attempt(metadata, _Backend, failure, progress)
+    progress.record_events(clock.now - 0.25)
+    request_log.record_failed_attempt(metadata, _Backend, failure, progress)
+    fields = [row[1] for row in log.rows]
+    assert [row['parts'] for row in fields] == [['a1', 'b2']] * 2
+    assert [row['began'] for row in fields] == [True, True]
+    assert [row['writing'] for row in fields] == [None, 0.25]
--- a/balsamwind/platform/_client.py
+++ b/balsamwind/platform/_client.py
@@ -193,12 +193,7 @@
         balsamwind.exceptions.Conflict
             The stored lease has another revision.
         """
-        spec = {
-            'holder': lease.holder,
-            'fencing': lease.fencing,
-            'duration': lease.duration,
-            'operation': lease.operation,
-        }
+        spec = objects.encode(lease)
         if expected_revision == 0:
             stored = await self._store.create(
                 LEASE_KIND, lease.shard, spec, timeout
@@ -300,12 +295,5 @@
 
 def _decode_lease(shard, stored):
     with _store.check_malformed(f'lease of shard {shard}'):
-        spec = stored.spec
-        lease = objects.Lease(
-            shard,
-            str(spec['holder']),
-            int(spec['fencing']),
-            float(spec['duration']),
-            str(spec['operation']),
-        )
+        lease = objects.decode(objects.Lease, {**stored.spec, 'shard': shard})
     return objects.ObjectVersion('lease', shard, stored.revision, lease)
--- a/balsamwind/platform/_headers.py
+++ b/balsamwind/platform/_headers.py
@@ -8,6 +8,7 @@
 _ACCOUNT = 'X-Balsamwind-Tenant'
 _MODEL = 'X-Balsamwind-Model'
 _TOKEN_USAGE = 'X-Balsamwind-Token-Usage'
+_PROMPT_PARTS = 'X-Balsamwind-Prompt-Prefix'
 _LENGTH_HINT = 'X-Balsamwind-Length-Hint'
 _PRIORITY = 'X-Balsamwind-Request-Priority'
 _RESPONSE_STAMP = 'X-Balsamwind-Response-Stamp'
@@ -17,6 +18,7 @@
 _LAST_EVENT_ID = 'Last-Event-Id'
 _AUTHORIZATION = 'Authorization'
 _AUTHORIZATION_SCHEME = 'token '
+_MAX_SHARED_PARTS = 32
 
 _STRIPPED_NAMES = frozenset(
     name.lower()
@@ -67,6 +69,7 @@
             max_output_tokens=output,
             expected_output_tokens=_decode_count(headers.get(_LENGTH_HINT)),
             last_event_id=headers.get(_LAST_EVENT_ID, ''),
+            shared_parts=_decode_shared_parts(headers.get(_PROMPT_PARTS, '')),
         )
 
     def encode_request(self, metadata):
@@ -133,6 +136,12 @@
         return 0, 0
 
 
+def _decode_shared_parts(text):
+    """Decode the ids of all parts of a prompt but the last, its own one."""
+    ids = [part.partition(':')[0].strip()[:64] for part in text.split(',')]
+    return tuple(ids[:-1][:_MAX_SHARED_PARTS])
+
+
 def _decode_server_load(text):
     """Decode the counts of running and waiting requests and of slots."""
     try:
--- a/balsamwind/platform/tests/test_formats.py
+++ b/balsamwind/platform/tests/test_formats.py
@@ -175,10 +175,11 @@
             'X-Balsamwind-Length-Hint': '60',
             'Authorization': 'Token abc',
             'Last-Event-Id': '12',
+            'X-Balsamwind-Prompt-Prefix': '5c1e:800,91bd:410, e440:250',
         }
     )
     assert metadata == relay.RequestMetadata(
-        'r1', 1.5, 'abc', 'm0', 1460, 80, 60, '12'
+        'r1', 1.5, 'abc', 'm0', 1460, 80, 60, '12', ('5c1e', '91bd')
     )
 
 
@@ -190,6 +191,7 @@
             'X-Balsamwind-Time-Budget-Ms': 'soon',
             'X-Balsamwind-Token-Usage': '7',
             'Authorization': 'Basic abc',
+            'X-Balsamwind-Prompt-Prefix': 'x',
         },
     ],
 )
--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -1,5 +1,6 @@
 """Reverse proxy that relays requests to backend servers as bytes."""
 
+from balsamwind.relay._attempts import AttemptProgress
 from balsamwind.relay._backends import Backend
 from balsamwind.relay._backends import BackendTable
 from balsamwind.relay._event_stream import EventStreamBuffer
@@ -23,6 +24,7 @@
 from balsamwind.relay._retry_budget import RetryBudget
 
 __all__ = [
+    'AttemptProgress',
     'Backend',
     'BackendKey',
     'BackendTable',
--- a/balsamwind/relay/_attempts.py
+++ b/balsamwind/relay/_attempts.py
@@ -32,6 +32,37 @@
     counts_for_ejection: bool = True
 
 
+@dataclasses.dataclass(slots=True)
+class AttemptProgress:
+    """How far an attempt has come.
+
+    Parameters
+    ----------
+    sent_at : float
+        When the attempt began (seconds, boot clock).
+    began : bool
+        Whether the backend has begun its response, with a success.
+    first_event_at : float or None
+        When the first events were relayed (seconds, boot clock); None if none
+        was.
+    """
+
+    sent_at: float
+    began: bool = False
+    first_event_at: float | None = None
+
+    def record_events(self, now):
+        """Record that events were relayed.
+
+        Parameters
+        ----------
+        now : float
+            Current time (seconds, boot clock).
+        """
+        if self.first_event_at is None:
+            self.first_event_at = now
+
+
 def find_outcome(failure):
     """Find what an attempt shows of the health of its backend.
 
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -92,6 +92,7 @@
         '_forwarded_headers',
         '_outcome',
         '_placement_number',
+        '_progress',
         '_relay',
         '_reported_load',
         '_request',
@@ -133,6 +134,7 @@
         self._stream_media_type = None
         self._backend = None
         self._placement_number = None
+        self._progress = None
         self._outcome = _placement.Outcome.REFUSED
         self._reported_load = None
         self._ambiguous_failure = None
@@ -174,10 +176,8 @@
                 ' the request'
             )
             if self._backend is not None:
-                self._relay.request_log.record_failed_attempt(
-                    self._request_metadata.request_id,
-                    self._backend,
-                    _attempts.Failure(error),
+                self._log_failed_attempt(
+                    self._backend, _attempts.Failure(error)
                 )
             return error
         return exceptions.Overloaded(
@@ -311,8 +311,11 @@
             backend.record_stall(now)
         elif failure.counts_for_ejection:
             backend.record_failure(now)
+        self._log_failed_attempt(backend, failure)
+
+    def _log_failed_attempt(self, backend, failure):
         self._relay.request_log.record_failed_attempt(
-            self._request_metadata.request_id, backend, failure
+            self._request_metadata, backend, failure, self._progress
         )
 
     def _may_retry(self, failure):
@@ -365,6 +368,9 @@
             None if the response was relayed.
         """
         response = None
+        self._progress = _attempts.AttemptProgress(
+            self._relay.clock.monotonic()
+        )
         try:
             response = await self._open_response(backend)
             metadata = self._relay.header_codec.decode_response(
@@ -382,6 +388,7 @@
                 await _discard_body(response)
                 return failure
             backend.record_progress(now)
+            self._progress.began = 200 <= response.status < 300
             if self._should_retry_server_error(response.status):
                 await _discard_body(response)
                 return _attempts.Failure(
@@ -584,9 +591,11 @@
             if not chunk:
                 break
             mark_prompt_processed()
-            backend.record_progress(self._relay.clock.monotonic())
+            now = self._relay.clock.monotonic()
+            backend.record_progress(now)
             complete_events = self._event_buffer.feed(chunk)
             if complete_events:
+                self._progress.record_events(now)
                 self._start_event_stream(response)
                 await self._responder.write(complete_events)
         self._record_stream_end(backend, response)
--- a/balsamwind/relay/_metadata.py
+++ b/balsamwind/relay/_metadata.py
@@ -28,6 +28,8 @@
     last_event_id : str
         Id of the last event that the caller received; empty for a new
         stream.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     max_output_tokens: int = 0
     expected_output_tokens: int | None = None
     last_event_id: str = ''
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -108,7 +108,7 @@
 
 
 class _Log:
-    def record_failed_attempt(self, request_id, backend, failure):
+    def record_failed_attempt(self, metadata, backend, failure, progress):
         pass
 
     def record_stream_end(
