--- a/balsamwind/node/tests/helpers.py
+++ b/balsamwind/node/tests/helpers.py
@@ -63,12 +63,20 @@
 }
 
 
-def make_settings(name, store_port, stall=4.0, heartbeat=1.2, **values):
+def make_settings(
+    name,
+    store_port,
+    stall=4.0,
+    heartbeat=1.2,
+    data_centre='z1',
+    data_centres=('z1',),
+    **values,
+):
     """Make the settings of a node that listens on free ports."""
     return node.NodeSettings(
         name=name,
-        data_centre='z1',
-        data_centres=('z1',),
+        data_centre=data_centre,
+        data_centres=data_centres,
         callers=f'127.0.0.1:{ports.find_free_port()}',
         readiness=f'127.0.0.1:{ports.find_free_port()}',
         metrics=f'127.0.0.1:{ports.find_free_port()}',
@@ -100,13 +108,14 @@
 
 
 @contextlib.asynccontextmanager
-async def open_node(fake_platform, name='n1'):
+async def open_node(fake_platform, name='n1', **values):
     """Run a node against the fake platform until the block ends."""
     settings = make_settings(
         name,
         fake_platform.store_port,
         fake_platform.times.stall,
         fake_platform.times.heartbeat or 1.2,
+        **values,
     )
     async with node.open_node(
         settings, platform.make_platform_client
--- a/standins/pool/_engine_handlers.py
+++ b/standins/pool/_engine_handlers.py
@@ -137,6 +137,11 @@
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('X-Balsamwind-Request-Id', run.request_id)
         self.set_header('X-Balsamwind-Response-Stamp', engine.server_id)
+        if self._platform.is_deadly(headers):
+            await self.flush()
+            await asyncio.sleep(engine.event_interval)
+            self._platform.crash_engine(engine)
+            raise web.Finish
         try:
             for number in range(first_event, engine.event_count + 1):
                 await engine.wait_while_stalled(group_key)
--- a/standins/pool/_platform.py
+++ b/standins/pool/_platform.py
@@ -14,6 +14,9 @@
 from standins.pool import _times
 from standins.pool import _trace
 
+CRASH_TIME = 1.0
+"""Time until a crashed engine has started again (seconds)."""
+
 TICK_INTERVAL = 0.05
 """Interval at which heartbeats and groups are checked (seconds)."""
 
@@ -48,6 +51,11 @@
         Engines by their ids.
     services : dict of str to PlainServer
         Servers of plain services by their ids.
+    deadly_parts : set of str
+        Ids of prompt parts on which each engine crashes as soon as it begins
+        to answer.
+    crashes : list of str
+        Ids of the engines that crashed, in order.
     """
 
     def __init__(self, find_free_port, times=None):
@@ -61,6 +69,10 @@
         self.store_port = find_free_port()
         self.engines = {}
         self.services = {}
+        self.deadly_parts = set()
+        self.crashes = []
+        self._engine_servers = {}
+        self._restarts = set()
 
     def start(self):
         """Listen as the store, and start the periodic checks."""
@@ -196,6 +208,7 @@
         )
         http_server.listen(port, '127.0.0.1')
         self._http_servers.append(http_server)
+        self._engine_servers[server_id] = http_server
         self.engines[server_id] = engine
         engine.write_entry()
         return engine
@@ -234,10 +247,52 @@
         plain_server.write_entry()
         return plain_server
 
+    def is_deadly(self, headers):
+        """Return whether a request crashes its engine.
+
+        Parameters
+        ----------
+        headers : tornado.httputil.HTTPHeaders
+            Headers of the request.
+
+        Returns
+        -------
+        bool
+        """
+        parts = headers.get('X-Balsamwind-Prompt-Prefix', '').split(',')
+        ids = {part.partition(':')[0] for part in parts}
+        return not self.deadly_parts.isdisjoint(ids)
+
+    def crash_engine(self, engine):
+        """End the process of an engine; it starts again after `CRASH_TIME`.
+
+        Meanwhile its port refuses connections.
+
+        Parameters
+        ----------
+        engine : Engine
+            Engine that crashes.
+        """
+        self.crashes.append(engine.server_id)
+        engine.gone = True
+        self._engine_servers[engine.server_id].stop()
+        engine.kill()
+        task = asyncio.ensure_future(self._restart_engine(engine))
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
+    async def _restart_engine(self, engine):
+        await asyncio.sleep(CRASH_TIME)
+        engine.gone = False
+        self._engine_servers[engine.server_id].listen(engine.port, '127.0.0.1')
+        engine.restart()
+
     async def stop(self):
         """Stop the periodic checks and close all sockets."""
         if self._tick_task is not None:
             self._tick_task.cancel()
+        for task in list(self._restarts):
+            task.cancel()
         for http_server in self._http_servers:
             http_server.stop()
             await http_server.close_all_connections()
