Count crashes from when the answer began

Cause: a request may wait in an engine's queue for longer than the time between two crashes. Counted from its send, its crash did not follow the one before, and the part was quarantined one or more crashes later.

The time from the beginning of the answer counts now, and evidence is written to the store after 0.05 instead of 0.2 s.

--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -12,7 +12,7 @@
 from balsamwind.node import _store_availability
 from balsamwind.node import _updates
 
-SETTLE_TIME = 0.2
+SETTLE_TIME = 0.05
 """Time before evidence is written to the store, in which nodes of the data
 centre may clear parts (seconds)."""
 
--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -187,7 +187,7 @@
     first_event_at = progress.first_event_at
     return {
         'parts': list(metadata.shared_parts),
-        'began': progress.began,
+        'began': progress.began_at is not None,
         'writing': None
         if first_event_at is None
         else round(now - first_event_at, 3),
--- a/balsamwind/node/tests/test_request_log.py
+++ b/balsamwind/node/tests/test_request_log.py
@@ -122,7 +122,7 @@
     request_log = _request_log.RequestLog(log, clock)
     failure = _attempts.Failure(exceptions.TransportError('cut'))
     metadata = relay.RequestMetadata('r1', shared_parts=('a1', 'b2'))
-    progress = relay.AttemptProgress(clock.now - 0.5, began=True)
+    progress = relay.AttemptProgress(clock.now - 0.5)
     request_log.record_failed_attempt(metadata, _Backend, failure, progress)
     progress.record_events(clock.now - 0.25)
     request_log.record_failed_attempt(metadata, _Backend, failure, progress)
--- a/balsamwind/relay/_attempts.py
+++ b/balsamwind/relay/_attempts.py
@@ -47,17 +47,15 @@
 
     Parameters
     ----------
-    sent_at : float
-        When the attempt began (seconds, boot clock).
-    began : bool
-        Whether the backend has begun its response, with a success.
+    began_at : float or None
+        When the backend began its response, with a success (seconds, boot
+        clock); None if it has not.
     first_event_at : float or None
         When the first events were relayed (seconds, boot clock); None if none
         was.
     """
 
-    sent_at: float
-    began: bool = False
+    began_at: float | None = None
     first_event_at: float | None = None
 
     def record_events(self, now):
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -68,7 +68,7 @@
             return
         task = asyncio.ensure_future(
             self._confirm(
-                backend.record, service, parts, now - progress.sent_at
+                backend.record, service, parts, now - progress.began_at
             )
         )
         self._tasks.add(task)
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -398,9 +398,7 @@
             None if the response was relayed.
         """
         response = None
-        self._progress = _attempts.AttemptProgress(
-            self._relay.clock.monotonic()
-        )
+        self._progress = _attempts.AttemptProgress()
         try:
             response = await self._open_response(backend)
             metadata = self._relay.header_codec.decode_response(
@@ -418,7 +416,8 @@
                 await _discard_body(response)
                 return failure
             backend.record_progress(now)
-            self._progress.began = 200 <= response.status < 300
+            if 200 <= response.status < 300:
+                self._progress.began_at = now
             if self._should_retry_server_error(response.status):
                 await _discard_body(response)
                 return _attempts.Failure(
--- a/balsamwind/relay/_prompt_quarantine.py
+++ b/balsamwind/relay/_prompt_quarantine.py
@@ -60,7 +60,7 @@
     parts : tuple of str
         Prompt parts of the answer that other requests may share.
     duration : float
-        Time from the send of the request to the crash (seconds).
+        Time from the beginning of the answer to the crash (seconds).
     age : float
         Time since the crash when the report is sent (seconds).
     data_centre : str
@@ -435,7 +435,7 @@
     -------
     bool
     """
-    if not progress.began:
+    if progress.began_at is None:
         return False
     first_event_at = progress.first_event_at
     return first_event_at is None or now - first_event_at <= BEGINNING_TIME
--- a/balsamwind/relay/tests/test_crash_reporter.py
+++ b/balsamwind/relay/tests/test_crash_reporter.py
@@ -48,7 +48,9 @@
         async with open_port() as port:
             record = pool.ServerRecord('e1', 'llm', f'127.0.0.1:{port}', 'z1')
             backend = relay.Backend(('llm', 'g', 1), record, 4)
-            progress = relay.AttemptProgress(clock.monotonic() - 0.2, began)
+            progress = relay.AttemptProgress()
+            if began:
+                progress.began_at = clock.monotonic() - 0.2
             reporter.report_broken_answer(backend, 'llm', parts, progress)
             await asyncio.sleep(0.1)
         reporter.close()
--- a/balsamwind/relay/tests/test_prompt_quarantine.py
+++ b/balsamwind/relay/tests/test_prompt_quarantine.py
@@ -254,16 +254,16 @@
 
 
 @pytest.mark.parametrize(
-    ('began', 'first_event_at', 'expected'),
+    ('began_at', 'first_event_at', 'expected'),
     [
-        pytest.param(False, None, False, id='no head yet'),
-        pytest.param(True, None, True, id='head, no event'),
-        pytest.param(True, 9.9, True, id='first event just relayed'),
-        pytest.param(True, 9.0, False, id='written for a while'),
+        pytest.param(None, None, False, id='no head yet'),
+        pytest.param(8.0, None, True, id='head, no event'),
+        pytest.param(8.0, 9.9, True, id='first event just relayed'),
+        pytest.param(8.0, 9.0, False, id='written for a while'),
     ],
 )
 def test_only_an_answer_that_had_just_begun_is_suspected(
-    began, first_event_at, expected
+    began_at, first_event_at, expected
 ):
-    progress = relay.AttemptProgress(8.0, began, first_event_at)
+    progress = relay.AttemptProgress(began_at, first_event_at)
     assert _prompt_quarantine.is_beginning(progress, 10.0) is expected
