Give a refused connection an error of its own

The check whether an engine has crashed looked at the cause of an error; a refusal is a typed error now, and the log names the reason of a failed connection in full (a timeout had none).

No gain for callers is shown.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -246,8 +246,10 @@
         parts = urllib.parse.urlsplit(f'http://{endpoint}')
         try:
             stream = await self._connect(parts, endpoint, timeout)
-        except exceptions.TransportError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
+        except exceptions.ConnectionRefused:
+            return True
+        except exceptions.TransportError:
+            return False
         stream.close()
         return False
 
@@ -353,10 +355,15 @@
                 stream.close()
             # tornado hides the reason in an attribute of its error.
             reason = getattr(error, 'real_error', None) or error
-            raise exceptions.TransportError(
-                f'{endpoint}: connection could not be opened: {reason}',
+            error_type = (
+                exceptions.ConnectionRefused
+                if isinstance(reason, ConnectionRefusedError)
+                else exceptions.TransportError
+            )
+            raise error_type(
+                f'{endpoint}: connection could not be opened: {reason!r}',
                 sent=False,
-            ) from reason
+            ) from None
         stream.set_nodelay(True)
         self.opened_connections += 1
         return stream
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -241,6 +241,10 @@
         return OUTCOME_UNKNOWN if self.sent else NOT_RUN
 
 
+class ConnectionRefused(TransportError):
+    """Nothing listens at the address, as after a crash of the server."""
+
+
 class AnswerTimeout(TransportError):
     """A backend server did not answer in time on an open connection."""
 
