Keep the publisher's connection in one place

PlacementClient and EvidenceExchange each held the connection to the publisher and sent frames over it; a PublisherLink now does so for both.

--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -7,7 +7,6 @@
 
 import asyncio
 
-from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind.node import _store_availability
 from balsamwind.node import _updates
@@ -46,6 +45,8 @@
         Evidence in the store.
     publisher : UpdatePublisher
         Sends to the subscribers of this node.
+    link : PublisherLink
+        Connection to the publisher of this node.
     has_publisher : callable
         Returns whether a publisher keeps this node up to date.
     clock : balsamwind.ports.Clock
@@ -60,6 +61,7 @@
         quarantine,
         records,
         publisher,
+        link,
         has_publisher,
         clock,
         log,
@@ -68,34 +70,16 @@
         self._quarantine = quarantine
         self._records = records
         self._publisher = publisher
+        self._link = link
         self._has_publisher = has_publisher
         self._clock = clock
         self._log = log
-        self._connection = None
         self._stored_pairs = set()
         self._write_due = asyncio.Event()
 
-    def attach(self, connection):
-        """Exchange all evidence with a publisher.
-
-        Parameters
-        ----------
-        connection : websockets.asyncio.client.ClientConnection
-            New connection to the publisher.
-        """
-        self._connection = connection
-        self._send(_updates.EvidenceRequest(self._make_snapshot()))
-
-    def detach(self, connection):
-        """Stop using a connection to a publisher.
-
-        Parameters
-        ----------
-        connection : websockets.asyncio.client.ClientConnection
-            The connection.
-        """
-        if self._connection is connection:
-            self._connection = None
+    def start(self):
+        """Exchange all evidence with the publisher of a new connection."""
+        self._link.send(_updates.EvidenceRequest(self._make_snapshot()))
 
     def answer_request(self, request):
         """Take the evidence of a new subscriber, and make the answer.
@@ -134,7 +118,7 @@
             New evidence.
         """
         self._publisher.publish_evidence(news)
-        self._send(news)
+        self._link.send(news)
         if self._concerns_store(news):
             self._write_due.set()
 
@@ -149,12 +133,6 @@
     def _make_snapshot(self):
         return self._quarantine.make_snapshot(self._clock.monotonic())
 
-    def _send(self, message):
-        if self._connection is not None:
-            adapters.send_frame(
-                self._connection, _updates.encode_frame(message)
-            )
-
     async def run(self):
         """Exchange evidence with other data centres; never returns."""
         await asyncio.gather(self._run_watches(), self._run_writes())
--- a/balsamwind/node/_placement_client.py
+++ b/balsamwind/node/_placement_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from balsamwind import adapters
 from balsamwind.node import _updates
 from balsamwind import relay
 
@@ -23,6 +22,8 @@
 
     Parameters
     ----------
+    link : PublisherLink
+        Connection to the publisher.
     clock : balsamwind.ports.Clock
         Monotonic clock.
     log : structlog logger
@@ -31,7 +32,7 @@
 
     __slots__ = (
         '_clock',
-        '_connection',
+        '_link',
         '_log',
         '_next_number',
         '_paused_until',
@@ -39,38 +40,20 @@
         '_timeouts',
     )
 
-    def __init__(self, clock, log):
+    def __init__(self, link, clock, log):
         self._clock = clock
         self._log = log
-        self._connection = None
+        self._link = link
         self._next_number = 0
         self._pending = {}
         self._timeouts = 0
         self._paused_until = float('-inf')
 
-    def attach(self, connection):
-        """Send requests over a new connection to a publisher.
-
-        Parameters
-        ----------
-        connection : websockets.asyncio.client.ClientConnection
-            The connection.
-        """
-        self._connection = connection
+    def reset(self):
+        """Ask the publisher of a new connection without a pause."""
         self._timeouts = 0
         self._paused_until = float('-inf')
 
-    def detach(self, connection):
-        """Stop using a connection; its publisher forgets all placements.
-
-        Parameters
-        ----------
-        connection : websockets.asyncio.client.ClientConnection
-            The connection.
-        """
-        if self._connection is connection:
-            self._connection = None
-
     async def place(self, service, requirements, tried):
         """Ask for the backend of one attempt.
 
@@ -89,7 +72,7 @@
             None if no node answers in time; this node then chooses itself.
         """
         now = self._clock.monotonic()
-        if self._connection is None or now < self._paused_until:
+        if not self._link.is_open or now < self._paused_until:
             return None
         self._next_number += 1
         number = self._next_number
@@ -102,7 +85,7 @@
         reply = self._pending[number] = (
             asyncio.get_running_loop().create_future()
         )
-        self._send(request)
+        self._link.send(request)
         try:
             async with asyncio.timeout(PLACEMENT_TIMEOUT):
                 return _decode_reply(await reply)
@@ -144,7 +127,7 @@
         number : int
             Number of the placement.
         """
-        self._send(_updates.PlacementStall(number))
+        self._link.send(_updates.PlacementStall(number))
 
     def end(self, number, outcome, load):
         """Tell the publisher that a placed attempt has ended.
@@ -158,13 +141,7 @@
         load : balsamwind.relay.ReportedLoad or None
             Load that the backend reported with a refusal.
         """
-        self._send(_updates.PlacementEnd(number, outcome, load))
-
-    def _send(self, message):
-        if self._connection is not None:
-            adapters.send_frame(
-                self._connection, _updates.encode_frame(message)
-            )
+        self._link.send(_updates.PlacementEnd(number, outcome, load))
 
 
 def _decode_reply(reply):
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -17,6 +17,7 @@
 from balsamwind.node import _leader
 from balsamwind.node import _node_discovery
 from balsamwind.node import _placement_client
+from balsamwind.node import _publisher_link
 from balsamwind.node import _ranking
 from balsamwind.node import _request_log
 from balsamwind.node import _server_watcher
@@ -145,8 +146,9 @@
             self._clock,
             self._request_log,
         )
+        link = _publisher_link.PublisherLink()
         self.relay.placement = _placement_client.PlacementClient(
-            self._clock, self._log
+            link, self._clock, self._log
         )
         self._caller_server = adapters.RelayServer(
             self.relay, self._clock, traffic.RequestLimits(), self._log
@@ -179,6 +181,7 @@
             self._publisher.publish,
             _find_reliance_time(settings.bounds),
             settings.bounds.drain_time,
+            link,
             self.relay.placement,
             settings.first_start,
         )
@@ -187,6 +190,7 @@
             self.relay.prompt_quarantine,
             _evidence_records.EvidenceRecords(platform.store, self._log),
             self._publisher,
+            link,
             self.subscriber.has_fresh_servers,
             self._clock,
             self._log,
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -91,6 +91,8 @@
         (seconds).
     drain_time : float
         Drain time of backend servers (seconds).
+    link : PublisherLink
+        Holds the connection to the publisher.
     placement : PlacementClient
         Asks the publisher to place requests.
     waits_at_start : bool
@@ -115,6 +117,7 @@
         forward,
         max_proof_age,
         drain_time,
+        link,
         placement,
         waits_at_start,
     ):
@@ -126,6 +129,7 @@
         self._log = log
         self.max_proof_age = max_proof_age
         self.drain_time = drain_time
+        self._link = link
         self._placement = placement
         self.evidence = None
         self._rank = 0
@@ -238,8 +242,9 @@
         async with adapters.open_update_connection(address) as connection:
             self._log.info('news_heard', source=address)
             self._clock_offset = None
-            self._placement.attach(connection)
-            self.evidence.attach(connection)
+            self._link.attach(connection)
+            self._placement.reset()
+            self.evidence.start()
             last_update_at = self._clock.monotonic()
             request_task = asyncio.ensure_future(
                 self._request_clock(connection)
@@ -253,8 +258,7 @@
                     last_update_at = max(last_update_at, self._last_update_at)
                     self._check_server_updates(last_update_at)
             finally:
-                self._placement.detach(connection)
-                self.evidence.detach(connection)
+                self._link.detach(connection)
                 request_task.cancel()
 
     def _check_server_updates(self, last_update_at):
--- a/balsamwind/node/tests/test_placement_client.py
+++ b/balsamwind/node/tests/test_placement_client.py
@@ -7,6 +7,7 @@
 
 from balsamwind import exceptions
 from balsamwind.node import _placement_client
+from balsamwind.node import _publisher_link
 from balsamwind.node import _updates
 from balsamwind.node.tests import doubles
 from balsamwind.node.tests import helpers
@@ -25,8 +26,9 @@
 def _make_client(monkeypatch, answers):
     """Make a client whose publisher answers by script; None is silence."""
     clock = doubles.Clock()
-    client = _placement_client.PlacementClient(clock, doubles.Log())
-    client.attach('connection')
+    link = _publisher_link.PublisherLink()
+    link.attach('connection')
+    client = _placement_client.PlacementClient(link, clock, doubles.Log())
     sent = []
 
     def send_frame(connection, data):
@@ -37,8 +39,8 @@
             if answer is not None:
                 client.handle_reply(answer(message.number))
 
-    monkeypatch.setattr(_placement_client.adapters, 'send_frame', send_frame)
-    return client, clock, sent
+    monkeypatch.setattr(_publisher_link.adapters, 'send_frame', send_frame)
+    return client, link, clock, sent
 
 
 def _place(client):
@@ -72,18 +74,18 @@
     ],
 )
 def test_answer_of_the_placing_node(monkeypatch, answer, expected):
-    client, _, sent = _make_client(monkeypatch, [answer])
+    client, _, _, sent = _make_client(monkeypatch, [answer])
     assert _place(client) == expected
 
 
 def test_placement_that_came_too_late_is_given_back(monkeypatch):
-    client, _, sent = _make_client(monkeypatch, [])
+    client, _, _, sent = _make_client(monkeypatch, [])
     assert _place(client) is None
     assert sent[-1] == _updates.PlacementEnd(1, relay.Outcome.REFUSED)
 
 
 def test_silent_node_is_not_asked_for_a_while(monkeypatch):
-    client, clock, sent = _make_client(monkeypatch, [])
+    client, _, clock, sent = _make_client(monkeypatch, [])
     for _ in range(_placement_client.MAX_TIMEOUTS):
         _place(client)
     asked = len(sent)
@@ -95,9 +97,9 @@
 
 
 def test_nothing_is_asked_without_a_connection(monkeypatch):
-    client, _, sent = _make_client(monkeypatch, [])
-    client.detach('another connection')
-    client.detach('connection')
+    client, link, _, sent = _make_client(monkeypatch, [])
+    link.detach('another connection')
+    link.detach('connection')
     assert _place(client) is None
     assert sent == []
 
--- a/balsamwind/node/tests/test_proofs_state_machine.py
+++ b/balsamwind/node/tests/test_proofs_state_machine.py
@@ -13,6 +13,7 @@
 
 from balsamwind.node import _configuration_updater
 from balsamwind.node import _placement_client
+from balsamwind.node import _publisher_link
 from balsamwind.node import _ranking
 from balsamwind.node import _update_publisher
 from balsamwind.node import _update_subscriber
@@ -70,6 +71,7 @@
         self.updater = _configuration_updater.ConfigurationUpdater(
             self.cache, self.publisher, doubles.Log(), lambda: None
         )
+        link = _publisher_link.PublisherLink()
         self.subscriber = _update_subscriber.UpdateSubscriber(
             NAMES[rank],
             pool.ServerRegistry(),
@@ -79,7 +81,8 @@
             lambda message: None,
             1.3,
             2.0,
-            _placement_client.PlacementClient(self.clock, doubles.Log()),
+            link,
+            _placement_client.PlacementClient(link, self.clock, doubles.Log()),
             True,
         )
         self.subscriber.set_nodes(
--- a/balsamwind/node/tests/test_updates.py
+++ b/balsamwind/node/tests/test_updates.py
@@ -9,6 +9,7 @@
 from balsamwind import exceptions
 from balsamwind.node import _configuration_updater
 from balsamwind.node import _placement_client
+from balsamwind.node import _publisher_link
 from balsamwind.node import _ranking
 from balsamwind.node import _update_subscriber
 from balsamwind.node import _updates
@@ -293,6 +294,7 @@
         _ranking.RegisteredNode(f'n{number}', 'x')
         for number in range(rank + 1)
     ]
+    link = _publisher_link.PublisherLink()
     subscriber = _update_subscriber.UpdateSubscriber(
         f'n{rank}',
         pool.ServerRegistry(),
@@ -302,7 +304,8 @@
         lambda message: None,
         2.0,
         4.0,
-        _placement_client.PlacementClient(clock, doubles.Log()),
+        link,
+        _placement_client.PlacementClient(link, clock, doubles.Log()),
         waits_at_start,
     )
     subscriber.set_nodes(nodes)
