Move the registrations of nodes out of the adapter

Their kind of object is our own and uses no name of the platform; it is read and written by the store client, like the evidence on prompts.

--- a/balsamwind/node/_node_discovery.py
+++ b/balsamwind/node/_node_discovery.py
@@ -26,17 +26,17 @@
     ----------
     settings : NodeSettings
         Settings of the node.
-    platform : balsamwind.platform.PlatformClient
-        Client of the platform's store.
+    records : NodeRecords
+        Registrations in the store.
     log : structlog logger
         Logger of the node.
     on_nodes : callable
         Called with a dict of each data centre's `RegisteredNode` objects.
     """
 
-    def __init__(self, settings, platform, log, on_nodes):
+    def __init__(self, settings, records, log, on_nodes):
         self._settings = settings
-        self._platform = platform
+        self._records = records
         self._log = log
         self._on_nodes = on_nodes
 
@@ -50,7 +50,7 @@
                     await self._register()
                     registered = True
                 # An old list does no harm later: it only sets ranks.
-                nodes = await self._platform.list_nodes(
+                nodes = await self._records.list(
                     CALL_TIMEOUT, may_be_stale=listed
                 )
             except exceptions.StoreError as error:
@@ -65,7 +65,7 @@
         node = _ranking.RegisteredNode(
             self._settings.name, self._settings.news, self._settings.capacity
         )
-        await self._platform.register_node(
+        await self._records.register(
             node, self._settings.data_centre, CALL_TIMEOUT
         )
         if self._settings.first_start:
--- /dev/null
+++ b/balsamwind/node/_node_records.py
@@ -0,0 +1,73 @@
+"""Registrations of the nodes in the store, one object for each node."""
+
+from balsamwind import exceptions
+from balsamwind.node import _ranking
+
+KIND = 'balsamwind-nodes'
+"""Kind of the objects."""
+
+
+class NodeRecords:
+    """Reads and writes the registrations of nodes.
+
+    The methods raise `balsamwind.exceptions.StoreError` if the store does not
+    answer within their `timeout` (seconds).
+
+    Parameters
+    ----------
+    store : object
+        Client of the store, with the methods `get`, `list`, `create` and
+        `replace` for objects of any kind.
+    """
+
+    __slots__ = ('_store',)
+
+    def __init__(self, store):
+        self._store = store
+
+    async def register(self, registered, data_centre, timeout):
+        """Register a `RegisteredNode`, or update its registration."""
+        spec = {
+            'data_centre': data_centre,
+            'news': registered.address,
+            'capacity': registered.capacity,
+        }
+        try:
+            await self._store.create(KIND, registered.name, spec, timeout)
+        except exceptions.Conflict:
+            await self._update(registered.name, spec, timeout)
+
+    async def _update(self, name, spec, timeout):
+        """Replace the registration of a node that has changed its address."""
+        stored = await self._store.get(KIND, name, timeout)
+        if stored is None or stored.spec == spec:
+            return
+        try:
+            await self._store.replace(
+                KIND, name, spec, stored.revision, timeout
+            )
+        except exceptions.Conflict as error:
+            raise exceptions.StoreError(f'node {name}: {error}') from None
+
+    async def list(self, timeout, may_be_stale=False):
+        """List the `RegisteredNode` objects of each data centre, by its name.
+
+        Malformed registrations are left out. A list that `may_be_stale` may
+        be seconds old.
+        """
+        _, items = await self._store.list(KIND, timeout, may_be_stale)
+        nodes = {}
+        for item in items:
+            if isinstance(item.spec, dict):
+                data_centre = str(item.spec.get('data_centre', ''))
+                nodes.setdefault(data_centre, []).append(_decode(item))
+        return nodes
+
+
+def _decode(item):
+    capacity = item.spec.get('capacity')
+    return _ranking.RegisteredNode(
+        item.name,
+        str(item.spec.get('news', '')),
+        float(capacity) if isinstance(capacity, (int, float)) else 0.0,
+    )
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -16,6 +16,7 @@
 from balsamwind.node import _evidence_records
 from balsamwind.node import _leader
 from balsamwind.node import _node_discovery
+from balsamwind.node import _node_records
 from balsamwind.node import _placement_client
 from balsamwind.node import _publisher_link
 from balsamwind.node import _ranking
@@ -214,7 +215,10 @@
             self._publisher,
         )
         self._node_discovery = _node_discovery.NodeDiscovery(
-            settings, platform, self._log, self._update_nodes
+            settings,
+            _node_records.NodeRecords(platform.store),
+            self._log,
+            self._update_nodes,
         )
         self._leaders = [
             _leader.ShardLeader(
--- a/balsamwind/platform/_client.py
+++ b/balsamwind/platform/_client.py
@@ -1,7 +1,6 @@
 """Client of the platform's store and model engines, used by nodes."""
 
 from balsamwind import exceptions
-from balsamwind import node
 from balsamwind import objects
 from balsamwind.platform import _configuration
 from balsamwind.platform import _headers
@@ -9,19 +8,14 @@
 from balsamwind.platform import _store
 from balsamwind import pool
 
-NODE_KIND = 'balsamwind-nodes'
-"""Kind of the objects in which nodes register."""
-
 LEASE_KIND = 'balsamwind-leases'
 """Kind of the objects that hold the leases of shards."""
 
-_KIND_LABELS = {
-    _servers.KIND: 'servers',
-    _configuration.KIND: 'configuration',
-    NODE_KIND: 'nodes',
-    LEASE_KIND: 'leases',
-}
-"""Names of the kinds of objects in logs and metrics."""
+_KIND_LABELS = {_configuration.KIND: 'configuration'}
+"""Names of kinds of objects in logs and metrics; others have their own."""
+
+OWN_KIND_PREFIX = 'balsamwind-'
+"""Prefix of the kinds of objects that the nodes themselves write."""
 
 
 def make_platform_client(settings, client):
@@ -72,9 +66,12 @@
 
     @property
     def store_call_counts(self):
-        """Calls to the store since the start (count), by label and purpose."""
+        """Calls to the store since the start (count), by kind and purpose."""
         return {
-            (_KIND_LABELS.get(kind, kind), purpose): count
+            (
+                _KIND_LABELS.get(kind, kind.removeprefix(OWN_KIND_PREFIX)),
+                purpose,
+            ): count
             for (kind, purpose), count in self._store.call_counts.items()
         }
 
@@ -109,43 +106,6 @@
         )
         return revision, _find_configuration(items)
 
-    async def register_node(self, registered, data_centre, timeout):
-        """Register a `RegisteredNode`, or update its registration."""
-        spec = {
-            'data_centre': data_centre,
-            'news': registered.address,
-            'capacity': registered.capacity,
-        }
-        try:
-            await self._store.create(NODE_KIND, registered.name, spec, timeout)
-        except exceptions.Conflict:
-            await self._update_node(registered.name, spec, timeout)
-
-    async def _update_node(self, name, spec, timeout):
-        """Replace the registration of a node that has changed its address."""
-        stored = await self._store.get(NODE_KIND, name, timeout)
-        if stored is None or stored.spec == spec:
-            return
-        try:
-            await self._store.replace(
-                NODE_KIND, name, spec, stored.revision, timeout
-            )
-        except exceptions.Conflict as error:
-            raise exceptions.StoreError(f'node {name}: {error}') from None
-
-    async def list_nodes(self, timeout, may_be_stale=False):
-        """List the `RegisteredNode` objects of each data centre, by its name.
-
-        Malformed registrations are left out.
-        """
-        _, items = await self._store.list(NODE_KIND, timeout, may_be_stale)
-        nodes = {}
-        for item in items:
-            if isinstance(item.spec, dict):
-                data_centre = str(item.spec.get('data_centre', ''))
-                nodes.setdefault(data_centre, []).append(_decode_node(item))
-        return nodes
-
     async def list_servers(self, timeout):
         """List the revision to watch from and a `ServerRecord` per server.
 
@@ -282,15 +242,6 @@
         return _configuration.decode_configuration(stored.spec)
 
 
-def _decode_node(item):
-    capacity = item.spec.get('capacity')
-    return node.RegisteredNode(
-        item.name,
-        str(item.spec.get('news', '')),
-        float(capacity) if isinstance(capacity, (int, float)) else 0.0,
-    )
-
-
 def _decode_server(item):
     try:
         return _servers.decode_server(item.name, item.revision, item.spec)
