Grant backend servers the pause that they ask for

A backend server that rejects a request with 503 and Retry-After was chosen again at once: nothing read that header in its answers.

The pause is kept by the start of the server (one that has started again asked for none), bounded to a minute, and holds at the local choice and at the placing node alike: a request for a placement names the servers that want one. Such a server is neither ejected nor counted as room; a request for which all want a pause is rejected at once, and Retry-After says when the first is due.

--- a/balsamwind/node/_placement_client.py
+++ b/balsamwind/node/_placement_client.py
@@ -54,7 +54,7 @@
         self._timeouts = 0
         self._paused_until = float('-inf')
 
-    async def place(self, service, requirements, tried):
+    async def place(self, service, requirements, tried, quiet):
         """Ask for the backend of one attempt.
 
         Parameters
@@ -65,6 +65,8 @@
             What the request needs.
         tried : iterable of tuple
             Keys of the backends that earlier attempts of the request used.
+        quiet : balsamwind.relay.QuietServers
+            Servers that get no requests of this node for a while.
 
         Returns
         -------
@@ -81,6 +83,7 @@
             service.name,
             requirements,
             tuple(relay.BackendKey(*key) for key in tried),
+            quiet.list(now),
         )
         reply = self._pending[number] = (
             asyncio.get_running_loop().create_future()
--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -2,12 +2,17 @@
 
 import prometheus_client
 
+from balsamwind import relay
+
 MAX_LINES_PER_SECOND = 30.0
 """Rate at which lines about requests are logged at most (lines per second)."""
 
 MAX_BURST = 60.0
 """Capacity of the token bucket that limits these lines (count)."""
 
+MAX_NAMED_SERVERS = 100
+"""Servers whose unreadable headers are logged (count)."""
+
 HISTOGRAM_BUCKETS = (0.01, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0)
 """Upper bounds of the histogram buckets (seconds)."""
 
@@ -36,9 +41,11 @@
         '_durations',
         '_failed_attempts',
         '_refilled_at',
+        '_requested_pauses',
         '_stream_ends',
         '_suppressed_lines',
         '_tokens',
+        '_unreadable_from',
         'log',
         'metrics_registry',
     )
@@ -62,6 +69,12 @@
             ('reason',),
             registry=self.metrics_registry,
         )
+        self._unreadable_from = set()
+        self._requested_pauses = prometheus_client.Counter(
+            'balsamwind_requested_pauses',
+            'Rejections in which a backend server asked for a pause.',
+            registry=self.metrics_registry,
+        )
         self._stream_ends = prometheus_client.Counter(
             'balsamwind_stream_ends',
             'Event streams of backend servers that ended without an error of'
@@ -163,6 +176,44 @@
             unfinished_bytes=unfinished_bytes,
         )
 
+    def record_requested_pause(self, backend, pause):
+        """Record that a backend server wants no requests for a while.
+
+        Parameters
+        ----------
+        backend : balsamwind.relay.Backend
+            Backend that asked for the pause.
+        pause : float
+            Time that it asked for (seconds).
+        """
+        self._requested_pauses.inc()
+        if self._take_token():
+            self.log.info(
+                'pause_requested',
+                server=backend.record.server_id,
+                seconds=round(pause, 3),
+                granted=min(pause, relay.MAX_PAUSE),
+            )
+
+    def record_unreadable_headers(self, backend, names):
+        """Record headers that can't be read, once for each server.
+
+        Parameters
+        ----------
+        backend : balsamwind.relay.Backend
+            Backend that sent them.
+        names : tuple of str
+            Names of the headers.
+        """
+        server_id = backend.record.server_id
+        if server_id in self._unreadable_from:
+            return
+        if len(self._unreadable_from) < MAX_NAMED_SERVERS:
+            self._unreadable_from.add(server_id)
+            self.log.warning(
+                'headers_unreadable', server=server_id, names=list(names)
+            )
+
     def _take_token(self):
         now = self._clock.monotonic()
         self._tokens = min(
--- a/balsamwind/node/_subscriber_session.py
+++ b/balsamwind/node/_subscriber_session.py
@@ -78,7 +78,12 @@
             return _updates.PlacementReply(request.number)
         tried = {(key.service, key.name, key.number) for key in request.tried}
         placed = self._placement_session.place(
-            request.number, service, request.requirements, tried, now
+            request.number,
+            service,
+            request.requirements,
+            tried,
+            now,
+            relay.make_quiet_servers(request.quiet, now),
         )
         match placed:
             case relay.Placement(key=key):
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -124,12 +124,15 @@
         What the request needs.
     tried : tuple of balsamwind.relay.BackendKey
         Backends that earlier attempts of the request used.
+    quiet : tuple of balsamwind.relay.QuietServer
+        Servers that get no requests of this node for a while.
     """
 
     number: int
     service: str
     requirements: relay.RequestRequirements
     tried: tuple[relay.BackendKey, ...] = ()
+    quiet: tuple[relay.QuietServer, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/node/tests/test_placement_client.py
+++ b/balsamwind/node/tests/test_placement_client.py
@@ -44,7 +44,9 @@
 
 
 def _place(client):
-    return asyncio.run(client.place(SERVICE, REQUIREMENTS, ()))
+    return asyncio.run(
+        client.place(SERVICE, REQUIREMENTS, (), relay.QuietServers())
+    )
 
 
 @pytest.mark.parametrize(
--- a/balsamwind/platform/_headers.py
+++ b/balsamwind/platform/_headers.py
@@ -15,6 +15,7 @@
 _NOT_EXECUTED = 'X-Balsamwind-Not-Executed'
 _SERVER_LOAD = 'X-Balsamwind-Server-Load'
 _FAULTY_SERVER = 'At-Server'
+_RETRY_AFTER = 'Retry-After'
 _LAST_EVENT_ID = 'Last-Event-Id'
 _AUTHORIZATION = 'Authorization'
 _AUTHORIZATION_SCHEME = 'token '
@@ -104,12 +105,18 @@
         -------
         balsamwind.relay.ResponseMetadata
         """
+        retry_after, unreadable = None, ()
+        if _RETRY_AFTER in headers:
+            retry_after = _decode_duration(headers[_RETRY_AFTER])
+            unreadable = () if retry_after is not None else (_RETRY_AFTER,)
         return relay.ResponseMetadata(
             request_id=headers.get(_REQUEST_ID, ''),
             signed=_RESPONSE_STAMP in headers,
             not_run=_NOT_EXECUTED in headers,
             load=_decode_server_load(headers.get(_SERVER_LOAD)),
             faulty_server=headers.get(_FAULTY_SERVER, ''),
+            retry_after=retry_after,
+            unreadable=unreadable,
         )
 
 
@@ -120,6 +127,15 @@
         return None
 
 
+def _decode_duration(text):
+    """Decode seconds, which may have a fraction; None if unreadable."""
+    try:
+        duration = float(text)
+    except ValueError:
+        return None
+    return duration if 0.0 <= duration < float('inf') else None
+
+
 def _decode_count(text):
     try:
         return max(0, int(text))
--- a/balsamwind/platform/tests/test_formats.py
+++ b/balsamwind/platform/tests/test_formats.py
@@ -213,6 +213,27 @@
     assert metadata == relay.ResponseMetadata('r1', True, False, load, 'e2')
 
 
+@pytest.mark.parametrize(
+    ('text', 'retry_after'),
+    [
+        ('2', 2.0),
+        ('0.25', 0.25),
+        ('0', 0.0),
+        ('1e9', 1e9),
+        ('-1', None),
+        ('soon', None),
+        ('1, 2', None),
+        ('nan', None),
+        ('1e999', None),
+        ('', None),
+    ],
+)
+def test_pause_that_a_server_asks_for_is_decoded(text, retry_after):
+    metadata = _headers.HeaderCodec().decode_response({'Retry-After': text})
+    assert metadata.retry_after == retry_after
+    assert bool(metadata.unreadable) == (retry_after is None)
+
+
 SETTINGS_TOML = """
 NodeName = "n1"
 Zone = "z1"
--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -23,6 +23,10 @@
 from balsamwind.relay._prompt_quarantine import PromptEvidence
 from balsamwind.relay._prompt_quarantine import PromptQuarantine
 from balsamwind.relay._prompt_quarantine import SoundPart
+from balsamwind.relay._quiet_servers import make_quiet_servers
+from balsamwind.relay._quiet_servers import MAX_PAUSE
+from balsamwind.relay._quiet_servers import QuietServer
+from balsamwind.relay._quiet_servers import QuietServers
 from balsamwind.relay._relay import IncomingRequest
 from balsamwind.relay._relay import Relay
 from balsamwind.relay._retry_budget import RetryBudget
@@ -37,6 +41,7 @@
     'EventStreamBuffer',
     'ForwardedMetadata',
     'IncomingRequest',
+    'MAX_PAUSE',
     'NoBackendAvailable',
     'NoPlacementService',
     'Outcome',
@@ -44,6 +49,8 @@
     'PlacementSession',
     'PromptEvidence',
     'PromptQuarantine',
+    'QuietServer',
+    'QuietServers',
     'Relay',
     'ReportedLoad',
     'RequestMetadata',
@@ -52,6 +59,7 @@
     'RetryBudget',
     'SoundPart',
     'choose_backend',
+    'make_quiet_servers',
     'predict_service_time',
     'predict_time_to_first_event',
 ]
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -268,19 +268,28 @@
         backend = self._relay.backends.find(
             self._service, dataclasses.astuple(placement.key)
         )
-        if backend is None:
+        if backend is None or self._wants_pause(backend):
             self._relay.placement.end(
                 placement.number, _placement.Outcome.REFUSED, None
             )
-        else:
-            self._placement_number = placement.number
+            return None
+        self._placement_number = placement.number
         return backend
 
+    def _wants_pause(self, backend):
+        end = self._relay.quiet_servers.find_end(
+            backend.record, self._relay.clock.monotonic()
+        )
+        return end is not None
+
     async def _place(self):
         if self._service.engine is None:
             return None
         placement = await self._relay.placement.place(
-            self._service, self._make_requirements(), self._tried
+            self._service,
+            self._make_requirements(),
+            self._tried,
+            self._relay.quiet_servers,
         )
         if isinstance(placement, _load_balancing.NoBackendAvailable):
             raise self._make_rejection(placement)
@@ -307,6 +316,7 @@
             self._tried,
             now,
             self._relay.rng,
+            self._relay.quiet_servers,
         )
         if not isinstance(chosen, _load_balancing.NoBackendAvailable):
             return chosen
@@ -409,6 +419,7 @@
                 backend.update_load(metadata.load, now)
                 if metadata.not_run:
                     self._reported_load = metadata.load
+            self._record_requested_pause(backend, response.status, metadata)
             failure = _attempts.check_response_headers(
                 response.status, metadata
             )
@@ -425,7 +436,8 @@
                         'the backend server failed with status'
                         f' {response.status}'
                     ),
-                    counts_for_ejection=response.status != 504,
+                    counts_for_ejection=response.status != 504
+                    and not self._wants_pause(backend),
                 )
             if self._response_started and not self._continues_stream(response):
                 await _discard_body(response)
@@ -453,6 +465,23 @@
             if response is not None:
                 response.close()
 
+    def _record_requested_pause(self, backend, status, metadata):
+        """Record the pause that a server asks for as it rejects a request."""
+        if status != 503:
+            return
+        if metadata.unreadable:
+            self._relay.request_log.record_unreadable_headers(
+                backend, metadata.unreadable
+            )
+        if metadata.retry_after is not None:
+            now = self._relay.clock.monotonic()
+            self._relay.quiet_servers.record(
+                backend.record, metadata.retry_after, now
+            )
+            self._relay.request_log.record_requested_pause(
+                backend, metadata.retry_after
+            )
+
     def _is_event_stream(self, response):
         return (
             self._route.kind is traffic.RequestKind.STREAM
--- a/balsamwind/relay/_load_balancing.py
+++ b/balsamwind/relay/_load_balancing.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 
+from balsamwind.relay import _quiet_servers
+
 CROSS_DATA_CENTRE_COST = 0.04
 """Cost added to a backend in another data centre (seconds)."""
 
@@ -140,7 +142,14 @@
 
 
 def choose_backend(
-    backends, engine, requirements, data_centre, tried, now, rng
+    backends,
+    engine,
+    requirements,
+    data_centre,
+    tried,
+    now,
+    rng,
+    quiet=_quiet_servers.NOTHING_QUIET,
 ):
     """Choose the backend with the lowest cost.
 
@@ -163,22 +172,26 @@
         Current time (seconds, boot clock).
     rng : random.Random
         Source of the jitter.
+    quiet : QuietServers
+        Servers that get no requests of the sending node for a while.
 
     Returns
     -------
     Backend or NoBackendAvailable
     """
+    of_model = [
+        backend for backend in backends if backend.model == requirements.model
+    ]
     candidates = [
         backend
-        for backend in backends
-        if backend.model == requirements.model and backend.key not in tried
+        for backend in of_model
+        if backend.key not in tried
+        and (not quiet or quiet.find_end(backend.record, now) is None)
     ]
     if not candidates:
-        reason = (
-            f'no group serves {requirements.model or "the service"}:'
-            f' {len(backends)} backends known, {len(tried)} already tried'
+        return _explain_no_candidates(
+            requirements.model, of_model, len(backends), tried, quiet, now
         )
-        return NoBackendAvailable(reason, DEFAULT_RETRY_AFTER)
     # If all candidates are ejected at once, the cause is more likely at this
     # node than at every one of them, so the ejections are ignored.
     healthy = [
@@ -214,6 +227,21 @@
     return best
 
 
+def _explain_no_candidates(model, of_model, known, tried, quiet, now):
+    """Say why no backend can be chosen, and when the first one can."""
+    ends = [
+        end
+        for backend in of_model
+        if (end := quiet.find_end(backend.record, now)) is not None
+    ]
+    reason = (
+        f'no group serves {model or "the service"}: {known} backends known,'
+        f' {len(tried)} already tried, {len(ends)} asked for a pause'
+    )
+    retry_after = min(ends) - now if ends else DEFAULT_RETRY_AFTER
+    return NoBackendAvailable(reason, retry_after)
+
+
 def _find_best(backends, predict, extra_cost, now, rng):
     """Find the backend of the lowest cost.
 
--- a/balsamwind/relay/_metadata.py
+++ b/balsamwind/relay/_metadata.py
@@ -105,6 +105,11 @@
     faulty_server : str
         Id of the server that is named as the cause of a failure; empty if
         none.
+    retry_after : float or None
+        Time for which the server wants no requests from this node (seconds);
+        None if not stated.
+    unreadable : tuple of str
+        Names of headers whose values can't be read.
     """
 
     request_id: str = ''
@@ -112,3 +117,5 @@
     not_run: bool = False
     load: ReportedLoad | None = None
     faulty_server: str = ''
+    retry_after: float | None = None
+    unreadable: tuple[str, ...] = ()
--- a/balsamwind/relay/_placement.py
+++ b/balsamwind/relay/_placement.py
@@ -13,6 +13,7 @@
 import heapq
 
 from balsamwind.relay import _load_balancing
+from balsamwind.relay import _quiet_servers
 
 
 class Outcome(enum.Enum):
@@ -94,7 +95,15 @@
         self._attempts = {}
         self._prompts = []
 
-    def place(self, number, service, requirements, tried, now):
+    def place(
+        self,
+        number,
+        service,
+        requirements,
+        tried,
+        now,
+        quiet=_quiet_servers.NOTHING_QUIET,
+    ):
         """Choose a backend and count the attempt there until `end`.
 
         Parameters
@@ -109,6 +118,8 @@
             Keys of the backends that earlier attempts of the request used.
         now : float
             Current time (seconds, boot clock).
+        quiet : QuietServers
+            Servers that get no requests of the sending node for a while.
 
         Returns
         -------
@@ -123,6 +134,7 @@
             tried,
             now,
             self._rng,
+            quiet,
         )
         if isinstance(backend, _load_balancing.NoBackendAvailable):
             return backend
@@ -201,7 +213,7 @@
 
     __slots__ = ()
 
-    async def place(self, service, requirements, tried):
+    async def place(self, service, requirements, tried, quiet):
         """Return None: the caller chooses a backend itself."""
         return None
 
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -10,6 +10,7 @@
 from balsamwind.relay import _model_demand
 from balsamwind.relay import _placement
 from balsamwind.relay import _prompt_quarantine
+from balsamwind.relay import _quiet_servers
 from balsamwind.relay import _retry_budget
 
 RESPONSE_GRACE = 0.1
@@ -92,6 +93,8 @@
         Work that callers request of each model.
     placement : object
         Places requests for this node, see `NoPlacementService`.
+    quiet_servers : QuietServers
+        Backend servers that get no requests of this node for a while.
     prompt_quarantine : PromptQuarantine
         Prompt parts whose requests are not sent to engines.
     crash_reporter : CrashReporter
@@ -127,6 +130,7 @@
         self._node_count = DEFAULT_NODE_COUNT
         self.demand_meter = _model_demand.DemandMeter()
         self.placement = _placement.NoPlacementService()
+        self.quiet_servers = _quiet_servers.QuietServers()
         self.prompt_quarantine = _prompt_quarantine.PromptQuarantine(
             data_centre
         )
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -116,6 +116,12 @@
     ):
         pass
 
+    def record_requested_pause(self, backend, pause):
+        pass
+
+    def record_unreadable_headers(self, backend, names):
+        pass
+
 
 class Clock:
     def monotonic(self):
@@ -145,7 +151,7 @@
         pass
 
 
-class _Relay:
+class FakeRelay:
     """Parts of the relay that a forwarder uses."""
 
     def __init__(self, addresses, client, clock):
@@ -154,8 +160,10 @@
         self.header_codec = _headers.HeaderCodec()
         self.request_log = _Log()
         self.data_centre = 'a'
+        self.placement = None
         self.prompt_quarantine = relay.PromptQuarantine('a')
         self.crash_reporter = _CrashReporter()
+        self.quiet_servers = relay.QuietServers()
         self.backends = self
         self._backends = [
             relay.Backend(
@@ -189,6 +197,36 @@
         return None
 
 
+async def send_one(fake_relay, responder=None, max_attempts=3):
+    """Forward one request; return the error of its response, or None."""
+    request = relay.IncomingRequest(
+        'POST',
+        '/x',
+        'a',
+        httputil.HTTPHeaders(),
+        b'hi',
+        fake_relay.clock.monotonic(),
+    )
+    forwarder = _forwarder.RequestForwarder(
+        fake_relay,
+        request,
+        relay.RequestMetadata('r1'),
+        responder or Responder(),
+        make_route(max_attempts),
+        traffic.Service('llm', engine=fake_relay.placement and ENGINE),
+        None,
+        1.5,
+    )
+    try:
+        async with asyncio.timeout(2.0):
+            await forwarder.run()
+    except TimeoutError:
+        return forwarder.make_timeout_error()
+    except exceptions.BalsamwindError as error:
+        return error
+    return None
+
+
 async def forward(
     scripts,
     max_attempts=3,
@@ -212,34 +250,9 @@
         ]
         client = client or adapters.HttpClient()
         stack.callback(client.close)
-        fake_relay = _Relay(addresses, client, clock or Clock())
+        fake_relay = FakeRelay(addresses, client, clock or Clock())
         fake_relay.placement = placement
-        request = relay.IncomingRequest(
-            'POST',
-            '/x',
-            'a',
-            httputil.HTTPHeaders(),
-            b'hi',
-            fake_relay.clock.monotonic(),
-        )
-        forwarder = _forwarder.RequestForwarder(
-            fake_relay,
-            request,
-            relay.RequestMetadata('r1'),
-            responder,
-            make_route(max_attempts),
-            traffic.Service('llm', engine=placement and ENGINE),
-            None,
-            1.5,
-        )
-        error = None
-        try:
-            async with asyncio.timeout(2.0):
-                await forwarder.run()
-        except TimeoutError:
-            error = forwarder.make_timeout_error()
-        except exceptions.BalsamwindError as raised:
-            error = raised
+        error = await send_one(fake_relay, responder, max_attempts)
     return responder, engine, error
 
 
