Stop requests to servers that say they leave

A backend server that leaves says so in all its answers, before its entry does and also while the store is away; nothing read it, so that requests went on to it until its entry changed.

Each answer of requests, reports and orders is looked at now, failures and the head of a stream too, but for those with status 421, which come from another server. The server counts as draining by its start: entries, lists and updates of the same start are corrected as they come, a later start lifts it. The nodes of the data centre hear of it through their publisher. Streams that run go on.

--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -15,6 +15,7 @@
 from balsamwind.node import _evidence_exchange
 from balsamwind.node import _evidence_records
 from balsamwind.node import _leader
+from balsamwind.node import _leaving_servers
 from balsamwind.node import _node_discovery
 from balsamwind.node import _node_records
 from balsamwind.node import _placement_client
@@ -196,6 +197,12 @@
             self._clock,
             self._log,
         )
+        leaving_servers = _leaving_servers.LeavingServers(
+            self.registry, self._publisher, link, self._log
+        )
+        self._publisher.leaving_servers = leaving_servers
+        self.relay.on_server_leaving = leaving_servers.report
+        platform.on_server_leaving = leaving_servers.report
         self._publisher.evidence = self._evidence
         self.subscriber.evidence = self._evidence
         self.relay.crash_reporter.on_evidence = self._evidence.share
--- a/balsamwind/node/_server_watcher.py
+++ b/balsamwind/node/_server_watcher.py
@@ -146,6 +146,7 @@
                 self._registry.apply_removal(change, now)
                 removed.append(change)
             else:
+                change = self._registry.correct(change)
                 previous = self._registry.apply_entry(change, now)
                 self._log_change(previous, change)
                 records.append(change)
--- a/balsamwind/node/_subscriber_session.py
+++ b/balsamwind/node/_subscriber_session.py
@@ -17,22 +17,31 @@
         Configuration in force.
     evidence : EvidenceExchange
         Takes the subscriber's evidence on prompt parts.
+    leaving_servers : LeavingServers
+        Takes the subscriber's reports of leaving servers.
     """
 
     __slots__ = (
         '_configuration_cache',
         '_evidence',
+        '_leaving_servers',
         '_placement_session',
         '_publisher',
     )
 
     def __init__(
-        self, publisher, placement_session, configuration_cache, evidence
+        self,
+        publisher,
+        placement_session,
+        configuration_cache,
+        evidence,
+        leaving_servers,
     ):
         self._publisher = publisher
         self._placement_session = placement_session
         self._configuration_cache = configuration_cache
         self._evidence = evidence
+        self._leaving_servers = leaving_servers
 
     def handle(self, data):
         """Handle a frame of the subscriber.
@@ -64,6 +73,8 @@
                 number=number, outcome=outcome, load=load
             ):
                 self._placement_session.end(number, outcome, load, now)
+            case _updates.ServerLeaving(server_id=server_id, born=born):
+                self._leaving_servers.report(server_id, born)
             case relay.PromptEvidence() as evidence:
                 self._evidence.receive(evidence)
             case _updates.EvidenceRequest() as request:
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -41,6 +41,8 @@
         Connections of the subscribers.
     evidence : EvidenceExchange or None
         Takes the subscribers' evidence on prompt parts.
+    leaving_servers : LeavingServers or None
+        Takes the subscribers' reports of leaving servers.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.clock = self._clock = clock
         self._open_placement_session = open_placement_session
         self.evidence = None
+        self.leaving_servers = None
         self._last_proof = None
         self._last_publish_at = float('-inf')
         self.server = adapters.UpdateServer(
@@ -154,6 +157,7 @@
             self._open_placement_session(),
             self._configuration_cache,
             self.evidence,
+            self.leaving_servers,
         )
 
     def answer_clock_request(self, request):
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from balsamwind import adapters
 from balsamwind import exceptions
@@ -294,6 +295,7 @@
             case _updates.ServerUpdate():
                 now = self._clock.monotonic()
                 self._last_update_at = now
+                message = self._correct(message)
                 self._apply_servers(message, now)
                 self._forward(message)
             case _updates.ClockReading():
@@ -368,6 +370,11 @@
             return float('-inf')
         return publisher_time + self._clock_offset
 
+    def _correct(self, message):
+        """Correct entries of servers that are known here to be leaving."""
+        records = tuple(map(self._registry.correct, message.records))
+        return dataclasses.replace(message, records=records)
+
     def _apply_servers(self, message, now):
         if message.whole:
             self._registry.apply_full_list(message.records, now)
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -203,6 +203,22 @@
     evidence: relay.PromptEvidence = relay.PromptEvidence()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServerLeaving:
+    """Tells a publisher that a backend server says it is leaving.
+
+    Parameters
+    ----------
+    server_id : str
+        Id of the server.
+    born : int
+        Start of the server that said so.
+    """
+
+    server_id: str
+    born: int
+
+
 _TYPES = {
     1: ServerUpdate,
     4: ClockRequest,
@@ -215,6 +231,7 @@
     11: PlacementEnd,
     12: relay.PromptEvidence,
     13: EvidenceRequest,
+    14: ServerLeaving,
 }
 """Messages by type tag; 2 and 3 were used by earlier versions."""
 
--- a/balsamwind/platform/_client.py
+++ b/balsamwind/platform/_client.py
@@ -47,9 +47,14 @@
         Client for the calls to engines.
     store : balsamwind.platform._store.StoreClient
         Client for the calls to the store.
+
+    Attributes
+    ----------
+    on_server_leaving : callable or None
+        Called with the id and the start of an engine that says it leaves.
     """
 
-    __slots__ = ('_client', '_store', 'header_codec')
+    __slots__ = ('_client', '_store', 'header_codec', 'on_server_leaving')
 
     @property
     def store(self):
@@ -63,6 +68,7 @@
         self._client = client
         self._store = store
         self.header_codec = _headers.HeaderCodec()
+        self.on_server_leaving = None
 
     @property
     def store_call_counts(self):
@@ -184,6 +190,7 @@
             timeout=timeout,
             retry_on_new_connection=True,
         )
+        self._check_leaving(record, response)
         if response.status != 200:
             raise exceptions.BadAnswer(
                 f'engine {record.address}: report request got status'
@@ -221,10 +228,20 @@
                 body=_servers.encode_order(order, fencing, sequence),
                 timeout=timeout,
             )
+            self._check_leaving(record, response)
             return _servers.decode_order_result(response.status)
         except exceptions.TransportError:
             return pool.OrderResult.UNKNOWN
 
+    def _check_leaving(self, record, response):
+        # An answer with status 421 comes from another server.
+        if (
+            self.on_server_leaving is not None
+            and response.status != 421
+            and _headers.says_leaving(response.headers)
+        ):
+            self.on_server_leaving(record.server_id, record.born)
+
     def _make_server_headers(self, record):
         """Name the expected server; another one at the address refuses."""
         return ((_headers.EXPECTED_SERVER, record.server_id),)
--- a/balsamwind/platform/_headers.py
+++ b/balsamwind/platform/_headers.py
@@ -16,6 +16,7 @@
 _SERVER_LOAD = 'X-Balsamwind-Server-Load'
 _FAULTY_SERVER = 'At-Server'
 _RETRY_AFTER = 'Retry-After'
+_SERVER_LEAVING = 'Server-Leaving'
 _LAST_EVENT_ID = 'Last-Event-Id'
 _AUTHORIZATION = 'Authorization'
 _AUTHORIZATION_SCHEME = 'token '
@@ -116,6 +117,7 @@
             load=_decode_server_load(headers.get(_SERVER_LOAD)),
             faulty_server=headers.get(_FAULTY_SERVER, ''),
             retry_after=retry_after,
+            leaving=says_leaving(headers),
             unreadable=unreadable,
         )
 
@@ -127,6 +129,12 @@
         return None
 
 
+def says_leaving(headers):
+    """Tell whether a backend server says in its headers that it leaves."""
+    values = headers.get(_SERVER_LEAVING, '').split(',')
+    return any(value.strip() == '1' for value in values)
+
+
 def _decode_duration(text):
     """Decode seconds, which may have a fraction; None if unreadable."""
     try:
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -16,6 +16,10 @@
 (seconds)."""
 
 
+MAX_LEAVING = 4096
+"""Servers that are remembered as leaving (count)."""
+
+
 class ServerRegistry:
     """Newest known entry of each backend server.
 
@@ -32,6 +36,7 @@
 
     __slots__ = (
         '_grace_until',
+        '_leaving',
         '_listed_since',
         '_listeners',
         '_records',
@@ -44,6 +49,7 @@
         self._records = {}
         self._records_by_service = {}
         self._listeners = []
+        self._leaving = {}
         self._unlisted_since = {}
         self._listed_since = {}
         self._grace_until = float('-inf')
@@ -112,6 +118,49 @@
         for listener in self._listeners:
             listener(known, record)
 
+    def mark_leaving(self, server_id, born):
+        """Take a server for draining, whatever its entry says later.
+
+        A later start of the server lifts this.
+
+        Parameters
+        ----------
+        server_id : str
+            Id of the server.
+        born : int
+            Start of the server that says it is leaving.
+
+        Returns
+        -------
+        bool
+            Whether this was not known.
+        """
+        if self._leaving.get(server_id, born - 1) >= born:
+            return False
+        self._leaving[server_id] = born
+        while len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        record = self._records.get(server_id)
+        if record is not None:
+            self._set_record(server_id, self.correct(record))
+        return True
+
+    def correct(self, record):
+        """Correct the entry of a server that said itself that it is leaving.
+
+        Parameters
+        ----------
+        record : ServerRecord
+            Entry as it was read or received.
+
+        Returns
+        -------
+        ServerRecord
+        """
+        if self._leaving.get(record.server_id, record.born - 1) < record.born:
+            return record
+        return dataclasses.replace(record, state=_records.ServerState.DRAINING)
+
     def start_relisting_grace(self, now):
         """Note that the store answers again after an outage.
 
@@ -141,6 +190,7 @@
             Entries that were not known like this, and those that became
             unlisted.
         """
+        records = [self.correct(record) for record in records]
         listed_ids = {record.server_id for record in records}
         changed = [
             record
@@ -176,6 +226,7 @@
         ServerRecord or None
             Entry that was known before the call.
         """
+        record = self.correct(record)
         known = self._records.get(record.server_id)
         if known is not None and known.revision > record.revision:
             return known
--- a/balsamwind/pool/tests/test_registry.py
+++ b/balsamwind/pool/tests/test_registry.py
@@ -96,3 +96,51 @@
     assert registry.apply_report('e1', report) is kept
     record = registry.get('e1')
     assert (record and record.membership.state) is state
+
+
+def _make_started(born, revision=5):
+    return dataclasses.replace(_make_record(revision, OPEN), born=born)
+
+
+@pytest.mark.parametrize(
+    ('steps', 'usable'),
+    [
+        pytest.param([_make_started(7)], True, id='nothing said'),
+        pytest.param([_make_started(7), 7], False, id='said so'),
+        pytest.param([7, _make_started(7)], False, id='before its entry'),
+        pytest.param(
+            [_make_started(7), 7, _make_started(7, 9)],
+            False,
+            id='entry that still says ready',
+        ),
+        pytest.param(
+            [_make_started(7), 7, _make_started(8, 9)], True, id='new start'
+        ),
+        pytest.param(
+            [_make_started(8), 7], True, id='said by an earlier start'
+        ),
+        pytest.param(
+            [_make_started(8), 8, 7], False, id='older notice afterwards'
+        ),
+    ],
+)
+def test_server_that_says_it_leaves_is_not_usable(steps, usable):
+    for apply_list in (False, True):
+        registry = pool.ServerRegistry()
+        for step in steps:
+            if isinstance(step, int):
+                registry.mark_leaving('e1', step)
+            elif apply_list:
+                registry.apply_full_list([step], 0.0)
+            else:
+                registry.apply_entry(step, 0.0)
+        assert registry.get('e1').usable is usable
+
+
+def test_list_reports_no_change_of_a_leaving_server():
+    """Subscribers must not hear that it is ready."""
+    registry = pool.ServerRegistry()
+    registry.apply_full_list([_make_started(7)], 0.0)
+    assert registry.mark_leaving('e1', 7)
+    assert not registry.mark_leaving('e1', 7)
+    assert registry.apply_full_list([_make_started(7)], 1.0) == ([], [])
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -420,6 +420,7 @@
                 if metadata.not_run:
                     self._reported_load = metadata.load
             self._record_requested_pause(backend, response.status, metadata)
+            self._report_leaving(backend, response.status, metadata)
             failure = _attempts.check_response_headers(
                 response.status, metadata
             )
@@ -465,6 +466,13 @@
             if response is not None:
                 response.close()
 
+    def _report_leaving(self, backend, status, metadata):
+        # An answer with status 421 comes from another server.
+        if metadata.leaving and status != 421:
+            self._relay.on_server_leaving(
+                backend.record.server_id, backend.record.born
+            )
+
     def _record_requested_pause(self, backend, status, metadata):
         """Record the pause that a server asks for as it rejects a request."""
         if status != 503:
--- a/balsamwind/relay/_metadata.py
+++ b/balsamwind/relay/_metadata.py
@@ -108,6 +108,8 @@
     retry_after : float or None
         Time for which the server wants no requests from this node (seconds);
         None if not stated.
+    leaving : bool
+        Whether the server says that it is leaving.
     unreadable : tuple of str
         Names of headers whose values can't be read.
     """
@@ -118,4 +120,5 @@
     load: ReportedLoad | None = None
     faulty_server: str = ''
     retry_after: float | None = None
+    leaving: bool = False
     unreadable: tuple[str, ...] = ()
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -99,6 +99,9 @@
         Prompt parts whose requests are not sent to engines.
     crash_reporter : CrashReporter
         Tells the quarantine of engines that crashed.
+    on_server_leaving : callable or None
+        Called with the id and the start of a backend server that says in an
+        answer that it is leaving.
     open_requests : int
         Requests that have no final response yet (count).
     requests_received : int
@@ -137,6 +140,7 @@
         self.crash_reporter = _crash_reporter.CrashReporter(
             self.prompt_quarantine, client, clock, request_log.log
         )
+        self.on_server_leaving = None
         self.open_requests = 0
         self.requests_received = 0
 
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -164,6 +164,7 @@
         self.prompt_quarantine = relay.PromptQuarantine('a')
         self.crash_reporter = _CrashReporter()
         self.quiet_servers = relay.QuietServers()
+        self.leaving = []
         self.backends = self
         self._backends = [
             relay.Backend(
@@ -178,6 +179,9 @@
     def rng(self):
         return self
 
+    def on_server_leaving(self, server_id, born):
+        self.leaving.append(server_id)
+
     def random(self):
         return 0.0
 
@@ -234,6 +238,7 @@
     client=None,
     clock=None,
     placement=None,
+    on_relay=None,
 ):
     engine = ScriptedEngine(scripts)
     responder = responder or Responder()
@@ -252,6 +257,8 @@
         stack.callback(client.close)
         fake_relay = FakeRelay(addresses, client, clock or Clock())
         fake_relay.placement = placement
+        if on_relay is not None:
+            on_relay(fake_relay)
         error = await send_one(fake_relay, responder, max_attempts)
     return responder, engine, error
 
--- a/balsamwind/relay/tests/test_stream_retries.py
+++ b/balsamwind/relay/tests/test_stream_retries.py
@@ -244,3 +244,50 @@
     assert responder.complete
     assert placement.ends == expected
     assert placement.stalls == []
+
+
+LEAVING = 'Server-Leaving: 1\r\n'
+
+
+def _make_short_answer(status, extra=''):
+    head = forwarding.make_head(
+        status, 'text/plain', f'{LEAVING}Content-Length: 2\r\n{extra}'
+    )
+    return [head + b'no']
+
+
+@pytest.mark.parametrize(
+    ('script', 'expected'),
+    [
+        pytest.param(
+            [
+                forwarding.make_head(framing=LEAVING + forwarding.CHUNKED),
+                forwarding.make_chunk(forwarding.make_event(0)),
+                forwarding.LAST_CHUNK,
+            ],
+            ['e0'],
+            id='stream',
+        ),
+        pytest.param(_make_short_answer(500), ['e0'], id='failure'),
+        pytest.param(
+            _make_short_answer(503, 'X-Balsamwind-Not-Executed: 1\r\n'),
+            ['e0'],
+            id='rejection',
+        ),
+        pytest.param(
+            _make_short_answer(421), [], id='another server at its address'
+        ),
+    ],
+)
+def test_server_that_says_it_leaves_is_reported(script, expected):
+    async def run():
+        fake_relay = None
+
+        def keep(created):
+            nonlocal fake_relay
+            fake_relay = created
+
+        await forwarding.forward([script, REST], on_relay=keep)
+        return fake_relay.leaving
+
+    assert asyncio.run(run()) == expected
--- a/standins/pool/_engine.py
+++ b/standins/pool/_engine.py
@@ -49,6 +49,8 @@
         host.
     gone : bool
         Whether it resets all new calls, as if its process were dead.
+    leaving : bool
+        Whether all its answers say that it is leaving.
     cut_from_store : bool
         Whether it cannot write its entry.
     served_headers : list of dict
@@ -92,6 +94,7 @@
         self.slot_count = 9
         self.queue_limit = 20
         self.dark = False
+        self.leaving = False
         self.cut_from_store = False
         self.gone = False
         self.served_headers = []
@@ -182,6 +185,7 @@
         The new process has a higher incarnation number.
         """
         self.kill()
+        self.leaving = False
         self.incarnation += 1
         self.state = 'ready'
         self.write_entry()
--- a/standins/pool/_engine_handlers.py
+++ b/standins/pool/_engine_handlers.py
@@ -43,6 +43,8 @@
             await asyncio.sleep(0.02)
             if self._engine.incarnation != incarnation or self._disconnected:
                 self._reset()
+        if self._engine.leaving:
+            self.set_header('Server-Leaving', '1')
 
 
 class ReportHandler(_EngineHandler):
