Void what was held before the store's new era

The store may come back from a copy some seconds old. Its revisions go back and are given out again, so that a watch, a conditional write or an entry of before could fit another history; leases and fencing numbers were used again; an older version in the store even proved the newer one in force.

Store-Era is read in each answer of the store. Revisions carry their era in the upper bits: they grow over eras, and one of an earlier era fits nothing. A new era gives up leases (taken again one duration later, with fencing numbers above all of the era before), keeps known entries for as long as it takes the backend servers to renew or lose theirs, accepts no proof of the configuration for 3 s nor any from a store that holds an older version, and writes registrations and evidence again. A stale or unreadable era is ignored and logged once.

--- a/balsamwind/control/_lease.py
+++ b/balsamwind/control/_lease.py
@@ -67,6 +67,7 @@
         '_held_until',
         '_initial_wait',
         '_margin',
+        '_min_fencing',
         '_node',
         '_observed_duration',
         '_previous_duration',
@@ -90,6 +91,7 @@
         self._previous_duration = None
         self._acquired_revision = 0
         self._fencing = 0
+        self._min_fencing = 0
 
     @property
     def revision(self):
@@ -127,6 +129,16 @@
         """
         self._initial_wait = wait
 
+    def set_min_fencing(self, fencing):
+        """Set the lowest fencing number of a lease that this node takes.
+
+        Parameters
+        ----------
+        fencing : int
+            Number above all that were used before the store lost changes.
+        """
+        self._min_fencing = fencing
+
     def get_takeover_delay(self, lease):
         """Return how long a lease must be unchanged before a takeover.
 
@@ -222,18 +234,27 @@
         if self._defers_to_others(stored, now):
             return None
         if stored is None:
-            return self._write(1, 0, operation)
+            return self._write(self._find_next_fencing(0), 0, operation)
         lease = stored.value
         self._observed_duration = None
         if lease.holder == self._node:
             if self.holds(now) and now < self._renew_at:
                 return None
-            fencing = lease.fencing + (0 if self.holds(now) else 1)
+            fencing = (
+                lease.fencing
+                if self.holds(now)
+                else self._find_next_fencing(lease.fencing)
+            )
             return self._write(fencing, stored.revision, operation)
         if lease.holder and age < self.get_takeover_delay(lease):
             return None
         self._observed_duration = lease.duration if lease.holder else 0.0
-        return self._write(lease.fencing + 1, stored.revision, operation)
+        fencing = self._find_next_fencing(lease.fencing)
+        return self._write(fencing, stored.revision, operation)
+
+    def _find_next_fencing(self, stored):
+        """Return a fencing number above all that are known."""
+        return max(stored + 1, self._fencing + 1, self._min_fencing)
 
     def _defers_to_others(self, stored, now):
         """Whether to leave a free lease to nodes with a shorter wait."""
--- a/balsamwind/node/_configuration_updater.py
+++ b/balsamwind/node/_configuration_updater.py
@@ -2,6 +2,11 @@
 
 from balsamwind import traffic
 
+REWRITE_TIME = 3.0
+"""Time after the store has come back from an older copy within which the
+operator writes the newest version again (seconds). What the store holds before
+proves nothing."""
+
 
 class ConfigurationUpdater:
     """Puts what the store or a publisher sends in force.
@@ -34,6 +39,20 @@
         self._log = log
         self._on_change = on_change
         self.revision = 0
+        self._store_is_behind = False
+        self._proofs_count_from = float('-inf')
+
+    def handle_restored_store(self, now):
+        """Accept no proof until the newest version must be stored again.
+
+        Parameters
+        ----------
+        now : float
+            When the store was found to be from an older copy (seconds, boot
+            clock).
+        """
+        self.revision = 0
+        self._proofs_count_from = now + REWRITE_TIME
 
     @property
     def version(self):
@@ -53,7 +72,8 @@
             When the read of the store was sent (seconds, boot clock).
         """
         previous = self._configuration_cache.configuration
-        if configuration.version < self.version:
+        self._store_is_behind = configuration.version < self.version
+        if self._store_is_behind:
             self._log.warning(
                 'configuration_older',
                 version=configuration.version,
@@ -79,6 +99,8 @@
     def confirm(self, revision, proved_at):
         """Record a proof that the version in force is the newest.
 
+        A store that holds an older version proves nothing.
+
         Parameters
         ----------
         revision : int
@@ -87,6 +109,8 @@
             When the read of the store was sent, or a lower bound of it
             (seconds, boot clock).
         """
+        if self._store_is_behind or proved_at < self._proofs_count_from:
+            return
         self.revision = max(self.revision, revision)
         self._configuration_cache.record_proof(proved_at)
         self._publisher.publish_proof(self.revision, proved_at)
--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -122,6 +122,10 @@
         if self._concerns_store(news):
             self._write_due.set()
 
+    def write_again(self):
+        """Write the evidence again, as the store may have lost it."""
+        self._write_due.set()
+
     def _concerns_store(self, news):
         is_own = any(
             report.data_centre == self._data_centre for report in news.reports
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -10,6 +10,7 @@
 from balsamwind import exceptions
 from balsamwind.node import _action_executor
 from balsamwind.node import _lease
+from balsamwind.node import _lease_records
 from balsamwind.node import _prober
 from balsamwind import pool
 
@@ -138,7 +139,7 @@
             data_centre,
             settings.name,
             data_centre == settings.data_centre,
-            platform,
+            _lease_records.LeaseRecords(platform.store),
             clock,
             self._log,
         )
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -61,6 +61,10 @@
 """Steps over which the first reads of nodes of a high rank are spread
 (count)."""
 
+FENCING_PER_ERA = 1 << 20
+"""Distance of the fencing numbers of two eras of the store, so that none is
+used again after changes of the holder were lost (count)."""
+
 CALL_TIMEOUT = 0.5
 """Timeout of one call to the store (seconds)."""
 
@@ -76,17 +80,17 @@
         Name of this node.
     local : bool
         Whether the shard is the data centre of this node.
-    platform : balsamwind.platform.PlatformClient
-        Client of the platform's store.
+    records : LeaseRecords
+        Leases in the store.
     clock : balsamwind.ports.Clock
         Monotonic clock.
     log : structlog logger
         Logger of the shard.
     """
 
-    def __init__(self, shard, node, local, platform, clock, log):
+    def __init__(self, shard, node, local, records, clock, log):
         self.shard = shard
-        self._platform = platform
+        self._records = records
         self._clock = clock
         self._log = log
         self._local = local
@@ -131,6 +135,20 @@
         self._manager.invalidate()
         self._manager.back_off(self._clock.monotonic() + LEASE_DURATION)
 
+    def handle_restored_store(self):
+        """Give up the lease, as the store has lost its last changes.
+
+        A holder that does not know this yet acts for one duration at most, so
+        the lease is not taken sooner.
+        """
+        now = self._clock.monotonic()
+        self._manager.invalidate()
+        self._manager.back_off(now + LEASE_DURATION)
+        self._stored = None
+        self._unchanged_since = now
+        self._next_read_at = now
+        self._log_change()
+
     def set_rank(self, rank, candidate_count):
         """Set the rank that determines how often and how early this node acts.
 
@@ -212,7 +230,7 @@
         self._log_change()
 
     async def _read(self, may_be_stale):
-        found = await self._platform.read_lease(
+        found = await self._records.read_lease(
             self.shard, CALL_TIMEOUT, may_be_stale
         )
         if may_be_stale and _is_older(found, self._stored):
@@ -232,6 +250,7 @@
 
     def _plan_write(self):
         now = self._clock.monotonic()
+        self._manager.set_min_fencing(self._records.era * FENCING_PER_ERA)
         return self._manager.plan_write(
             self._stored,
             now - self._unchanged_since,
@@ -245,12 +264,12 @@
         if decision is None:
             return
         try:
-            written = await self._platform.write_lease(
+            written = await self._records.write_lease(
                 decision.value, decision.expected, CALL_TIMEOUT
             )
         except exceptions.StoreError:
             # The write may have taken effect, so the lease is read back.
-            written = await self._platform.read_lease(self.shard, CALL_TIMEOUT)
+            written = await self._records.read_lease(self.shard, CALL_TIMEOUT)
             if written is None or written.value != decision.value:
                 raise
         self._stored = written
@@ -271,7 +290,7 @@
         if decision is None:
             return
         try:
-            await self._platform.write_lease(
+            await self._records.write_lease(
                 decision.value, decision.expected, CALL_TIMEOUT
             )
         except (exceptions.StoreError, exceptions.Conflict) as error:
--- /dev/null
+++ b/balsamwind/node/_lease_records.py
@@ -0,0 +1,73 @@
+"""Leases of shards in the store."""
+
+from balsamwind import exceptions
+from balsamwind import objects
+
+KIND = 'balsamwind-leases'
+"""Kind of the objects."""
+
+
+class LeaseRecords:
+    """Reads and writes the leases of shards.
+
+    The methods raise `balsamwind.exceptions.StoreError` if the store does not
+    answer within their `timeout` (seconds), or if the lease is malformed.
+
+    Parameters
+    ----------
+    store : object
+        Client of the store, with the methods `get`, `create` and `replace`
+        for objects of any kind.
+    """
+
+    __slots__ = ('_store',)
+
+    def __init__(self, store):
+        self._store = store
+
+    @property
+    def era(self):
+        """Era of the store; it grows when the store lost its last changes."""
+        return self._store.era
+
+    async def read_lease(self, shard, timeout, may_be_stale=False):
+        """Read the lease of a shard; an `ObjectVersion`, or None.
+
+        A read that `may_be_stale` may return data that is seconds old.
+        """
+        stored = await self._store.get(KIND, shard, timeout, may_be_stale)
+        return None if stored is None else _decode(shard, stored)
+
+    async def write_lease(self, lease, expected_revision, timeout):
+        """Write a lease on condition of its revision; the new `ObjectVersion`.
+
+        Parameters
+        ----------
+        lease : balsamwind.objects.Lease
+            Lease to write.
+        expected_revision : int
+            Revision that the stored lease must have; 0 if none must exist.
+
+        Raises
+        ------
+        balsamwind.exceptions.Conflict
+            The stored lease has another revision.
+        """
+        spec = objects.encode(lease)
+        if expected_revision == 0:
+            stored = await self._store.create(KIND, lease.shard, spec, timeout)
+        else:
+            stored = await self._store.replace(
+                KIND, lease.shard, spec, expected_revision, timeout
+            )
+        return _decode(lease.shard, stored)
+
+
+def _decode(shard, stored):
+    try:
+        lease = objects.decode(objects.Lease, {**stored.spec, 'shard': shard})
+    except (TypeError, ValueError) as error:
+        raise exceptions.StoreError(
+            f'malformed lease of shard {shard}: {error!r}'
+        ) from None
+    return objects.ObjectVersion('lease', shard, stored.revision, lease)
--- a/balsamwind/node/_node_discovery.py
+++ b/balsamwind/node/_node_discovery.py
@@ -1,6 +1,7 @@
 """Registration of this node, and discovery of the other nodes."""
 
 import asyncio
+import contextlib
 
 from balsamwind import exceptions
 from balsamwind.node import _ranking
@@ -39,16 +40,16 @@
         self._records = records
         self._log = log
         self._on_nodes = on_nodes
+        self._registered = False
+        self._wake = asyncio.Event()
 
     async def run(self):
         """Register, then read the list of nodes regularly; never returns."""
-        registered = False
         listed = False
         while True:
             try:
-                if not registered:
+                if not self._registered:
                     await self._register()
-                    registered = True
                 # An old list does no harm later: it only sets ranks.
                 nodes = await self._records.list(
                     CALL_TIMEOUT, may_be_stale=listed
@@ -59,7 +60,17 @@
             else:
                 listed = True
                 self._on_nodes(nodes)
-                await asyncio.sleep(LIST_INTERVAL)
+                await self._sleep(LIST_INTERVAL)
+
+    async def _sleep(self, seconds):
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._wake.wait(), seconds)
+        self._wake.clear()
+
+    def write_again(self):
+        """Register again, as the store may have lost the registration."""
+        self._registered = False
+        self._wake.set()
 
     async def _register(self):
         node = _ranking.RegisteredNode(
@@ -68,5 +79,6 @@
         await self._records.register(
             node, self._settings.data_centre, CALL_TIMEOUT
         )
+        self._registered = True
         if self._settings.first_start:
             await asyncio.sleep(REGISTRATION_DELAY)
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -22,6 +22,7 @@
 from balsamwind.node import _publisher_link
 from balsamwind.node import _ranking
 from balsamwind.node import _request_log
+from balsamwind.node import _restored_store
 from balsamwind.node import _server_watcher
 from balsamwind.node import _state
 from balsamwind.node import _update_publisher
@@ -241,6 +242,16 @@
             )
             for data_centre in settings.data_centres
         ]
+        self._restored_store = _restored_store.RestoredStoreHandler(
+            settings.bounds,
+            self.registry,
+            updater,
+            [leader.lease for leader in self._leaders],
+            [self._node_discovery, self._evidence],
+            self._clock,
+            self._log,
+        )
+        platform.store.on_era = self._restored_store.handle_era
         self._state = _state.NodeStateCollector(
             self.configuration_cache,
             self.registry,
@@ -329,6 +340,7 @@
         )
         self.subscriber.max_proof_age = _find_reliance_time(settings.bounds)
         self.subscriber.drain_time = settings.bounds.drain_time
+        self._restored_store.bounds = settings.bounds
         for leader in self._leaders:
             leader.settings = self._settings
 
--- a/balsamwind/node/_server_watcher.py
+++ b/balsamwind/node/_server_watcher.py
@@ -112,6 +112,8 @@
         revision, records = await self._platform.list_servers(CALL_TIMEOUT)
         now = self._clock.monotonic()
         self._next_list_at = now + RELIST_INTERVAL
+        if now < self._registry.restored_until:
+            self._next_list_at = self._registry.restored_until
         self._record_answer(now)
         changed, removed = self._registry.apply_full_list(records, now)
         self._registry.evict_expired(now)
--- a/balsamwind/node/tests/test_lease.py
+++ b/balsamwind/node/tests/test_lease.py
@@ -26,6 +26,8 @@
         self.stale = None
         self.serves_stale = False
 
+    era = 0
+
     async def read_lease(self, shard, timeout, may_be_stale=False):
         self.reads += 1
         if may_be_stale:
--- a/balsamwind/node/tests/test_prober.py
+++ b/balsamwind/node/tests/test_prober.py
@@ -14,6 +14,8 @@
 class _SilentPlatform:
     """Platform whose engines do not answer."""
 
+    store = None
+
     def __init__(self):
         self.probes = []
 
@@ -70,6 +72,8 @@
 class _ListingPlatform:
     """Platform that lists one engine."""
 
+    store = None
+
     async def list_servers(self, timeout):
         return 5, [_make_engine('llm-1', 'llm')]
 
--- a/balsamwind/platform/_client.py
+++ b/balsamwind/platform/_client.py
@@ -1,16 +1,12 @@
 """Client of the platform's store and model engines, used by nodes."""
 
 from balsamwind import exceptions
-from balsamwind import objects
 from balsamwind.platform import _configuration
 from balsamwind.platform import _headers
 from balsamwind.platform import _servers
 from balsamwind.platform import _store
 from balsamwind import pool
 
-LEASE_KIND = 'balsamwind-leases'
-"""Kind of the objects that hold the leases of shards."""
-
 _KIND_LABELS = {_configuration.KIND: 'configuration'}
 """Names of kinds of objects in logs and metrics; others have their own."""
 
@@ -50,25 +46,22 @@
 
     Attributes
     ----------
-    on_server_leaving : callable or None
+    on_server_leaving : callable
         Called with the id and the start of an engine that says it leaves.
+    store : balsamwind.platform._store.StoreClient
+        As given, for objects of the nodes' own kinds.
     """
 
-    __slots__ = ('_client', '_store', 'header_codec', 'on_server_leaving')
-
-    @property
-    def store(self):
-        """Client of the store, for objects of the nodes' own kinds."""
-        return self._store
+    __slots__ = ('_client', 'header_codec', 'on_server_leaving', 'store')
 
     readiness_path = '/v1/ready'
     """Path of a node's readiness endpoint."""
 
     def __init__(self, client, store):
         self._client = client
-        self._store = store
+        self.store = store
         self.header_codec = _headers.HeaderCodec()
-        self.on_server_leaving = None
+        self.on_server_leaving = lambda server_id, born: None
 
     @property
     def store_call_counts(self):
@@ -78,7 +71,7 @@
                 _KIND_LABELS.get(kind, kind.removeprefix(OWN_KIND_PREFIX)),
                 purpose,
             ): count
-            for (kind, purpose), count in self._store.call_counts.items()
+            for (kind, purpose), count in self.store.call_counts.items()
         }
 
     async def read_configuration(self, timeout):
@@ -89,7 +82,7 @@
         balsamwind.exceptions.StoreError
             Also if there is no configuration, or it is malformed.
         """
-        revision, items = await self._store.list(_configuration.KIND, timeout)
+        revision, items = await self.store.list(_configuration.KIND, timeout)
         configuration = _find_configuration(items)
         if configuration is None:
             raise exceptions.StoreError('no configuration object in the store')
@@ -107,7 +100,7 @@
         timeout : float
             Longest wait for the response, more than `wait` (seconds).
         """
-        revision, items = await self._store.watch(
+        revision, items = await self.store.watch(
             _configuration.KIND, since, wait, timeout
         )
         return revision, _find_configuration(items)
@@ -117,7 +110,7 @@
 
         Malformed entries are left out.
         """
-        revision, items = await self._store.list(_servers.KIND, timeout)
+        revision, items = await self.store.list(_servers.KIND, timeout)
         return revision, [
             record
             for record in map(_decode_server, items)
@@ -131,7 +124,7 @@
         deleted or is malformed. The parameters are those of
         `watch_configuration`.
         """
-        revision, items = await self._store.watch(
+        revision, items = await self.store.watch(
             _servers.KIND, since, wait, timeout
         )
         changes = []
@@ -142,39 +135,6 @@
             changes.append(record)
         return revision, changes
 
-    async def read_lease(self, shard, timeout, may_be_stale=False):
-        """Read the lease of a shard; an `ObjectVersion`, or None."""
-        stored = await self._store.get(
-            LEASE_KIND, shard, timeout, may_be_stale
-        )
-        return None if stored is None else _decode_lease(shard, stored)
-
-    async def write_lease(self, lease, expected_revision, timeout):
-        """Write a lease on condition of its revision; the new `ObjectVersion`.
-
-        Parameters
-        ----------
-        lease : balsamwind.objects.Lease
-            Lease to write.
-        expected_revision : int
-            Revision that the stored lease must have; 0 if none must exist.
-
-        Raises
-        ------
-        balsamwind.exceptions.Conflict
-            The stored lease has another revision.
-        """
-        spec = objects.encode(lease)
-        if expected_revision == 0:
-            stored = await self._store.create(
-                LEASE_KIND, lease.shard, spec, timeout
-            )
-        else:
-            stored = await self._store.replace(
-                LEASE_KIND, lease.shard, spec, expected_revision, timeout
-            )
-        return _decode_lease(lease.shard, stored)
-
     async def fetch_engine_report(self, record, timeout):
         """Fetch the current report of an engine; a `ServerReport`.
 
@@ -235,11 +195,7 @@
 
     def _check_leaving(self, record, response):
         # An answer with status 421 comes from another server.
-        if (
-            self.on_server_leaving is not None
-            and response.status != 421
-            and _headers.says_leaving(response.headers)
-        ):
+        if response.status != 421 and _headers.says_leaving(response.headers):
             self.on_server_leaving(record.server_id, record.born)
 
     def _make_server_headers(self, record):
@@ -264,9 +220,3 @@
         return _servers.decode_server(item.name, item.revision, item.spec)
     except (AttributeError, KeyError, TypeError, ValueError):
         return None
-
-
-def _decode_lease(shard, stored):
-    with _store.check_malformed(f'lease of shard {shard}'):
-        lease = objects.decode(objects.Lease, {**stored.spec, 'shard': shard})
-    return objects.ObjectVersion('lease', shard, stored.revision, lease)
--- a/balsamwind/platform/_store.py
+++ b/balsamwind/platform/_store.py
@@ -11,6 +11,11 @@
 MAX_PAGES = 200
 """Most pages that are read for one list of objects (count)."""
 
+ERA_BITS = 40
+"""Bits of a revision number below those of its era."""
+
+_ERA = 'Store-Era'
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class StoredObject:
@@ -21,7 +26,7 @@
     name : str
         Name of the object, unique among those of its kind.
     revision : int
-        Store revision of the object's last change.
+        Store revision of the object's last change, with the era above it.
     spec : object
         Content of the object as decoded from JSON.
     deleted : bool
@@ -44,20 +49,35 @@
     that is seconds old. `call_counts` holds the number of requests by kind and
     purpose.
 
+    A store that comes back from an older copy begins a new era and gives out
+    its revisions again. All revisions here carry their era in the upper bits,
+    so that later ones are larger across eras; one of an earlier era fits
+    nothing any more. Answers of an earlier era are dropped.
+
     Parameters
     ----------
     client : balsamwind.adapters.HttpClient
         Client that opens the connections to the store.
     address : str
         ``host:port`` of the store.
+
+    Attributes
+    ----------
+    era : int
+        Highest era that an answer has stated; 0 if none has.
+    on_era : callable
+        Called with the era before and the one that an answer states, if they
+        differ; a lower one is that of a stale answer, None is unreadable.
     """
 
-    __slots__ = ('_client', '_objects_url', 'call_counts')
+    __slots__ = ('_client', '_objects_url', 'call_counts', 'era', 'on_era')
 
     def __init__(self, client, address):
         self._client = client
         self._objects_url = f'http://{address}/v1/objects'
         self.call_counts = collections.Counter()
+        self.era = 0
+        self.on_era = lambda previous, era: None
 
     async def get(self, kind, name, timeout, may_be_stale=False):
         """Read an object; a `StoredObject`, or None if it does not exist."""
@@ -69,7 +89,7 @@
         if status == 404:
             return None
         self._check_status(status, kind)
-        return _decode_stored_object(body)
+        return self._decode_stored_object(body)
 
     async def list(self, kind, timeout, may_be_stale=False):
         """Read all objects of a kind.
@@ -91,10 +111,10 @@
             )
             self._check_status(status, kind)
             page = _parse_json_object(body)
-            page_items = _decode_valid_objects(page.get('Items') or ())
+            page_items = self._decode_valid_objects(page.get('Items') or ())
             items.extend(page_items)
             if revision is None:
-                revision = _decode_revision(page)
+                revision = self._decode_revision(page)
             if not page.get('HasMore'):
                 return revision, items
             if not page_items:
@@ -113,12 +133,18 @@
         Raises
         ------
         balsamwind.exceptions.HistoryGone
-            The store has discarded changes after `since`, or a change can't be
-            read; a new list is due.
+            The store has discarded changes after `since` or began a new era,
+            or a change can't be read; a new list is due.
         """
+        since_in_era = self._find_number_in_era(since)
+        if since_in_era is None:
+            raise exceptions.HistoryGone(f'{kind}: the store has a new era')
+        era = self.era
         self.call_counts[kind, 'watch'] += 1
-        path = f'/{kind}?Watch={since}&WaitMs={int(wait * 1000)}'
+        path = f'/{kind}?Watch={since_in_era}&WaitMs={int(wait * 1000)}'
         status, body = await self._call('GET', path, timeout)
+        if era and self.era != era:
+            raise exceptions.HistoryGone(f'{kind}: the store has a new era')
         if status == 410:
             raise exceptions.HistoryGone(f'revision {since} is no longer held')
         self._check_status(status, kind)
@@ -126,7 +152,7 @@
         changes = []
         for event in page.get('events') or ():
             try:
-                item = _decode_object(event['Object'])
+                item = self._decode_object(event['Object'])
             except (KeyError, TypeError, ValueError):
                 raise exceptions.HistoryGone(
                     f'{kind}: malformed change after revision {since}'
@@ -134,7 +160,7 @@
             if event.get('Deleted') is True:
                 item = dataclasses.replace(item, deleted=True)
             changes.append(item)
-        return _decode_revision(page), changes
+        return self._decode_revision(page), changes
 
     async def create(self, kind, name, spec, timeout):
         """Create an object with the content `spec`.
@@ -155,23 +181,30 @@
         Raises
         ------
         balsamwind.exceptions.Conflict
-            The object has another revision or does not exist.
+            The object has another revision or does not exist, or the store
+            began a new era meanwhile: then the write may have taken effect.
         """
+        number = self._find_number_in_era(revision)
+        era = self.era
+        if number is None:
+            raise exceptions.Conflict(f'{kind}/{name}: of an earlier era')
         self.call_counts[kind, 'write'] += 1
-        payload = {
-            'Metadata': {'Name': name, 'Revision': revision},
-            'Spec': spec,
-        }
+        payload = {'Metadata': {'Name': name, 'Revision': number}}
+        payload['Spec'] = spec
         status, body = await self._call(
             'PUT', f'/{kind}/{name}', timeout, payload
         )
+        if era and self.era != era:
+            raise exceptions.Conflict(
+                f'{kind}/{name}: the store has a new era'
+            )
         return self._decode_write_response(status, body, kind, name)
 
     def _decode_write_response(self, status, body, kind, name):
         if status in (404, 409):
             raise exceptions.Conflict(f'{kind}/{name}: got status {status}')
         self._check_status(status, kind)
-        return _decode_stored_object(body)
+        return self._decode_stored_object(body)
 
     def _count_read(self, kind, purpose, may_be_stale):
         """Count a read; one that may return old data costs much less."""
@@ -197,8 +230,60 @@
             )
         except exceptions.TransportError as error:
             raise exceptions.StoreError(f'{method} {path}: {error}') from error
+        self._check_era(response.headers.get(_ERA, ''))
         return response.status, response.body
 
+    def _check_era(self, text):
+        """Note the era of an answer; one without a readable era fits any."""
+        if not text:
+            return
+        is_readable = text.isascii() and text.isdigit() and len(text) <= 4
+        era = int(text) if is_readable else None
+        if era == self.era:
+            return
+        if era is None:
+            self.on_era(self.era, None)
+            return
+        previous, self.era = self.era, max(era, self.era)
+        if previous:
+            self.on_era(previous, era)
+        if era < previous:
+            raise exceptions.StoreError(f'answer of the earlier era {era}')
+
+    def _find_number_in_era(self, revision):
+        """Return a revision as the store counts it; None if it is void."""
+        era, number = divmod(revision, 1 << ERA_BITS)
+        return number if era in (0, self.era) else None
+
+    def _add_era(self, number):
+        return (self.era << ERA_BITS) + int(number)
+
+    def _decode_stored_object(self, body):
+        with check_malformed('object'):
+            return self._decode_object(_parse_json_object(body))
+
+    def _decode_revision(self, page):
+        with check_malformed('page'):
+            return self._add_era(page['StoreRevision'])
+
+    def _decode_valid_objects(self, rows):
+        """Decode objects as the store sends them, but for malformed ones."""
+        objects = []
+        for row in rows:
+            try:
+                objects.append(self._decode_object(row))
+            except (KeyError, TypeError, ValueError):
+                continue
+        return objects
+
+    def _decode_object(self, row):
+        metadata = row['Metadata']
+        return StoredObject(
+            str(metadata['Name']),
+            self._add_era(metadata['Revision']),
+            row.get('Spec'),
+        )
+
 
 @contextlib.contextmanager
 def check_malformed(what):
@@ -212,31 +297,3 @@
 def _parse_json_object(body):
     with check_malformed('response'):
         return dict(json.loads(body))
-
-
-def _decode_stored_object(body):
-    with check_malformed('object'):
-        return _decode_object(_parse_json_object(body))
-
-
-def _decode_revision(page):
-    with check_malformed('page'):
-        return int(page['StoreRevision'])
-
-
-def _decode_valid_objects(rows):
-    """Decode objects as the store sends them; malformed ones are left out."""
-    objects = []
-    for row in rows:
-        try:
-            objects.append(_decode_object(row))
-        except (KeyError, TypeError, ValueError):
-            continue
-    return objects
-
-
-def _decode_object(row):
-    metadata = row['Metadata']
-    return StoredObject(
-        str(metadata['Name']), int(metadata['Revision']), row.get('Spec')
-    )
--- a/balsamwind/platform/tests/test_store.py
+++ b/balsamwind/platform/tests/test_store.py
@@ -7,8 +7,8 @@
 from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind.node.tests import helpers
-from balsamwind import objects
 from balsamwind import platform
+from balsamwind.platform import _store
 from balsamwind import pool
 
 
@@ -51,7 +51,10 @@
             )
         fake_platform.store.put('servers', 'zz', {'Service': 7})
         revision, records = await client.list_servers(1.0)
-        return revision == fake_platform.store.revision, len(records)
+        expected = (
+            fake_platform.store.era << _store.ERA_BITS
+        ) + fake_platform.store.revision
+        return revision == expected, len(records)
 
     assert _run(scenario) == (True, 120)
 
@@ -103,7 +106,7 @@
             client.read_configuration(0.1),
             client.list_servers(0.1),
             client.watch_servers(5, 0.05, 0.1),
-            client.read_lease('s', 0.1),
+            client.store.get('leases', 's', 0.1),
         ):
             with pytest.raises(exceptions.StoreError):
                 await call
@@ -111,24 +114,6 @@
     _run(scenario)
 
 
-def test_lease_write_is_conditional_on_revision():
-    async def scenario(fake_platform, client):
-        lease = objects.Lease('s', 'n1', 1, 2.0, 'op')
-        assert await client.read_lease('s', 1.0) is None
-        stored = await client.write_lease(lease, 0, 1.0)
-        assert (await client.read_lease('s', 1.0)) == stored
-        for expected in (0, stored.revision + 5):
-            with pytest.raises(exceptions.Conflict):
-                await client.write_lease(lease, expected, 1.0)
-        unchanged = await client.write_lease(lease, stored.revision, 1.0)
-        assert unchanged.revision == stored.revision
-        renewed = objects.Lease('s', 'n1', 1, 2.0, 'op2')
-        updated = await client.write_lease(renewed, stored.revision, 1.0)
-        return updated.revision > stored.revision
-
-    assert _run(scenario)
-
-
 def test_order_without_response_is_unknown():
     async def scenario(fake_platform, client):
         engine = fake_platform.engines['e0']
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -41,6 +41,7 @@
         '_listeners',
         '_records',
         '_records_by_service',
+        '_restored_until',
         '_unlisted_since',
         'change_count',
     )
@@ -53,6 +54,7 @@
         self._unlisted_since = {}
         self._listed_since = {}
         self._grace_until = float('-inf')
+        self._restored_until = float('-inf')
         self.change_count = 0
 
     def __iter__(self):
@@ -171,11 +173,42 @@
         """
         self._grace_until = now + RELISTING_GRACE
 
+    def start_restore_grace(self, until):
+        """Distrust lists for a while, as the store is from an older copy.
+
+        Parameters
+        ----------
+        until : float
+            Monotonic time from which each listed entry has been written again
+            (seconds).
+        """
+        self._restored_until = until
+
+    @property
+    def restored_until(self):
+        """Until when lists are distrusted (monotonic time, seconds)."""
+        return self._restored_until
+
+    def _rebase(self, records):
+        """Keep what is known of the entries of a store from an older copy.
+
+        An entry that is written again comes as a change with a later
+        revision, and so do those that are not known here.
+        """
+        for record in records:
+            known = self._records.get(record.server_id)
+            if known is not None and known.revision < record.revision:
+                self._set_record(
+                    record.server_id,
+                    dataclasses.replace(known, revision=record.revision),
+                )
+
     def apply_full_list(self, records, now):
         """Apply a full list of entries.
 
         Servers that the list does not contain become unlisted, unless the
-        store was unavailable a moment ago.
+        store was unavailable a moment ago. While the store may hold an older
+        copy, known entries keep their content and others are not added.
 
         Parameters
         ----------
@@ -190,6 +223,9 @@
             Entries that were not known like this, and those that became
             unlisted.
         """
+        if now < self._restored_until and self._records:
+            self._rebase(records)
+            return [], []
         records = [self.correct(record) for record in records]
         listed_ids = {record.server_id for record in records}
         changed = [
--- a/standins/pool/_store.py
+++ b/standins/pool/_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
 import json
 import random
@@ -46,6 +47,8 @@
     def _answer(self, status, value=None):
         self.set_status(status)
         self.set_header('Content-Type', 'application/json')
+        if self._store.era:
+            self.set_header('Store-Era', str(self._store.era))
         self.finish(json.dumps(value) if value is not None else '')
 
     def _reset(self):
@@ -75,7 +78,9 @@
         since = self.get_query_argument('Watch', None)
         if since is None:
             return self._list(kind)
-        if int(since) < self._store.oldest_revision:
+        if not (
+            self._store.oldest_revision <= int(since) <= self._store.revision
+        ):
             return self._answer(410)
         timeout = int(self.get_query_argument('WaitMs', '1000')) / 1000
         events = await self._store.wait_for_events(kind, int(since), timeout)
@@ -139,6 +144,8 @@
         Current faults.
     calls : list of tuple of str
         Method and URI of each call.
+    era : int
+        Era that all answers state; 0 states none.
     """
 
     def __init__(self):
@@ -149,6 +156,7 @@
         self.oldest_revision = 0
         self.faults = StoreFaults()
         self.calls = []
+        self.era = 1
 
     def get_objects(self, kind):
         """Return the objects of a kind, by name.
@@ -211,6 +219,29 @@
             self.revision += 1
             self._append_event(kind, stored, True)
 
+    def make_copy(self):
+        """Make a copy of all objects, to which `restore` can go back."""
+        return self.revision, copy.deepcopy(self._objects)
+
+    def restore(self, saved):
+        """Go back to a copy; all changes since are lost.
+
+        Revisions are given out again, and a new era begins.
+
+        Parameters
+        ----------
+        saved : tuple
+            Result of `make_copy`.
+        """
+        self.revision, objects = saved
+        self._objects = copy.deepcopy(objects)
+        self._events = [
+            event for event in self._events if event[0] <= self.revision
+        ]
+        self.era += 1
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def drop_history(self):
         """Drop all events.
 
