Restore the store from older copies in the soak

The stand-in store loses the changes of some seconds; the operator writes its newest configuration again, the engines do with their heartbeats.

--- a/build_tools/pool_soak/__main__.py
+++ b/build_tools/pool_soak/__main__.py
@@ -101,9 +101,13 @@
         _faults.FaultInjector(fleet, checker, number, arguments.seed)
         for number in range(arguments.at_once)
     ]
-    await asyncio.gather(
-        *(injector.run(arguments.seconds) for injector in injectors)
-    )
+    faults = [injector.run(arguments.seconds) for injector in injectors]
+    if arguments.restores:
+        injector = _faults.FaultInjector(
+            fleet, checker, 'restores', arguments.seed
+        )
+        faults.append(injector.run_store_restores(arguments.seconds))
+    await asyncio.gather(*faults)
     duration = await _wait_until_serving(fleet, checker, RECOVERY_TIMEOUT, 950)
     if duration is None:
         checker.violate(
@@ -155,6 +159,11 @@
     parser.add_argument('--at-once', type=int, default=2)
     parser.add_argument('--nodes-per-zone', type=int, default=2)
     parser.add_argument('--callers', type=int, default=24)
+    parser.add_argument(
+        '--restores',
+        action='store_true',
+        help='restore the store from older copies as well',
+    )
     parser.add_argument(
         '--keep',
         default=None,
--- a/build_tools/pool_soak/_faults.py
+++ b/build_tools/pool_soak/_faults.py
@@ -10,6 +10,10 @@
 EXIT_TIMEOUT = _fleet.NODE_BOUNDS['GraceS'] + 0.3
 """Time within which a signalled process must exit (seconds)."""
 
+RESTORE_TIME = 8.0
+"""Time after the store came back from an older copy within which leases are
+taken anew and the configuration is proved again (seconds)."""
+
 RECOVERY_TIME = 2.5
 """Time for which a node may still be affected after a fault has been cleared
 (seconds)."""
@@ -77,6 +81,30 @@
             print(f'{elapsed:6.1f} s  {description}', flush=True)
             await asyncio.sleep(self._rng.uniform(0.1, 1.5))
 
+    async def run_store_restores(self, seconds):
+        """Restore the store from older copies for some time.
+
+        Parameters
+        ----------
+        seconds : float
+            Time after which no restore is begun (seconds).
+        """
+        started_at = time.monotonic()
+        while (elapsed := time.monotonic() - started_at) < seconds:
+            age = self._rng.uniform(0.5, 4.0)
+            self._mark_all_disturbed(age + RECOVERY_TIME + RESTORE_TIME)
+            await self._fleet.send_command(
+                restore_store={
+                    'age': age,
+                    'rewrite_delay': self._rng.uniform(0.1, 1.5),
+                }
+            )
+            print(
+                f'{elapsed:6.1f} s  the store lost the changes of {age:.1f} s',
+                flush=True,
+            )
+            await self._sleep_random(9.0, 16.0)
+
     async def _sleep_random(self, low, high):
         await asyncio.sleep(self._rng.uniform(low, high))
 
--- a/standins/pool/__main__.py
+++ b/standins/pool/__main__.py
@@ -62,6 +62,8 @@
                 )
             case {'forget_history': _}:
                 platform.store.drop_history()
+            case {'restore_store': values}:
+                platform.start_restore(**values)
             case {'configuration': value}:
                 platform.store.put('config', 'main', value)
             case {'server': name, 'set': values}:
--- a/standins/pool/_platform.py
+++ b/standins/pool/_platform.py
@@ -72,7 +72,7 @@
         self.deadly_parts = set()
         self.crashes = []
         self._engine_servers = {}
-        self._restarts = set()
+        self._tasks = set()
 
     def start(self):
         """Listen as the store, and start the periodic checks."""
@@ -247,6 +247,34 @@
         plain_server.write_entry()
         return plain_server
 
+    def start_restore(self, age, rewrite_delay):
+        """Start `restore_store` and return at once."""
+        task = asyncio.ensure_future(self.restore_store(age, rewrite_delay))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def restore_store(self, age, rewrite_delay):
+        """Lose the changes that the store is about to get.
+
+        The operator writes its newest configuration again; engines and
+        services do with their next heartbeat.
+
+        Parameters
+        ----------
+        age : float
+            Time whose changes are lost (seconds).
+        rewrite_delay : float
+            Time until the operator writes again (seconds).
+        """
+        saved = self.store.make_copy()
+        await asyncio.sleep(age)
+        newest = self.store.get_objects('config')['main']['Spec']
+        self.store.restore(saved)
+        await asyncio.sleep(rewrite_delay)
+        stored = self.store.get_objects('config')['main']['Spec']
+        if stored['Version'] < newest['Version']:
+            self.store.put('config', 'main', newest)
+
     def is_deadly(self, headers):
         """Return whether a request crashes its engine.
 
@@ -278,8 +306,8 @@
         self._engine_servers[engine.server_id].stop()
         engine.kill()
         task = asyncio.ensure_future(self._restart_engine(engine))
-        self._restarts.add(task)
-        task.add_done_callback(self._restarts.discard)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _restart_engine(self, engine):
         await asyncio.sleep(CRASH_TIME)
@@ -291,7 +319,7 @@
         """Stop the periodic checks and close all sockets."""
         if self._tick_task is not None:
             self._tick_task.cancel()
-        for task in list(self._restarts):
+        for task in list(self._tasks):
             task.cancel()
         for http_server in self._http_servers:
             http_server.stop()
