Log the limits that backend servers state

The header is decoded, and each change of a server's limit is logged with the answers that went through this node under the limit before. No logic changes.

--- a/balsamwind/platform/_headers.py
+++ b/balsamwind/platform/_headers.py
@@ -17,6 +17,7 @@
 _FAULTY_SERVER = 'At-Server'
 _RETRY_AFTER = 'Retry-After'
 _SERVER_LEAVING = 'Server-Leaving'
+_SERVER_LIMIT = 'Server-Limit'
 _LAST_EVENT_ID = 'Last-Event-Id'
 _AUTHORIZATION = 'Authorization'
 _AUTHORIZATION_SCHEME = 'token '
@@ -106,10 +107,9 @@
         -------
         balsamwind.relay.ResponseMetadata
         """
-        retry_after, unreadable = None, ()
-        if _RETRY_AFTER in headers:
-            retry_after = _decode_duration(headers[_RETRY_AFTER])
-            unreadable = () if retry_after is not None else (_RETRY_AFTER,)
+        unreadable = []
+        retry_after = _decode_number(headers, _RETRY_AFTER, unreadable)
+        rate_limit = _decode_number(headers, _SERVER_LIMIT, unreadable)
         return relay.ResponseMetadata(
             request_id=headers.get(_REQUEST_ID, ''),
             signed=_RESPONSE_STAMP in headers,
@@ -118,15 +118,14 @@
             faulty_server=headers.get(_FAULTY_SERVER, ''),
             retry_after=retry_after,
             leaving=says_leaving(headers),
-            unreadable=unreadable,
+            rate_limit=rate_limit,
+            unreadable=tuple(unreadable),
         )
 
 
 def _decode_seconds(text):
-    try:
-        return max(0.0, int(text) / 1000)
-    except (TypeError, ValueError):
-        return None
+    milliseconds = _decode_count(text)
+    return None if milliseconds is None else milliseconds / 1000
 
 
 def says_leaving(headers):
@@ -135,13 +134,17 @@
     return any(value.strip() == '1' for value in values)
 
 
-def _decode_duration(text):
-    """Decode seconds, which may have a fraction; None if unreadable."""
+def _decode_number(headers, name, unreadable):
+    """Decode a number; None if there is none or it can't be read."""
     try:
-        duration = float(text)
+        number = float(headers.get(name, 'nan'))
     except ValueError:
-        return None
-    return duration if 0.0 <= duration < float('inf') else None
+        number = -1.0
+    if 0.0 <= number < float('inf'):
+        return number
+    if name in headers:
+        unreadable.append(name)
+    return None
 
 
 def _decode_count(text):
--- a/balsamwind/platform/tests/test_formats.py
+++ b/balsamwind/platform/tests/test_formats.py
@@ -234,6 +234,35 @@
     assert bool(metadata.unreadable) == (retry_after is None)
 
 
+@pytest.mark.parametrize(
+    ('headers', 'rate_limit', 'unreadable'),
+    [
+        pytest.param({}, None, (), id='none'),
+        pytest.param({'Server-Limit': '2.5'}, 2.5, (), id='fraction'),
+        pytest.param({'Server-Limit': '0'}, 0.0, (), id='zero'),
+        pytest.param({'Server-Limit': '1e3'}, 1000.0, (), id='exponent'),
+        *(
+            pytest.param(
+                {'Server-Limit': text}, None, ('Server-Limit',), id=repr(text)
+            )
+            for text in ('', 'few', '-1', 'nan', 'inf', '1,2')
+        ),
+        pytest.param(
+            {'Server-Limit': 'x', 'Retry-After': 'y'},
+            None,
+            ('Retry-After', 'Server-Limit'),
+            id='two',
+        ),
+    ],
+)
+def test_limit_that_a_server_states_is_decoded(
+    headers, rate_limit, unreadable
+):
+    metadata = _headers.HeaderCodec().decode_response(headers)
+    assert metadata.rate_limit == rate_limit
+    assert metadata.unreadable == unreadable
+
+
 SETTINGS_TOML = """
 NodeName = "n1"
 Zone = "z1"
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -420,6 +420,7 @@
                 if metadata.not_run:
                     self._reported_load = metadata.load
             self._record_requested_pause(backend, response.status, metadata)
+            self._record_stated_limit(backend, response.status, metadata, now)
             self._report_leaving(backend, response.status, metadata)
             failure = _attempts.check_response_headers(
                 response.status, metadata
@@ -473,14 +474,26 @@
                 backend.record.server_id, backend.record.born
             )
 
+    def _record_stated_limit(self, backend, status, metadata, now):
+        # An answer with status 421 comes from another server.
+        if status == 421:
+            return
+        change = self._relay.stated_limits.record(
+            backend.record, metadata.rate_limit, now
+        )
+        if change is not None:
+            self._relay.request_log.record_stated_limit(
+                backend, metadata.rate_limit, *change
+            )
+
     def _record_requested_pause(self, backend, status, metadata):
         """Record the pause that a server asks for as it rejects a request."""
-        if status != 503:
-            return
         if metadata.unreadable:
             self._relay.request_log.record_unreadable_headers(
                 backend, metadata.unreadable
             )
+        if status != 503:
+            return
         if metadata.retry_after is not None:
             now = self._relay.clock.monotonic()
             self._relay.quiet_servers.record(
--- a/balsamwind/relay/_metadata.py
+++ b/balsamwind/relay/_metadata.py
@@ -110,6 +110,9 @@
         None if not stated.
     leaving : bool
         Whether the server says that it is leaving.
+    rate_limit : float or None
+        Requests that the server takes from all nodes together (per second);
+        None if not stated.
     unreadable : tuple of str
         Names of headers whose values can't be read.
     """
@@ -121,4 +124,5 @@
     faulty_server: str = ''
     retry_after: float | None = None
     leaving: bool = False
+    rate_limit: float | None = None
     unreadable: tuple[str, ...] = ()
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -12,6 +12,7 @@
 from balsamwind.relay import _prompt_quarantine
 from balsamwind.relay import _quiet_servers
 from balsamwind.relay import _retry_budget
+from balsamwind.relay import _stated_limits
 
 RESPONSE_GRACE = 0.1
 """Time after the deadline in which the response of a backend server is still
@@ -95,6 +96,8 @@
         Places requests for this node, see `NoPlacementService`.
     quiet_servers : QuietServers
         Backend servers that get no requests of this node for a while.
+    stated_limits : StatedLimits
+        Limits that backend servers state in their answers.
     prompt_quarantine : PromptQuarantine
         Prompt parts whose requests are not sent to engines.
     crash_reporter : CrashReporter
@@ -140,6 +143,7 @@
         self.crash_reporter = _crash_reporter.CrashReporter(
             self.prompt_quarantine, client, clock, request_log.log
         )
+        self.stated_limits = _stated_limits.StatedLimits()
         self.on_server_leaving = None
         self.open_requests = 0
         self.requests_received = 0
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -13,6 +13,7 @@
 from balsamwind import pool
 from balsamwind import relay
 from balsamwind.relay import _forwarder
+from balsamwind.relay import _stated_limits
 from balsamwind import traffic
 
 CUT = 'cut'
@@ -119,6 +120,9 @@
     def record_requested_pause(self, backend, pause):
         pass
 
+    def record_stated_limit(self, backend, rate_limit, seconds, sent):
+        pass
+
     def record_unreadable_headers(self, backend, names):
         pass
 
@@ -164,6 +168,7 @@
         self.prompt_quarantine = relay.PromptQuarantine('a')
         self.crash_reporter = _CrashReporter()
         self.quiet_servers = relay.QuietServers()
+        self.stated_limits = _stated_limits.StatedLimits()
         self.leaving = []
         self.backends = self
         self._backends = [
