Show that stated limits of engines are not kept

Engines of a stand-in fleet state Server-Limit: 1; requests come at all nodes. In one and in two data centres each of them gets far more than the rule allows (1.5 times the limit plus 5 in 4 s).

Answers state the limit each time, and the first answer after its end states none.

--- a/standins/pool/_engine.py
+++ b/standins/pool/_engine.py
@@ -51,6 +51,11 @@
         Whether it resets all new calls, as if its process were dead.
     leaving : bool
         Whether all its answers say that it is leaving.
+    rate_limit : float or None
+        Requests that it takes from all nodes (per second), which all its
+        answers state; None if they state none.
+    arrival_times : list of float
+        When requests reached it (seconds, monotonic clock).
     cut_from_store : bool
         Whether it cannot write its entry.
     served_headers : list of dict
@@ -95,6 +100,8 @@
         self.queue_limit = 20
         self.dark = False
         self.leaving = False
+        self.rate_limit = None
+        self.arrival_times = []
         self.cut_from_store = False
         self.gone = False
         self.served_headers = []
@@ -186,6 +193,7 @@
         """
         self.kill()
         self.leaving = False
+        self.rate_limit = None
         self.incarnation += 1
         self.state = 'ready'
         self.write_entry()
--- a/standins/pool/_engine_handlers.py
+++ b/standins/pool/_engine_handlers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 
 from tornado import iostream
 from tornado import web
@@ -45,6 +46,8 @@
                 self._reset()
         if self._engine.leaving:
             self.set_header('Server-Leaving', '1')
+        if self._engine.rate_limit is not None:
+            self.set_header('Server-Limit', str(self._engine.rate_limit))
 
 
 class ReportHandler(_EngineHandler):
@@ -94,6 +97,7 @@
         if expected != engine.server_id or not group:
             self.set_status(421)
             return self.finish()
+        engine.arrival_times.append(time.monotonic())
         self._platform.trace.record_arrival(
             engine.service, request_id, engine.server_id
         )
