Keep to the limits that backend servers state

Each node chose limited heads by their load, which looks low. The class of fault: a bound on the sum over all nodes that no node can see.

Ruled out: counting reports (they come to ten in 4 s, so that all limited heads would have broken the rule); a node's own share exceeded by others (no node had one). Weighed: an equal share for each node (tokens that each saves up add up to one a node, 195 on a large site; most of the limit unused where few nodes have work); a grant from a lease holder (more store calls, and nothing may be sent while the store is away).

A node that has its requests placed by another one spends nothing itself; the placing node has its share, which also holds for plain services while one of their servers states a limit. A limit ends with an answer without it to a request sent later, or with another start of the server. Nodes of a data centre tell each other. A server at its limit is no room and no failure; if none takes a request now, Retry-After says when the first does.

--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -117,7 +117,7 @@
         news : balsamwind.relay.PromptEvidence
             New evidence.
         """
-        self._publisher.publish_evidence(news)
+        self._publisher.broadcast(news)
         self._link.send(news)
         if self._concerns_store(news):
             self._write_due.set()
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -16,6 +16,8 @@
 from balsamwind.node import _evidence_records
 from balsamwind.node import _leader
 from balsamwind.node import _leaving_servers
+from balsamwind.node import _limit_exchange
+from balsamwind.node import _limit_shares
 from balsamwind.node import _node_discovery
 from balsamwind.node import _node_records
 from balsamwind.node import _placement_client
@@ -202,8 +204,22 @@
             self.registry, self._publisher, link, self._log
         )
         self._publisher.leaving_servers = leaving_servers
-        self.relay.on_server_leaving = leaving_servers.report
+        self.relay.server_statements.on_leaving = leaving_servers.report
         platform.on_server_leaving = leaving_servers.report
+        self._limit_shares = _limit_shares.LimitShares(
+            settings.name,
+            settings.data_centre,
+            lambda: link.is_open and self.subscriber.has_fresh_servers(),
+            lambda: self._publisher.relied_on_by,
+        )
+        limits = self.relay.server_statements.limits
+        limits.find_share = self._limit_shares.find_share
+        limit_exchange = _limit_exchange.LimitExchange(
+            limits, self._publisher, link, self._clock, self._log
+        )
+        self.relay.server_statements.on_limit = limit_exchange.share
+        self._publisher.limit_exchange = limit_exchange
+        self.subscriber.limit_exchange = limit_exchange
         self._publisher.evidence = self._evidence
         self.subscriber.evidence = self._evidence
         self.relay.crash_reporter.on_evidence = self._evidence.share
@@ -273,6 +289,7 @@
         that few nodes load the store.
         """
         self.relay.set_node_count(sum(len(names) for names in nodes.values()))
+        self._limit_shares.set_nodes(nodes)
         ranked = _ranking.rank_nodes(nodes.get(self._settings.data_centre, ()))
         self.subscriber.set_nodes(ranked)
         rank = _ranking.find_rank(ranked, self._settings.name)
--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -195,29 +195,6 @@
                 granted=min(pause, relay.MAX_PAUSE),
             )
 
-    def record_stated_limit(self, backend, rate_limit, seconds, sent):
-        """Record that a backend server states another limit than before.
-
-        Parameters
-        ----------
-        backend : balsamwind.relay.Backend
-            Backend that states it.
-        rate_limit : float or None
-            Requests that it takes from all nodes (per second); None if it
-            states no limit any more.
-        seconds : float
-            Time since the limit before was stated first (seconds).
-        sent : int
-            Requests of this node that it answered meanwhile (count).
-        """
-        self.log.info(
-            'limit_stated',
-            server=backend.record.server_id,
-            limit=rate_limit,
-            seconds=round(seconds, 3),
-            sent=sent,
-        )
-
     def record_unreadable_headers(self, backend, names):
         """Record headers that can't be read, once for each server.
 
--- a/balsamwind/node/_subscriber_session.py
+++ b/balsamwind/node/_subscriber_session.py
@@ -19,12 +19,15 @@
         Takes the subscriber's evidence on prompt parts.
     leaving_servers : LeavingServers
         Takes the subscriber's reports of leaving servers.
+    limit_exchange : LimitExchange
+        Takes the subscriber's reports of limits of servers.
     """
 
     __slots__ = (
         '_configuration_cache',
         '_evidence',
         '_leaving_servers',
+        '_limit_exchange',
         '_placement_session',
         '_publisher',
     )
@@ -36,12 +39,14 @@
         configuration_cache,
         evidence,
         leaving_servers,
+        limit_exchange,
     ):
         self._publisher = publisher
         self._placement_session = placement_session
         self._configuration_cache = configuration_cache
         self._evidence = evidence
         self._leaving_servers = leaving_servers
+        self._limit_exchange = limit_exchange
 
     def handle(self, data):
         """Handle a frame of the subscriber.
@@ -75,6 +80,11 @@
                 self._placement_session.end(number, outcome, load, now)
             case _updates.ServerLeaving(server_id=server_id, born=born):
                 self._leaving_servers.report(server_id, born)
+            case _updates.ServerLimits() as limits:
+                answer = self._limit_exchange.receive(limits)
+                return (
+                    None if answer is None else _updates.encode_frame(answer)
+                )
             case relay.PromptEvidence() as evidence:
                 self._evidence.receive(evidence)
             case _updates.EvidenceRequest() as request:
@@ -85,7 +95,7 @@
 
     def _place(self, request, now):
         service = self._configuration_cache.find_service(request.service)
-        if service is None or service.engine is None:
+        if service is None:
             return _updates.PlacementReply(request.number)
         tried = {(key.service, key.name, key.number) for key in request.tried}
         placed = self._placement_session.place(
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -11,6 +11,10 @@
 """Time without server updates after which a publisher is given up
 (seconds)."""
 
+FRESH_TIME = 1.0
+"""Time without server updates up to which subscribers rely on this node;
+shorter than theirs, so that they never rely on it longer (seconds)."""
+
 MAX_CHANGE_BYTES = 256 * 1024
 """Largest change of the configuration that is published; subscribers read a
 larger one from the store (bytes)."""
@@ -43,6 +47,8 @@
         Takes the subscribers' evidence on prompt parts.
     leaving_servers : LeavingServers or None
         Takes the subscribers' reports of leaving servers.
+    limit_exchange : LimitExchange or None
+        Takes the subscribers' reports of limits of servers.
     """
 
     def __init__(
@@ -54,12 +60,19 @@
         self._open_placement_session = open_placement_session
         self.evidence = None
         self.leaving_servers = None
+        self.limit_exchange = None
         self._last_proof = None
         self._last_publish_at = float('-inf')
         self.server = adapters.UpdateServer(
             self._make_first_frame, self.open_session, log
         )
 
+    @property
+    def relied_on_by(self):
+        """Subscribers that rely on the updates of this node (count)."""
+        age = self._clock.monotonic() - self._last_publish_at
+        return self.server.subscriber_count if age <= FRESH_TIME else 0
+
     def _make_first_frame(self):
         """Make the first frame for a new subscriber.
 
@@ -139,16 +152,16 @@
         if self.server.subscriber_count:
             self.server.broadcast(_updates.encode_frame(self._last_proof))
 
-    def publish_evidence(self, evidence):
-        """Publish evidence on prompt parts.
+    def broadcast(self, message):
+        """Send a message that is no sign of life of the store.
 
         Parameters
         ----------
-        evidence : balsamwind.relay.PromptEvidence
-            Evidence that is new.
+        message : object
+            Message of :mod:`balsamwind.node._updates`.
         """
         if self.server.subscriber_count:
-            self.server.broadcast(_updates.encode_frame(evidence))
+            self.server.broadcast(_updates.encode_frame(message))
 
     def open_session(self):
         """Open the session of a new subscriber; a `SubscriberSession`."""
@@ -158,6 +171,7 @@
             self._configuration_cache,
             self.evidence,
             self.leaving_servers,
+            self.limit_exchange,
         )
 
     def answer_clock_request(self, request):
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -106,6 +106,8 @@
         As given; replaced when the settings are read again.
     evidence : EvidenceExchange
         Exchanges evidence on prompt parts with the publisher.
+    limit_exchange : LimitExchange
+        Exchanges limits of backend servers with the publisher.
     """
 
     def __init__(
@@ -133,6 +135,7 @@
         self._link = link
         self._placement = placement
         self.evidence = None
+        self.limit_exchange = None
         self._rank = 0
         self._nodes_known = False
         self._waits_at_start = waits_at_start
@@ -246,6 +249,7 @@
             self._link.attach(connection)
             self._placement.reset()
             self.evidence.start()
+            self.limit_exchange.start()
             last_update_at = self._clock.monotonic()
             request_task = asyncio.ensure_future(
                 self._request_clock(connection)
@@ -312,6 +316,8 @@
                 self._placement.handle_reply(message)
             case relay.PromptEvidence():
                 self.evidence.receive(message)
+            case _updates.ServerLimits():
+                self.limit_exchange.receive(message)
 
     def _compare_clocks(self, reading):
         """Find a lower bound of the time between the two clocks.
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -219,6 +219,22 @@
     born: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServerLimits:
+    """Tells another node of limits that backend servers state.
+
+    Parameters
+    ----------
+    items : tuple of balsamwind.relay.StatedLimit
+        The limits, and the ends of limits.
+    wants_answer : bool
+        Whether the other node answers with all that it knows.
+    """
+
+    items: tuple[relay.StatedLimit, ...] = ()
+    wants_answer: bool = False
+
+
 _TYPES = {
     1: ServerUpdate,
     4: ClockRequest,
@@ -232,6 +248,7 @@
     12: relay.PromptEvidence,
     13: EvidenceRequest,
     14: ServerLeaving,
+    15: ServerLimits,
 }
 """Messages by type tag; 2 and 3 were used by earlier versions."""
 
--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -30,6 +30,8 @@
 from balsamwind.relay._relay import IncomingRequest
 from balsamwind.relay._relay import Relay
 from balsamwind.relay._retry_budget import RetryBudget
+from balsamwind.relay._server_limits import ServerLimits
+from balsamwind.relay._server_limits import StatedLimit
 
 __all__ = [
     'AttemptProgress',
@@ -57,7 +59,9 @@
     'RequestRequirements',
     'ResponseMetadata',
     'RetryBudget',
+    'ServerLimits',
     'SoundPart',
+    'StatedLimit',
     'choose_backend',
     'make_quiet_servers',
     'predict_service_time',
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -277,24 +277,37 @@
         return backend
 
     def _wants_pause(self, backend):
-        end = self._relay.quiet_servers.find_end(
+        return self._relay.server_statements.wants_pause(
             backend.record, self._relay.clock.monotonic()
         )
-        return end is not None
 
     async def _place(self):
-        if self._service.engine is None:
+        if not self._may_be_placed():
             return None
         placement = await self._relay.placement.place(
             self._service,
             self._make_requirements(),
             self._tried,
-            self._relay.quiet_servers,
+            self._relay.server_statements.pauses,
         )
         if isinstance(placement, _load_balancing.NoBackendAvailable):
             raise self._make_rejection(placement)
         return placement
 
+    def _may_be_placed(self):
+        """Tell whether another node places requests to the service.
+
+        It places those to model engines, and it spends the limits of servers
+        for all nodes that it places requests for.
+        """
+        if self._service.engine is not None:
+            return True
+        limits = self._relay.server_statements.limits
+        return bool(limits) and any(
+            limits.is_limited(backend.record)
+            for backend in self._relay.backends.get_by_service(self._service)
+        )
+
     def _make_requirements(self):
         return _load_balancing.RequestRequirements(
             model=self._request_metadata.model if self._service.engine else '',
@@ -316,9 +329,10 @@
             self._tried,
             now,
             self._relay.rng,
-            self._relay.quiet_servers,
+            self._relay.server_statements.restrictions,
         )
         if not isinstance(chosen, _load_balancing.NoBackendAvailable):
+            self._relay.server_statements.limits.take(chosen.record)
             return chosen
         raise self._make_rejection(chosen)
 
@@ -408,6 +422,7 @@
             None if the response was relayed.
         """
         response = None
+        sent_at = self._relay.clock.monotonic()
         self._progress = _attempts.AttemptProgress()
         try:
             response = await self._open_response(backend)
@@ -419,9 +434,9 @@
                 backend.update_load(metadata.load, now)
                 if metadata.not_run:
                     self._reported_load = metadata.load
-            self._record_requested_pause(backend, response.status, metadata)
-            self._record_stated_limit(backend, response.status, metadata, now)
-            self._report_leaving(backend, response.status, metadata)
+            self._relay.server_statements.handle_answer(
+                backend, response.status, metadata, sent_at, now
+            )
             failure = _attempts.check_response_headers(
                 response.status, metadata
             )
@@ -467,42 +482,6 @@
             if response is not None:
                 response.close()
 
-    def _report_leaving(self, backend, status, metadata):
-        # An answer with status 421 comes from another server.
-        if metadata.leaving and status != 421:
-            self._relay.on_server_leaving(
-                backend.record.server_id, backend.record.born
-            )
-
-    def _record_stated_limit(self, backend, status, metadata, now):
-        # An answer with status 421 comes from another server.
-        if status == 421:
-            return
-        change = self._relay.stated_limits.record(
-            backend.record, metadata.rate_limit, now
-        )
-        if change is not None:
-            self._relay.request_log.record_stated_limit(
-                backend, metadata.rate_limit, *change
-            )
-
-    def _record_requested_pause(self, backend, status, metadata):
-        """Record the pause that a server asks for as it rejects a request."""
-        if metadata.unreadable:
-            self._relay.request_log.record_unreadable_headers(
-                backend, metadata.unreadable
-            )
-        if status != 503:
-            return
-        if metadata.retry_after is not None:
-            now = self._relay.clock.monotonic()
-            self._relay.quiet_servers.record(
-                backend.record, metadata.retry_after, now
-            )
-            self._relay.request_log.record_requested_pause(
-                backend, metadata.retry_after
-            )
-
     def _is_event_stream(self, response):
         return (
             self._route.kind is traffic.RequestKind.STREAM
--- a/balsamwind/relay/_load_balancing.py
+++ b/balsamwind/relay/_load_balancing.py
@@ -149,7 +149,7 @@
     tried,
     now,
     rng,
-    quiet=_quiet_servers.NOTHING_QUIET,
+    restrictions=_quiet_servers.NOTHING_QUIET,
 ):
     """Choose the backend with the lowest cost.
 
@@ -172,8 +172,8 @@
         Current time (seconds, boot clock).
     rng : random.Random
         Source of the jitter.
-    quiet : QuietServers
-        Servers that get no requests of the sending node for a while.
+    restrictions : Restrictions or QuietServers
+        Servers that may not be sent a request now.
 
     Returns
     -------
@@ -186,11 +186,19 @@
         backend
         for backend in of_model
         if backend.key not in tried
-        and (not quiet or quiet.find_end(backend.record, now) is None)
+        and (
+            not restrictions
+            or restrictions.find_end(backend.record, now) is None
+        )
     ]
     if not candidates:
         return _explain_no_candidates(
-            requirements.model, of_model, len(backends), tried, quiet, now
+            requirements.model,
+            of_model,
+            len(backends),
+            tried,
+            restrictions,
+            now,
         )
     # If all candidates are ejected at once, the cause is more likely at this
     # node than at every one of them, so the ejections are ignored.
@@ -227,18 +235,21 @@
     return best
 
 
-def _explain_no_candidates(model, of_model, known, tried, quiet, now):
+def _explain_no_candidates(model, of_model, known, tried, restrictions, now):
     """Say why no backend can be chosen, and when the first one can."""
     ends = [
         end
         for backend in of_model
-        if (end := quiet.find_end(backend.record, now)) is not None
+        if (end := restrictions.find_end(backend.record, now)) is not None
     ]
     reason = (
         f'no group serves {model or "the service"}: {known} backends known,'
-        f' {len(tried)} already tried, {len(ends)} asked for a pause'
+        f' {len(tried)} already tried, {len(ends)} want no request now'
+    )
+    first_end = min(ends, default=float('inf'))
+    retry_after = (
+        first_end - now if first_end < float('inf') else DEFAULT_RETRY_AFTER
     )
-    retry_after = min(ends) - now if ends else DEFAULT_RETRY_AFTER
     return NoBackendAvailable(reason, retry_after)
 
 
--- a/balsamwind/relay/_placement.py
+++ b/balsamwind/relay/_placement.py
@@ -14,6 +14,8 @@
 
 from balsamwind.relay import _load_balancing
 from balsamwind.relay import _quiet_servers
+from balsamwind.relay import _server_limits
+from balsamwind.relay import _server_statements
 
 
 class Outcome(enum.Enum):
@@ -84,11 +86,23 @@
         Data centre of the nodes.
     rng : random.Random
         Source of the jitter of the choice.
+    limits : ServerLimits
+        Limits of backend servers, which all sessions spend together.
     """
 
-    __slots__ = ('_attempts', '_backends', '_data_centre', '_prompts', '_rng')
-
-    def __init__(self, backends, data_centre, rng):
+    __slots__ = (
+        '_attempts',
+        '_backends',
+        '_data_centre',
+        '_limits',
+        '_prompts',
+        '_rng',
+    )
+
+    def __init__(
+        self, backends, data_centre, rng, limits=_server_limits.NO_LIMITS
+    ):
+        self._limits = limits
         self._backends = backends
         self._data_centre = data_centre
         self._rng = rng
@@ -111,7 +125,7 @@
         number : int
             Identifies the attempt in this session.
         service : balsamwind.traffic.Service
-            Service of model engines.
+            Service that the request is sent to.
         requirements : RequestRequirements
             What the request needs.
         tried : container of tuple
@@ -134,10 +148,11 @@
             tried,
             now,
             self._rng,
-            quiet,
+            _server_statements.Restrictions(quiet, self._limits),
         )
         if isinstance(backend, _load_balancing.NoBackendAvailable):
             return backend
+        self._limits.take(backend.record)
         # The node does not say when the prompt was read; the prediction does.
         prompt_time = _load_balancing.predict_time_to_first_event(
             backend, service.engine, requirements, now
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -10,9 +10,8 @@
 from balsamwind.relay import _model_demand
 from balsamwind.relay import _placement
 from balsamwind.relay import _prompt_quarantine
-from balsamwind.relay import _quiet_servers
 from balsamwind.relay import _retry_budget
-from balsamwind.relay import _stated_limits
+from balsamwind.relay import _server_statements
 
 RESPONSE_GRACE = 0.1
 """Time after the deadline in which the response of a backend server is still
@@ -94,17 +93,12 @@
         Work that callers request of each model.
     placement : object
         Places requests for this node, see `NoPlacementService`.
-    quiet_servers : QuietServers
-        Backend servers that get no requests of this node for a while.
-    stated_limits : StatedLimits
-        Limits that backend servers state in their answers.
+    server_statements : ServerStatements
+        What backend servers say of themselves in their answers.
     prompt_quarantine : PromptQuarantine
         Prompt parts whose requests are not sent to engines.
     crash_reporter : CrashReporter
         Tells the quarantine of engines that crashed.
-    on_server_leaving : callable or None
-        Called with the id and the start of a backend server that says in an
-        answer that it is leaving.
     open_requests : int
         Requests that have no final response yet (count).
     requests_received : int
@@ -136,15 +130,15 @@
         self._node_count = DEFAULT_NODE_COUNT
         self.demand_meter = _model_demand.DemandMeter()
         self.placement = _placement.NoPlacementService()
-        self.quiet_servers = _quiet_servers.QuietServers()
+        self.server_statements = _server_statements.ServerStatements(
+            request_log
+        )
         self.prompt_quarantine = _prompt_quarantine.PromptQuarantine(
             data_centre
         )
         self.crash_reporter = _crash_reporter.CrashReporter(
             self.prompt_quarantine, client, clock, request_log.log
         )
-        self.stated_limits = _stated_limits.StatedLimits()
-        self.on_server_leaving = None
         self.open_requests = 0
         self.requests_received = 0
 
@@ -202,7 +196,10 @@
         PlacementSession
         """
         return _placement.PlacementSession(
-            self.backends, self.data_centre, self.rng
+            self.backends,
+            self.data_centre,
+            self.rng,
+            self.server_statements.limits,
         )
 
     async def run(self, request, responder):
--- /dev/null
+++ b/balsamwind/relay/_server_statements.py
@@ -0,0 +1,148 @@
+"""What backend servers say of themselves in their answers.
+
+A server may ask for a pause, state a limit on the rate of requests, or say
+that it is leaving. All of that belongs to one start of the server.
+"""
+
+import dataclasses
+
+from balsamwind.relay import _quiet_servers
+from balsamwind.relay import _server_limits
+
+ANOTHER_SERVER = 421
+"""Status of the answer of another server than the expected one."""
+
+REJECTED = 503
+"""Status of an answer that may ask for a pause."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Restrictions:
+    """Which backend servers may be sent a request now.
+
+    Parameters
+    ----------
+    pauses : QuietServers
+        Servers that get no requests of the sending node for a while.
+    limits : ServerLimits
+        Limits of servers, with the share of the choosing node.
+    """
+
+    pauses: _quiet_servers.QuietServers
+    limits: _server_limits.ServerLimits
+
+    def __bool__(self):
+        return bool(self.pauses) or bool(self.limits)
+
+    def find_end(self, record, now):
+        """Return when a server may be sent a request.
+
+        Parameters
+        ----------
+        record : balsamwind.pool.ServerRecord
+            Entry of the server.
+        now : float
+            Current time (seconds, boot clock).
+
+        Returns
+        -------
+        float or None
+            Time (seconds, boot clock); None if it may be sent one now.
+        """
+        pause_end = self.pauses.find_end(record, now)
+        limit_end = self.limits.find_end(record, now)
+        if pause_end is None:
+            return limit_end
+        return pause_end if limit_end is None else max(pause_end, limit_end)
+
+
+class ServerStatements:
+    """Keeps what the answers to this node's requests say of their servers.
+
+    Parameters
+    ----------
+    request_log : balsamwind.node.RequestLog
+        Log and metrics of requests and attempts.
+
+    Attributes
+    ----------
+    pauses : QuietServers
+        Servers that get no requests of this node for a while.
+    limits : ServerLimits
+        Limits of servers.
+    restrictions : Restrictions
+        Both of them.
+    on_leaving : callable
+        Called with the id and the start of a server that is leaving.
+    on_limit : callable
+        Called with each `StatedLimit` that other nodes must know.
+    """
+
+    __slots__ = (
+        '_request_log',
+        'limits',
+        'on_leaving',
+        'on_limit',
+        'pauses',
+        'restrictions',
+    )
+
+    def __init__(self, request_log):
+        self._request_log = request_log
+        self.pauses = _quiet_servers.QuietServers()
+        self.limits = _server_limits.ServerLimits()
+        self.restrictions = Restrictions(self.pauses, self.limits)
+        self.on_leaving = lambda server_id, born: None
+        self.on_limit = lambda item: None
+
+    def handle_answer(self, backend, status, metadata, sent_at, now):
+        """Take over what the head of an answer says.
+
+        Parameters
+        ----------
+        backend : Backend
+            Backend that the request was sent to.
+        status : int
+            HTTP status of the answer.
+        metadata : ResponseMetadata
+            Decoded headers of the answer.
+        sent_at : float
+            When the request was sent (seconds, boot clock).
+        now : float
+            Current time (seconds, boot clock).
+        """
+        if status == ANOTHER_SERVER:
+            return
+        record = backend.record
+        if metadata.unreadable:
+            self._request_log.record_unreadable_headers(
+                backend, metadata.unreadable
+            )
+        if status == REJECTED and metadata.retry_after is not None:
+            self.pauses.record(record, metadata.retry_after, now)
+            self._request_log.record_requested_pause(
+                backend, metadata.retry_after
+            )
+        if metadata.leaving:
+            self.on_leaving(record.server_id, record.born)
+        if metadata.rate_limit is None and metadata.unreadable:
+            return
+        item = self.limits.record(record, metadata.rate_limit, sent_at, now)
+        if item is not None:
+            self.on_limit(item)
+
+    def wants_pause(self, record, now):
+        """Tell whether a server gets no requests of this node for a while.
+
+        Parameters
+        ----------
+        record : balsamwind.pool.ServerRecord
+            Entry of the server.
+        now : float
+            Current time (seconds, boot clock).
+
+        Returns
+        -------
+        bool
+        """
+        return self.pauses.find_end(record, now) is not None
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -13,7 +13,7 @@
 from balsamwind import pool
 from balsamwind import relay
 from balsamwind.relay import _forwarder
-from balsamwind.relay import _stated_limits
+from balsamwind.relay import _server_statements
 from balsamwind import traffic
 
 CUT = 'cut'
@@ -120,9 +120,6 @@
     def record_requested_pause(self, backend, pause):
         pass
 
-    def record_stated_limit(self, backend, rate_limit, seconds, sent):
-        pass
-
     def record_unreadable_headers(self, backend, names):
         pass
 
@@ -167,8 +164,10 @@
         self.placement = None
         self.prompt_quarantine = relay.PromptQuarantine('a')
         self.crash_reporter = _CrashReporter()
-        self.quiet_servers = relay.QuietServers()
-        self.stated_limits = _stated_limits.StatedLimits()
+        self.server_statements = _server_statements.ServerStatements(
+            self.request_log
+        )
+        self.server_statements.on_leaving = self._record_leaving
         self.leaving = []
         self.backends = self
         self._backends = [
@@ -184,7 +183,7 @@
     def rng(self):
         return self
 
-    def on_server_leaving(self, server_id, born):
+    def _record_leaving(self, server_id, born):
         self.leaving.append(server_id)
 
     def random(self):
