Show that a deadly request crashes server after server

The stand-in's servers can now crash more than once: a listener that was stopped and used again was not stopped a second time, so that the port went on accepting.

--- /dev/null
+++ b/balsamwind/node/tests/test_deadly_requests.py
@@ -0,0 +1,153 @@
+"""Requests that crash each server that runs them, repeated by their caller."""
+
+import asyncio
+import contextlib
+import copy
+import time
+
+import pytest
+
+from balsamwind.node.tests import helpers
+
+DEADLY = b'deadly'
+"""Body that crashes the servers that run it."""
+
+NOTICE_TIME = 3.0
+"""Time after the third crash in which all nodes must know the request
+(seconds)."""
+
+MAX_LATER_REPEATS = 3
+"""Repeats that may reach servers after that (count)."""
+
+PLAIN_ROUTE = {
+    'Name': 'balance',
+    'Host': 'a.example',
+    'PathPrefix': '/balance/',
+    'Kind': 'idempotent',
+    'TimeoutMs': 600,
+    'SloMs': 125,
+    'Service': 'ledger',
+    'MaxAttempts': 2,
+}
+
+ONE_DATA_CENTRE = (('n1', 'z1'), ('n2', 'z1'), ('n3', 'z1'))
+TWO_DATA_CENTRES = (('n1', 'z1'), ('n2', 'z1'), ('n3', 'z2'), ('n4', 'z2'))
+
+
+@contextlib.asynccontextmanager
+async def _open_fleet(placement, engines=0, servers=0):
+    """Run nodes, engines and plain servers until the block ends."""
+    data_centres = tuple(sorted({place for _, place in placement}))
+    configuration = copy.deepcopy(helpers.CONFIGURATION)
+    configuration['Routes'].append(PLAIN_ROUTE)
+    configuration['Services'].append({'Name': 'ledger'})
+    async with (
+        helpers.open_platform(0) as fake_platform,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        fake_platform.store.put('config', 'main', configuration)
+        fake_platform.deadly_bodies.add(DEADLY)
+        for number in range(engines):
+            place = data_centres[number % len(data_centres)]
+            fake_platform.add_engine(f'e{number}', 'llm', place, f'd{place}')
+        for number in range(servers):
+            place = data_centres[number % len(data_centres)]
+            fake_platform.add_service(f's{number}', 'ledger', place)
+        nodes = [
+            await stack.enter_async_context(
+                helpers.open_node(
+                    fake_platform,
+                    name,
+                    data_centre=place,
+                    data_centres=data_centres,
+                )
+            )
+            for name, place in placement
+        ]
+        for process in nodes:
+            await helpers.wait_until(
+                lambda process=process: _is_serving(process, engines, servers)
+            )
+        yield fake_platform, nodes
+
+
+def _is_serving(process, engines, servers):
+    ledger = process.configuration_cache.find_service('ledger')
+    if ledger is None:
+        return False
+    plain = process.relay.backends.get_by_service(ledger)
+    groups = helpers.count_serving_groups(process)
+    return len(plain) == servers and groups == engines // 2
+
+
+def _make_request(path, number, body=b'hi'):
+    head = helpers.make_request(path, f'{number}').split(b'Content-Length')[0]
+    return head + b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
+
+
+async def _send_deadly_repeats(nodes, path, seconds, interval=0.25):
+    """Repeat the deadly request at one node after the other."""
+    ends_at = time.monotonic() + seconds
+    number = 0
+    while time.monotonic() < ends_at:
+        request = _make_request(path, f'd{number}', DEADLY)
+        await helpers.send_request(nodes[number % len(nodes)], request)
+        number += 1
+        await asyncio.sleep(interval)
+
+
+async def _send_sound(nodes, path, seconds, interval=0.05):
+    """Send sound requests, no two alike; return when each was served."""
+    ends_at = time.monotonic() + seconds
+    tasks = []
+    while time.monotonic() < ends_at:
+        number = len(tasks)
+        request = _make_request(path, f's{number}', b'sound%d' % number)
+        tasks.append(
+            asyncio.ensure_future(
+                helpers.send_request(nodes[number % len(nodes)], request)
+            )
+        )
+        await asyncio.sleep(interval)
+    return await asyncio.gather(*tasks)
+
+
+def _is_success(answer):
+    return answer.startswith(b'HTTP/1.1 200')
+
+
+@pytest.mark.parametrize(
+    ('path', 'fleet'),
+    [
+        pytest.param('/balance/x', {'servers': 3}, id='plain service'),
+        pytest.param('/ask/x', {'engines': 12}, id='model engines'),
+    ],
+)
+@pytest.mark.parametrize(
+    'placement',
+    [
+        pytest.param(ONE_DATA_CENTRE, id='one data centre'),
+        pytest.param(TWO_DATA_CENTRES, id='two data centres'),
+    ],
+)
+def test_deadly_request_does_not_crash_server_after_server(
+    path, fleet, placement
+):
+    """Sound requests, of the same caller and path, are served meanwhile."""
+
+    async def scenario():
+        async with _open_fleet(placement, **fleet) as (fake_platform, nodes):
+            answers, _ = await asyncio.gather(
+                _send_sound(nodes, path, 8.0),
+                _send_deadly_repeats(nodes, path, 8.0),
+            )
+            return answers, list(fake_platform.deadly_arrivals)
+
+    answers, arrivals = asyncio.run(scenario())
+    assert arrivals
+    if len(arrivals) >= 3:
+        noticed_at = arrivals[2] + NOTICE_TIME
+        later = sum(at > noticed_at for at in arrivals)
+        assert later <= MAX_LATER_REPEATS
+    half = answers[len(answers) // 2 :]
+    assert sum(map(_is_success, half)) >= 0.9 * len(half)
--- a/standins/pool/_engine_handlers.py
+++ b/standins/pool/_engine_handlers.py
@@ -111,6 +111,9 @@
             except _engine.GroupBroken:
                 return self._refuse()
         try:
+            if self._platform.has_deadly_body(self.request):
+                self._platform.crash_server(engine)
+                raise web.Finish
             return await self._stream_events(group_key)
         finally:
             if engine.group_key == group_key:
@@ -146,7 +149,7 @@
         if self._platform.is_deadly(headers):
             await self.flush()
             await asyncio.sleep(engine.event_interval)
-            self._platform.crash_engine(engine)
+            self._platform.crash_server(engine)
             raise web.Finish
         try:
             for number in range(first_event, engine.event_count + 1):
--- a/standins/pool/_platform.py
+++ b/standins/pool/_platform.py
@@ -54,8 +54,12 @@
     deadly_parts : set of str
         Ids of prompt parts on which each engine crashes as soon as it begins
         to answer.
+    deadly_bodies : set of bytes
+        Bodies of requests under which each server crashes that runs them.
     crashes : list of str
-        Ids of the engines that crashed, in order.
+        Ids of the servers that crashed, in order.
+    deadly_arrivals : list of float
+        When deadly requests began to run (seconds, monotonic clock).
     """
 
     def __init__(self, find_free_port, times=None):
@@ -70,8 +74,11 @@
         self.engines = {}
         self.services = {}
         self.deadly_parts = set()
+        self.deadly_bodies = set()
+        self.deadly_arrivals = []
         self.crashes = []
-        self._engine_servers = {}
+        self._listeners = {}
+        self._routes = {}
         self._tasks = set()
 
     def start(self):
@@ -199,16 +206,12 @@
             self, server_id, service, zone, domain, port, address
         )
         options = {'engine': engine, 'platform': self}
-        http_server = _make_http_server(
-            [
-                ('/v1/report', _engine_handlers.ReportHandler, options),
-                ('/v1/order', _engine_handlers.OrderHandler, options),
-                ('/.*', _engine_handlers.InferenceHandler, options),
-            ]
-        )
-        http_server.listen(port, '127.0.0.1')
-        self._http_servers.append(http_server)
-        self._engine_servers[server_id] = http_server
+        self._routes[server_id] = [
+            ('/v1/report', _engine_handlers.ReportHandler, options),
+            ('/v1/order', _engine_handlers.OrderHandler, options),
+            ('/.*', _engine_handlers.InferenceHandler, options),
+        ]
+        self._listen(engine)
         self.engines[server_id] = engine
         engine.write_entry()
         return engine
@@ -238,15 +241,18 @@
             self, server_id, service, zone, port, address
         )
         options = {'server': plain_server, 'platform': self}
-        http_server = _make_http_server(
-            [('/.*', _services.PlainHandler, options)]
-        )
-        http_server.listen(port, '127.0.0.1')
-        self._http_servers.append(http_server)
+        self._routes[server_id] = [('/.*', _services.PlainHandler, options)]
+        self._listen(plain_server)
         self.services[server_id] = plain_server
         plain_server.write_entry()
         return plain_server
 
+    def _listen(self, server):
+        http_server = _make_http_server(self._routes[server.server_id])
+        http_server.listen(server.port, '127.0.0.1')
+        self._http_servers.append(http_server)
+        self._listeners[server.server_id] = http_server
+
     def start_restore(self, age, rewrite_delay):
         """Start `restore_store` and return at once."""
         task = asyncio.ensure_future(self.restore_store(age, rewrite_delay))
@@ -275,8 +281,21 @@
         if stored['Version'] < newest['Version']:
             self.store.put('config', 'main', newest)
 
+    def has_deadly_body(self, request):
+        """Return whether a request crashes the server that runs it.
+
+        Parameters
+        ----------
+        request : tornado.httputil.HTTPServerRequest
+            The request; it is recorded if it does.
+        """
+        if request.body not in self.deadly_bodies:
+            return False
+        self.deadly_arrivals.append(time.monotonic())
+        return True
+
     def is_deadly(self, headers):
-        """Return whether a request crashes its engine.
+        """Return whether a request crashes the engine that answers it.
 
         Parameters
         ----------
@@ -291,29 +310,32 @@
         ids = {part.partition(':')[0] for part in parts}
         return not self.deadly_parts.isdisjoint(ids)
 
-    def crash_engine(self, engine):
-        """End the process of an engine; it starts again after `CRASH_TIME`.
+    def crash_server(self, server):
+        """End the process of a server; it starts again after `CRASH_TIME`.
 
         Meanwhile its port refuses connections.
 
         Parameters
         ----------
-        engine : Engine
-            Engine that crashes.
+        server : Engine or PlainServer
+            Server that crashes.
         """
-        self.crashes.append(engine.server_id)
-        engine.gone = True
-        self._engine_servers[engine.server_id].stop()
-        engine.kill()
-        task = asyncio.ensure_future(self._restart_engine(engine))
+        if server.gone:
+            return
+        self.crashes.append(server.server_id)
+        server.gone = True
+        self._listeners[server.server_id].stop()
+        server.kill()
+        task = asyncio.ensure_future(self._restart_server(server))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _restart_engine(self, engine):
+    async def _restart_server(self, server):
+        await self._listeners[server.server_id].close_all_connections()
         await asyncio.sleep(CRASH_TIME)
-        engine.gone = False
-        self._engine_servers[engine.server_id].listen(engine.port, '127.0.0.1')
-        engine.restart()
+        server.gone = False
+        self._listen(server)
+        server.restart()
 
     async def stop(self):
         """Stop the periodic checks and close all sockets."""
--- a/standins/pool/_services.py
+++ b/standins/pool/_services.py
@@ -41,6 +41,8 @@
         Share of requests that run and whose connection is then closed.
     running : int
         Requests that run (count).
+    incarnation : int
+        Number that grows with each restart, published as ``born``.
     """
 
     def __init__(self, platform, server_id, service, zone, port, address=None):
@@ -57,6 +59,7 @@
         self.processing_time = 0.02
         self.lose_answers = 0.0
         self.running = 0
+        self.incarnation = 1700000000000 + port
 
     @property
     def alive(self):
@@ -66,6 +69,11 @@
     def kill(self):
         """Do nothing: requests that run when it is killed still finish."""
 
+    def restart(self):
+        """Start again under the same id, as a new incarnation."""
+        self.incarnation += 1
+        self.write_entry()
+
     def write_entry(self):
         """Write the entry of this server if it can reach the store."""
         if not self._platform.can_write_entry(self):
@@ -77,7 +85,7 @@
             'SlotCount': 6,
             'State': self.state,
             'Seq': 1,
-            'born': 1700000000000 + self.port,
+            'born': self.incarnation,
         }
         self._platform.store.put('servers', self.server_id, spec)
 
@@ -123,6 +131,9 @@
         server.running += 1
         try:
             await asyncio.sleep(server.processing_time)
+            if self._platform.has_deadly_body(self.request):
+                self._platform.crash_server(server)
+                raise web.Finish
         finally:
             server.running -= 1
             self._platform.trace.end_run(run, 'whole')
