Quarantine requests that crash their servers

Cause: nothing remembered which request ran on a server when that crashed. Evidence was kept of prompts with shared parts only, and only once an answer had begun; a request to a plain service, or to an engine that crashes before the head of its answer, left none. The class of fault is that of the deadly prompts before it: a retry carries the cause of a crash to the next server.

Ruled out: other causes of the crashes (the test, in which nothing else happens, shows the same); a memory of each node alone (repeats come at any node). Weighed: the id of the request (new with each repeat); not repeating after any crash (sound requests that were beside it would fail).

Change: each request that a crashed server may just have begun is evidence, by a fingerprint of method, host, path, account and body. The rest is as for prompt parts: two crashes that followed each other quarantine it at all nodes, a completed answer clears it, a request that was in more of the crashes explains those beside it. Other data centres hear of it after the second crash, as most of what was under way at a crash is sound. A quarantined request is rejected before anything is sent, so that "not run" is true.

--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -131,6 +131,13 @@
     status = 503
 
 
+class RequestQuarantined(RequestNotRun):
+    """The servers that ran this request before have crashed."""
+
+    code = 'request_quarantined'
+    status = 503
+
+
 class Draining(RequestNotRun):
     """The entry is draining before it shuts down."""
 
--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -127,6 +127,7 @@
         self._write_due.set()
 
     def _concerns_store(self, news):
+        news = self._quarantine.find_news_for_others(news)
         is_own = any(
             report.data_centre == self._data_centre for report in news.reports
         )
@@ -163,7 +164,7 @@
                 return
             wait = (
                 ALERT_WATCH_TIME
-                if self._quarantine.has_suspects
+                if self._quarantine.concerns_others
                 else WATCH_TIME
             )
             revision, items = await self._records.watch(
--- a/balsamwind/relay/_attempts.py
+++ b/balsamwind/relay/_attempts.py
@@ -53,10 +53,13 @@
     first_event_at : float or None
         When the first events were relayed (seconds, boot clock); None if none
         was.
+    sent_at : float
+        When the attempt was made (seconds, boot clock).
     """
 
     began_at: float | None = None
     first_event_at: float | None = None
+    sent_at: float = 0.0
 
     def record_events(self, now):
         """Record that events were relayed.
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from balsamwind.relay import _fingerprint
 from balsamwind.relay import _prompt_quarantine
 
 CONFIRMATION_TIMEOUT = 0.35
@@ -49,43 +50,56 @@
         self._tasks = set()
         self.on_evidence = _ignore
 
-    def report_broken_answer(self, backend, service, parts, progress):
-        """Report that an answer was broken off by its engine.
+    def report_broken_answer(
+        self, backend, service, parts, fingerprint, progress
+    ):
+        """Report that an answer was broken off by its server.
 
         Parameters
         ----------
         backend : Backend
-            Replica group that answered.
+            Backend that the request was sent to.
         service : str
             Name of its service.
         parts : tuple of str
             Parts of the prompt that other requests may share.
+        fingerprint : str
+            Fingerprint of the request.
         progress : AttemptProgress
             How far the attempt had come.
         """
         now = self._clock.monotonic()
-        if not parts or not _prompt_quarantine.is_beginning(progress, now):
+        suspected = []
+        if parts and _prompt_quarantine.is_beginning(progress, now):
+            suspected.append((parts, now - progress.began_at))
+        if _prompt_quarantine.may_have_begun(progress, now):
+            suspected.append(((fingerprint,), now - progress.sent_at))
+        if not suspected:
             return
         task = asyncio.ensure_future(
-            self._confirm(
-                backend.record, service, parts, now - progress.began_at
-            )
+            self._confirm(backend.record, service, suspected)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _confirm(self, record, service, parts, duration):
+    async def _confirm(self, record, service, suspected):
         if not await self._client.is_refused(
             record.address, CONFIRMATION_TIMEOUT
         ):
             return
+        for parts, duration in suspected:
+            self._record(record, service, parts, duration)
+
+    def _record(self, record, service, parts, duration):
         crash = f'{record.server_id}:{record.born}'
         now = self._clock.monotonic()
         evidence = self._quarantine.record_crash(
             crash, service, parts, duration, now
         )
         self._log.info(
-            'engine_crashed_on_prompt',
+            'engine_crashed_on_request'
+            if _fingerprint.is_fingerprint(parts[0])
+            else 'engine_crashed_on_prompt',
             engine=record.server_id,
             parts=list(parts),
             suspected=[
@@ -96,14 +110,15 @@
             self.on_evidence(evidence)
 
     def record_answer(self, service, parts):
-        """Record that an answer to a prompt was completed.
+        """Record that an answer was completed.
 
         Parameters
         ----------
         service : str
             Name of the service that answered.
         parts : tuple of str
-            Parts of the prompt that other requests may share.
+            Parts of the prompt that other requests may share, and the
+            fingerprint of the request.
         """
         evidence = self._quarantine.record_answer(
             service, parts, self._clock.monotonic()
--- a/balsamwind/relay/_fingerprint.py
+++ b/balsamwind/relay/_fingerprint.py
@@ -6,6 +6,11 @@
 """Begins each fingerprint, so that it is no id of a prompt part."""
 
 
+def is_fingerprint(name):
+    """Tell whether a name is a fingerprint, not the id of a prompt part."""
+    return name.startswith(PREFIX)
+
+
 def make_fingerprint(request, account):
     """Make the fingerprint of a request.
 
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -52,6 +52,20 @@
     return headers.get('Content-Type', '').partition(';')[0].strip().lower()
 
 
+def _make_quarantine_error(quarantine):
+    if _fingerprint.is_fingerprint(quarantine.part):
+        return exceptions.RequestQuarantined(
+            f'{quarantine.crashes} servers crashed as they ran the same'
+            ' request',
+            quarantine.time_left,
+        )
+    return exceptions.PromptQuarantined(
+        f'{quarantine.crashes} engines crashed as they began to answer'
+        f' prompts with the part {quarantine.part}',
+        quarantine.time_left,
+    )
+
+
 def _close_response(task):
     """Close the response of a cancelled task if it arrived nevertheless."""
     if not task.cancelled() and task.exception() is None:
@@ -195,11 +209,7 @@
         """
         quarantine = self._find_quarantine()
         if quarantine is not None:
-            raise exceptions.PromptQuarantined(
-                f'{quarantine.crashes} engines crashed as they began to answer'
-                f' prompts with the part {quarantine.part}',
-                quarantine.time_left,
-            )
+            raise _make_quarantine_error(quarantine)
         while True:
             async with self._reserve_backend() as backend:
                 self._current_attempt_sent = False
@@ -220,16 +230,23 @@
                 raise self._select_final_error(failure)
 
     def _find_quarantine(self):
-        return self._relay.prompt_quarantine.find(
+        quarantine = self._relay.prompt_quarantine
+        if not quarantine.has_suspects:
+            return None
+        return quarantine.find(
             self._service.name,
-            self._request_metadata.shared_parts,
+            (*self._request_metadata.shared_parts, self._make_fingerprint()),
             self._relay.clock.monotonic(),
         )
 
     def _record_answer(self):
-        """Record that the engine wrote a whole answer to the prompt."""
-        parts = self._request_metadata.shared_parts
-        if parts and self._progress.first_event_at is not None:
+        """Record that a server gave a whole answer to the request."""
+        parts = ()
+        if self._progress.first_event_at is not None:
+            parts = self._request_metadata.shared_parts
+        if self._relay.prompt_quarantine.has_suspects:
+            parts = (*parts, self._make_fingerprint())
+        if parts:
             self._relay.crash_reporter.record_answer(self._service.name, parts)
 
     @contextlib.asynccontextmanager
@@ -358,11 +375,12 @@
         elif failure.counts_for_ejection:
             backend.record_failure(now)
         self._log_failed_attempt(backend, failure)
-        if failure.broken_off and self._service.engine is not None:
+        if failure.broken_off:
             self._relay.crash_reporter.report_broken_answer(
                 backend,
                 self._service.name,
                 self._request_metadata.shared_parts,
+                self._make_fingerprint(),
                 self._progress,
             )
 
@@ -431,7 +449,7 @@
         """
         response = None
         sent_at = self._relay.clock.monotonic()
-        self._progress = _attempts.AttemptProgress()
+        self._progress = _attempts.AttemptProgress(sent_at=sent_at)
         try:
             response = await self._open_response(backend)
             metadata = self._relay.header_codec.decode_response(
--- a/balsamwind/relay/_prompt_quarantine.py
+++ b/balsamwind/relay/_prompt_quarantine.py
@@ -1,19 +1,23 @@
-"""Quarantine of prompt parts that crash the engines which answer them.
+"""Quarantine of what crashes the servers that run it.
 
 Load pattern: requests that share one part of their prompt crash each engine
 that begins to answer them. They come at any node, a few at each, among sound
-requests that share their other parts and their caller. Sent again and again,
-they take down one replica group after the other.
-
-The nodes share the evidence: which parts an engine had just begun to answer
-when it crashed. A part is quarantined after crashes that followed each other,
-unless another part explains all of them, or an answer to a prompt with that
-part was completed since.
+requests that share their other parts and their caller. Or one request crashes
+each server that runs it, and its caller repeats it at any node. Sent again
+and again, they take down one server after the other.
+
+The nodes share the evidence: which prompt parts an engine had just begun to
+answer when it crashed, and which requests ran there, by their fingerprints.
+Below, a part is either of them. A part is quarantined after crashes that
+followed each other, unless another part explains all of them, or an answer to
+a request with that part was completed since.
 """
 
 import collections
 import dataclasses
 
+from balsamwind.relay import _fingerprint
+
 MIN_CRASHES = 2
 """Crashes, one after the other, that put a part into quarantine (count)."""
 
@@ -194,6 +198,46 @@
         """Whether crashes are on record for any part."""
         return bool(self._suspects)
 
+    @property
+    def concerns_others(self):
+        """Whether crashes are on record that other data centres must know."""
+        return any(map(self._concerns_others, self._suspects))
+
+    def _concerns_others(self, key):
+        """Tell whether other data centres must know the crashes of a part.
+
+        A request that ran during one crash only is mostly a sound one that
+        happened to be there; few of them are seen again.
+        """
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return False
+        if not _fingerprint.is_fingerprint(key[1]):
+            return True
+        return suspect.count_episodes()[0] >= MIN_CRASHES
+
+    def find_news_for_others(self, evidence):
+        """Find what other data centres must know of new evidence.
+
+        Parameters
+        ----------
+        evidence : PromptEvidence
+            Evidence that is new here.
+
+        Returns
+        -------
+        PromptEvidence
+        """
+        reports = [
+            report
+            for report in evidence.reports
+            if any(
+                self._concerns_others((report.service, part))
+                for part in report.parts
+            )
+        ]
+        return PromptEvidence(tuple(reports), evidence.sound)
+
     def count_quarantined(self, now):
         """Count the parts that are quarantined, unless others explain them.
 
@@ -237,15 +281,19 @@
             crashes, last_at = suspect.count_episodes()
             time_left = last_at + _find_quarantine_time(crashes) - now
             if time_left > 0.0 and not self._is_explained(
-                service, suspect, parts
+                service, part, parts
             ):
                 return Quarantine(part, crashes, time_left)
         return None
 
-    def _is_explained(self, service, suspect, parts):
-        crashes = suspect.crashes.keys()
+    def _is_explained(self, service, suspected, parts):
+        crashes = self._suspects[service, suspected].crashes.keys()
         return any(
-            crashes <= other.crashes.keys()
+            crashes < other.crashes.keys()
+            or (
+                crashes == other.crashes.keys()
+                and not _are_requests(part, suspected)
+            )
             for (other_service, part), other in self._suspects.items()
             if other_service == service and part not in parts
         )
@@ -340,7 +388,8 @@
         now : float
             Current time (seconds, boot clock).
         data_centre : str or None
-            Data centre whose reports are included; None for all.
+            Data centre whose reports other data centres are told; None for
+            all evidence.
 
         Returns
         -------
@@ -358,7 +407,11 @@
             )
             for (service, part), suspect in self._suspects.items()
             for crash, record in suspect.crashes.items()
-            if data_centre in (None, record.data_centre)
+            if data_centre is None
+            or (
+                data_centre == record.data_centre
+                and self._concerns_others((service, part))
+            )
         ]
         sound = [
             SoundPart(service, part, (crash,))
@@ -421,6 +474,10 @@
                 del self._suspects[key]
 
 
+def _are_requests(part, other):
+    return all(map(_fingerprint.is_fingerprint, (part, other)))
+
+
 def is_beginning(progress, now):
     """Tell whether an answer had just begun, so that it may be to blame.
 
@@ -435,8 +492,22 @@
     -------
     bool
     """
-    if progress.began_at is None:
-        return False
+    return progress.began_at is not None and may_have_begun(progress, now)
+
+
+def may_have_begun(progress, now):
+    """Tell whether a request may just have begun to run.
+
+    Parameters
+    ----------
+    progress, now
+        As for `is_beginning`.
+
+    Returns
+    -------
+    bool
+        Also if the head of its answer has not come.
+    """
     first_event_at = progress.first_event_at
     return first_event_at is None or now - first_event_at <= BEGINNING_TIME
 
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -147,7 +147,9 @@
 
 
 class _CrashReporter:
-    def report_broken_answer(self, backend, service, parts, progress):
+    def report_broken_answer(
+        self, backend, service, parts, fingerprint, progress
+    ):
         pass
 
     def record_answer(self, service, parts):
--- a/balsamwind/relay/tests/test_crash_reporter.py
+++ b/balsamwind/relay/tests/test_crash_reporter.py
@@ -13,6 +13,7 @@
 from balsamwind.relay.tests import forwarding
 
 PARTS = ('a', 'dead')
+FINGERPRINT = 'request:1'
 
 
 class _Log:
@@ -35,7 +36,7 @@
         yield bound.getsockname()[1]
 
 
-def _report(open_port, began=True, parts=PARTS):
+def _report(open_port, began=True, parts=PARTS, writing=0.0):
     async def scenario():
         client = adapters.HttpClient()
         quarantine = relay.PromptQuarantine('z1')
@@ -48,10 +49,15 @@
         async with open_port() as port:
             record = pool.ServerRecord('e1', 'llm', f'127.0.0.1:{port}', 'z1')
             backend = relay.Backend(('llm', 'g', 1), record, 4)
-            progress = relay.AttemptProgress()
+            now = clock.monotonic()
+            progress = relay.AttemptProgress(sent_at=now - 0.5)
             if began:
-                progress.began_at = clock.monotonic() - 0.2
-            reporter.report_broken_answer(backend, 'llm', parts, progress)
+                progress.began_at = now - 0.2
+            if writing:
+                progress.first_event_at = now - writing
+            reporter.report_broken_answer(
+                backend, 'llm', parts, FINGERPRINT, progress
+            )
             await asyncio.sleep(0.1)
         reporter.close()
         client.close()
@@ -61,20 +67,35 @@
 
 
 def test_engine_that_refuses_connections_has_crashed():
-    (news,) = _report(_close_port)
+    news = _report(_close_port)
+    reports = [report for item in news for report in item.reports]
+    assert [report.parts for report in reports] == [PARTS, (FINGERPRINT,)]
+    assert len({report.crash for report in reports}) == 1
+    assert reports[0].crash.startswith('e1:')
+    assert reports[0].duration == pytest.approx(0.2, abs=0.1)
+    assert reports[1].duration == pytest.approx(0.5, abs=0.1)
+
+
+@pytest.mark.parametrize(
+    ('began', 'parts'),
+    [
+        pytest.param(False, PARTS, id='answer not begun'),
+        pytest.param(True, (), id='no shared parts'),
+        pytest.param(False, (), id='plain service'),
+    ],
+)
+def test_request_without_a_suspected_part_is_suspected_itself(began, parts):
+    (news,) = _report(_close_port, began, parts)
     (report,) = news.reports
-    assert report.parts == PARTS
-    assert report.crash.startswith('e1:')
-    assert report.duration == pytest.approx(0.2, abs=0.1)
+    assert report.parts == (FINGERPRINT,)
 
 
 @pytest.mark.parametrize(
-    ('open_port', 'began', 'parts'),
+    ('open_port', 'writing'),
     [
-        pytest.param(_open_server, True, PARTS, id='engine still accepts'),
-        pytest.param(_close_port, False, PARTS, id='answer not begun'),
-        pytest.param(_close_port, True, (), id='no shared parts'),
+        pytest.param(_open_server, 0.0, id='server still accepts'),
+        pytest.param(_close_port, 0.6, id='answer well under way'),
     ],
 )
-def test_broken_answer_alone_is_no_evidence(open_port, began, parts):
-    assert _report(open_port, began, parts) == []
+def test_broken_answer_alone_is_no_evidence(open_port, writing):
+    assert _report(open_port, writing=writing) == []
--- a/balsamwind/relay/tests/test_prompt_quarantine.py
+++ b/balsamwind/relay/tests/test_prompt_quarantine.py
@@ -267,3 +267,100 @@
 ):
     progress = relay.AttemptProgress(began_at, first_event_at)
     assert _prompt_quarantine.is_beginning(progress, 10.0) is expected
+
+
+REQUEST = 'request:1'
+"""Fingerprint of the request that crashes servers."""
+
+
+def _make_sound(count):
+    return tuple((f'request:s{number}',) for number in range(count))
+
+
+@pytest.mark.parametrize(
+    ('events', 'quarantined', 'served'),
+    [
+        pytest.param(
+            [_Crash(10.0, 'c1', ((REQUEST,), *_make_sound(10)))],
+            [],
+            [(REQUEST,), *_make_sound(10)],
+            id='one crash blames nobody',
+        ),
+        pytest.param(
+            [
+                _Crash(10.0, 'c1', ((REQUEST,), *_make_sound(10))),
+                _Crash(10.5, 'c2', ((REQUEST,), ('request:t',))),
+            ],
+            [(REQUEST,)],
+            [*_make_sound(10), ('request:t',)],
+            id='those beside it are served',
+        ),
+        pytest.param(
+            [
+                _Crash(10.0, 'c1', ((REQUEST,), ('request:s',))),
+                _Crash(10.5, 'c2', ((REQUEST,), ('request:s',))),
+                _Crash(11.5, 'c3', ((REQUEST,),)),
+            ],
+            [(REQUEST,)],
+            [('request:s',)],
+            id='one that was sent again beside it too',
+        ),
+        pytest.param(
+            [
+                _Crash(10.0, 'c1', ((REQUEST,), ('request:s',))),
+                _Crash(10.5, 'c2', ((REQUEST,), ('request:s',))),
+            ],
+            [(REQUEST,), ('request:s',)],
+            [],
+            id='either of two',
+        ),
+        pytest.param(
+            [
+                _Crash(10.0, 'c1', ((REQUEST,), ('request:s',))),
+                _Crash(10.5, 'c2', ((REQUEST,), ('request:s',))),
+                _Answer(10.7, ('request:s',)),
+            ],
+            [(REQUEST,)],
+            [('request:s',)],
+            id='one that was answered',
+        ),
+        pytest.param(
+            [
+                _Crash(10.0, 'c1', (('a', 'dead', 'request:1'),)),
+                _Crash(10.5, 'c2', (('b', 'dead', 'request:2'),)),
+            ],
+            [('c', 'dead', 'request:3')],
+            [('a', 'request:4'), ('b', 'request:5')],
+            id='deadly part of prompts',
+        ),
+        pytest.param(
+            [
+                _Crash(10.0, 'c1', (('a', REQUEST),)),
+                _Crash(10.5, 'c2', (('a', REQUEST),)),
+            ],
+            [('a', REQUEST)],
+            [('a', 'request:2')],
+            id='deadly request among sound ones with its part',
+        ),
+    ],
+)
+def test_request_that_crashes_servers_is_quarantined_alone(
+    events, quarantined, served
+):
+    quarantine = _replay(events)
+    for names in quarantined:
+        assert quarantine.find(SERVICE, names, 12.0) is not None
+    for names in served:
+        assert quarantine.find(SERVICE, names, 12.0) is None
+
+
+def test_other_data_centres_hear_of_a_request_after_two_crashes():
+    quarantine = relay.PromptQuarantine('z1')
+    news = quarantine.record_crash('c1', SERVICE, (REQUEST,), 0.1, 10.0)
+    assert not quarantine.find_news_for_others(news)
+    assert not quarantine.make_snapshot(10.0, 'z1')
+    assert not quarantine.concerns_others
+    news = quarantine.record_crash('c2', SERVICE, (REQUEST,), 0.1, 10.5)
+    assert quarantine.find_news_for_others(news)
+    assert len(quarantine.make_snapshot(11.0, 'z1').reports) == 2
+    assert quarantine.concerns_others
