Prove no version by a restored store

Found by the state machine of the store's eras (three nodes, leases, versions and proofs over restores at any step): a node that learns of a new era takes no proof for 3 s, but a newer version that it read in that time was put in force together with its read as a proof, although the store may have lost the version after it. A key that this later version withdrew was accepted again.

Such a version is now put in force with the proof of the one before, and without any it is not passed on. Its nodes know the store from before: one that starts within the seconds after a restore can't tell, as docs/design/platform.md says.

--- a/balsamwind/node/_configuration_updater.py
+++ b/balsamwind/node/_configuration_updater.py
@@ -80,6 +80,9 @@
                 kept=self.version,
             )
             return
+        if not self._proves(proved_at):
+            # The last proof holds for this version too, as it is newer.
+            proved_at = self._configuration_cache.proved_at
         if not self._configuration_cache.accept(configuration, proved_at):
             self.confirm(revision, proved_at)
             return
@@ -92,9 +95,10 @@
             accounts=len(configuration.accounts or ()),
         )
         self._on_change()
-        self._publisher.publish_configuration(
-            previous, configuration, revision, proved_at
-        )
+        if proved_at > float('-inf'):
+            self._publisher.publish_configuration(
+                previous, configuration, revision, proved_at
+            )
 
     def confirm(self, revision, proved_at):
         """Record a proof that the version in force is the newest.
@@ -109,12 +113,15 @@
             When the read of the store was sent, or a lower bound of it
             (seconds, boot clock).
         """
-        if self._store_is_behind or proved_at < self._proofs_count_from:
+        if self._store_is_behind or not self._proves(proved_at):
             return
         self.revision = max(self.revision, revision)
         self._configuration_cache.record_proof(proved_at)
         self._publisher.publish_proof(self.revision, proved_at)
 
+    def _proves(self, proved_at):
+        return proved_at >= self._proofs_count_from
+
     def apply(self, change, revision, proved_at):
         """Put a version in force that a publisher sent as a difference.
 
--- a/balsamwind/node/tests/test_restored_store.py
+++ b/balsamwind/node/tests/test_restored_store.py
@@ -4,10 +4,15 @@
 import contextlib
 import copy
 
+import pytest
+
+from balsamwind.node import _configuration_updater
 from balsamwind.node import _lease
 from balsamwind.node import _lease_records
 from balsamwind.node import _node_records
+from balsamwind.node.tests import doubles
 from balsamwind.node.tests import helpers
+from balsamwind import traffic
 
 NAMES = ('n1', 'n2', 'n3')
 
@@ -202,3 +207,33 @@
             return await _send_all(nodes, 6, OTHER_KEY)
 
     assert set(asyncio.run(scenario())) == {503}
+
+
+class _Publisher:
+    def __init__(self):
+        self.published = []
+
+    def publish_configuration(self, *arguments):
+        self.published.append(arguments)
+
+    publish_proof = publish_configuration
+
+
+@pytest.mark.parametrize('known_version', [0, 4])
+def test_version_read_from_a_restored_store_proves_nothing(known_version):
+    """The operator may have written a newer one that the store has lost."""
+    cache = traffic.ConfigurationCache(4.6)
+    publisher = _Publisher()
+    updater = _configuration_updater.ConfigurationUpdater(
+        cache, publisher, doubles.Log(), lambda: None
+    )
+    if known_version:
+        updater.accept(traffic.Configuration(known_version, (), ()), 10, 90.0)
+    proved_at = cache.proved_at
+    publisher.published.clear()
+    updater.handle_restored_store(100.0)
+    updater.accept(traffic.Configuration(5, (), ()), 20, 100.5)
+    assert updater.version == 5
+    assert cache.proved_at == proved_at
+    for _, _, _, published_at in publisher.published:
+        assert published_at == proved_at
--- a/balsamwind/traffic/_configuration_cache.py
+++ b/balsamwind/traffic/_configuration_cache.py
@@ -37,6 +37,11 @@
         self._accounts_by_key = {}
         self._proved_at = NEVER_PROVED
 
+    @property
+    def proved_at(self):
+        """When the last proof was requested (boot time, seconds)."""
+        return self._proved_at
+
     @property
     def configuration(self):
         """Configuration in force; None until the first is accepted."""
