Let publishers judge the proofs that they send

Cause: a node that has a publisher hears of a new era only with its next own call to the store, seconds after the publisher, and then took no proof for 3 s more, not even the publisher's. A publisher judges its own reads: it learns of the era with the answer at the latest, so what it sends is sound. Such proofs are recorded as they come now; only own reads wait.

--- a/balsamwind/node/_configuration_updater.py
+++ b/balsamwind/node/_configuration_updater.py
@@ -71,7 +71,6 @@
         proved_at : float
             When the read of the store was sent (seconds, boot clock).
         """
-        previous = self._configuration_cache.configuration
         self._store_is_behind = configuration.version < self.version
         if self._store_is_behind:
             self._log.warning(
@@ -80,13 +79,19 @@
                 kept=self.version,
             )
             return
+        if configuration.version == self.version:
+            self.confirm(revision, proved_at)
+            return
         if not self._proves(proved_at):
             # The last proof holds for this version too, as it is newer.
             proved_at = self._configuration_cache.proved_at
+        self._put_in_force(configuration, revision, proved_at)
+
+    def _put_in_force(self, configuration, revision, proved_at):
+        previous = self._configuration_cache.configuration
         if not self._configuration_cache.accept(configuration, proved_at):
-            self.confirm(revision, proved_at)
             return
-        self.revision = revision
+        self.revision = max(self.revision, revision)
         self._log.info(
             'configuration_in_force',
             version=configuration.version,
@@ -113,8 +118,17 @@
             When the read of the store was sent, or a lower bound of it
             (seconds, boot clock).
         """
-        if self._store_is_behind or not self._proves(proved_at):
-            return
+        if not self._store_is_behind and self._proves(proved_at):
+            self.confirm_published(revision, proved_at)
+
+    def confirm_published(self, revision, proved_at):
+        """Record a proof of another node, which has judged its own read.
+
+        Parameters
+        ----------
+        revision, proved_at
+            As for `confirm`.
+        """
         self.revision = max(self.revision, revision)
         self._configuration_cache.record_proof(proved_at)
         self._publisher.publish_proof(self.revision, proved_at)
@@ -140,4 +154,6 @@
         base = (
             self._configuration_cache.configuration or traffic.NO_CONFIGURATION
         )
-        self.accept(traffic.apply_change(base, change), revision, proved_at)
+        self._put_in_force(
+            traffic.apply_change(base, change), revision, proved_at
+        )
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -348,7 +348,7 @@
             proved_at = self._convert_time(proof.proved_at)
             if proved_at > self._proved_at:
                 self._proved_at = proved_at
-                self._updater.confirm(proof.revision, proved_at)
+                self._updater.confirm_published(proof.revision, proved_at)
 
     def _accept_change(self, message):
         """Apply a change to the version in force, if it fits that version."""
--- a/balsamwind/node/tests/test_store_eras_state_machine.py
+++ b/balsamwind/node/tests/test_store_eras_state_machine.py
@@ -1,8 +1,8 @@
 """Leases, entries and proofs over restores of the store, machine-checked.
 
 The store may come back from an older copy at any step; nodes, which all know
-the store from before, learn of it with their next answer. Changes of the store are as in the platform's page: the
-revision goes back and is given out again.
+the store from before, learn of it with their next answer. Changes of the store
+are as in the platform's page: the revision goes back and is given out again.
 """
 
 import asyncio
