Wait for answers on their way in the proof's test

It shifts the last proof back while an answer of the store may be under way, and such an answer proves the version by the time of its request.

The test now waits until the node has noticed that the store is down; what it checks is unchanged.

--- a/balsamwind/node/tests/test_node.py
+++ b/balsamwind/node/tests/test_node.py
@@ -199,6 +199,9 @@
 def test_no_key_is_accepted_without_proof_of_the_configuration():
     async def scenario(fake_platform, process):
         fake_platform.store.faults.down = 'refuse'
+        # An answer that is still on its way proves the version.
+        updater = process._configuration_watcher._updater
+        await helpers.wait_until(lambda: updater.revision == 0)
         process.configuration_cache._proved_at -= 10.0
         answer = await helpers.send_request(process, helpers.make_request())
         return answer, process.is_ready()
