Split the caller's response off the forwarder

The fingerprint is made once a request. No behaviour changes; tests of relay, node, limits and deadly requests pass.

--- a/balsamwind/node/tests/helpers.py
+++ b/balsamwind/node/tests/helpers.py
@@ -124,6 +124,67 @@
         yield process
 
 
+@contextlib.asynccontextmanager
+async def open_fleet(
+    placement, engines=0, servers=0, configuration=CONFIGURATION
+):
+    """Run nodes, engines and plain servers until the block ends.
+
+    Parameters
+    ----------
+    placement : iterable of (str, str)
+        Name and data centre of each node. Engines and servers are spread over
+        these data centres.
+    engines : int
+        Engines, of which all groups serve when the block begins (count).
+    servers : int
+        Servers of the plain service ``ledger`` (count).
+    configuration : dict
+        Configuration that the operator has written.
+
+    Yields
+    ------
+    (FakePlatform, list of Process)
+    """
+    data_centres = tuple(sorted({place for _, place in placement}))
+    async with (
+        open_platform(0) as fake_platform,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        fake_platform.store.put('config', 'main', configuration)
+        for number in range(engines):
+            place = data_centres[number % len(data_centres)]
+            fake_platform.add_engine(f'e{number}', 'llm', place, f'd{place}')
+        for number in range(servers):
+            place = data_centres[number % len(data_centres)]
+            fake_platform.add_service(f's{number}', 'ledger', place)
+        nodes = [
+            await stack.enter_async_context(
+                open_node(
+                    fake_platform,
+                    name,
+                    data_centre=place,
+                    data_centres=data_centres,
+                )
+            )
+            for name, place in placement
+        ]
+        for process in nodes:
+            await wait_until(
+                lambda process=process: _is_serving(process, engines, servers)
+            )
+        yield fake_platform, nodes
+
+
+def _is_serving(process, engines, servers):
+    if count_serving_groups(process) != engines // 2:
+        return False
+    ledger = process.configuration_cache.find_service('ledger')
+    if ledger is None:
+        return not servers
+    return len(process.relay.backends.get_by_service(ledger)) == servers
+
+
 async def wait_until(condition, timeout=10.0):
     """Wait until `condition` returns a true value.
 
--- a/balsamwind/node/tests/test_deadly_prompts.py
+++ b/balsamwind/node/tests/test_deadly_prompts.py
@@ -1,7 +1,6 @@
 """Requests that crash each engine that begins to answer them."""
 
 import asyncio
-import contextlib
 
 import pytest
 
@@ -33,38 +32,6 @@
     return answer.startswith(b'HTTP/1.1 200') and answer.endswith(b'0\r\n\r\n')
 
 
-@contextlib.asynccontextmanager
-async def _open_fleet(placement, engines):
-    """Run nodes and engines until the block ends; all groups serve."""
-    data_centres = tuple(sorted({place for _, place in placement}))
-    async with (
-        helpers.open_platform(0) as fake_platform,
-        contextlib.AsyncExitStack() as stack,
-    ):
-        fake_platform.deadly_parts.add(DEADLY)
-        for number in range(engines):
-            place = data_centres[number % len(data_centres)]
-            fake_platform.add_engine(f'e{number}', 'llm', place, f'd{place}')
-        nodes = [
-            await stack.enter_async_context(
-                helpers.open_node(
-                    fake_platform,
-                    name,
-                    data_centre=place,
-                    data_centres=data_centres,
-                )
-            )
-            for name, place in placement
-        ]
-        for process in nodes:
-            await helpers.wait_until(
-                lambda process=process: (
-                    helpers.count_serving_groups(process) == engines // 2
-                )
-            )
-        yield fake_platform, nodes
-
-
 @pytest.mark.parametrize(
     'placement',
     [
@@ -76,7 +43,11 @@
     """No two deadly requests share another part, and all nodes get some."""
 
     async def scenario():
-        async with _open_fleet(placement, 16) as (fake_platform, nodes):
+        async with helpers.open_fleet(placement, 16) as (
+            fake_platform,
+            nodes,
+        ):
+            fake_platform.deadly_parts.add(DEADLY)
             for number in range(24):
                 process = nodes[number % len(nodes)]
                 request = _make_request(number, f'a{number}', DEADLY)
@@ -91,7 +62,11 @@
     """The part that deadly and sound requests share is not to blame."""
 
     async def scenario():
-        async with _open_fleet(ONE_DATA_CENTRE, 16) as (fake_platform, nodes):
+        async with helpers.open_fleet(ONE_DATA_CENTRE, 16) as (
+            fake_platform,
+            nodes,
+        ):
+            fake_platform.deadly_parts.add(DEADLY)
             served = []
             for number in range(24):
                 process = nodes[number % len(nodes)]
@@ -112,7 +87,11 @@
     """What was withdrawn from use is not in use again after a restart."""
 
     async def scenario():
-        async with _open_fleet(TWO_DATA_CENTRES, 16) as (fake_platform, nodes):
+        async with helpers.open_fleet(TWO_DATA_CENTRES, 16) as (
+            fake_platform,
+            nodes,
+        ):
+            fake_platform.deadly_parts.add(DEADLY)
             for number in range(8):
                 request = _make_request(number, f'a{number}', DEADLY)
                 await helpers.send_request(nodes[0], request)
--- a/balsamwind/node/tests/test_deadly_requests.py
+++ b/balsamwind/node/tests/test_deadly_requests.py
@@ -1,7 +1,6 @@
 """Requests that crash each server that runs them, repeated by their caller."""
 
 import asyncio
-import contextlib
 import copy
 import time
 
@@ -34,50 +33,11 @@
 TWO_DATA_CENTRES = (('n1', 'z1'), ('n2', 'z1'), ('n3', 'z2'), ('n4', 'z2'))
 
 
-@contextlib.asynccontextmanager
-async def _open_fleet(placement, engines=0, servers=0):
-    """Run nodes, engines and plain servers until the block ends."""
-    data_centres = tuple(sorted({place for _, place in placement}))
+def _make_configuration():
     configuration = copy.deepcopy(helpers.CONFIGURATION)
     configuration['Routes'].append(PLAIN_ROUTE)
     configuration['Services'].append({'Name': 'ledger'})
-    async with (
-        helpers.open_platform(0) as fake_platform,
-        contextlib.AsyncExitStack() as stack,
-    ):
-        fake_platform.store.put('config', 'main', configuration)
-        fake_platform.deadly_bodies.add(DEADLY)
-        for number in range(engines):
-            place = data_centres[number % len(data_centres)]
-            fake_platform.add_engine(f'e{number}', 'llm', place, f'd{place}')
-        for number in range(servers):
-            place = data_centres[number % len(data_centres)]
-            fake_platform.add_service(f's{number}', 'ledger', place)
-        nodes = [
-            await stack.enter_async_context(
-                helpers.open_node(
-                    fake_platform,
-                    name,
-                    data_centre=place,
-                    data_centres=data_centres,
-                )
-            )
-            for name, place in placement
-        ]
-        for process in nodes:
-            await helpers.wait_until(
-                lambda process=process: _is_serving(process, engines, servers)
-            )
-        yield fake_platform, nodes
-
-
-def _is_serving(process, engines, servers):
-    ledger = process.configuration_cache.find_service('ledger')
-    if ledger is None:
-        return False
-    plain = process.relay.backends.get_by_service(ledger)
-    groups = helpers.count_serving_groups(process)
-    return len(plain) == servers and groups == engines // 2
+    return configuration
 
 
 def _make_request(path, number, body=b'hi'):
@@ -136,7 +96,10 @@
     """Sound requests, of the same caller and path, are served meanwhile."""
 
     async def scenario():
-        async with _open_fleet(placement, **fleet) as (fake_platform, nodes):
+        async with helpers.open_fleet(
+            placement, **fleet, configuration=_make_configuration()
+        ) as (fake_platform, nodes):
+            fake_platform.deadly_bodies.add(DEADLY)
             answers, _ = await asyncio.gather(
                 _send_sound(nodes, path, 8.0),
                 _send_deadly_repeats(nodes, path, 8.0),
--- a/balsamwind/node/tests/test_server_limits.py
+++ b/balsamwind/node/tests/test_server_limits.py
@@ -1,7 +1,6 @@
 """Backend servers that state how many requests they take from all nodes."""
 
 import asyncio
-import contextlib
 import time
 
 import pytest
@@ -24,37 +23,6 @@
 TWO_DATA_CENTRES = (('n1', 'z1'), ('n2', 'z1'), ('n3', 'z2'), ('n4', 'z2'))
 
 
-@contextlib.asynccontextmanager
-async def _open_fleet(placement, engines=8):
-    """Run nodes and engines until the block ends; all groups serve."""
-    data_centres = tuple(sorted({place for _, place in placement}))
-    async with (
-        helpers.open_platform(0) as fake_platform,
-        contextlib.AsyncExitStack() as stack,
-    ):
-        for number in range(engines):
-            place = data_centres[number % len(data_centres)]
-            fake_platform.add_engine(f'e{number}', 'llm', place, f'd{place}')
-        nodes = [
-            await stack.enter_async_context(
-                helpers.open_node(
-                    fake_platform,
-                    name,
-                    data_centre=place,
-                    data_centres=data_centres,
-                )
-            )
-            for name, place in placement
-        ]
-        for process in nodes:
-            await helpers.wait_until(
-                lambda process=process: (
-                    helpers.count_serving_groups(process) == engines // 2
-                )
-            )
-        yield fake_platform, nodes
-
-
 def _find_heads(fake_platform):
     return [
         engine
@@ -94,7 +62,7 @@
     """Others have room, so that all requests are served."""
 
     async def scenario():
-        async with _open_fleet(placement) as (fake_platform, nodes):
+        async with helpers.open_fleet(placement, 8) as (fake_platform, nodes):
             limited = _find_heads(fake_platform)[:2]
             for engine in limited:
                 engine.rate_limit = RATE_LIMIT
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -6,12 +6,11 @@
 from balsamwind import exceptions
 from balsamwind.relay import _attempts
 from balsamwind.relay import _backend_selection
-from balsamwind.relay import _event_stream
 from balsamwind.relay import _fingerprint
 from balsamwind.relay import _header_filter
 from balsamwind.relay import _metadata
 from balsamwind.relay import _progress_watch
-from balsamwind import traffic
+from balsamwind.relay import _response_relay
 
 CONNECT_TIMEOUT = 0.35
 """Longest wait for a connection to a backend server (seconds)."""
@@ -22,13 +21,6 @@
 DISCARD_TIMEOUT = 0.05
 """Longest wait for the rest of a response that is not relayed (seconds)."""
 
-MAX_BUFFERED_BYTES = 1 << 18
-"""Size up to which a response body is held back until it is complete, so that
-the request can still be retried if the body is cut (bytes)."""
-
-EVENT_STREAM_TYPE = 'text/event-stream'
-"""Media type of event streams; a stream route may also answer without one."""
-
 
 async def _discard_body(response):
     """Read a short response to its end, so that its connection is reused."""
@@ -39,11 +31,6 @@
         return
 
 
-def _get_media_type(headers):
-    """Return the media type of a body, without parameters."""
-    return headers.get('Content-Type', '').partition(';')[0].strip().lower()
-
-
 def _make_quarantine_error(quarantine):
     if _fingerprint.is_fingerprint(quarantine.part):
         return exceptions.RequestQuarantined(
@@ -95,19 +82,18 @@
         '_connect_failures',
         '_current_attempt_sent',
         '_deadline',
-        '_event_buffer',
         '_forwarded_headers',
+        '_known_fingerprint',
         '_progress',
         '_relay',
         '_request',
         '_request_metadata',
         '_responder',
-        '_response_started',
+        '_response',
         '_retry_budget',
         '_route',
         '_selector',
         '_service',
-        '_stream_media_type',
     )
 
     def __init__(
@@ -133,32 +119,24 @@
         self._attempts_sent = 0
         self._current_attempt_sent = False
         self._connect_failures = 0
-        self._response_started = False
-        self._stream_media_type = None
+        self._response = _response_relay.ResponseRelay(responder, route)
+        self._known_fingerprint = None
         self._backend = None
         self._progress = None
         self._selector = _backend_selection.BackendSelector(
             relay, service, metadata, self._time_left
         )
         self._ambiguous_failure = None
-        self._event_buffer = _event_stream.EventStreamBuffer()
         self._forwarded_headers = _header_filter.filter_request_headers(
             request.headers, request.host, relay.header_codec.stripped_names
         )
 
-    @property
-    def _may_continue_response(self):
-        """Whether another attempt can still complete the response.
-
-        Once the response has started, only an event stream can be continued.
-        """
-        return not self._response_started or (
-            self._stream_media_type is not None
-        )
-
     def _time_left(self):
         return self._deadline - self._relay.clock.monotonic()
 
+    def _find_read_timeout(self):
+        return max(self._time_left(), 0.0) + 1.0
+
     def make_timeout_error(self):
         """Make the error for a request whose deadline has passed.
 
@@ -285,12 +263,16 @@
         )
 
     def _make_fingerprint(self):
-        return _fingerprint.make_fingerprint(self._request, self._account)
+        if self._known_fingerprint is None:
+            self._known_fingerprint = _fingerprint.make_fingerprint(
+                self._request, self._account
+            )
+        return self._known_fingerprint
 
     def _may_retry(self, failure):
         if self._time_left() <= 0:
             return False
-        if not self._may_continue_response:
+        if not self._response.may_be_continued:
             return False
         if self._find_quarantine() is not None:
             return False
@@ -374,7 +356,7 @@
                     counts_for_ejection=response.status != 504
                     and not self._selector.wants_pause(backend),
                 )
-            if self._response_started and not self._continues_stream(response):
+            if not self._response.can_follow(response):
                 await _discard_body(response)
                 return _attempts.Failure(
                     exceptions.BadAnswer(
@@ -383,11 +365,12 @@
                     ),
                     counts_for_ejection=response.status != 504,
                 )
-            if self._is_event_stream(response):
-                return await self._relay_events(
+            if self._response.is_event_stream(response):
+                await self._relay_events(
                     backend, response, watch, mark_prompt_processed
                 )
-            await self._relay_body(response)
+                return None
+            await self._response.relay_body(response, self._find_read_timeout)
             return None
         except exceptions.TransportError as error:
             return _attempts.Failure(error, sent=error.sent)
@@ -417,29 +400,11 @@
             may_be_sent_elsewhere,
         )
 
-    def _is_event_stream(self, response):
-        return (
-            self._route.kind is traffic.RequestKind.STREAM
-            and response.status == 200
-            and _get_media_type(response.headers) in ('', EVENT_STREAM_TYPE)
-        )
-
-    def _continues_stream(self, response):
-        """Tell whether a response can follow the events relayed so far.
-
-        Any other body would end the response to the caller as if it were
-        complete.
-        """
-        return (
-            response.status == 200
-            and _get_media_type(response.headers) == self._stream_media_type
-        )
-
     def _should_retry_server_error(self, status):
         """Tell whether to retry a server error instead of relaying it."""
         return (
             status >= 500
-            and not self._response_started
+            and not self._response.started
             and self._route.repeatable
             and self._attempts_sent + 1 < self._route.max_attempts
             and self._time_left() > self._route.latency_objective / 2
@@ -452,7 +417,7 @@
                 f'http://{backend.record.address}{self._request.target}',
                 headers=self._make_request_headers(backend),
                 body=self._request.body,
-                timeout=max(self._time_left(), 0.0) + 1.0,
+                timeout=self._find_read_timeout(),
                 connect_timeout=CONNECT_TIMEOUT,
                 is_own_response=self._is_response_to_request,
                 before_send=self._check_before_send,
@@ -478,7 +443,7 @@
         return metadata.request_id in ('', self._request_metadata.request_id)
 
     def _make_request_headers(self, backend):
-        last_event_id = self._event_buffer.last_event_id
+        last_event_id = self._response.events.last_event_id
         added = _metadata.ForwardedMetadata(
             server_id=backend.record.server_id,
             time_budget=max(self._time_left(), 0.001),
@@ -497,7 +462,8 @@
     async def _relay_events(
         self, backend, response, watch, mark_prompt_processed
     ):
-        self._event_buffer.start_attempt()
+        events = self._response.events
+        events.start_attempt()
         watch.expect_events()
         while True:
             watch.start_poll()
@@ -510,52 +476,17 @@
             mark_prompt_processed()
             now = self._relay.clock.monotonic()
             backend.record_progress(now)
-            complete_events = self._event_buffer.feed(chunk)
+            complete_events = events.feed(chunk)
             if complete_events:
                 self._progress.record_events(now)
-                self._start_event_stream(response)
-                await self._responder.write(complete_events)
+                await self._response.write_events(response, complete_events)
         self._record_stream_end(backend, response)
-        rest = self._event_buffer.finish(response.has_marked_end)
-        self._start_event_stream(response)
-        if rest:
-            await self._responder.write(rest)
-        self._responder.finish()
-        return None
+        await self._response.finish_events(response)
 
     def _record_stream_end(self, backend, response):
         self._relay.request_log.record_stream_end(
             self._request_metadata.request_id,
             backend,
             response.framing.value,
-            self._event_buffer.unfinished_bytes,
-        )
-
-    async def _relay_body(self, response):
-        chunks = []
-        size = 0
-        while chunk := await response.read(max(self._time_left(), 0.0) + 1.0):
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BUFFERED_BYTES:
-                self._start_response(response, with_content_length=True)
-                await self._responder.write(b''.join(chunks))
-                chunks.clear()
-        self._start_response(response, with_content_length=True)
-        if chunks:
-            await self._responder.write(b''.join(chunks))
-        self._responder.finish()
-
-    def _start_event_stream(self, response):
-        if not self._response_started:
-            self._stream_media_type = _get_media_type(response.headers)
-        self._start_response(response, with_content_length=False)
-
-    def _start_response(self, response, with_content_length):
-        if self._response_started:
-            return
-        self._response_started = True
-        headers = _header_filter.filter_response_headers(
-            response.headers, with_content_length
+            self._response.events.unfinished_bytes,
         )
-        self._responder.start(response.status, headers)
--- a/balsamwind/relay/tests/test_stream_retries.py
+++ b/balsamwind/relay/tests/test_stream_retries.py
@@ -7,7 +7,7 @@
 from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind import relay
-from balsamwind.relay import _forwarder
+from balsamwind.relay import _response_relay
 from balsamwind.relay.tests import forwarding
 
 CUT_CHUNKED = [
@@ -110,7 +110,7 @@
 
 
 def test_long_error_body_that_was_cut_is_not_followed_by_a_stream():
-    size = 2 * _forwarder.MAX_BUFFERED_BYTES
+    size = 2 * _response_relay.MAX_BUFFERED_BYTES
     long_error = [
         forwarding.make_head(404, 'text/plain', f'Content-Length: {size}\r\n'),
         b'x' * (size // 2 + 100000),
