--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -1,4 +1,4 @@
-"""Exchange of the evidence on prompt parts between all nodes.
+"""Exchange of the evidence of crashes between all nodes.
 
 Within a data centre, evidence goes along the updates: a subscriber sends it to
 its publisher, which sends it to all subscribers. Between data centres it goes
@@ -39,7 +39,7 @@
     ----------
     data_centre : str
         Data centre of this node.
-    quarantine : balsamwind.relay.PromptQuarantine
+    quarantine : balsamwind.relay.CrashQuarantine
         Evidence of this node.
     records : EvidenceRecords
         Evidence in the store.
@@ -91,7 +91,7 @@
 
         Returns
         -------
-        balsamwind.relay.PromptEvidence
+        balsamwind.relay.CrashEvidence
             What this node knows.
         """
         self.receive(request.evidence)
@@ -102,7 +102,7 @@
 
         Parameters
         ----------
-        evidence : balsamwind.relay.PromptEvidence
+        evidence : balsamwind.relay.CrashEvidence
             Evidence, which may be known already.
         """
         news = self._quarantine.merge(evidence, self._clock.monotonic())
@@ -114,7 +114,7 @@
 
         Parameters
         ----------
-        news : balsamwind.relay.PromptEvidence
+        news : balsamwind.relay.CrashEvidence
             New evidence.
         """
         self._publisher.broadcast(news)
--- a/balsamwind/node/_evidence_records.py
+++ b/balsamwind/node/_evidence_records.py
@@ -1,4 +1,4 @@
-"""Evidence on prompt parts in the store, one object for each data centre."""
+"""Evidence of crashes in the store, one object for each data centre."""
 
 from balsamwind import objects
 from balsamwind import relay
@@ -55,7 +55,7 @@
         """Read one object; its revision, 0 if there is none, and evidence."""
         stored = await self._store.get(KIND, data_centre, timeout)
         if stored is None:
-            return 0, relay.PromptEvidence()
+            return 0, relay.CrashEvidence()
         return stored.revision, self._decode(stored)
 
     async def write(self, data_centre, evidence, expected_revision, timeout):
@@ -76,9 +76,9 @@
 
     def _decode(self, stored):
         try:
-            return objects.decode(relay.PromptEvidence, stored.spec)
+            return objects.decode(relay.CrashEvidence, stored.spec)
         except (TypeError, ValueError) as error:
             self._log.warning(
                 'evidence_malformed', name=stored.name, reason=repr(error)
             )
-            return relay.PromptEvidence()
+            return relay.CrashEvidence()
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -192,7 +192,7 @@
         )
         self._evidence = _evidence_exchange.EvidenceExchange(
             settings.data_centre,
-            self.relay.prompt_quarantine,
+            self.relay.crash_quarantine,
             _evidence_records.EvidenceRecords(platform.store, self._log),
             self._publisher,
             link,
--- a/balsamwind/node/_state.py
+++ b/balsamwind/node/_state.py
@@ -79,7 +79,7 @@
             ),
             'open_requests': self._relay.open_requests,
             'quarantined_parts': (
-                self._relay.prompt_quarantine.count_quarantined(now)
+                self._relay.crash_quarantine.count_quarantined(now)
             ),
             'leads': [
                 leader.lease.shard
@@ -119,7 +119,7 @@
         yield core.GaugeMetricFamily(
             'balsamwind_quarantined_prompt_parts',
             'Prompt parts whose requests are not sent to engines.',
-            value=self._relay.prompt_quarantine.count_quarantined(now),
+            value=self._relay.crash_quarantine.count_quarantined(now),
         )
         yield self._collect_leases()
         yield self._collect_groups()
--- a/balsamwind/node/_subscriber_session.py
+++ b/balsamwind/node/_subscriber_session.py
@@ -16,7 +16,7 @@
     configuration_cache : balsamwind.traffic.ConfigurationCache
         Configuration in force.
     evidence : EvidenceExchange
-        Takes the subscriber's evidence on prompt parts.
+        Takes the subscriber's evidence of crashes.
     leaving_servers : LeavingServers
         Takes the subscriber's reports of leaving servers.
     limit_exchange : LimitExchange
@@ -85,7 +85,7 @@
                 return (
                     None if answer is None else _updates.encode_frame(answer)
                 )
-            case relay.PromptEvidence() as evidence:
+            case relay.CrashEvidence() as evidence:
                 self._evidence.receive(evidence)
             case _updates.EvidenceRequest() as request:
                 return _updates.encode_frame(
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -44,7 +44,7 @@
     server : balsamwind.adapters.UpdateServer
         Connections of the subscribers.
     evidence : EvidenceExchange or None
-        Takes the subscribers' evidence on prompt parts.
+        Takes the subscribers' evidence of crashes.
     leaving_servers : LeavingServers or None
         Takes the subscribers' reports of leaving servers.
     limit_exchange : LimitExchange or None
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -105,7 +105,7 @@
     max_proof_age, drain_time : float
         As given; replaced when the settings are read again.
     evidence : EvidenceExchange
-        Exchanges evidence on prompt parts with the publisher.
+        Exchanges evidence of crashes with the publisher.
     limit_exchange : LimitExchange
         Exchanges limits of backend servers with the publisher.
     """
@@ -314,7 +314,7 @@
                 self._accept_change(message)
             case _updates.PlacementReply():
                 self._placement.handle_reply(message)
-            case relay.PromptEvidence():
+            case relay.CrashEvidence():
                 self.evidence.receive(message)
             case _updates.ServerLimits():
                 self.limit_exchange.receive(message)
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -192,15 +192,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EvidenceRequest:
-    """Tells a publisher all evidence on prompt parts, and asks for its own.
+    """Tells a publisher all evidence of crashes, and asks for its own.
 
     Parameters
     ----------
-    evidence : balsamwind.relay.PromptEvidence
+    evidence : balsamwind.relay.CrashEvidence
         What the subscriber knows.
     """
 
-    evidence: relay.PromptEvidence = relay.PromptEvidence()
+    evidence: relay.CrashEvidence = relay.CrashEvidence()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -245,7 +245,7 @@
     9: PlacementReply,
     10: PlacementStall,
     11: PlacementEnd,
-    12: relay.PromptEvidence,
+    12: relay.CrashEvidence,
     13: EvidenceRequest,
     14: ServerLeaving,
     15: ServerLimits,
--- a/balsamwind/node/tests/test_updates.py
+++ b/balsamwind/node/tests/test_updates.py
@@ -64,7 +64,7 @@
 )
 
 
-EVIDENCE = relay.PromptEvidence(
+EVIDENCE = relay.CrashEvidence(
     (relay.CrashReport('e1:17', 'llm', ('a', 'b'), 0.25, 1.5, 'z1'),),
     (relay.SoundPart('llm', 'a', ('e1:17',)),),
 )
--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -3,6 +3,10 @@
 from balsamwind.relay._attempts import AttemptProgress
 from balsamwind.relay._backends import Backend
 from balsamwind.relay._backends import BackendTable
+from balsamwind.relay._crash_quarantine import CrashEvidence
+from balsamwind.relay._crash_quarantine import CrashQuarantine
+from balsamwind.relay._crash_quarantine import CrashReport
+from balsamwind.relay._crash_quarantine import SoundPart
 from balsamwind.relay._event_stream import EventStreamBuffer
 from balsamwind.relay._load_balancing import choose_backend
 from balsamwind.relay._load_balancing import NoBackendAvailable
@@ -19,10 +23,6 @@
 from balsamwind.relay._placement import Outcome
 from balsamwind.relay._placement import Placement
 from balsamwind.relay._placement import PlacementSession
-from balsamwind.relay._prompt_quarantine import CrashReport
-from balsamwind.relay._prompt_quarantine import PromptEvidence
-from balsamwind.relay._prompt_quarantine import PromptQuarantine
-from balsamwind.relay._prompt_quarantine import SoundPart
 from balsamwind.relay._quiet_servers import make_quiet_servers
 from balsamwind.relay._quiet_servers import MAX_PAUSE
 from balsamwind.relay._quiet_servers import QuietServer
@@ -38,6 +38,8 @@
     'Backend',
     'BackendKey',
     'BackendTable',
+    'CrashEvidence',
+    'CrashQuarantine',
     'CrashReport',
     'DemandMeter',
     'EventStreamBuffer',
@@ -49,8 +51,6 @@
     'Outcome',
     'Placement',
     'PlacementSession',
-    'PromptEvidence',
-    'PromptQuarantine',
     'QuietServer',
     'QuietServers',
     'Relay',
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -81,7 +81,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class SoundPart:
-    """A prompt part was answered completely, so some crashes are not its.
+    """A part was answered completely, so some crashes are not its.
 
     Parameters
     ----------
@@ -99,8 +99,8 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class PromptEvidence:
-    """What nodes tell each other of prompt parts.
+class CrashEvidence:
+    """What nodes tell each other of crashes.
 
     Parameters
     ----------
@@ -119,7 +119,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Quarantine:
-    """A prompt part whose requests are not sent to engines.
+    """A part whose requests are not sent to servers.
 
     Parameters
     ----------
@@ -176,8 +176,8 @@
         return count, last_at
 
 
-class PromptQuarantine:
-    """Evidence on prompt parts, and the parts that are quarantined by it.
+class CrashQuarantine:
+    """Evidence of crashes, and the parts that are quarantined by it.
 
     Parameters
     ----------
@@ -221,12 +221,12 @@
 
         Parameters
         ----------
-        evidence : PromptEvidence
+        evidence : CrashEvidence
             Evidence that is new here.
 
         Returns
         -------
-        PromptEvidence
+        CrashEvidence
         """
         reports = [
             report
@@ -236,7 +236,7 @@
                 for part in report.parts
             )
         ]
-        return PromptEvidence(tuple(reports), evidence.sound)
+        return CrashEvidence(tuple(reports), evidence.sound)
 
     def count_quarantined(self, now):
         """Count the parts that are quarantined, unless others explain them.
@@ -310,7 +310,7 @@
 
         Returns
         -------
-        PromptEvidence
+        CrashEvidence
             What the other nodes must know; empty if nothing is new.
         """
         suspected = tuple(
@@ -319,7 +319,7 @@
         report = CrashReport(
             crash, service, suspected, duration, 0.0, self._data_centre
         )
-        return self.merge(PromptEvidence((report,)), now)
+        return self.merge(CrashEvidence((report,)), now)
 
     def record_answer(self, service, parts, now):
         """Record that an answer to a prompt was completed.
@@ -335,7 +335,7 @@
 
         Returns
         -------
-        PromptEvidence
+        CrashEvidence
             What the other nodes must know; empty if no part was suspected.
         """
         sound = []
@@ -347,21 +347,21 @@
                 sound.append(self._clear_all(key))
         while len(self._sound) > MAX_SOUND_PARTS:
             self._sound.popitem(last=False)
-        return PromptEvidence(sound=tuple(sound))
+        return CrashEvidence(sound=tuple(sound))
 
     def merge(self, evidence, now):
         """Add the evidence of another node.
 
         Parameters
         ----------
-        evidence : PromptEvidence
+        evidence : CrashEvidence
             Evidence, which may be known already.
         now : float
             Current time (seconds, boot clock).
 
         Returns
         -------
-        PromptEvidence
+        CrashEvidence
             What of it was new here, and what this node knows against it.
         """
         self._drop_expired(now)
@@ -378,7 +378,7 @@
                 for part in new_parts
                 if self._is_sound(report.service, part, now)
             ]
-        return PromptEvidence(tuple(reports), tuple(sound))
+        return CrashEvidence(tuple(reports), tuple(sound))
 
     def make_snapshot(self, now, data_centre=None):
         """Make the evidence that a node without any must be told.
@@ -393,7 +393,7 @@
 
         Returns
         -------
-        PromptEvidence
+        CrashEvidence
         """
         self._drop_expired(now)
         reports = [
@@ -417,7 +417,7 @@
             SoundPart(service, part, (crash,))
             for service, part, crash in self._cleared
         ]
-        return PromptEvidence(tuple(reports), tuple(sound))
+        return CrashEvidence(tuple(reports), tuple(sound))
 
     def _is_sound(self, service, part, now):
         answered_at = self._sound.get((service, part), float('-inf'))
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
+from balsamwind.relay import _crash_quarantine
 from balsamwind.relay import _fingerprint
-from balsamwind.relay import _prompt_quarantine
 
 CONFIRMATION_TIMEOUT = 0.35
 """Longest wait for the refusal of a connection (seconds)."""
@@ -18,7 +18,7 @@
 
     Parameters
     ----------
-    quarantine : PromptQuarantine
+    quarantine : CrashQuarantine
         Takes the evidence.
     client : balsamwind.adapters.HttpClient
         Client with the connections to engines.
@@ -30,7 +30,7 @@
     Attributes
     ----------
     on_evidence : callable
-        Called with the `PromptEvidence` that other nodes must know.
+        Called with the `CrashEvidence` that other nodes must know.
     """
 
     __slots__ = (
@@ -70,9 +70,9 @@
         """
         now = self._clock.monotonic()
         suspected = []
-        if parts and _prompt_quarantine.is_beginning(progress, now):
+        if parts and _crash_quarantine.is_beginning(progress, now):
             suspected.append((parts, now - progress.began_at))
-        if _prompt_quarantine.may_have_begun(progress, now):
+        if _crash_quarantine.may_have_begun(progress, now):
             suspected.append(((fingerprint,), now - progress.sent_at))
         if not suspected:
             return
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -211,7 +211,7 @@
             yield backend
 
     def _find_quarantine(self):
-        quarantine = self._relay.prompt_quarantine
+        quarantine = self._relay.crash_quarantine
         if not quarantine.has_suspects:
             return None
         return quarantine.find(
@@ -225,7 +225,7 @@
         parts = ()
         if self._progress.first_event_at is not None:
             parts = self._request_metadata.shared_parts
-        if self._relay.prompt_quarantine.has_suspects:
+        if self._relay.crash_quarantine.has_suspects:
             parts = (*parts, self._make_fingerprint())
         if parts:
             self._relay.crash_reporter.record_answer(self._service.name, parts)
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -6,11 +6,11 @@
 
 from balsamwind import exceptions
 from balsamwind.relay import _backend_selection
+from balsamwind.relay import _crash_quarantine
 from balsamwind.relay import _crash_reporter
 from balsamwind.relay import _forwarder
 from balsamwind.relay import _model_demand
 from balsamwind.relay import _placement
-from balsamwind.relay import _prompt_quarantine
 from balsamwind.relay import _retry_budget
 from balsamwind.relay import _server_statements
 
@@ -96,7 +96,7 @@
         Places requests for this node, see `NoPlacementService`.
     server_statements : ServerStatements
         What backend servers say of themselves in their answers.
-    prompt_quarantine : PromptQuarantine
+    crash_quarantine : CrashQuarantine
         Prompt parts whose requests are not sent to engines.
     crash_reporter : CrashReporter
         Tells the quarantine of engines that crashed.
@@ -134,11 +134,9 @@
         self.server_statements = _server_statements.ServerStatements(
             request_log
         )
-        self.prompt_quarantine = _prompt_quarantine.PromptQuarantine(
-            data_centre
-        )
+        self.crash_quarantine = _crash_quarantine.CrashQuarantine(data_centre)
         self.crash_reporter = _crash_reporter.CrashReporter(
-            self.prompt_quarantine, client, clock, request_log.log
+            self.crash_quarantine, client, clock, request_log.log
         )
         self.open_requests = 0
         self.requests_received = 0
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -166,7 +166,7 @@
         self.request_log = _Log()
         self.data_centre = 'a'
         self.placement = None
-        self.prompt_quarantine = relay.PromptQuarantine('a')
+        self.crash_quarantine = relay.CrashQuarantine('a')
         self.crash_reporter = _CrashReporter()
         self.server_statements = _server_statements.ServerStatements(
             self.request_log
--- a/balsamwind/relay/tests/test_crash_quarantine.py
+++ b/balsamwind/relay/tests/test_crash_quarantine.py
@@ -7,7 +7,7 @@
 import pytest
 
 from balsamwind import relay
-from balsamwind.relay import _prompt_quarantine
+from balsamwind.relay import _crash_quarantine
 
 SERVICE = 'llm'
 
@@ -40,7 +40,7 @@
 
 
 def _replay(events):
-    quarantine = relay.PromptQuarantine('z1')
+    quarantine = relay.CrashQuarantine('z1')
     for event in events:
         _apply(quarantine, event)
     return quarantine
@@ -137,14 +137,14 @@
     (
         'the quarantine has ended',
         TWO_CRASHES,
-        10.5 + _prompt_quarantine.BASE_QUARANTINE_TIME,
+        10.5 + _crash_quarantine.BASE_QUARANTINE_TIME,
         [],
         [('a', 'dead')],
     ),
     (
         'a further crash prolongs the quarantine',
         [*TWO_CRASHES, _Crash(80.0, 'c3', (('c', 'dead'),))],
-        80.0 + _prompt_quarantine.BASE_QUARANTINE_TIME + 1.0,
+        80.0 + _crash_quarantine.BASE_QUARANTINE_TIME + 1.0,
         [('a', 'dead')],
         [('a',)],
     ),
@@ -168,23 +168,23 @@
 def test_time_left_is_that_of_the_last_crash():
     found = _replay(TWO_CRASHES).find(SERVICE, ('dead',), 20.5)
     assert found.crashes == 2
-    assert found.time_left == _prompt_quarantine.BASE_QUARANTINE_TIME - 10.0
+    assert found.time_left == _crash_quarantine.BASE_QUARANTINE_TIME - 10.0
 
 
 def test_evidence_is_bounded():
-    quarantine = relay.PromptQuarantine('z1')
-    for number in range(3 * _prompt_quarantine.MAX_SUSPECTS):
+    quarantine = relay.CrashQuarantine('z1')
+    for number in range(3 * _crash_quarantine.MAX_SUSPECTS):
         parts = (f'p{number}',)
         quarantine.record_crash(f'c{number}', SERVICE, parts, 0.3, 10.0)
         quarantine.record_answer(SERVICE, (f's{number}',), 10.0)
     snapshot = quarantine.make_snapshot(10.0)
-    assert len(snapshot.reports) == _prompt_quarantine.MAX_SUSPECTS
-    assert len(snapshot.sound) <= _prompt_quarantine.MAX_CLEARED
+    assert len(snapshot.reports) == _crash_quarantine.MAX_SUSPECTS
+    assert len(snapshot.sound) <= _crash_quarantine.MAX_CLEARED
 
 
 def test_evidence_expires():
     quarantine = _replay(TWO_CRASHES)
-    end = 11.0 + _prompt_quarantine.RETENTION_TIME
+    end = 11.0 + _crash_quarantine.RETENTION_TIME
     assert not quarantine.make_snapshot(end)
     assert not quarantine.has_suspects
 
@@ -203,7 +203,7 @@
 @hypothesis.given(EVENTS, strategies.randoms(use_true_random=False))
 def test_nodes_agree_once_all_evidence_has_reached_them(events, rng):
     """Whatever the order in which evidence comes, and however often."""
-    nodes = [relay.PromptQuarantine(f'z{number}') for number in range(3)]
+    nodes = [relay.CrashQuarantine(f'z{number}') for number in range(3)]
     sent = []
     for step, (node, crash, parts) in enumerate(events):
         now = 10.0 + step
@@ -214,7 +214,7 @@
         mixed = [*sent, *sent]
         rng.shuffle(mixed)
         for news, at in mixed:
-            aged = relay.PromptEvidence(
+            aged = relay.CrashEvidence(
                 tuple(
                     dataclasses.replace(report, age=now - at)
                     for report in news.reports
@@ -232,7 +232,7 @@
 
 def test_snapshot_tells_a_new_node_all():
     old = _replay(TWO_CRASHES)
-    new = relay.PromptQuarantine('z2')
+    new = relay.CrashQuarantine('z2')
     assert new.merge(old.make_snapshot(12.0), 500.0)
     found = new.find(SERVICE, ('dead',), 500.0)
     assert found.crashes == 2
@@ -243,8 +243,8 @@
 
 
 def test_node_that_knows_a_part_as_sound_says_so():
-    node = relay.PromptQuarantine('z1')
-    other = relay.PromptQuarantine('z1')
+    node = relay.CrashQuarantine('z1')
+    other = relay.CrashQuarantine('z1')
     node.record_answer(SERVICE, ('a',), 9.0)
     news = other.record_crash('c1', SERVICE, ('a', 'dead'), 0.3, 10.0)
     reply = node.merge(news, 10.1)
@@ -266,7 +266,7 @@
     began_at, first_event_at, expected
 ):
     progress = relay.AttemptProgress(began_at, first_event_at)
-    assert _prompt_quarantine.is_beginning(progress, 10.0) is expected
+    assert _crash_quarantine.is_beginning(progress, 10.0) is expected
 
 
 REQUEST = 'request:1'
@@ -355,7 +355,7 @@
 
 
 def test_other_data_centres_hear_of_a_request_after_two_crashes():
-    quarantine = relay.PromptQuarantine('z1')
+    quarantine = relay.CrashQuarantine('z1')
     news = quarantine.record_crash('c1', SERVICE, (REQUEST,), 0.1, 10.0)
     assert not quarantine.find_news_for_others(news)
     assert not quarantine.make_snapshot(10.0, 'z1')
--- a/balsamwind/relay/tests/test_crash_reporter.py
+++ b/balsamwind/relay/tests/test_crash_reporter.py
@@ -39,7 +39,7 @@
 def _report(open_port, began=True, parts=PARTS, writing=0.0):
     async def scenario():
         client = adapters.HttpClient()
-        quarantine = relay.PromptQuarantine('z1')
+        quarantine = relay.CrashQuarantine('z1')
         clock = forwarding.Clock()
         reporter = _crash_reporter.CrashReporter(
             quarantine, client, clock, _Log()
