Spread the returns of requests that limits reject

Each rejected request is now promised a token of its own, over all limited servers of the service, so that Retry-After grows along the burst.

--- a/balsamwind/relay/_load_balancing.py
+++ b/balsamwind/relay/_load_balancing.py
@@ -237,19 +237,17 @@
 
 def _explain_no_candidates(model, of_model, known, tried, restrictions, now):
     """Say why no backend can be chosen, and when the first one can."""
-    ends = [
-        end
+    restricted = [
+        backend.record
         for backend in of_model
-        if (end := restrictions.find_end(backend.record, now)) is not None
+        if restrictions.find_end(backend.record, now) is not None
     ]
+    return_at = restrictions.plan_return(restricted, now)
     reason = (
         f'no group serves {model or "the service"}: {known} backends known,'
-        f' {len(tried)} already tried, {len(ends)} want no request now'
-    )
-    first_end = min(ends, default=float('inf'))
-    retry_after = (
-        first_end - now if first_end < float('inf') else DEFAULT_RETRY_AFTER
+        f' {len(tried)} already tried, {len(restricted)} want no request now'
     )
+    retry_after = DEFAULT_RETRY_AFTER if return_at is None else return_at - now
     return NoBackendAvailable(reason, retry_after)
 
 
--- a/balsamwind/relay/_quiet_servers.py
+++ b/balsamwind/relay/_quiet_servers.py
@@ -79,6 +79,25 @@
         end = self._ends.get((record.server_id, record.born))
         return end if end is not None and end > now else None
 
+    def plan_return(self, records, now):
+        """Plan when a request that all servers turn away may come back.
+
+        Parameters
+        ----------
+        records : iterable of balsamwind.pool.ServerRecord
+            Entries of the servers.
+        now : float
+            Current time (seconds, boot clock).
+
+        Returns
+        -------
+        float or None
+            End of the first pause (seconds, boot clock); None if there is
+            none.
+        """
+        ends = [self.find_end(record, now) for record in records]
+        return min((end for end in ends if end is not None), default=None)
+
     def list(self, now):
         """List the pauses for another node, the longest first.
 
--- a/balsamwind/relay/_server_limits.py
+++ b/balsamwind/relay/_server_limits.py
@@ -59,6 +59,7 @@
     """Tokens of this node for one server."""
 
     __slots__ = (
+        '_promised_until',
         '_refilled_at',
         '_share',
         '_tokens',
@@ -75,6 +76,7 @@
         self.reported_at = float('-inf')
         self._tokens = 0.0
         self._share = 0.0
+        self._promised_until = float('-inf')
         self._refilled_at = float('-inf')
 
     def set_limit(self, rate_limit, share, now):
@@ -111,6 +113,15 @@
             return 0.0
         return missing / rate if rate > 0.0 else float('inf')
 
+    def find_return(self, now):
+        """Return when one more rejected request may come back (seconds)."""
+        return max(now + self.find_wait(), self._promised_until)
+
+    def promise_return(self, now):
+        """Count a rejected request that is told to come back."""
+        rate = self._find_rate(self._share)
+        self._promised_until = self.find_return(now) + 1.0 / rate
+
     def take(self):
         """Count a request that is sent."""
         self._tokens = max(0.0, self._tokens - 1.0)
@@ -271,6 +282,43 @@
         wait = bucket.find_wait()
         return now + wait if wait > 0.0 else None
 
+    def find_return(self, record, now):
+        """Return when one more rejected request may come back.
+
+        Requests that were told to come back before take the first tokens, so
+        that they do not all come back for the same one.
+
+        Parameters
+        ----------
+        record : balsamwind.pool.ServerRecord
+            Entry of the server.
+        now : float
+            Current time (seconds, boot clock).
+
+        Returns
+        -------
+        float or None
+            Time (seconds, boot clock), infinite if another node spends the
+            limit; None if a request may be sent now.
+        """
+        if self.find_end(record, now) is None:
+            return None
+        return self._find_bucket(record).find_return(now)
+
+    def promise_return(self, record, now):
+        """Count a rejected request that comes back for a server's token.
+
+        Parameters
+        ----------
+        record : balsamwind.pool.ServerRecord
+            Entry of the server.
+        now : float
+            Current time (seconds, boot clock).
+        """
+        bucket = self._find_bucket(record)
+        if bucket is not None:
+            bucket.promise_return(now)
+
     def take(self, record):
         """Count a request that is sent to a server, if that is limited.
 
--- a/balsamwind/relay/_server_statements.py
+++ b/balsamwind/relay/_server_statements.py
@@ -49,11 +49,44 @@
         float or None
             Time (seconds, boot clock); None if it may be sent one now.
         """
-        pause_end = self.pauses.find_end(record, now)
-        limit_end = self.limits.find_end(record, now)
-        if pause_end is None:
-            return limit_end
-        return pause_end if limit_end is None else max(pause_end, limit_end)
+        return _find_latest(
+            self.pauses.find_end(record, now),
+            self.limits.find_end(record, now),
+        )
+
+    def plan_return(self, records, now):
+        """Plan when a request that all servers turn away may come back.
+
+        Parameters
+        ----------
+        records : iterable of balsamwind.pool.ServerRecord
+            Entries of the servers.
+        now : float
+            Current time (seconds, boot clock).
+
+        Returns
+        -------
+        float or None
+            Time (seconds, boot clock), at which no other rejected request
+            comes back for the same token; None if it is not known.
+        """
+        first, first_end = None, float('inf')
+        for record in records:
+            end = _find_latest(
+                self.pauses.find_end(record, now),
+                self.limits.find_return(record, now),
+            )
+            if end is not None and end < first_end:
+                first, first_end = record, end
+        if first is None:
+            return None
+        self.limits.promise_return(first, now)
+        return first_end
+
+
+def _find_latest(pause_end, limit_end):
+    ends = [end for end in (pause_end, limit_end) if end is not None]
+    return max(ends, default=None)
 
 
 class ServerStatements:
--- a/balsamwind/relay/tests/test_server_limits.py
+++ b/balsamwind/relay/tests/test_server_limits.py
@@ -7,6 +7,7 @@
 
 from balsamwind import pool
 from balsamwind import relay
+from balsamwind.relay import _load_balancing
 from balsamwind.relay import _server_limits
 from balsamwind.relay import _server_statements
 from balsamwind import traffic
@@ -254,3 +255,31 @@
     rejection = choose(backends, SERVICE, REQUIREMENTS, limits, 10.5)
     assert isinstance(rejection, relay.NoBackendAvailable)
     assert rejection.retry_after == pytest.approx(1.5)
+
+
+@pytest.mark.parametrize('choose', [_choose, _place])
+def test_rejected_requests_do_not_all_come_back_for_one_token(choose):
+    """A burst arrives while no server has a token."""
+    backends = _make_backends('m')
+    limits = _make_limits(1.0)
+    limits.record(_make_record('b'), 2.0, 10.0, 10.0)
+    returns = []
+    for number in range(6):
+        now = 10.1 + number * 0.01
+        rejection = choose(backends, SERVICE, REQUIREMENTS, limits, now)
+        returns.append(now + rejection.retry_after)
+    assert sorted(returns) == pytest.approx(
+        [10.5, 11.0, 11.0, 11.5, 12.0, 12.0]
+    )
+    for now in sorted(returns):
+        assert choose(
+            backends, SERVICE, REQUIREMENTS, limits, now + 0.001
+        ) in ('a', 'b')
+
+
+def test_nobody_is_told_to_come_back_for_the_limit_of_another_node():
+    backends = _make_backends('m')
+    limits = _make_limits(1.0, share=0.0)
+    limits.record(_make_record('b'), 2.0, 10.0, 10.0)
+    rejection = _choose(backends, SERVICE, REQUIREMENTS, limits, 10.5)
+    assert rejection.retry_after == _load_balancing.DEFAULT_RETRY_AFTER
