--- a/balsamwind/node/_state.py
+++ b/balsamwind/node/_state.py
@@ -81,6 +81,9 @@
             'quarantined_parts': (
                 self._relay.crash_quarantine.count_quarantined(now)
             ),
+            'limited_servers': (
+                self._relay.server_statements.limits.limited_count
+            ),
             'leads': [
                 leader.lease.shard
                 for leader in self._leaders
@@ -118,9 +121,14 @@
         )
         yield core.GaugeMetricFamily(
             'balsamwind_quarantined_prompt_parts',
-            'Prompt parts whose requests are not sent to engines.',
+            'Prompt parts and requests that are not sent to servers.',
             value=self._relay.crash_quarantine.count_quarantined(now),
         )
+        yield core.GaugeMetricFamily(
+            'balsamwind_limited_servers',
+            'Backend servers that state a limit on their requests.',
+            value=self._relay.server_statements.limits.limited_count,
+        )
         yield self._collect_leases()
         yield self._collect_groups()
         yield self._collect_demand()
--- a/balsamwind/node/tests/test_state.py
+++ b/balsamwind/node/tests/test_state.py
@@ -43,6 +43,7 @@
         'balsamwind_store_calls_total{object="leases",purpose="write"}',
         'balsamwind_open_requests 0.0',
         'balsamwind_quarantined_prompt_parts 0.0',
+        'balsamwind_limited_servers 0.0',
         'balsamwind_answers_total{outcome="ok"} 1.0',
     ],
 )
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -97,7 +97,7 @@
     server_statements : ServerStatements
         What backend servers say of themselves in their answers.
     crash_quarantine : CrashQuarantine
-        Prompt parts whose requests are not sent to engines.
+        Prompt parts and requests that are not sent to servers.
     crash_reporter : CrashReporter
         Tells the quarantine of engines that crashed.
     open_requests : int
