Rename what a newcomer would stumble on

A callback that closes connections was named as a question; a count was named as a relation. The quarantine's lookup says what it takes now. No behaviour changes.

--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -210,7 +210,7 @@
             settings.name,
             settings.data_centre,
             lambda: link.is_open and self.subscriber.has_fresh_servers(),
-            lambda: self._publisher.relied_on_by,
+            lambda: self._publisher.relying_subscriber_count,
         )
         limits = self.relay.server_statements.limits
         limits.find_share = self._limit_shares.find_share
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -68,7 +68,7 @@
         )
 
     @property
-    def relied_on_by(self):
+    def relying_subscriber_count(self):
         """Subscribers that rely on the updates of this node (count)."""
         age = self._clock.monotonic() - self._last_publish_at
         return self.server.subscriber_count if age <= FRESH_TIME else 0
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -256,17 +256,18 @@
         )
 
     def find(self, service, parts, now):
-        """Find a quarantined part of a prompt.
+        """Find a quarantined part of a request.
 
-        A part is not to blame if a part that the prompt lacks has been in all
-        the crashes of the first one: then the other explains them.
+        A part is not to blame if a part that the request lacks has been in
+        all the crashes of the first one: then the other explains them. Of two
+        requests, only the one that has been in more crashes does.
 
         Parameters
         ----------
         service : str
             Service of the request.
         parts : tuple of str
-            Parts of its prompt.
+            Parts of its prompt, and its fingerprint.
         now : float
             Current time (seconds, boot clock).
 
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -384,7 +384,7 @@
                 response.close()
 
     def _make_progress_watch(self, backend):
-        def may_be_sent_elsewhere():
+        def handle_long_stall():
             # New connections may work although idle ones are dead.
             self._relay.client.close_idle_connections(backend.record.address)
             return (
@@ -397,7 +397,7 @@
             self._service.engine,
             self._relay.clock,
             self._selector.report_stall,
-            may_be_sent_elsewhere,
+            handle_long_stall,
         )
 
     def _should_retry_server_error(self, status):
--- a/balsamwind/relay/_progress_watch.py
+++ b/balsamwind/relay/_progress_watch.py
@@ -22,30 +22,28 @@
         Source of the time (boot clock).
     on_stall : callable
         Called without arguments when the backend is ejected.
-    may_be_sent_elsewhere : callable
+    on_long_stall : callable
         Called without arguments after a longer wait; returns whether the
-        attempt may end so that the request is sent to another backend.
+        attempt is to end, so that the request is sent to another backend.
     """
 
     __slots__ = (
         '_backend',
         '_clock',
         '_engine',
-        '_may_be_sent_elsewhere',
+        '_on_long_stall',
         '_on_stall',
         '_poll_started_at',
         '_timeouts',
         '_waiting_since',
     )
 
-    def __init__(
-        self, backend, engine, clock, on_stall, may_be_sent_elsewhere
-    ):
+    def __init__(self, backend, engine, clock, on_stall, on_long_stall):
         self._backend = backend
         self._engine = engine
         self._clock = clock
         self._on_stall = on_stall
-        self._may_be_sent_elsewhere = may_be_sent_elsewhere
+        self._on_long_stall = on_long_stall
         self._waiting_since = clock.monotonic()
         self._poll_started_at = self._waiting_since
         self._timeouts = (_backends.STALL_TIMEOUT, _backends.STALL_TIMEOUT)
@@ -103,7 +101,7 @@
         self._backend.record_stall(now)
         self._on_stall()
         if self._is_stalled(now, retry_timeout):
-            if self._may_be_sent_elsewhere():
+            if self._on_long_stall():
                 raise _attempts.GroupStalled
 
     def _is_stalled(self, now, timeout):
