Carry attempts for nodes without a path

Cause: the forwarder knew one thing that a failed attempt can blame, the server. Without a path each attempt at each server fails, so the node only walked over servers, blamed all of them and gave up.

Change: a path is a case of its own beside the backend. - relay/_paths.py decides, without input and output: a failed or silent attempt raises a doubt about the path to a service; connections to two other servers settle it (relay/_path_prober.py). In doubt or without a path, attempts go through another node, and nothing that fails is blamed on a server. - relay/_peer_selection.py decides through which node; one that says it has no path, drains or is full is left out, others share the load. - relay/_attempt_carrier.py sends for others, over its own path only, so that there is one hop. The account, admission, retries, limits, quarantine and resumption stay with the first node; the carrier checks what only it can know (path, draining, pauses that servers asked of it, the backend) and sets the time budget anew. node/_attempt_client.py and _attempt_server.py carry the messages, one attempt on a connection at a time; a caller that leaves cuts that connection. - Crashes are no longer taken from refused connections without a path.

--- a/balsamwind/adapters/__init__.py
+++ b/balsamwind/adapters/__init__.py
@@ -21,9 +21,13 @@
         '_tls': ['TlsContexts', 'make_tls_contexts'],
         '_update_link': [
             'UpdateServer',
+            'is_open',
             'open_update_connection',
+            'open_websocket',
             'receive_frame',
+            'receive_from',
             'send_frame',
+            'send_to',
         ],
     },
 )
--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -243,15 +243,32 @@
         bool
             False also if there is no answer: a silent server may be alive.
         """
+        error = await self._try_connecting(endpoint, timeout)
+        return isinstance(error, exceptions.ConnectionRefused)
+
+    async def is_reachable(self, endpoint, timeout):
+        """Tell whether a server accepts a new connection.
+
+        Parameters
+        ----------
+        endpoint, timeout
+            As for `is_refused`.
+
+        Returns
+        -------
+        bool
+        """
+        return await self._try_connecting(endpoint, timeout) is None
+
+    async def _try_connecting(self, endpoint, timeout):
+        """Open and close a connection; return the error, None if it opened."""
         parts = urllib.parse.urlsplit(f'http://{endpoint}')
         try:
             stream = await self._connect(parts, endpoint, timeout)
-        except exceptions.ConnectionRefused:
-            return True
-        except exceptions.TransportError:
-            return False
+        except exceptions.TransportError as error:
+            return error
         stream.close()
-        return False
+        return None
 
     async def _send_and_receive(
         self,
--- a/balsamwind/adapters/_streamed_response.py
+++ b/balsamwind/adapters/_streamed_response.py
@@ -77,6 +77,11 @@
             return BodyFraming.LENGTH
         return BodyFraming.CLOSE
 
+    @property
+    def framing_name(self):
+        """Says in logs how the end of the body is marked."""
+        return self.framing.value
+
     @property
     def has_marked_end(self):
         """Whether the body itself shows that it is complete."""
--- a/balsamwind/adapters/_update_link.py
+++ b/balsamwind/adapters/_update_link.py
@@ -45,6 +45,12 @@
         which ends the connection. Its `close` is called at the end.
     log : structlog.BoundLogger
         Logger of connection errors.
+
+    Attributes
+    ----------
+    handlers : dict of str to callable
+        Coroutine functions that handle the connections to other paths; they
+        take the connection.
     """
 
     def __init__(self, make_first_frame, open_session, log):
@@ -52,6 +58,8 @@
         self._open_session = open_session
         self._log = log
         self._connections = set()
+        self._others = set()
+        self.handlers = {}
 
     @contextlib.asynccontextmanager
     async def listen(self, address):
@@ -69,7 +77,7 @@
             try:
                 yield self
             finally:
-                for connection in list(self._connections):
+                for connection in [*self._connections, *self._others]:
                     connection.transport.abort()
 
     @property
@@ -94,6 +102,18 @@
                 connection.transport.abort()
 
     async def _handle_connection(self, connection):
+        handler = self.handlers.get(connection.request.path)
+        try:
+            if handler is None:
+                await self._serve_subscriber(connection)
+            else:
+                await self._serve_other(handler, connection)
+        except exceptions.TransportError as error:
+            self._log.warning('news_malformed', error=str(error))
+        except (OSError, websockets.WebSocketException):
+            return
+
+    async def _serve_subscriber(self, connection):
         session = self._open_session()
         try:
             first_frame = self._make_first_frame()
@@ -104,14 +124,17 @@
                 reply = session.handle(data)
                 if reply is not None:
                     await connection.send(reply)
-        except exceptions.TransportError as error:
-            self._log.warning('news_malformed', error=str(error))
-        except (OSError, websockets.WebSocketException):
-            return
         finally:
             self._connections.discard(connection)
             session.close()
 
+    async def _serve_other(self, handler, connection):
+        self._others.add(connection)
+        try:
+            await handler(connection)
+        finally:
+            self._others.discard(connection)
+
 
 def send_frame(connection, data):
     """Send a frame without waiting until the socket has taken it.
@@ -126,6 +149,69 @@
     ws_server.broadcast((connection,), data)
 
 
+def is_open(connection):
+    """Tell whether a websocket is open."""
+    return connection.state is websockets.State.OPEN
+
+
+async def send_to(connection, data):
+    """Send a frame, and wait until the socket has taken it.
+
+    Raises
+    ------
+    balsamwind.exceptions.TransportError
+        The connection was lost.
+    """
+    try:
+        await connection.send(data)
+    except (OSError, websockets.WebSocketException) as error:
+        raise exceptions.TransportError(f'connection lost: {error}') from None
+
+
+async def receive_from(connection):
+    """Wait for the next frame, without a timeout.
+
+    Raises
+    ------
+    balsamwind.exceptions.TransportError
+        The connection was lost.
+    """
+    try:
+        return await connection.recv()
+    except (OSError, websockets.WebSocketException) as error:
+        raise exceptions.TransportError(f'connection lost: {error}') from None
+
+
+async def open_websocket(address, path, timeout):
+    """Connect to a node; the caller closes the connection.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port`` of the node.
+    path : str
+        Path of the websocket.
+    timeout : float
+        Longest wait (seconds).
+
+    Returns
+    -------
+    websockets.asyncio.client.ClientConnection
+
+    Raises
+    ------
+    balsamwind.exceptions.TransportError
+        The node can't be reached.
+    """
+    try:
+        async with asyncio.timeout(timeout):
+            return await ws_client.connect(
+                f'ws://{address}{path}', proxy=None, **WEBSOCKET_OPTIONS
+            )
+    except (OSError, TimeoutError, websockets.WebSocketException) as error:
+        raise exceptions.TransportError(f'{address}: {error!r}') from None
+
+
 @contextlib.asynccontextmanager
 async def open_update_connection(address):
     """Connect to a node that sends updates, until the block ends.
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -252,6 +252,33 @@
     """Nothing listens at the address, as after a crash of the server."""
 
 
+class DeadlinePassed(TransportError):
+    """The deadline passed before anything was sent."""
+
+    def __init__(self, message=''):
+        super().__init__(message, sent=False)
+
+
+class PeerUnavailable(TransportError):
+    """Another node did not carry an attempt, or broke it off.
+
+    Parameters
+    ----------
+    message : str
+        Description of the error.
+    sent : bool
+        Whether the attempt may have been sent to the server.
+    cause : balsamwind.relay.CarryFailure or None
+        Why the node carries nothing; None if it did not say.
+    """
+
+    code = 'peer_unavailable'
+
+    def __init__(self, message='', sent=True, cause=None):
+        super().__init__(message, sent)
+        self.cause = cause
+
+
 class AnswerTimeout(TransportError):
     """A backend server did not answer in time on an open connection."""
 
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 import signal
 
 import structlog
@@ -10,6 +11,9 @@
 from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind import lifecycle
+from balsamwind.node import _attempt_client
+from balsamwind.node import _attempt_frames
+from balsamwind.node import _attempt_server
 from balsamwind.node import _configuration_updater
 from balsamwind.node import _configuration_watcher
 from balsamwind.node import _evidence_exchange
@@ -155,6 +159,7 @@
         self.relay.placement = _placement_client.PlacementClient(
             link, self._clock, self._log
         )
+        self._open_other_paths()
         self._caller_server = adapters.RelayServer(
             self.relay, self._clock, traffic.RequestLimits(), self._log
         )
@@ -171,6 +176,9 @@
             self._log,
             self.relay.open_placement_session,
         )
+        self._publisher.server.handlers[_attempt_frames.PATH] = (
+            self._attempt_server.handle
+        )
         updater = _configuration_updater.ConfigurationUpdater(
             self.configuration_cache,
             self._publisher,
@@ -281,6 +289,38 @@
         self._tasks = []
         self._leader_tasks = []
 
+    def _open_other_paths(self):
+        """Let other nodes carry attempts for this one, and the reverse."""
+        self._path_prober = relay.PathProber(
+            self.relay.paths,
+            self._find_usable_servers,
+            self._backend_client,
+            self._clock,
+            self._log,
+        )
+        self.relay.paths.on_doubt = self._path_prober.start
+        self.relay.settle_path = self._path_prober.settle
+        self._attempt_client = _attempt_client.AttemptClient()
+        self._peer_selector = relay.PeerSelector(
+            self._settings.data_centre, random.Random()
+        )
+        self.relay.peers = relay.PeerService(
+            self._peer_selector, self._attempt_client, self._clock
+        )
+        self._attempt_carrier = relay.AttemptCarrier(
+            self.relay, self._settings.cores
+        )
+        self._attempt_server = _attempt_server.AttemptServer(
+            self._attempt_carrier, self._log
+        )
+
+    def _find_usable_servers(self, service):
+        return [
+            record
+            for record in self.registry.get_by_service(service)
+            if record.usable
+        ]
+
     def _update_nodes(self, nodes):
         """Apply a changed list of nodes.
 
@@ -290,6 +330,15 @@
         """
         self.relay.set_node_count(sum(len(names) for names in nodes.values()))
         self._limit_shares.set_nodes(nodes)
+        self._attempt_server.set_nodes(
+            node for registered in nodes.values() for node in registered
+        )
+        self._peer_selector.set_peers(
+            relay.Peer(node.address, data_centre)
+            for data_centre, registered in nodes.items()
+            for node in registered
+            if node.name != self._settings.name
+        )
         ranked = _ranking.rank_nodes(nodes.get(self._settings.data_centre, ()))
         self.subscriber.set_nodes(ranked)
         rank = _ranking.find_rank(ranked, self._settings.name)
@@ -419,6 +468,7 @@
         started_at = self._clock.monotonic()
         self._log.info('draining', open_requests=self.relay.open_requests)
         self._draining = True
+        self._attempt_carrier.is_draining = True
         self._caller_server.disable_keep_alive()
         for task in self._leader_tasks:
             task.cancel()
@@ -432,10 +482,15 @@
         self._caller_server.close_idle()
         await asyncio.sleep(DRAIN_POLL_INTERVAL)
         deadline = started_at + self._settings.bounds.grace - EXIT_MARGIN
-        while self.relay.open_requests and self._clock.monotonic() < deadline:
+        while self._has_open_work() and self._clock.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
         self._log.info('drained', open_requests=self.relay.open_requests)
 
+    def _has_open_work(self):
+        return bool(
+            self.relay.open_requests or self._attempt_carrier.open_attempts
+        )
+
     async def stop(self):
         """Stop the background tasks and close all connections."""
         tasks = [*self._tasks, *self._leader_tasks]
@@ -443,6 +498,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.relay.crash_reporter.close()
+        self._path_prober.close()
+        self._attempt_client.close()
         self._caller_server.stop()
         await self._caller_server.close()
         self._backend_client.close()
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -1,6 +1,5 @@
 """Frames that the nodes of one data centre exchange to reduce store calls.
 
-A frame is a CBOR array of the type tag of a message and a map of its fields.
 The proof of a configuration is the time at which its version was last known to
 be the newest in the store. Publishers send it in their own boot time; a
 subscriber asks for that time to find how far the two clocks are apart.
@@ -8,10 +7,7 @@
 
 import dataclasses
 
-import cbor2
-
-from balsamwind import exceptions
-from balsamwind import objects
+from balsamwind.node import _frame_codec
 from balsamwind import pool
 from balsamwind import relay
 from balsamwind import traffic
@@ -235,49 +231,24 @@
     wants_answer: bool = False
 
 
-_TYPES = {
-    1: ServerUpdate,
-    4: ClockRequest,
-    5: ClockReading,
-    6: ConfigurationProof,
-    7: ConfigurationUpdate,
-    8: PlacementRequest,
-    9: PlacementReply,
-    10: PlacementStall,
-    11: PlacementEnd,
-    12: relay.CrashEvidence,
-    13: EvidenceRequest,
-    14: ServerLeaving,
-    15: ServerLimits,
-}
+_CODEC = _frame_codec.FrameCodec(
+    {
+        1: ServerUpdate,
+        4: ClockRequest,
+        5: ClockReading,
+        6: ConfigurationProof,
+        7: ConfigurationUpdate,
+        8: PlacementRequest,
+        9: PlacementReply,
+        10: PlacementStall,
+        11: PlacementEnd,
+        12: relay.CrashEvidence,
+        13: EvidenceRequest,
+        14: ServerLeaving,
+        15: ServerLimits,
+    }
+)
 """Messages by type tag; 2 and 3 were used by earlier versions."""
 
-_TAGS = {cls: tag for tag, cls in _TYPES.items()}
-
-
-def encode_frame(message):
-    """Encode a message as one frame (bytes)."""
-    return cbor2.dumps([_TAGS[type(message)], objects.encode(message)])
-
-
-def decode_frame(data):
-    """Decode the message of a frame.
-
-    Raises
-    ------
-    balsamwind.exceptions.TransportError
-        The bytes are not a valid frame.
-    """
-    try:
-        tag, body = cbor2.loads(data)
-        return objects.decode(_TYPES[tag], body)
-    except (
-        LookupError,
-        RecursionError,
-        TypeError,
-        ValueError,
-        cbor2.CBORError,
-    ) as error:
-        raise exceptions.TransportError(
-            f'malformed update frame: {error!r}'
-        ) from None
+encode_frame = _CODEC.encode
+decode_frame = _CODEC.decode
--- a/balsamwind/objects/_codec.py
+++ b/balsamwind/objects/_codec.py
@@ -15,7 +15,7 @@
 """Largest absolute value of a number; JSON keeps integers exact up to it."""
 
 
-_SCALAR_TYPES = (str, int, float, bool)
+_SCALAR_TYPES = (str, int, float, bool, bytes)
 
 
 def encode(value):
--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -1,12 +1,22 @@
 """Reverse proxy that relays requests to backend servers as bytes."""
 
+from balsamwind.relay._attempt_carrier import AttemptCarrier
 from balsamwind.relay._attempts import AttemptProgress
 from balsamwind.relay._backends import Backend
 from balsamwind.relay._backends import BackendTable
+from balsamwind.relay._carried_attempts import AnswerData
+from balsamwind.relay._carried_attempts import AnswerEnd
+from balsamwind.relay._carried_attempts import AnswerHead
+from balsamwind.relay._carried_attempts import AttemptAccepted
+from balsamwind.relay._carried_attempts import AttemptFailed
+from balsamwind.relay._carried_attempts import CarryFailure
+from balsamwind.relay._carried_attempts import NOT_CARRIED
+from balsamwind.relay._carried_attempts import OutgoingAttempt
 from balsamwind.relay._crash_quarantine import CrashEvidence
 from balsamwind.relay._crash_quarantine import CrashQuarantine
 from balsamwind.relay._crash_quarantine import CrashReport
 from balsamwind.relay._crash_quarantine import SoundPart
+from balsamwind.relay._direct_path import READ_MARGIN
 from balsamwind.relay._event_stream import EventStreamBuffer
 from balsamwind.relay._load_balancing import choose_backend
 from balsamwind.relay._load_balancing import NoBackendAvailable
@@ -18,6 +28,12 @@
 from balsamwind.relay._metadata import ResponseMetadata
 from balsamwind.relay._model_demand import DemandMeter
 from balsamwind.relay._model_demand import predict_service_time
+from balsamwind.relay._path_prober import PathProber
+from balsamwind.relay._paths import PathState
+from balsamwind.relay._paths import PathTable
+from balsamwind.relay._peer_selection import Peer
+from balsamwind.relay._peer_selection import PeerSelector
+from balsamwind.relay._peer_service import PeerService
 from balsamwind.relay._placement import BackendKey
 from balsamwind.relay._placement import NoPlacementService
 from balsamwind.relay._placement import Outcome
@@ -34,10 +50,17 @@
 from balsamwind.relay._server_limits import StatedLimit
 
 __all__ = [
+    'AnswerData',
+    'AnswerEnd',
+    'AnswerHead',
+    'AttemptAccepted',
+    'AttemptCarrier',
+    'AttemptFailed',
     'AttemptProgress',
     'Backend',
     'BackendKey',
     'BackendTable',
+    'CarryFailure',
     'CrashEvidence',
     'CrashQuarantine',
     'CrashReport',
@@ -46,9 +69,18 @@
     'ForwardedMetadata',
     'IncomingRequest',
     'MAX_PAUSE',
+    'NOT_CARRIED',
     'NoBackendAvailable',
     'NoPlacementService',
     'Outcome',
+    'OutgoingAttempt',
+    'PathProber',
+    'PathState',
+    'PathTable',
+    'Peer',
+    'PeerSelector',
+    'PeerService',
+    'READ_MARGIN',
     'Placement',
     'PlacementSession',
     'QuietServer',
--- /dev/null
+++ b/balsamwind/relay/_attempt_sender.py
@@ -0,0 +1,109 @@
+"""Sending of one attempt, over the own path or through another node."""
+
+from balsamwind import exceptions
+from balsamwind.relay import _direct_path
+
+
+class NoPeerService:
+    """Stands in where no other node carries attempts."""
+
+    __slots__ = ()
+
+    has_peers = False
+
+    async def open(self, attempt, before_send):
+        """Return None: no node carries the attempt."""
+        return None
+
+
+class AttemptSender:
+    """Sends the attempts of one request.
+
+    An attempt that certainly was not sent is tried over another path, to the
+    same backend. So the failure that remains can be blamed on the server, or
+    no path is left.
+
+    Parameters
+    ----------
+    relay : Relay
+        Request path of the node.
+
+    Attributes
+    ----------
+    through_peer : bool
+        Whether another node carries the current attempt.
+    """
+
+    __slots__ = ('_relay', 'through_peer')
+
+    def __init__(self, relay):
+        self._relay = relay
+        self.through_peer = False
+
+    async def open(self, backend, attempt, before_send):
+        """Send an attempt, and wait for the head of the answer.
+
+        Parameters
+        ----------
+        backend : Backend
+            Backend that the attempt is sent to.
+        attempt : OutgoingAttempt
+            The attempt.
+        before_send : callable
+            Called without arguments each time immediately before the attempt
+            is sent. If it raises, nothing is sent.
+
+        Returns
+        -------
+        balsamwind.adapters.StreamedResponse or PeerResponse
+
+        Raises
+        ------
+        balsamwind.exceptions.TransportError
+            The attempt failed.
+        """
+        self.through_peer = False
+        relay = self._relay
+        own_error = None
+        if not self._needs_peer(backend):
+            try:
+                return await _direct_path.open_directly(
+                    relay, backend, attempt, before_send
+                )
+            except exceptions.DeadlinePassed:
+                raise
+            except exceptions.TransportError as error:
+                if error.sent or not relay.peers.has_peers:
+                    raise
+                own_error = error
+        self.through_peer = True
+        response = await relay.peers.open(attempt, before_send)
+        if response is not None:
+            self._record_peer_reach(backend, own_error)
+            return response
+        self.through_peer = False
+        if own_error is not None:
+            raise own_error
+        return await _direct_path.open_directly(
+            relay, backend, attempt, before_send
+        )
+
+    def _needs_peer(self, backend):
+        relay = self._relay
+        return relay.peers.has_peers and relay.paths.needs_peer(
+            backend.key[0],
+            backend.record.server_id,
+            relay.clock.monotonic(),
+        )
+
+    def _record_peer_reach(self, backend, own_error):
+        """Remember that only others reach a server, though the path is open.
+
+        A node may lose its paths to some servers of a service only.
+        """
+        if own_error is not None:
+            self._relay.paths.record_only_peer_reaches(
+                backend.key[0],
+                backend.record.server_id,
+                self._relay.clock.monotonic(),
+            )
--- a/balsamwind/relay/_attempts.py
+++ b/balsamwind/relay/_attempts.py
@@ -1,6 +1,7 @@
 """Outcome of a failed attempt, and the rule for retries."""
 
 import dataclasses
+import enum
 
 from balsamwind import exceptions
 from balsamwind.relay import _placement
@@ -10,6 +11,24 @@
     """A replica group made no progress within the stall timeout."""
 
 
+class Fault(enum.Enum):
+    """What a failed attempt is blamed on.
+
+    Attributes
+    ----------
+    SERVER
+        The backend server, or its replica group.
+    PATH
+        The path of this node to the servers, which says nothing of them.
+    PEER
+        The node that carried the attempt, which says nothing of them either.
+    """
+
+    SERVER = 'server'
+    PATH = 'path'
+    PEER = 'peer'
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Failure:
     """An attempt that ended without a response for the caller.
@@ -23,13 +42,17 @@
     stalled : bool
         Whether the attempt ended because the replica group stalled.
     counts_for_ejection : bool
-        Whether the failure counts towards the ejection of the backend.
+        Whether the failure counts towards the ejection of the backend, if it
+        is blamed on the server.
+    fault : Fault
+        What the failure is blamed on.
     """
 
     error: exceptions.BalsamwindError
     sent: bool = True
     stalled: bool = False
     counts_for_ejection: bool = True
+    fault: Fault = Fault.SERVER
 
     @property
     def broken_off(self):
@@ -73,6 +96,29 @@
             self.first_event_at = now
 
 
+def find_fault(error, through_peer, is_path_open):
+    """Find what a failed attempt is blamed on.
+
+    Parameters
+    ----------
+    error : Exception
+        Why the attempt failed.
+    through_peer : bool
+        Whether another node carried it, which reaches other servers.
+    is_path_open : bool
+        Whether this node itself reaches other servers.
+
+    Returns
+    -------
+    Fault
+    """
+    if isinstance(error, exceptions.PeerUnavailable):
+        return Fault.PEER
+    if through_peer or is_path_open:
+        return Fault.SERVER
+    return Fault.PATH
+
+
 def find_outcome(failure):
     """Find what an attempt shows of the health of its backend.
 
@@ -87,6 +133,8 @@
     """
     if failure is None:
         return _placement.Outcome.ANSWERED
+    if failure.fault is not Fault.SERVER:
+        return _placement.Outcome.REFUSED
     if failure.stalled:
         return _placement.Outcome.STALLED
     if failure.counts_for_ejection:
--- /dev/null
+++ b/balsamwind/relay/_carried_attempts.py
@@ -0,0 +1,148 @@
+"""One attempt as it is sent to a backend server, by this node or another."""
+
+import dataclasses
+import enum
+
+from balsamwind.relay import _placement
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OutgoingAttempt:
+    """One attempt, whoever sends it to the backend server.
+
+    Parameters
+    ----------
+    request_id : str
+        Id of the request.
+    backend : balsamwind.relay.BackendKey
+        Backend that the attempt is sent to.
+    method, target, host : str
+        HTTP method, path with query, and host that the caller requested.
+    headers : tuple of (str, str)
+        Headers that are forwarded, without those that the sender adds.
+    body : bytes
+        Body; empty if none.
+    time_left : float
+        Time until the deadline of the request (seconds).
+    account : str or None
+        Name of the client account; None if no API key is required.
+    last_event_id : str
+        Id of the last event that the caller received; empty for a new
+        stream.
+    shared_parts : tuple of str
+        Ids of the parts of the prompt that other requests may share.
+    """
+
+    request_id: str
+    backend: _placement.BackendKey
+    method: str
+    target: str
+    host: str
+    headers: tuple[tuple[str, ...], ...]
+    body: bytes
+    time_left: float
+    account: str | None = None
+    last_event_id: str = ''
+    shared_parts: tuple[str, ...] = ()
+
+
+class CarryFailure(enum.Enum):
+    """Why another node has no answer to an attempt.
+
+    Attributes
+    ----------
+    NO_PATH
+        The other node does not reach the service either.
+    DRAINING
+        The other node is about to stop.
+    FULL
+        The other node carries as many attempts as it can.
+    NOT_USABLE
+        The other node may not send to this backend, or does not know it.
+    UNREACHABLE
+        The server accepts no connection, although others do.
+    BROKEN
+        The attempt was sent, and its answer was broken off.
+    TIMED_OUT
+        The attempt was sent, and there was no answer in time.
+    MALFORMED
+        The attempt was sent, and the answer is malformed.
+    """
+
+    NO_PATH = 'no path'
+    DRAINING = 'draining'
+    FULL = 'full'
+    NOT_USABLE = 'not usable'
+    UNREACHABLE = 'unreachable'
+    BROKEN = 'broken'
+    TIMED_OUT = 'timed out'
+    MALFORMED = 'malformed'
+
+
+NOT_CARRIED = frozenset(
+    (
+        CarryFailure.NO_PATH,
+        CarryFailure.DRAINING,
+        CarryFailure.FULL,
+        CarryFailure.NOT_USABLE,
+    )
+)
+"""Failures that show nothing of the server, as nothing was tried."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AttemptAccepted:
+    """The other node has a connection to the server and sends the attempt."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerHead:
+    """Status and headers of the answer.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status code.
+    headers : tuple of (str, str)
+        All headers.
+    has_marked_end : bool
+        Whether the body itself showed that it is complete.
+    """
+
+    status: int
+    headers: tuple[tuple[str, ...], ...]
+    has_marked_end: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerData:
+    """Next bytes of the body of the answer.
+
+    Parameters
+    ----------
+    data : bytes
+        The bytes.
+    """
+
+    data: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerEnd:
+    """The body has come to its proper end."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AttemptFailed:
+    """The attempt has no answer, or none that is complete.
+
+    Parameters
+    ----------
+    cause : CarryFailure
+        Why.
+    message : str
+        Description for the log.
+    """
+
+    cause: CarryFailure
+    message: str = ''
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -14,7 +14,8 @@
 
     A broken connection alone proves no crash: links are reset, and engines
     break off single answers. The port of an engine that has crashed refuses
-    connections.
+    connections. So do all ports where this node has lost its path, which says
+    nothing of any engine.
 
     Parameters
     ----------
@@ -26,6 +27,9 @@
         Monotonic clock.
     log : structlog logger
         Logger of the node.
+    settle_path : callable
+        Coroutine function that takes the name of a service and returns
+        whether this node reaches other servers of it.
 
     Attributes
     ----------
@@ -38,15 +42,17 @@
         '_clock',
         '_log',
         '_quarantine',
+        '_settle_path',
         '_tasks',
         'on_evidence',
     )
 
-    def __init__(self, quarantine, client, clock, log):
+    def __init__(self, quarantine, client, clock, log, settle_path):
         self._quarantine = quarantine
         self._client = client
         self._clock = clock
         self._log = log
+        self._settle_path = settle_path
         self._tasks = set()
         self.on_evidence = _ignore
 
@@ -87,6 +93,9 @@
             record.address, CONFIRMATION_TIMEOUT
         ):
             return
+        if not await self._settle_path(service):
+            self._log.info('crash_not_shown', engine=record.server_id)
+            return
         for parts, duration in suspected:
             self._record(record, service, parts, duration)
 
--- a/balsamwind/relay/_fingerprint.py
+++ b/balsamwind/relay/_fingerprint.py
@@ -19,10 +19,10 @@
 
     Parameters
     ----------
-    request : IncomingRequest
+    request : IncomingRequest or OutgoingAttempt
         Request of the caller.
-    account : balsamwind.traffic.ClientAccount or None
-        Client account of the caller; None if no API key is required.
+    account : str or None
+        Name of the caller's client account; None if no API key is required.
 
     Returns
     -------
@@ -35,7 +35,7 @@
         request.method,
         request.host.lower(),
         request.target,
-        '' if account is None else account.name,
+        account or '',
     )
     for field in fields:
         data = field.encode('utf-8', 'surrogateescape')
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -2,19 +2,21 @@
 
 import asyncio
 import contextlib
+import functools
 
 from balsamwind import exceptions
+from balsamwind.relay import _attempt_sender
 from balsamwind.relay import _attempts
 from balsamwind.relay import _backend_selection
+from balsamwind.relay import _carried_attempts
+from balsamwind.relay import _direct_path
 from balsamwind.relay import _fingerprint
 from balsamwind.relay import _header_filter
-from balsamwind.relay import _metadata
+from balsamwind.relay import _paths
+from balsamwind.relay import _placement
 from balsamwind.relay import _progress_watch
 from balsamwind.relay import _response_relay
 
-CONNECT_TIMEOUT = 0.35
-"""Longest wait for a connection to a backend server (seconds)."""
-
 MAX_CONNECT_FAILURES = 3
 """Connection failures after which the request is rejected (count)."""
 
@@ -93,6 +95,7 @@
         '_retry_budget',
         '_route',
         '_selector',
+        '_sender',
         '_service',
     )
 
@@ -126,16 +129,25 @@
         self._selector = _backend_selection.BackendSelector(
             relay, service, metadata, self._time_left
         )
+        self._sender = _attempt_sender.AttemptSender(relay)
         self._ambiguous_failure = None
-        self._forwarded_headers = _header_filter.filter_request_headers(
-            request.headers, request.host, relay.header_codec.stripped_names
+        self._forwarded_headers = tuple(
+            _header_filter.filter_request_headers(
+                request.headers,
+                request.host,
+                relay.header_codec.stripped_names,
+            )
         )
 
+    @property
+    def _account_name(self):
+        return None if self._account is None else self._account.name
+
     def _time_left(self):
         return self._deadline - self._relay.clock.monotonic()
 
     def _find_read_timeout(self):
-        return max(self._time_left(), 0.0) + 1.0
+        return max(self._time_left(), 0.0) + _direct_path.READ_MARGIN
 
     def make_timeout_error(self):
         """Make the error for a request whose deadline has passed.
@@ -231,20 +243,25 @@
             self._relay.crash_reporter.record_answer(self._service.name, parts)
 
     def _record_failure(self, backend, failure):
-        now = self._relay.clock.monotonic()
-        self._selector.tried.add(backend.key)
         if failure.sent:
             self._attempts_sent += 1
         else:
             self._connect_failures += 1
         if failure.error.run != exceptions.NOT_RUN:
             self._ambiguous_failure = failure
+        if failure.fault is _attempts.Fault.SERVER:
+            self._blame_server(backend, failure)
+        self._log_failed_attempt(backend, failure)
+
+    def _blame_server(self, backend, failure):
+        now = self._relay.clock.monotonic()
+        self._selector.tried.add(backend.key)
         if failure.stalled:
             backend.record_stall(now)
         elif failure.counts_for_ejection:
             backend.record_failure(now)
-        self._log_failed_attempt(backend, failure)
-        if failure.broken_off:
+        # A node that carried the attempt reports what it saw itself.
+        if failure.broken_off and not self._sender.through_peer:
             self._relay.crash_reporter.report_broken_answer(
                 backend,
                 self._service.name,
@@ -265,7 +282,7 @@
     def _make_fingerprint(self):
         if self._known_fingerprint is None:
             self._known_fingerprint = _fingerprint.make_fingerprint(
-                self._request, self._account
+                self._request, self._account_name
             )
         return self._known_fingerprint
 
@@ -307,8 +324,8 @@
         if self._responder.is_caller_gone():
             raise asyncio.CancelledError
         if self._time_left() <= 0:
-            raise exceptions.TransportError(
-                'the deadline passed before the request was sent', sent=False
+            raise exceptions.DeadlinePassed(
+                'the deadline passed before the request was sent'
             )
         self._current_attempt_sent = True
 
@@ -373,16 +390,50 @@
             await self._response.relay_body(response, self._find_read_timeout)
             return None
         except exceptions.TransportError as error:
-            return _attempts.Failure(error, sent=error.sent)
+            return await self._explain_failure(backend, error)
         except _attempts.GroupStalled:
             error = exceptions.AnswerTimeout(
                 'the replica group made no progress within the stall timeout'
             )
-            return _attempts.Failure(error, stalled=True)
+            return self._make_failure(error, stalled=True)
         finally:
             if response is not None:
                 response.close()
 
+    async def _explain_failure(self, backend, error):
+        """Find what a failure is blamed on.
+
+        A connection that fails looks the same whether the server or the path
+        has ended, which other connections show at once.
+        """
+        if not self._sender.through_peer:
+            if error.sent:
+                _direct_path.record_failure(self._relay, backend, error)
+            await self._relay.settle_path(self._service.name)
+        return self._make_failure(error, sent=error.sent)
+
+    def _make_failure(self, error, **values):
+        fault = _attempts.find_fault(
+            error,
+            self._sender.through_peer,
+            self._relay.paths.is_open(self._service.name),
+        )
+        return _attempts.Failure(error, fault=fault, **values)
+
+    def _assess_path(self, backend, waiting_since, timeout):
+        """Return the state of the path that the attempt has taken."""
+        if self._sender.through_peer:
+            return _paths.PathState.OPEN
+        paths = self._relay.paths
+        paths.record_silence(
+            self._service.name,
+            backend.record.server_id,
+            waiting_since,
+            timeout,
+            self._relay.clock.monotonic(),
+        )
+        return paths.find_state(self._service.name)
+
     def _make_progress_watch(self, backend):
         def handle_long_stall():
             # New connections may work although idle ones are dead.
@@ -398,6 +449,7 @@
             self._relay.clock,
             self._selector.report_stall,
             handle_long_stall,
+            functools.partial(self._assess_path, backend),
         )
 
     def _should_retry_server_error(self, status):
@@ -412,15 +464,10 @@
 
     async def _open_response(self, backend, watch):
         task = asyncio.ensure_future(
-            self._relay.client.open(
-                self._request.method,
-                f'http://{backend.record.address}{self._request.target}',
-                headers=self._make_request_headers(backend),
-                body=self._request.body,
-                timeout=self._find_read_timeout(),
-                connect_timeout=CONNECT_TIMEOUT,
-                is_own_response=self._is_response_to_request,
-                before_send=self._check_before_send,
+            self._sender.open(
+                backend,
+                self._make_outgoing_attempt(backend),
+                self._check_before_send,
             )
         )
         watch.expect_first_event(self._selector.make_requirements())
@@ -438,26 +485,25 @@
             task.cancel()
             raise
 
-    def _is_response_to_request(self, headers):
-        metadata = self._relay.header_codec.decode_response(headers)
-        return metadata.request_id in ('', self._request_metadata.request_id)
-
-    def _make_request_headers(self, backend):
+    def _make_outgoing_attempt(self, backend):
         last_event_id = self._response.events.last_event_id
-        added = _metadata.ForwardedMetadata(
-            server_id=backend.record.server_id,
-            time_budget=max(self._time_left(), 0.001),
-            account=None if self._account is None else self._account.name,
+        return _carried_attempts.OutgoingAttempt(
+            request_id=self._request_metadata.request_id,
+            backend=_placement.BackendKey(*backend.key),
+            method=self._request.method,
+            target=self._request.target,
+            host=self._request.host,
+            headers=self._forwarded_headers,
+            body=self._request.body,
+            time_left=max(self._time_left(), 0.0),
+            account=self._account_name,
             last_event_id=(
                 self._request_metadata.last_event_id
                 if last_event_id < 0
                 else str(last_event_id)
             ),
+            shared_parts=self._request_metadata.shared_parts,
         )
-        return [
-            *self._forwarded_headers,
-            *self._relay.header_codec.encode_request(added),
-        ]
 
     async def _relay_events(
         self, backend, response, watch, mark_prompt_processed
@@ -476,6 +522,8 @@
             mark_prompt_processed()
             now = self._relay.clock.monotonic()
             backend.record_progress(now)
+            if not self._sender.through_peer:
+                self._relay.paths.record_heard(self._service.name, now)
             complete_events = events.feed(chunk)
             if complete_events:
                 self._progress.record_events(now)
@@ -487,6 +535,6 @@
         self._relay.request_log.record_stream_end(
             self._request_metadata.request_id,
             backend,
-            response.framing.value,
+            response.framing_name,
             self._response.events.unfinished_bytes,
         )
--- /dev/null
+++ b/balsamwind/relay/_peer_service.py
@@ -0,0 +1,106 @@
+"""Attempts that other nodes carry for this node."""
+
+from balsamwind import exceptions
+from balsamwind.relay import _carried_attempts
+
+MAX_PEERS_TRIED = 4
+"""Nodes that one attempt turns to at most (count)."""
+
+
+class PeerService:
+    """Sends attempts through other nodes.
+
+    Parameters
+    ----------
+    selector : PeerSelector
+        Chooses the nodes.
+    client : balsamwind.node.AttemptClient
+        Client with the connections to other nodes.
+    clock : balsamwind.ports.Clock
+        Monotonic clock.
+
+    Attributes
+    ----------
+    carried_attempts : int
+        Attempts that other nodes carried so far (count).
+    """
+
+    __slots__ = ('_client', '_clock', '_selector', 'carried_attempts')
+
+    def __init__(self, selector, client, clock):
+        self._selector = selector
+        self._client = client
+        self._clock = clock
+        self.carried_attempts = 0
+
+    @property
+    def has_peers(self):
+        """Whether any other node is known."""
+        return self._selector.has_peers
+
+    async def open(self, attempt, before_send):
+        """Send an attempt through another node.
+
+        Nodes that carry nothing are passed over.
+
+        Parameters
+        ----------
+        attempt : OutgoingAttempt
+            The attempt.
+        before_send : callable
+            Called without arguments each time immediately before the attempt
+            is sent. If it raises, nothing is sent.
+
+        Returns
+        -------
+        PeerResponse or None
+            None if no node carries the attempt; it was not sent.
+
+        Raises
+        ------
+        balsamwind.exceptions.PeerUnavailable
+            The node was lost after it had got the attempt.
+        balsamwind.exceptions.TransportError
+            The attempt failed at the server.
+        """
+        service = attempt.backend.service
+        tried = set()
+        for _ in range(MAX_PEERS_TRIED):
+            now = self._clock.monotonic()
+            peer = self._selector.choose(service, tried, now)
+            if peer is None:
+                return None
+            try:
+                return await self._open_through(
+                    peer.address, attempt, before_send
+                )
+            except exceptions.PeerUnavailable as error:
+                self._record_not_carried(service, peer.address, error)
+                if error.sent:
+                    raise
+            tried.add(peer.address)
+        return None
+
+    async def _open_through(self, address, attempt, before_send):
+        self._selector.record_start(address)
+        try:
+            response = await self._client.open(address, attempt, before_send)
+        except BaseException:
+            self._selector.record_end(address)
+            raise
+        response.on_close = lambda: self._selector.record_end(address)
+        self._selector.record_carried(
+            attempt.backend.service, address, self._clock.monotonic()
+        )
+        self.carried_attempts += 1
+        return response
+
+    def _record_not_carried(self, service, address, error):
+        if error.cause is _carried_attempts.CarryFailure.NOT_USABLE:
+            return
+        self._selector.record_not_carried(
+            service,
+            address,
+            error.cause is _carried_attempts.CarryFailure.FULL,
+            self._clock.monotonic(),
+        )
--- a/balsamwind/relay/_progress_watch.py
+++ b/balsamwind/relay/_progress_watch.py
@@ -3,6 +3,7 @@
 from balsamwind.relay import _attempts
 from balsamwind.relay import _backends
 from balsamwind.relay import _load_balancing
+from balsamwind.relay import _paths
 
 POLL_INTERVAL = 0.1
 """Time between two checks of a backend that sends nothing (seconds)."""
@@ -25,11 +26,16 @@
     on_long_stall : callable
         Called without arguments after a longer wait; returns whether the
         attempt is to end, so that the request is sent to another backend.
+    assess_path : callable
+        Takes since when the attempt waits (seconds, boot clock) and after
+        which pause its path is in doubt (seconds); returns the `PathState`.
     """
 
     __slots__ = (
+        '_assess_path',
         '_backend',
         '_clock',
+        '_doubt_timeout',
         '_engine',
         '_on_long_stall',
         '_on_stall',
@@ -38,12 +44,22 @@
         '_waiting_since',
     )
 
-    def __init__(self, backend, engine, clock, on_stall, on_long_stall):
+    def __init__(
+        self,
+        backend,
+        engine,
+        clock,
+        on_stall,
+        on_long_stall,
+        assess_path,
+    ):
         self._backend = backend
         self._engine = engine
         self._clock = clock
         self._on_stall = on_stall
         self._on_long_stall = on_long_stall
+        self._assess_path = assess_path
+        self._doubt_timeout = _paths.SILENCE_TIMEOUT
         self._waiting_since = clock.monotonic()
         self._poll_started_at = self._waiting_since
         self._timeouts = (_backends.STALL_TIMEOUT, _backends.STALL_TIMEOUT)
@@ -58,6 +74,9 @@
         """
         now = self._waiting_since = self._clock.monotonic()
         if self._engine is None:
+            self._doubt_timeout = (
+                _load_balancing.PLAIN_SERVICE_TIME + _paths.FIRST_EVENT_MARGIN
+            )
             return
         predicted_time = _load_balancing.predict_time_to_first_event(
             self._backend, self._engine, requirements, now
@@ -66,11 +85,13 @@
             _backends.FIRST_EVENT_EJECTION_MARGIN + predicted_time,
             _backends.FIRST_EVENT_STALL_MARGIN + 2.0 * predicted_time,
         )
+        self._doubt_timeout = predicted_time + _paths.FIRST_EVENT_MARGIN
 
     def expect_events(self):
         """Allow the pauses between events, from now on."""
         self._waiting_since = self._clock.monotonic()
         self._timeouts = (_backends.STALL_TIMEOUT, _backends.STALL_TIMEOUT)
+        self._doubt_timeout = _paths.SILENCE_TIMEOUT
 
     def start_poll(self):
         """Note that a wait of `POLL_INTERVAL` begins."""
@@ -81,7 +102,8 @@
 
         A group that makes no progress is ejected first. After a longer wait
         the attempt ends, but only if the request can be sent elsewhere:
-        waiting on is better than failing.
+        waiting on is better than failing. Without a path the group can't be
+        judged, and while the path is in doubt nothing is decided.
 
         Raises
         ------
@@ -93,16 +115,27 @@
         # was paused; that time must not count as a stall of the backend.
         if now - self._poll_started_at > 3 * POLL_INTERVAL:
             self._waiting_since = now
-        if self._engine is None:
-            return
+        path_state = self._assess_path(
+            self._waiting_since, self._doubt_timeout
+        )
+        match path_state:
+            case _paths.PathState.LOST:
+                self._end_if_repeatable()
+            case _paths.PathState.OPEN if self._engine is not None:
+                self._check_group(now)
+
+    def _check_group(self, now):
         ejection_timeout, retry_timeout = self._timeouts
         if not self._is_stalled(now, ejection_timeout):
             return
         self._backend.record_stall(now)
         self._on_stall()
         if self._is_stalled(now, retry_timeout):
-            if self._on_long_stall():
-                raise _attempts.GroupStalled
+            self._end_if_repeatable()
+
+    def _end_if_repeatable(self):
+        if self._on_long_stall():
+            raise _attempts.GroupStalled
 
     def _is_stalled(self, now, timeout):
         return self._backend.is_stalled(self._waiting_since, now, timeout)
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -5,11 +5,13 @@
 import random
 
 from balsamwind import exceptions
+from balsamwind.relay import _attempt_sender
 from balsamwind.relay import _backend_selection
 from balsamwind.relay import _crash_quarantine
 from balsamwind.relay import _crash_reporter
 from balsamwind.relay import _forwarder
 from balsamwind.relay import _model_demand
+from balsamwind.relay import _paths
 from balsamwind.relay import _placement
 from balsamwind.relay import _retry_budget
 from balsamwind.relay import _server_statements
@@ -96,6 +98,13 @@
         Places requests for this node, see `NoPlacementService`.
     server_statements : ServerStatements
         What backend servers say of themselves in their answers.
+    paths : PathTable
+        Whether this node itself reaches the servers of each service.
+    peers : object
+        Sends attempts through other nodes, see `NoPeerService`.
+    settle_path : callable
+        Coroutine function that takes the name of a service, waits until its
+        path is not in doubt, and returns whether it is open.
     crash_quarantine : CrashQuarantine
         Prompt parts and requests that are not sent to servers.
     crash_reporter : CrashReporter
@@ -134,13 +143,24 @@
         self.server_statements = _server_statements.ServerStatements(
             request_log
         )
+        self.paths = _paths.PathTable()
+        self.peers = _attempt_sender.NoPeerService()
+        self.settle_path = self._find_path
         self.crash_quarantine = _crash_quarantine.CrashQuarantine(data_centre)
         self.crash_reporter = _crash_reporter.CrashReporter(
-            self.crash_quarantine, client, clock, request_log.log
+            self.crash_quarantine,
+            client,
+            clock,
+            request_log.log,
+            lambda service: self.settle_path(service),
         )
         self.open_requests = 0
         self.requests_received = 0
 
+    async def _find_path(self, service):
+        """Stand in where no path is probed."""
+        return self.paths.is_open(service)
+
     def set_bounds(self, bounds):
         """Replace the limits; all retry budgets start anew.
 
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -12,6 +12,7 @@
 from balsamwind.platform import _headers
 from balsamwind import pool
 from balsamwind import relay
+from balsamwind.relay import _attempt_sender
 from balsamwind.relay import _forwarder
 from balsamwind.relay import _server_statements
 from balsamwind import traffic
@@ -168,6 +169,8 @@
         self.placement = None
         self.crash_quarantine = relay.CrashQuarantine('a')
         self.crash_reporter = _CrashReporter()
+        self.paths = relay.PathTable()
+        self.peers = _attempt_sender.NoPeerService()
         self.server_statements = _server_statements.ServerStatements(
             self.request_log
         )
@@ -187,6 +190,9 @@
     def rng(self):
         return self
 
+    async def settle_path(self, service):
+        return self.paths.is_open(service)
+
     def _record_leaving(self, server_id, born):
         self.leaving.append(server_id)
 
--- a/balsamwind/relay/tests/test_crash_reporter.py
+++ b/balsamwind/relay/tests/test_crash_reporter.py
@@ -36,13 +36,16 @@
         yield bound.getsockname()[1]
 
 
-def _report(open_port, began=True, parts=PARTS, writing=0.0):
+def _report(open_port, began=True, parts=PARTS, writing=0.0, has_path=True):
+    async def settle_path(service):
+        return has_path
+
     async def scenario():
         client = adapters.HttpClient()
         quarantine = relay.CrashQuarantine('z1')
         clock = forwarding.Clock()
         reporter = _crash_reporter.CrashReporter(
-            quarantine, client, clock, _Log()
+            quarantine, client, clock, _Log(), settle_path
         )
         news = []
         reporter.on_evidence = news.append
@@ -99,3 +102,7 @@
 )
 def test_broken_answer_alone_is_no_evidence(open_port, writing):
     assert _report(open_port, writing=writing) == []
+
+
+def test_refusal_without_a_path_to_other_servers_is_no_evidence():
+    assert _report(_close_port, has_path=False) == []
--- a/balsamwind/relay/tests/test_fingerprint.py
+++ b/balsamwind/relay/tests/test_fingerprint.py
@@ -7,9 +7,8 @@
 
 from balsamwind import relay
 from balsamwind.relay import _fingerprint
-from balsamwind import traffic
 
-ACCOUNT = traffic.ClientAccount('acme', ())
+ACCOUNT = 'acme'
 REQUEST = relay.IncomingRequest(
     'POST', '/a/b?c=d', 'x.example', httputil.HTTPHeaders(), b'body', 1.0
 )
@@ -37,7 +36,7 @@
         pytest.param({'body': b'bodz'}, ACCOUNT, id='body'),
         pytest.param({'body': b''}, ACCOUNT, id='no body'),
         pytest.param({}, None, id='no account'),
-        pytest.param({}, traffic.ClientAccount('acne', ()), id='account'),
+        pytest.param({}, 'acne', id='account'),
         pytest.param(
             {'host': 'x.example/a', 'target': '/b?c=d'},
             ACCOUNT,
