Ask several nodes whether they reach a server

Cause: the one node that was asked lacked the path as well ('another node: silent'), and for crashes the first that answers decided.

Change: three nodes of all data centres are asked at once, and one that gets an answer refutes the others. Answers that one server has broken off are checked once, not each for itself.

--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -1,6 +1,7 @@
 """Reverse proxy that relays requests to backend servers as bytes."""
 
 from balsamwind.relay._attempt_carrier import AttemptCarrier
+from balsamwind.relay._attempt_carrier import plan_refusal
 from balsamwind.relay._attempts import AttemptProgress
 from balsamwind.relay._backends import Backend
 from balsamwind.relay._backends import BackendTable
@@ -10,6 +11,7 @@
 from balsamwind.relay._carried_attempts import AttemptAccepted
 from balsamwind.relay._carried_attempts import AttemptFailed
 from balsamwind.relay._carried_attempts import CarryFailure
+from balsamwind.relay._carried_attempts import combine_opinions
 from balsamwind.relay._carried_attempts import NOT_CARRIED
 from balsamwind.relay._carried_attempts import OutgoingAttempt
 from balsamwind.relay._carried_attempts import Reach
@@ -101,7 +103,9 @@
     'SoundPart',
     'StatedLimit',
     'choose_backend',
+    'combine_opinions',
     'make_quiet_servers',
+    'plan_refusal',
     'predict_service_time',
     'predict_time_to_first_event',
 ]
--- a/balsamwind/relay/_carried_attempts.py
+++ b/balsamwind/relay/_carried_attempts.py
@@ -172,6 +172,26 @@
     UNKNOWN = 'unknown'
 
 
+def combine_opinions(opinions):
+    """Combine what several nodes found.
+
+    One node that gets an answer refutes all others, whose paths may be lost.
+
+    Parameters
+    ----------
+    opinions : container of Reach
+        What they found.
+
+    Returns
+    -------
+    Reach
+    """
+    for reach in (Reach.ANSWERS, Reach.REFUSES, Reach.SILENT):
+        if reach in opinions:
+            return reach
+    return Reach.UNKNOWN
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReachQuery:
     """Asks a node whether it reaches a server.
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -38,6 +38,7 @@
     """
 
     __slots__ = (
+        '_checks',
         '_client',
         '_clock',
         '_confirm_refusal',
@@ -54,6 +55,7 @@
         self._log = log
         self._confirm_refusal = confirm_refusal
         self._tasks = set()
+        self._checks = {}
         self.on_evidence = _ignore
 
     def report_broken_answer(
@@ -89,16 +91,31 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _confirm(self, record, service, suspected):
-        if not await self._client.is_refused(
-            record.address, CONFIRMATION_TIMEOUT
-        ):
-            return
-        if not await self._confirm_refusal(record):
-            self._log.info('crash_not_shown', engine=record.server_id)
+        if not await self._has_crashed(record):
             return
         for parts, duration in suspected:
             self._record(record, service, parts, duration)
 
+    async def _has_crashed(self, record):
+        """Find out once for all answers that one server has broken off."""
+        key = (record.server_id, record.born)
+        check = self._checks.get(key)
+        if check is None:
+            check = asyncio.ensure_future(self._check(record))
+            self._checks[key] = check
+            check.add_done_callback(lambda _: self._checks.pop(key))
+        return await asyncio.shield(check)
+
+    async def _check(self, record):
+        if not await self._client.is_refused(
+            record.address, CONFIRMATION_TIMEOUT
+        ):
+            return False
+        if await self._confirm_refusal(record):
+            return True
+        self._log.info('crash_not_shown', engine=record.server_id)
+        return False
+
     def _record(self, record, service, parts, duration):
         crash = f'{record.server_id}:{record.born}'
         now = self._clock.monotonic()
@@ -137,7 +154,7 @@
 
     def close(self):
         """Cancel the checks that are under way."""
-        for task in list(self._tasks):
+        for task in [*self._tasks, *self._checks.values()]:
             task.cancel()
 
 
--- a/balsamwind/relay/_peer_selection.py
+++ b/balsamwind/relay/_peer_selection.py
@@ -110,12 +110,7 @@
         Peer or None
             None if no node is left.
         """
-        usable = [
-            peer
-            for peer in self._peers
-            if peer.address not in tried
-            and self._experience[service, peer.address].excluded_until <= now
-        ]
+        usable = self._find_usable(service, tried, now)
         trusted = [
             peer
             for peer in usable
@@ -136,6 +131,36 @@
         pair = self._rng.sample(pool, min(2, len(pool)))
         return min(pair, key=lambda peer: self._in_flight[peer.address])
 
+    def choose_witnesses(self, service, count, now):
+        """Choose nodes that are asked whether they reach a server.
+
+        They are chosen at random over all data centres, as nodes of one often
+        lose their paths together.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        count : int
+            Nodes at most (count).
+        now : float
+            Current time.
+
+        Returns
+        -------
+        list of Peer
+        """
+        usable = self._find_usable(service, (), now)
+        return self._rng.sample(usable, min(count, len(usable)))
+
+    def _find_usable(self, service, tried, now):
+        return [
+            peer
+            for peer in self._peers
+            if peer.address not in tried
+            and self._experience[service, peer.address].excluded_until <= now
+        ]
+
     def record_start(self, address):
         """Count an attempt that a node carries from now on."""
         self._in_flight[address] += 1
--- a/balsamwind/relay/_peer_service.py
+++ b/balsamwind/relay/_peer_service.py
@@ -1,13 +1,16 @@
 """Attempts that other nodes carry for this node, and what they reach."""
 
+import asyncio
+
 from balsamwind import exceptions
 from balsamwind.relay import _carried_attempts
 
 MAX_PEERS_TRIED = 4
 """Nodes that one attempt turns to at most (count)."""
 
-MAX_PEERS_ASKED = 2
-"""Nodes that are asked whether they reach a server at most (count)."""
+WITNESS_COUNT = 3
+"""Nodes that are asked at once whether they reach a server (count). Some of
+them may lack a path to it, too."""
 
 
 class PeerService:
@@ -102,21 +105,30 @@
         query = _carried_attempts.ReachQuery(
             record.service, record.server_id, record.born, wants_report
         )
-        tried = set()
-        for _ in range(MAX_PEERS_ASKED):
-            now = self._clock.monotonic()
-            peer = self._selector.choose(record.service, tried, now)
-            if peer is None:
-                break
-            tried.add(peer.address)
-            try:
-                reach = await self._client.ask(peer.address, query)
-            except exceptions.PeerUnavailable as error:
-                self._record_not_carried(record.service, peer.address, error)
-                continue
-            if reach is not _carried_attempts.Reach.UNKNOWN:
-                return reach
-        return _carried_attempts.Reach.UNKNOWN
+        witnesses = self._selector.choose_witnesses(
+            record.service, WITNESS_COUNT, self._clock.monotonic()
+        )
+        tasks = [
+            asyncio.ensure_future(self._ask_one(peer.address, query))
+            for peer in witnesses
+        ]
+        opinions = set()
+        try:
+            for opinion in asyncio.as_completed(tasks):
+                opinions.add(await opinion)
+                if _carried_attempts.Reach.ANSWERS in opinions:
+                    break
+        finally:
+            for task in tasks:
+                task.cancel()
+        return _carried_attempts.combine_opinions(opinions)
+
+    async def _ask_one(self, address, query):
+        try:
+            return await self._client.ask(address, query)
+        except exceptions.PeerUnavailable as error:
+            self._record_not_carried(query.service, address, error)
+            return _carried_attempts.Reach.UNKNOWN
 
     async def _open_through(self, address, attempt, before_send):
         self._selector.record_start(address)
