Spread attempts over more nodes

test_nodes_without_a_path_do_not_all_turn_to_one_node failed on the commit before for a whole data centre (343 of 4,000 attempts at one of 40 nodes, 300 allowed; that commit should not have held it). Cause: a node was content with three others that have carried attempts; 20 nodes pick few nodes each, and some are picked by many. Change: it tries others until it knows eight.

--- a/balsamwind/relay/_peer_selection.py
+++ b/balsamwind/relay/_peer_selection.py
@@ -24,7 +24,7 @@
 """Time for which a node that has carried an attempt is preferred
 (seconds)."""
 
-SPREAD = 3
+SPREAD = 8
 """Preferred nodes below which others are tried as well (count)."""
 
 
