Promise no returns after the caller's deadline

After 300 rejections in 0.3 s Retry-After said 75 s (limit 2), 300 s (0.5) and 4,500 s (near 0), although callers who gave up never come back for their tokens; under a new limit the promises of the old one still counted (8.8 s).

Change: no token is kept for a caller whose deadline passes before it, and it is told that deadline at most; promises end with the limit they were made under. Tests of both failed before (6 cases).

--- a/balsamwind/relay/_load_balancing.py
+++ b/balsamwind/relay/_load_balancing.py
@@ -193,7 +193,7 @@
     ]
     if not candidates:
         return _explain_no_candidates(
-            requirements.model,
+            requirements,
             of_model,
             len(backends),
             tried,
@@ -235,16 +235,21 @@
     return best
 
 
-def _explain_no_candidates(model, of_model, known, tried, restrictions, now):
+def _explain_no_candidates(
+    requirements, of_model, known, tried, restrictions, now
+):
     """Say why no backend can be chosen, and when the first one can."""
     restricted = [
         backend.record
         for backend in of_model
         if restrictions.find_end(backend.record, now) is not None
     ]
-    return_at = restrictions.plan_return(restricted, now)
+    return_at = restrictions.plan_return(
+        restricted, now, requirements.time_left
+    )
+    served = requirements.model or 'the service'
     reason = (
-        f'no group serves {model or "the service"}: {known} backends known,'
+        f'no group serves {served}: {known} backends known,'
         f' {len(tried)} already tried, {len(restricted)} want no request now'
     )
     retry_after = DEFAULT_RETRY_AFTER if return_at is None else return_at - now
--- a/balsamwind/relay/_quiet_servers.py
+++ b/balsamwind/relay/_quiet_servers.py
@@ -79,7 +79,7 @@
         end = self._ends.get((record.server_id, record.born))
         return end if end is not None and end > now else None
 
-    def plan_return(self, records, now):
+    def plan_return(self, records, now, time_left):
         """Plan when a request that all servers turn away may come back.
 
         Parameters
@@ -88,15 +88,18 @@
             Entries of the servers.
         now : float
             Current time (seconds, boot clock).
+        time_left : float
+            Time until the deadline of the request (seconds).
 
         Returns
         -------
         float or None
-            End of the first pause (seconds, boot clock); None if there is
-            none.
+            End of the first pause, but at most the deadline (seconds, boot
+            clock); None if there is none.
         """
         ends = [self.find_end(record, now) for record in records]
-        return min((end for end in ends if end is not None), default=None)
+        known = [end for end in ends if end is not None]
+        return min(known + [now + time_left]) if known else None
 
     def list(self, now):
         """List the pauses for another node, the longest first.
--- a/balsamwind/relay/_server_limits.py
+++ b/balsamwind/relay/_server_limits.py
@@ -80,7 +80,12 @@
         self._refilled_at = float('-inf')
 
     def set_limit(self, rate_limit, share, now):
-        """Replace the limit; tokens collected under the last one remain."""
+        """Replace the limit; tokens collected under the last one remain.
+
+        Returns that were promised under it do not: they would come too late,
+        or too early, for the tokens of the new one.
+        """
+        self._promised_until = float('-inf')
         if self.rate_limit is None:
             self._tokens = 0.0
         else:
--- a/balsamwind/relay/_server_statements.py
+++ b/balsamwind/relay/_server_statements.py
@@ -54,15 +54,20 @@
             self.limits.find_end(record, now),
         )
 
-    def plan_return(self, records, now):
+    def plan_return(self, records, now, time_left):
         """Plan when a request that all servers turn away may come back.
 
+        A caller whose deadline passes before has given up by then: no token
+        is kept for it, and it is told no later time than that.
+
         Parameters
         ----------
         records : iterable of balsamwind.pool.ServerRecord
             Entries of the servers.
         now : float
             Current time (seconds, boot clock).
+        time_left : float
+            Time until the deadline of the request (seconds).
 
         Returns
         -------
@@ -80,6 +85,9 @@
                 first, first_end = record, end
         if first is None:
             return None
+        deadline = now + time_left
+        if first_end > deadline:
+            return deadline
         self.limits.promise_return(first, now)
         return first_end
 
--- a/balsamwind/relay/tests/test_server_limits.py
+++ b/balsamwind/relay/tests/test_server_limits.py
@@ -283,3 +283,37 @@
     limits.record(_make_record('b'), 2.0, 10.0, 10.0)
     rejection = _choose(backends, SERVICE, REQUIREMENTS, limits, 10.5)
     assert rejection.retry_after == _load_balancing.DEFAULT_RETRY_AFTER
+
+
+@pytest.mark.parametrize('rate_limit', [0.0, 0.01, 0.5, 2.0])
+def test_nobody_is_told_to_come_back_after_its_deadline(rate_limit):
+    """Callers that have given up never come for the tokens kept for them."""
+    backends = _make_backends('m')
+    limits = _make_limits(rate_limit)
+    limits.record(_make_record('b'), rate_limit, 10.0, 10.0)
+    waits = []
+    for number in range(300):
+        now = 10.0 + number * 0.001
+        rejection = _choose(backends, SERVICE, REQUIREMENTS, limits, now)
+        waits.append(rejection.retry_after)
+    assert max(waits) <= REQUIREMENTS.time_left
+    # When they have given up, the next one is told of the next token.
+    later = 10.3 + REQUIREMENTS.time_left
+    chosen = _choose(backends, SERVICE, REQUIREMENTS, limits, later)
+    if rate_limit < 0.2:
+        assert chosen.retry_after == pytest.approx(REQUIREMENTS.time_left)
+    else:
+        assert chosen in ('a', 'b')
+
+
+@pytest.mark.parametrize('between', [None, 4.0])
+def test_returns_promised_under_an_ended_limit_are_forgotten(between):
+    backends = _make_backends('m')[:1]
+    limits = _make_limits(0.5)
+    for _ in range(4):
+        _choose(backends, SERVICE, REQUIREMENTS, limits, 10.5)
+    limits.record(_make_record(), between, 11.0, 11.0)
+    limits.record(_make_record(), 0.5, 11.1, 11.1)
+    limits.take(_make_record())
+    rejection = _choose(backends, SERVICE, REQUIREMENTS, limits, 11.2)
+    assert rejection.retry_after <= 2.0
