Reset connections whose request is given up

An attempt that was abandoned on a path that hangs was closed in order, so the request, still on its way, could be delivered and run when the path came back. A reset makes the sender's side drop it.

--- a/balsamwind/adapters/_connection_pool.py
+++ b/balsamwind/adapters/_connection_pool.py
@@ -1,6 +1,7 @@
 """Pool of idle connections of an HTTP client."""
 
 import socket
+import struct
 import time
 
 from tornado import iostream
@@ -34,6 +35,28 @@
         return False
 
 
+def abandon(stream):
+    """Reset a connection whose answer is no longer wanted.
+
+    Where a path is cut, the request may still be on its way; a reset keeps it
+    from being delivered when the path is back.
+
+    Parameters
+    ----------
+    stream : tornado.iostream.IOStream
+        Stream of the connection.
+    """
+    reset_on_close(stream)
+    stream.close()
+
+
+def reset_on_close(stream):
+    """Make the close of a stream a reset."""
+    if not stream.closed():
+        linger = struct.pack('ii', 1, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def is_reusable(stream):
     """Return whether a stream may carry another request.
 
--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -292,7 +292,7 @@
                     connection, endpoint, is_own_response
                 )
         except TimeoutError:
-            stream.close()
+            _connection_pool.abandon(stream)
             self.close_idle_connections(endpoint)
             raise exceptions.AnswerTimeout(
                 f'{endpoint}: no answer within {timeout:.1f} s'
@@ -301,7 +301,7 @@
             stream.close()
             raise exceptions.TransportError(f'{endpoint}: {error}') from None
         except BaseException:
-            stream.close()
+            _connection_pool.abandon(stream)
             raise
 
     def _send(self, connection, endpoint, method, parts, headers, body):
--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -3,12 +3,12 @@
 import asyncio
 import json
 import socket
-import struct
 
 from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
 
+from balsamwind.adapters import _connection_pool
 from balsamwind import exceptions
 from balsamwind import relay
 
@@ -163,9 +163,8 @@
 
 def _reset_on_close(stream):
     """Make the close of a stream visible as a reset."""
-    if stream is not None and not stream.closed():
-        linger = struct.pack('ii', 1, 0)
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    if stream is not None:
+        _connection_pool.reset_on_close(stream)
 
 
 def _is_closed_by_peer(sock):
--- a/balsamwind/node/_attempt_server.py
+++ b/balsamwind/node/_attempt_server.py
@@ -56,6 +56,14 @@
         if host not in self._hosts:
             self._log.warning('attempts_refused', host=host)
             return
+        try:
+            await self._handle_frames(connection)
+        except exceptions.TransportError:
+            # The other node has left; that needs no answer.
+            if adapters.is_open(connection):
+                raise
+
+    async def _handle_frames(self, connection):
         async for frame in connection:
             match _attempt_frames.CODEC.decode(frame):
                 case relay.OutgoingAttempt() as attempt:
--- a/balsamwind/relay/_peer_service.py
+++ b/balsamwind/relay/_peer_service.py
@@ -112,15 +112,12 @@
             asyncio.ensure_future(self._ask_one(peer.address, query))
             for peer in witnesses
         ]
+        # The replies that are left come soon, and leave connections to reuse.
         opinions = set()
-        try:
-            for opinion in asyncio.as_completed(tasks):
-                opinions.add(await opinion)
-                if _carried_attempts.Reach.ANSWERS in opinions:
-                    break
-        finally:
-            for task in tasks:
-                task.cancel()
+        for opinion in asyncio.as_completed(tasks):
+            opinions.add(await opinion)
+            if _carried_attempts.Reach.ANSWERS in opinions:
+                break
         return _carried_attempts.combine_opinions(opinions)
 
     async def _ask_one(self, address, query):
