--- a/balsamwind/relay/_attempt_sender.py
+++ b/balsamwind/relay/_attempt_sender.py
@@ -37,13 +37,16 @@
     ----------
     through_peer : bool
         Whether another node carries the current attempt.
+    may_be_sent : bool
+        Whether any byte of the current attempt may have been sent.
     """
 
-    __slots__ = ('_relay', 'through_peer')
+    __slots__ = ('_relay', 'may_be_sent', 'through_peer')
 
     def __init__(self, relay):
         self._relay = relay
         self.through_peer = False
+        self.may_be_sent = False
 
     async def open(self, backend, attempt, before_send):
         """Send an attempt, and wait for the head of the answer.
@@ -67,13 +70,19 @@
         balsamwind.exceptions.TransportError
             The attempt failed.
         """
-        self.through_peer = False
         relay = self._relay
         own_error = None
+        self.through_peer = False
+        self.may_be_sent = False
+
+        def note_send():
+            before_send()
+            self.may_be_sent = True
+
         if not self._needs_peer(backend):
             try:
                 return await _direct_path.open_directly(
-                    relay, backend, attempt, before_send
+                    relay, backend, attempt, note_send
                 )
             except exceptions.DeadlinePassed:
                 raise
@@ -82,15 +91,16 @@
                     raise
                 own_error = error
         self.through_peer = True
-        response = await relay.peers.open(attempt, before_send)
+        response = await relay.peers.open(attempt, note_send)
         if response is not None:
             self._record_peer_reach(backend, own_error)
             return response
         self.through_peer = False
+        self.may_be_sent = False
         if own_error is not None:
             raise own_error
         return await _direct_path.open_directly(
-            relay, backend, attempt, before_send
+            relay, backend, attempt, note_send
         )
 
     def _needs_peer(self, backend):
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -82,7 +82,6 @@
         '_attempts_sent',
         '_backend',
         '_connect_failures',
-        '_current_attempt_sent',
         '_deadline',
         '_forwarded_headers',
         '_known_fingerprint',
@@ -120,7 +119,6 @@
         self._deadline = request.received_at + timeout
         self._retry_budget = relay.get_retry_budget(service.name)
         self._attempts_sent = 0
-        self._current_attempt_sent = False
         self._connect_failures = 0
         self._response = _response_relay.ResponseRelay(responder, route)
         self._known_fingerprint = None
@@ -160,7 +158,7 @@
         balsamwind.exceptions.BalsamwindError
             `DeadlineExceeded` if the request may have run, else `Overloaded`.
         """
-        may_have_run = self._current_attempt_sent or (
+        may_have_run = self._sender.may_be_sent or (
             self._ambiguous_failure is not None
         )
         if may_have_run:
@@ -191,7 +189,7 @@
         while True:
             async with self._reserve_backend() as backend:
                 self._backend = backend
-                self._current_attempt_sent = False
+                self._sender.may_be_sent = False
                 with backend.track(
                     self._request_metadata.prompt_tokens
                 ) as mark_prompt_processed:
@@ -203,7 +201,7 @@
                 self._record_answer()
                 return
             self._backend = None
-            self._current_attempt_sent = False
+            self._sender.may_be_sent = False
             self._record_failure(backend, failure)
             if not self._may_retry(failure):
                 raise self._select_final_error(failure)
@@ -327,7 +325,6 @@
             raise exceptions.DeadlinePassed(
                 'the deadline passed before the request was sent'
             )
-        self._current_attempt_sent = True
 
     async def _attempt(self, backend, mark_prompt_processed):
         """Send the request once.
@@ -393,9 +390,10 @@
             return await self._explain_failure(backend, error)
         except _attempts.GroupStalled:
             error = exceptions.AnswerTimeout(
-                'the replica group made no progress within the stall timeout'
+                'the replica group made no progress within the stall timeout',
+                sent=self._sender.may_be_sent,
             )
-            return self._make_failure(error, stalled=True)
+            return self._make_failure(error, sent=error.sent, stalled=True)
         finally:
             if response is not None:
                 response.close()
