Leave the lease to nodes that reach the engines

A node that knows by its own requests that it reaches no engine no longer competes; a wait that was asked for earlier and lasts longer stays in force. test_node_without_a_path_does_not_take_the_lease fails without it.

Logs and metrics of paths: path_lost, path_open, path_doubt_settled, lost_paths, attempts_through_peers; attempt_failed names the fault.

--- a/balsamwind/control/_lease.py
+++ b/balsamwind/control/_lease.py
@@ -208,7 +208,7 @@
         until : float
             Monotonic time of the next attempt (seconds).
         """
-        self._backoff_until = until
+        self._backoff_until = max(self._backoff_until, until)
 
     def plan_write(self, stored, age, now, operation):
         """Decide whether to write the lease.
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -170,6 +170,8 @@
         """Run planning rounds while the lease is held; never returns."""
         while True:
             try:
+                if self._lacks_path():
+                    self.lease.defer()
                 await self.lease.step()
                 if not self.lease.held:
                     self._prober.reset()
@@ -186,6 +188,17 @@
         """Ask another node whether an engine answers it."""
         return await self._relay.peers.ask(record, wants_report=True)
 
+    def _lacks_path(self):
+        """Tell whether this node reaches no engine, by its own requests."""
+        lost_services = self._relay.paths.lost_services
+        configuration = self._configuration_cache.configuration
+        if not lost_services or configuration is None:
+            return False
+        return any(
+            service.engine is not None and service.name in lost_services
+            for service in configuration.services
+        )
+
     async def _yield_if_blind(self):
         """Leave the lease to a node that has a path to the engines."""
         if self._prober.is_blind:
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -65,6 +65,10 @@
 """Distance of the fencing numbers of two eras of the store, so that none is
 used again after changes of the holder were lost (count)."""
 
+DEFERRAL_TIME = 0.6
+"""Time for which a node that does not reach the engines leaves the lease to
+others, from each time that it sees so (seconds)."""
+
 YIELD_TIME = 3.0
 """Time for which a node that has given up the lease leaves it to others
 (seconds)."""
@@ -139,6 +143,10 @@
         self._manager.invalidate()
         self._manager.back_off(self._clock.monotonic() + LEASE_DURATION)
 
+    def defer(self):
+        """Leave the lease to others for a moment, unless it is held."""
+        self._manager.back_off(self._clock.monotonic() + DEFERRAL_TIME)
+
     async def yield_to_others(self, reason):
         """Release the lease, and leave it to other nodes for a while.
 
--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -148,6 +148,7 @@
             reason=str(failure.error),
             sent=failure.sent,
             stalled=failure.stalled,
+            fault=failure.fault.value,
             in_flight=backend.in_flight,
             **({} if fingerprint is None else {'fingerprint': fingerprint}),
             **_describe_progress(metadata, progress, self._clock.monotonic()),
--- a/balsamwind/node/_state.py
+++ b/balsamwind/node/_state.py
@@ -84,6 +84,8 @@
             'limited_servers': (
                 self._relay.server_statements.limits.limited_count
             ),
+            'lost_paths': self._relay.paths.lost_services,
+            'attempts_through_peers': self._relay.peers.carried_attempts,
             'leads': [
                 leader.lease.shard
                 for leader in self._leaders
@@ -129,6 +131,16 @@
             'Backend servers that state a limit on their requests.',
             value=self._relay.server_statements.limits.limited_count,
         )
+        yield core.GaugeMetricFamily(
+            'balsamwind_lost_paths',
+            'Services whose servers this node itself does not reach.',
+            value=len(self._relay.paths.lost_services),
+        )
+        yield core.CounterMetricFamily(
+            'balsamwind_attempts_through_peers',
+            'Attempts that other nodes carried for this one.',
+            value=self._relay.peers.carried_attempts,
+        )
         yield self._collect_leases()
         yield self._collect_groups()
         yield self._collect_demand()
--- a/balsamwind/node/tests/test_lost_paths.py
+++ b/balsamwind/node/tests/test_lost_paths.py
@@ -173,3 +173,20 @@
 
     first, second = asyncio.run(scenario())
     assert second is not first
+
+
+def test_node_without_a_path_does_not_take_the_lease(monkeypatch):
+    async def scenario():
+        async with open_fleet(monkeypatch) as (_, nodes):
+            first = _find_leader(nodes)
+            second, third = [node for node in nodes if node is not first]
+            for process in (second, first):
+                paths.cut_paths(process, paths.RESET)
+                await send_series(process, 0.2)
+            holders = set()
+            for _ in range(300):
+                holders.add(_find_leader(nodes))
+                await asyncio.sleep(0.01)
+            return second in holders, third in holders
+
+    assert asyncio.run(scenario()) == (False, True)
--- a/balsamwind/node/tests/test_state.py
+++ b/balsamwind/node/tests/test_state.py
@@ -44,6 +44,8 @@
         'balsamwind_open_requests 0.0',
         'balsamwind_quarantined_prompt_parts 0.0',
         'balsamwind_limited_servers 0.0',
+        'balsamwind_lost_paths 0.0',
+        'balsamwind_attempts_through_peers_total 0.0',
         'balsamwind_answers_total{outcome="ok"} 1.0',
     ],
 )
--- a/balsamwind/relay/_attempt_sender.py
+++ b/balsamwind/relay/_attempt_sender.py
@@ -11,6 +11,7 @@
     __slots__ = ()
 
     has_peers = False
+    carried_attempts = 0
 
     async def open(self, attempt, before_send):
         """Return None: no node carries the attempt."""
--- a/balsamwind/relay/_path_prober.py
+++ b/balsamwind/relay/_path_prober.py
@@ -73,8 +73,13 @@
     def _finish(self, service, task):
         del self._tasks[service]
         self._settled[service].set()
-        if not task.cancelled() and task.exception() is not None:
+        if task.cancelled():
+            return
+        if task.exception() is not None:
             self._log.error('path_probes_failed', error=repr(task.exception()))
+        # A doubt that came up as the task ended has none yet.
+        if not self._paths.is_open(service):
+            self.start(service)
 
     async def settle(self, service):
         """Wait until a path is no longer in doubt.
@@ -96,9 +101,10 @@
     async def _probe_until_open(self, service):
         while True:
             is_any_connected = await self._probe(service)
+            was_lost = self._paths.find_state(service) is _paths.PathState.LOST
             now = self._clock.monotonic()
             if self._paths.record_probes(service, is_any_connected, now):
-                self._handle_change(service)
+                self._handle_change(service, was_lost)
             self._settled[service].set()
             if self._paths.is_open(service):
                 return
@@ -128,9 +134,10 @@
             for task in tasks:
                 task.cancel()
 
-    def _handle_change(self, service):
+    def _handle_change(self, service, was_lost):
         if self._paths.is_open(service):
-            self._log.info('path_open', service=service)
+            event = 'path_open' if was_lost else 'path_doubt_settled'
+            self._log.info(event, service=service)
             return
         self._log.warning('path_lost', service=service)
         # A connection that went silent must not get a later request.
