Close connections that are cancelled as they open

A connection whose opening was cancelled (a caller that left, the second of two probes of a path) stayed registered with the event loop and came up unused, so that it held a place at its server for as long as the node ran. Found by reading; the test failed before.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -381,6 +381,10 @@
                 f'{endpoint}: connection could not be opened: {reason!r}',
                 sent=False,
             ) from None
+        except BaseException:
+            if stream is not None:
+                _connection_pool.abandon(stream)
+            raise
         stream.set_nodelay(True)
         self.opened_connections += 1
         return stream
--- a/balsamwind/adapters/tests/test_http_client.py
+++ b/balsamwind/adapters/tests/test_http_client.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from balsamwind.adapters import _connection_pool
 from balsamwind.adapters import _http_client
-from balsamwind.adapters import _streamed_response
+from balsamwind.adapters import _read_body
 from balsamwind import exceptions
 
 
@@ -232,7 +233,7 @@
 @pytest.mark.parametrize(('head', 'filler', 'interval'), ENDLESS_ANSWERS)
 def test_answer_without_end_is_given_up(head, filler, interval, monkeypatch):
     """Time and memory are bounded, and the connection is not used again."""
-    monkeypatch.setattr(_streamed_response, 'MAX_BODY_SIZE', 1 << 20)
+    monkeypatch.setattr(_read_body, 'MAX_BODY_SIZE', 1 << 20)
     closed = []
 
     async def handle(reader, writer):
@@ -261,3 +262,26 @@
     assert duration < 3.0
     assert reusable is None
     assert closed
+
+
+def test_connection_that_is_cancelled_while_it_opens_is_closed(monkeypatch):
+    """It would hold a place at the server for as long as the node runs."""
+    streams = []
+
+    async def connect(stream, address):
+        streams.append(stream)
+        await asyncio.sleep(60.0)
+
+    monkeypatch.setattr(_connection_pool.ClientStream, 'connect', connect)
+
+    async def scenario():
+        client = _http_client.HttpClient()
+        task = asyncio.ensure_future(
+            client.is_reachable('127.0.0.1:9', timeout=30.0)
+        )
+        await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.wait({task})
+        return [stream.closed() for stream in streams]
+
+    assert asyncio.run(scenario()) == [True]
