Bound the time of bodies that a node passes on

The body of an answer through another node had a timeout for each chunk only, so one that trickles never ended; read_body of the adapters serves both kinds of response now, with its bounds on time and size. Tests of what a node reads from one that carries its attempt: failures and whether the request may have run, silence, bytes that are no frame, frames out of order.

--- a/balsamwind/adapters/__init__.py
+++ b/balsamwind/adapters/__init__.py
@@ -17,6 +17,7 @@
         '_peer_link': ['PeerLinks'],
         '_plain_service': ['HttpPlainService'],
         '_platform': ['HttpVmList', 'HttpWeightStore'],
+        '_read_body': ['read_body'],
         '_relay_server': ['RelayServer', 'Responder'],
         '_tls': ['TlsContexts', 'make_tls_contexts'],
         '_update_link': [
--- a/balsamwind/adapters/_streamed_response.py
+++ b/balsamwind/adapters/_streamed_response.py
@@ -3,14 +3,9 @@
 import asyncio
 import enum
 
+from balsamwind.adapters import _read_body
 from balsamwind import exceptions
 
-MAX_BODY_SIZE = 32 * 1024 * 1024
-"""Largest body that is read as a whole (bytes)."""
-
-BODY_TIME_FACTOR = 5.0
-"""Time that a whole body may take, relative to the timeout of a chunk."""
-
 RELEASE_TIMEOUT = 1.0
 """Longest wait for the end of a body, after which the connection is closed and
 not reused (seconds)."""
@@ -157,42 +152,8 @@
             )
 
     async def read_all(self, timeout):
-        """Read the body to its end.
-
-        Parameters
-        ----------
-        timeout : float
-            Longest wait for each chunk; the whole body may take
-            `BODY_TIME_FACTOR` times as long (seconds).
-
-        Raises
-        ------
-        balsamwind.exceptions.TransportError
-            The body was cut, is larger than `MAX_BODY_SIZE` or does not end
-            in time; the connection is closed.
-        """
-        try:
-            async with asyncio.timeout(BODY_TIME_FACTOR * timeout):
-                return await self._read_parts(timeout)
-        except TimeoutError:
-            self.close()
-            raise exceptions.AnswerTimeout(
-                f'{self._endpoint}: the body does not end'
-            ) from None
-
-    async def _read_parts(self, timeout):
-        parts = []
-        size = 0
-        while part := await self.read(timeout):
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BODY_SIZE:
-                self.close()
-                raise exceptions.BadAnswer(
-                    f'{self._endpoint}: the body is larger than'
-                    f' {MAX_BODY_SIZE} bytes'
-                )
-        return b''.join(parts)
+        """Read the body to its end, see `read_body`."""
+        return await _read_body.read_body(self, timeout)
 
     def release(self):
         """Reuse the connection if the body ends soon and without more data.
--- a/balsamwind/node/_attempt_client.py
+++ b/balsamwind/node/_attempt_client.py
@@ -22,9 +22,6 @@
 MAX_IDLE_CONNECTIONS = 16
 """Largest number of idle connections to one node (count)."""
 
-MAX_BODY_SIZE = 32 * 1024 * 1024
-"""Largest answer that is read as a whole (bytes)."""
-
 _ERRORS = {
     relay.CarryFailure.UNREACHABLE: exceptions.TransportError,
     relay.CarryFailure.BROKEN: exceptions.TransportError,
@@ -338,29 +335,8 @@
         self._raise_failure(message)
 
     async def read_all(self, timeout):
-        """Read the body to its end.
-
-        Parameters
-        ----------
-        timeout : float
-            Longest wait for each chunk (seconds).
-
-        Raises
-        ------
-        balsamwind.exceptions.TransportError
-            The body was cut, is too large or does not come in time.
-        """
-        parts = []
-        size = 0
-        while part := await self.read(timeout):
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BODY_SIZE:
-                self.close()
-                raise exceptions.BadAnswer(
-                    f'through {self._address}: the body is too large'
-                )
-        return b''.join(parts)
+        """Read the body to its end, as `StreamedResponse` does."""
+        return await adapters.read_body(self, timeout)
 
     def _return_connection(self):
         connection, self._connection = self._connection, None
--- /dev/null
+++ b/balsamwind/node/tests/test_attempt_client.py
@@ -0,0 +1,163 @@
+"""What a node reads from one that carries its attempt."""
+
+import asyncio
+import types
+
+import pytest
+import websockets
+
+from balsamwind import exceptions
+from balsamwind.node import _attempt_client
+from balsamwind.node import _attempt_frames
+from balsamwind import relay
+
+ATTEMPT = relay.OutgoingAttempt(
+    'r1', relay.BackendKey('llm', 'g', 1), 'GET', '/', 'a', (), b'', 0.5
+)
+
+
+class _Connection:
+    """Websocket to a node that sends frames of a test."""
+
+    def __init__(self, messages, repeats=False, delay=0.0):
+        self._frames = [
+            message
+            if isinstance(message, bytes)
+            else _attempt_frames.CODEC.encode(message)
+            for message in messages
+        ]
+        self._repeats = repeats
+        self._delay = delay
+        self.state = websockets.State.OPEN
+        self.aborted = False
+        self.sent = []
+        self.transport = types.SimpleNamespace(abort=self._abort)
+
+    def _abort(self):
+        self.aborted = True
+
+    async def send(self, data):
+        self.sent.append(data)
+
+    async def recv(self):
+        await asyncio.sleep(self._delay)
+        if self._repeats and len(self._frames) == 1:
+            return self._frames[0]
+        if not self._frames:
+            await asyncio.sleep(60.0)
+        return self._frames.pop(0)
+
+
+HEAD = (relay.AttemptAccepted(), relay.AnswerHead(200, (('A', 'b'),), True))
+
+
+def _open(connection, before_send=lambda: None):
+    client = _attempt_client.AttemptClient()
+    client.put_back('peer:1', connection)
+    return client, client.open('peer:1', ATTEMPT, before_send)
+
+
+def test_answer_is_read_whole_and_its_connection_kept():
+    connection = _Connection(
+        [*HEAD, relay.AnswerData(b'x'), relay.AnswerData(b'y')]
+        + [relay.AnswerEnd()]
+    )
+
+    async def scenario():
+        client, opening = _open(connection)
+        response = await opening
+        body = await response.read_all(1.0)
+        return response, body, client._is_idle('peer:1', connection)
+
+    response, body, is_kept = asyncio.run(scenario())
+    assert (response.status, dict(response.headers)) == (200, {'A': 'b'})
+    assert response.has_marked_end
+    assert body == b'xy'
+    assert is_kept
+    assert not connection.aborted
+
+
+def test_body_that_trickles_without_end_is_given_up():
+    connection = _Connection(
+        [*HEAD, relay.AnswerData(b'x')], repeats=True, delay=0.005
+    )
+
+    async def scenario():
+        _, opening = _open(connection)
+        response = await opening
+        with pytest.raises(exceptions.AnswerTimeout):
+            await response.read_all(0.02)
+
+    asyncio.run(asyncio.wait_for(scenario(), 2.0))
+    assert connection.aborted
+
+
+@pytest.mark.parametrize(
+    ('cause', 'error', 'sent', 'is_kept'),
+    [
+        ('no path', exceptions.PeerUnavailable, False, True),
+        ('draining', exceptions.PeerUnavailable, False, True),
+        ('full', exceptions.PeerUnavailable, False, True),
+        ('not usable', exceptions.PeerUnavailable, False, True),
+        ('unreachable', exceptions.TransportError, False, True),
+        ('broken', exceptions.TransportError, True, True),
+        ('timed out', exceptions.AnswerTimeout, True, True),
+        ('malformed', exceptions.BadAnswer, True, True),
+    ],
+)
+def test_failure_says_whether_the_request_may_have_run(
+    cause, error, sent, is_kept
+):
+    connection = _Connection([relay.AttemptFailed(relay.CarryFailure(cause))])
+
+    async def scenario():
+        client, opening = _open(connection)
+        with pytest.raises(exceptions.TransportError) as caught:
+            await opening
+        return caught.value, client._is_idle('peer:1', connection)
+
+    caught, kept = asyncio.run(scenario())
+    assert type(caught) is error
+    assert caught.sent is sent
+    assert kept is is_kept
+
+
+@pytest.mark.parametrize(
+    'messages',
+    [
+        pytest.param([], id='silence'),
+        pytest.param([b'\xff'], id='bytes that are no frame'),
+        pytest.param([HEAD[1]], id='head before it was accepted'),
+        pytest.param([HEAD[0], relay.AnswerData(b'x')], id='no head'),
+        pytest.param([HEAD[0], HEAD[0]], id='accepted twice'),
+    ],
+)
+def test_node_that_does_not_answer_properly_leaves_the_outcome_unknown(
+    monkeypatch, messages
+):
+    monkeypatch.setattr(_attempt_client, 'ACCEPT_TIMEOUT', 0.05)
+    connection = _Connection(messages)
+
+    async def scenario():
+        client, opening = _open(connection)
+        with pytest.raises(exceptions.PeerUnavailable) as caught:
+            await opening
+        return caught.value.sent, client._is_idle('peer:1', connection)
+
+    assert asyncio.run(scenario()) == (True, False)
+    assert connection.aborted
+
+
+def test_attempt_whose_caller_has_left_is_not_sent():
+    connection = _Connection(HEAD)
+
+    def check():
+        raise asyncio.CancelledError
+
+    async def scenario():
+        _, opening = _open(connection, check)
+        with pytest.raises(asyncio.CancelledError):
+            await opening
+
+    asyncio.run(scenario())
+    assert connection.sent == []
