Take no engine from a group that a late order opens

Three causes:

A late join of an earlier holder of the lease: its successor opens the group that it finds, then a member carries the old join out. Before it opens such a group the leader now orders each member to join the group that it is in: nothing changes but that they have seen its fencing number, and refuse older orders. 2. A late order to open of an earlier holder, between the check of the heads and the joins of their members, or between two tries of a join. Heads join first, or leave if they are not among the members; a sequence number that is read anew for a join must not come from the head of an open group. 3. A head that the leader and the store have lost while others reach it counted as dead. Other nodes are asked about it now (also if it is no longer listed), and a group whose head does not answer is released only if it is broken, or the head must be dead.

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -121,9 +121,7 @@
                 coroutine = self._close_group(action)
             case pool.OpenGroup(group=group):
                 members = group.members
-                coroutine = self._open_group(
-                    group.head, group.name, group.epoch, engine_profile
-                )
+                coroutine = self._adopt_and_open(group, engine_profile)
             case pool.FormGroup(members=members):
                 coroutine = self._form_group(action, engine_profile)
             case pool.StageModel(engine=engine, model=model):
@@ -162,7 +160,7 @@
         """
         if not self._lease.held:
             raise exceptions.Conflict('the lease is no longer held')
-        sequence = await self._find_sequence(record)
+        sequence = await self._find_sequence(record, order)
         if not self._lease.held:
             raise exceptions.Conflict('the lease is no longer held')
         result = await self._platform.send_order(
@@ -180,10 +178,17 @@
         )
         return result
 
-    async def _find_sequence(self, record):
+    async def _find_sequence(self, record, order):
         """Return the number of orders that the engine has accepted so far.
 
-        Orders are counted from the start of the engine's process.
+        Orders are counted from the start of the engine's process. The engine
+        may have carried out a late order since its group was checked: one
+        that heads an open group by now must not join another.
+
+        Raises
+        ------
+        balsamwind.exceptions.Conflict
+            The order is to join, and the engine heads an open group.
         """
         incarnation = (record.server_id, record.born)
         sequence = self._sequences.get(incarnation)
@@ -191,6 +196,8 @@
             report = await self._platform.fetch_engine_report(
                 record, ORDER_TIMEOUT
             )
+            if isinstance(order, pool.Join):
+                _check_not_serving(record, report)
             sequence = self._sequences[incarnation] = report.sequence
         return sequence
 
@@ -233,12 +240,8 @@
             self.forming.get(action.model, 0) + member_count
         )
         try:
-            await self._check_released(members)
-            results = await asyncio.gather(
-                *(self._join_member(member, order) for member in members)
-            )
-            if not all(results):
-                self._log.info('group_not_formed', group=name, joins=results)
+            await self._release(members)
+            if not await self._join_members(members, order):
                 return
             timeout = (
                 _estimate_join_time(members, action.model, engine_profile)
@@ -255,22 +258,45 @@
         finally:
             self.forming[action.model] -= member_count
 
-    async def _check_released(self, members):
-        """Check with the heads that the members' last groups are not open.
+    async def _release(self, members):
+        """See to it that the members' last groups are not open, and stay so.
 
-        Heads of groups that this executor has closed are not asked, because
-        their reports may lag behind.
+        A late order of an earlier holder of the lease may open a group after
+        its head was asked. A head that is not among the members leaves its
+        group; one that is among them joins first. Heads of groups that this
+        executor has closed are not asked, because their reports may lag
+        behind; they refuse older orders already.
 
         Raises
         ------
         balsamwind.exceptions.Conflict
-            A head reports that its group is open, whatever the entries say.
+            A head reports that its group is open, whatever the entries say,
+            or does not leave it.
         balsamwind.exceptions.TransportError
             A head does not answer.
         """
+        heads = self._find_last_heads(members)
+        reports = await asyncio.gather(
+            *(
+                self._platform.fetch_engine_report(head, ORDER_TIMEOUT)
+                for head in heads
+            )
+        )
+        for head, report in zip(heads, reports, strict=True):
+            _check_not_serving(head, report)
+        member_ids = {member.server_id for member in members}
+        await asyncio.gather(
+            *(
+                self._make_leave(head)
+                for head in heads
+                if head.server_id not in member_ids
+            )
+        )
+
+    def _find_last_heads(self, members):
         keys = {item.membership.key for item in members if item.membership}
         keys -= self._closed_groups
-        heads = [
+        return [
             record
             for record in self._registry
             if record.membership is not None
@@ -278,18 +304,42 @@
             and record.membership.key in keys
             and record.server_id not in self._prober.down
         ]
-        reports = await asyncio.gather(
-            *(
-                self._platform.fetch_engine_report(head, ORDER_TIMEOUT)
-                for head in heads
+
+    async def _make_leave(self, head):
+        membership = head.membership
+        if membership.state is pool.MemberState.BROKEN:
+            return
+        order = pool.Leave(membership.group, membership.epoch)
+        result = await self._send_order(head, order)
+        if not result.accepted:
+            raise exceptions.Conflict(
+                f'{head.server_id} does not leave its group: {result.value}'
             )
-        )
-        for head, report in zip(heads, reports, strict=True):
-            if report.born == head.born and _heads_open_group(report):
-                raise exceptions.Conflict(
-                    f'{head.server_id} is still the head of an open group: '
-                    f'{report.membership}'
+
+    async def _join_members(self, members, order):
+        """Order engines to join; the heads of their last groups come first.
+
+        Returns
+        -------
+        bool
+            Whether all have accepted.
+        """
+        heads = [
+            member
+            for member in members
+            if member.membership is not None and member.membership.rank == 0
+        ]
+        others = [member for member in members if member not in heads]
+        for part in (heads, others):
+            results = await asyncio.gather(
+                *(self._join_member(member, order) for member in part)
+            )
+            if not all(results):
+                self._log.info(
+                    'group_not_formed', group=order.group, joins=results
                 )
+                return False
+        return True
 
     def _describe_memberships(self, ids):
         memberships = {}
@@ -334,6 +384,29 @@
             await asyncio.sleep(POLL_INTERVAL)
         return False
 
+    async def _adopt_and_open(self, group, engine_profile):
+        """Open a group that stands, as no late order can take its members.
+
+        The last holder of the lease may have ordered members to join another
+        group, without an answer. Once an engine has seen the fencing number of
+        this lease, it refuses orders of the last one. To join the group that
+        it is in changes nothing else.
+        """
+        ids = tuple(member.server_id for member in group.members)
+        order = pool.Join(group.name, group.epoch, group.model, ids)
+        if group.epoch // EPOCHS_PER_LEASE != self._lease.fencing:
+            results = await asyncio.gather(
+                *(self._join_member(member, order) for member in group.members)
+            )
+            if not all(results):
+                self._log.info(
+                    'group_not_adopted', group=group.name, joins=results
+                )
+                return
+        await self._open_group(
+            group.head, group.name, group.epoch, engine_profile
+        )
+
     async def _open_group(self, head, name, epoch, engine_profile):
         self._closed_groups.discard((name, epoch))
         for _ in range(MAX_ATTEMPTS):
@@ -419,14 +492,26 @@
                 await asyncio.sleep(POLL_INTERVAL)
 
 
-def _heads_open_group(report):
+def _check_not_serving(record, report):
+    """Check that an engine is not the head of an open group.
+
+    Raises
+    ------
+    balsamwind.exceptions.Conflict
+        Its report says that it is.
+    """
     membership = report.membership
-    return (
-        membership is not None
+    if (
+        report.born == record.born
+        and membership is not None
         and membership.rank == 0
         and membership.state
         in (pool.MemberState.OPEN, pool.MemberState.CLOSING)
-    )
+    ):
+        raise exceptions.Conflict(
+            f'{record.server_id} is still the head of an open group: '
+            f'{membership}'
+        )
 
 
 def _estimate_join_time(members, model, engine_profile):
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -61,7 +61,7 @@
     def down(self):
         """Ids of the engines that are down.
 
-        No listed engine is before another node was asked.
+        None is before another node was asked.
         """
         return frozenset(
             server_id
@@ -194,12 +194,12 @@
     def _awaits_opinion(self, server_id):
         """Tell whether another node must be asked about an engine.
 
-        The path of this node to this engine alone may be lost.
+        The path of this node to this engine alone may be lost, also if the
+        engine has lost its own to the store.
         """
-        if self._ask_others is None or server_id in self._confirmed:
-            return False
-        record = self._registry.get(server_id)
-        return record is not None and record.listed
+        return (
+            self._ask_others is not None and server_id not in self._confirmed
+        )
 
     def _ask_if_failed(self, record):
         server_id = record.server_id
--- /dev/null
+++ b/balsamwind/node/tests/shard_simulation.py
@@ -0,0 +1,528 @@
+"""A shard in virtual time: engines, a store, and leaders that take over.
+
+The leaders are real; what they order and hear passes through faults: orders
+that are carried out late, answers that are lost, engines that crash or are
+cut off from the store or from a leader, leaders that stop or start again.
+"""
+
+import asyncio
+import dataclasses
+import random
+import selectors
+import types
+
+from balsamwind import exceptions
+from balsamwind import node
+from balsamwind.node import _leader
+from balsamwind.node.tests import doubles
+from balsamwind import pool
+from balsamwind import relay
+from balsamwind import traffic
+
+STALL_TIME = 4.0
+"""Time after which the head of an open group that lost a member breaks it
+(seconds)."""
+
+EXPIRY_TIME = 3.6
+"""Time without contact to the store after which an entry lapses (seconds)."""
+
+LATE_ORDER_TIMES = (2.0, 12.0)
+"""Shortest and longest delay of an order that gets no answer (seconds)."""
+
+OPEN_TIME = 0.05
+"""Time from an order to open until the head accepts requests (seconds)."""
+
+HEAD_STATES = (pool.MemberState.OPEN, pool.MemberState.CLOSING)
+
+PROFILE = traffic.EngineProfile(
+    (
+        traffic.ModelProfile('m', 2, load_time=1.0, staged_load_time=0.3),
+        traffic.ModelProfile('n', 2, load_time=1.0, staged_load_time=0.3),
+    ),
+    form_time=OPEN_TIME,
+)
+
+
+class _VirtualSelector(selectors.SelectSelector):
+    """Selector that lets time pass instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+
+    def select(self, timeout=None):
+        if timeout:
+            self.now += timeout
+        return super().select(0)
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Event loop whose time passes as fast as its tasks allow."""
+
+    def __init__(self):
+        self._virtual_selector = _VirtualSelector()
+        super().__init__(self._virtual_selector)
+
+    def time(self):
+        """Return the virtual time (seconds)."""
+        return self._virtual_selector.now
+
+    def monotonic(self):
+        """Return the virtual time (seconds), as a clock."""
+        return self.time()
+
+
+class _Engine:
+    """One engine, as its process knows itself."""
+
+    def __init__(self, name, domain):
+        self.name = name
+        self.domain = domain
+        self.born = 1
+        self.is_alive = True
+        self.reaches_store = True
+        self.reaches_leader = True
+        self.is_draining = False
+        self.staged = ('m', 'n')
+        self.unseen_since = None
+        self.reset()
+
+    def reset(self):
+        self.sequence = 0
+        self.fencing = 0
+        self.last_epoch = 0
+        self.model = ''
+        self.membership = None
+        self.members = ()
+        self.lost_member_since = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    """Lease of a leader, which the simulation gives and takes."""
+
+    shard: str = 'z1'
+    held: bool = False
+    fencing: int = 0
+
+    def step_down(self, reason):
+        self.held = False
+
+    def defer(self):
+        pass
+
+    async def yield_to_others(self, reason):
+        pass
+
+
+class Simulation:
+    """One shard, and the rules that its engines watch over.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all that happens.
+    engine_count : int
+        Engines, in two domains (count).
+
+    Attributes
+    ----------
+    violations : list of str
+        Joins of engines whose old group may still be served.
+    opened : int
+        Groups that were opened (count).
+    """
+
+    def __init__(self, seed, engine_count=8):
+        self.rng = random.Random(seed)
+        self.violations = []
+        self.opened = 0
+        self.late_share = 0.0
+        self.lost_share = 0.0
+        self.hot_model = 'm'
+        self._engines = {
+            f'e{number}': _Engine(f'e{number}', f'd{number % 2}')
+            for number in range(engine_count)
+        }
+        self._entries = {}
+        self._revision = 0
+        self._leaders = []
+        self._fencing = 0
+        self._tasks = set()
+        self.store = None
+
+    def run(self, seconds):
+        """Let the shard live for some virtual time."""
+        loop = VirtualLoop()
+        self._loop = loop
+        try:
+            loop.run_until_complete(self._run(seconds))
+        finally:
+            for task in asyncio.all_tasks(loop):
+                task.cancel()
+            loop.run_until_complete(asyncio.sleep(0.0))
+            loop.close()
+
+    async def _run(self, seconds):
+        for engine in self._engines.values():
+            self._write_entry(engine)
+        self._lead(self._make_leader())
+        self._spawn(self._watch_engines())
+        self._spawn(self._make_trouble())
+        await asyncio.sleep(seconds)
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Leaders.
+
+    def _make_leader(self, first_start=True):
+        cache = traffic.ConfigurationCache(1e9)
+        service = traffic.Service('llm', engine=PROFILE)
+        cache.accept(
+            traffic.Configuration(3, (), (service,)), self._loop.time()
+        )
+        registry = pool.ServerRegistry()
+        for record in self._entries.values():
+            registry.apply_entry(record, self._loop.time())
+        settings = node.NodeSettings(
+            *('n1', 'z1', ('z1',)),
+            *('x:1', 'x:2', 'x:3', 'x:4', 'x:5'),
+            first_start=first_start,
+            bounds=node.Bounds(stall=STALL_TIME),
+        )
+        leader = _leader.ShardLeader(
+            'z1',
+            settings,
+            self,
+            cache,
+            registry,
+            types.SimpleNamespace(
+                requests_received=1,
+                demand_meter=types.SimpleNamespace(shares=lambda now: {}),
+                peers=self,
+                paths=relay.PathTable(),
+            ),
+            self._loop,
+            doubles.Log(),
+            lambda changed, removed: None,
+        )
+        leader.lease = _Lease()
+        leader.executor._lease = leader.lease
+        self._leaders.append(leader)
+        return leader
+
+    def _lead(self, leader):
+        for other in self._leaders:
+            other.lease.held = False
+        self._fencing += 1
+        leader.lease.fencing = self._fencing
+        leader.lease.held = True
+        self._spawn(self._run_leader(leader, self._fencing))
+
+    async def _run_leader(self, leader, fencing):
+        while leader.lease.held and leader.lease.fencing == fencing:
+            if await leader._has_listed_since_takeover():
+                leader._run_round()
+            await asyncio.sleep(0.1)
+        leader._prober.reset()
+
+    async def _take_over(self, restarts):
+        """Let another leader take over after a while, or a new one."""
+        for leader in self._leaders:
+            leader.lease.held = False
+        await asyncio.sleep(self.rng.uniform(0.0, 2.5))
+        if restarts or len(self._leaders) < 2:
+            leader = self._make_leader(first_start=False)
+        else:
+            leader = self.rng.choice(self._leaders)
+        self._lead(leader)
+
+    # The platform, as leaders see it.
+
+    async def list_servers(self, timeout):
+        """List the entries; the store answers soon."""
+        await asyncio.sleep(0.004)
+        return self._revision, list(self._entries.values())
+
+    async def fetch_engine_report(self, record, timeout):
+        """Return the report of an engine."""
+        engine = self._engines[record.server_id]
+        if not engine.reaches_leader:
+            await asyncio.sleep(timeout)
+            raise exceptions.AnswerTimeout('silent')
+        await asyncio.sleep(self.rng.uniform(0.001, 0.005))
+        if not engine.is_alive:
+            raise exceptions.ConnectionRefused('refused', sent=False)
+        busy = engine.model == self.hot_model
+        return pool.ServerReport(
+            engine.born,
+            engine.sequence,
+            engine.model,
+            engine.staged,
+            engine.membership,
+            1.0,
+            12 if busy else 0,
+        )
+
+    async def send_order(self, record, order, fencing, sequence, timeout):
+        """Send an order, which may come late or lose its answer."""
+        engine = self._engines[record.server_id]
+        order_arguments = (engine, record.born, order, fencing, sequence)
+        await asyncio.sleep(self.rng.uniform(0.001, 0.005))
+        if not engine.reaches_leader:
+            await asyncio.sleep(timeout)
+            return pool.OrderResult.UNKNOWN
+        if self.rng.random() < self.late_share:
+            delay = self.rng.uniform(*LATE_ORDER_TIMES)
+            self._loop.call_later(delay, self._execute, *order_arguments)
+            await asyncio.sleep(timeout)
+            return pool.OrderResult.UNKNOWN
+        result = self._execute(*order_arguments)
+        if self.rng.random() < self.lost_share:
+            await asyncio.sleep(timeout)
+            return pool.OrderResult.UNKNOWN
+        return result
+
+    async def ask(self, record, wants_report):
+        """Tell what other nodes reach, whose paths are sound."""
+        await asyncio.sleep(self.rng.uniform(0.002, 0.01))
+        engine = self._engines[record.server_id]
+        if engine.is_alive and engine.born == record.born:
+            return relay.Reach.ANSWERS
+        return relay.Reach.REFUSES
+
+    # Engines.
+
+    def _execute(self, engine, born, order, fencing, sequence):
+        if not engine.is_alive:
+            return pool.OrderResult.UNKNOWN
+        if engine.born != born:
+            return pool.OrderResult.OTHER_SERVER
+        if fencing < engine.fencing:
+            return pool.OrderResult.FENCED
+        engine.fencing = fencing
+        if sequence != engine.sequence:
+            return pool.OrderResult.UNFIT
+        match order:
+            case pool.Join():
+                result = self._join(engine, order)
+            case pool.Stage():
+                result = pool.OrderResult.DONE
+            case _:
+                result = self._change_group(engine, order)
+        if result is pool.OrderResult.BEGUN:
+            engine.sequence += 1
+            self._write_entry(engine)
+        return result
+
+    def _join(self, engine, order):
+        key = (order.group, order.epoch)
+        if order.epoch < engine.last_epoch:
+            return pool.OrderResult.FENCED
+        known = engine.membership
+        if known is not None and known.key == key:
+            return pool.OrderResult.DONE
+        self._check_join(engine, order)
+        engine.last_epoch = order.epoch
+        engine.model = order.model
+        engine.members = order.members
+        engine.lost_member_since = None
+        rank = order.members.index(engine.name)
+        self._set_state(engine, key, rank, pool.MemberState.JOINING)
+        self._later(0.25, engine, key, pool.MemberState.READY)
+        return pool.OrderResult.BEGUN
+
+    def _check_join(self, engine, order):
+        known = engine.membership
+        if known is None:
+            return
+        for head in self._engines.values():
+            if (
+                head.is_alive
+                and head.membership is not None
+                and head.membership.key == known.key
+                and head.membership.rank == 0
+                and head.membership.state in HEAD_STATES
+            ):
+                self.violations.append(
+                    f'{self._loop.time():.3f}: {engine.name} joins'
+                    f' {order.group} while {head.name} serves {known.group}'
+                )
+
+    def _change_group(self, engine, order):
+        known = engine.membership
+        key = (order.group, order.epoch)
+        if known is None or known.key != key:
+            return pool.OrderResult.UNFIT
+        states = pool.MemberState
+        match order:
+            case pool.Leave():
+                engine.membership = None
+                return pool.OrderResult.BEGUN
+            case pool.Open() if known.rank == 0:
+                if known.state is states.OPEN:
+                    return pool.OrderResult.DONE
+                if known.state is not states.READY:
+                    return pool.OrderResult.UNFIT
+                self._later(OPEN_TIME, engine, key, states.OPEN)
+                self.opened += 1
+                return pool.OrderResult.BEGUN
+            case pool.Close(cut=cut) if known.rank == 0:
+                if known.state not in HEAD_STATES:
+                    return pool.OrderResult.DONE
+                self._set_state(engine, key, 0, states.CLOSING)
+                delay = 0.05 if cut else self.rng.uniform(0.1, 2.0)
+                self._later(delay, engine, key, states.READY)
+                return pool.OrderResult.BEGUN
+        return pool.OrderResult.UNFIT
+
+    def _set_state(self, engine, key, rank, state):
+        engine.membership = pool.Membership(*key, rank, state)
+
+    def _later(self, delay, engine, key, state):
+        born = engine.born
+
+        def change():
+            known = engine.membership
+            if engine.born != born or known is None or known.key != key:
+                return
+            self._set_state(engine, key, known.rank, state)
+            self._write_entry(engine)
+
+        self._loop.call_later(delay, change)
+
+    def _write_entry(self, engine):
+        if not (engine.is_alive and engine.reaches_store):
+            return
+        self._revision += 1
+        record = pool.ServerRecord(
+            engine.name,
+            'llm',
+            f'{engine.name}:1',
+            'z1',
+            state=(
+                pool.ServerState.DRAINING
+                if engine.is_draining
+                else pool.ServerState.READY
+            ),
+            born=engine.born,
+            domain=engine.domain,
+            model=engine.model,
+            staged=engine.staged,
+            membership=engine.membership,
+            revision=self._revision,
+        )
+        self._entries[engine.name] = record
+        self._publish(lambda registry, now: registry.apply_entry(record, now))
+
+    def _publish(self, change):
+        """Let all leaders learn of a change of the store a little later."""
+        for leader in self._leaders:
+            delay = self.rng.uniform(0.005, 0.05)
+            self._loop.call_later(
+                delay,
+                lambda leader=leader: change(
+                    leader._registry, self._loop.time()
+                ),
+            )
+
+    async def _watch_engines(self):
+        """Let entries lapse, and groups with a lost member break."""
+        while True:
+            await asyncio.sleep(0.1)
+            now = self._loop.time()
+            for engine in self._engines.values():
+                self._watch_entry(engine, now)
+                self._watch_group(engine, now)
+
+    def _watch_entry(self, engine, now):
+        if engine.is_alive and engine.reaches_store:
+            engine.unseen_since = None
+            return
+        if engine.unseen_since is None:
+            engine.unseen_since = now
+        if now - engine.unseen_since < EXPIRY_TIME:
+            return
+        record = self._entries.pop(engine.name, None)
+        if record is not None:
+            self._revision += 1
+            removed = pool.RemovedServer(engine.name, self._revision)
+            self._publish(
+                lambda registry, now: registry.apply_removal(removed, now)
+            )
+
+    def _watch_group(self, engine, now):
+        known = engine.membership
+        if (
+            not engine.is_alive
+            or known is None
+            or known.rank != 0
+            or known.state not in HEAD_STATES
+        ):
+            return
+        members = [self._engines[name] for name in engine.members]
+        is_whole = all(
+            member.is_alive
+            and member.membership is not None
+            and member.membership.key == known.key
+            for member in members
+        )
+        if is_whole:
+            engine.lost_member_since = None
+        elif engine.lost_member_since is None:
+            engine.lost_member_since = now
+        elif now - engine.lost_member_since > STALL_TIME:
+            self._set_state(engine, known.key, 0, pool.MemberState.BROKEN)
+            self._write_entry(engine)
+
+    # Trouble.
+
+    async def _make_trouble(self):
+        await asyncio.sleep(3.0)
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.2, 2.0))
+            self._spawn(self._cause(self.rng.randrange(9)))
+
+    async def _cause(self, kind):
+        engine = self.rng.choice(list(self._engines.values()))
+        duration = self.rng.uniform(0.5, 8.0)
+        match kind:
+            case 0:
+                await self._crash(engine)
+            case 1 | 2:
+                engine.reaches_store = False
+                await asyncio.sleep(duration)
+                engine.reaches_store = True
+                self._write_entry(engine)
+            case 3 | 4:
+                engine.reaches_leader = False
+                await asyncio.sleep(duration)
+                engine.reaches_leader = True
+            case 5:
+                self.late_share = self.rng.uniform(0.2, 0.8)
+                await asyncio.sleep(duration)
+                self.late_share = 0.0
+            case 6:
+                self.lost_share = self.rng.uniform(0.2, 0.8)
+                await asyncio.sleep(duration)
+                self.lost_share = 0.0
+            case 7:
+                await self._take_over(restarts=self.rng.random() < 0.5)
+            case 8:
+                self.hot_model = self.rng.choice('mn')
+                engine.is_draining = self.rng.random() < 0.3
+                self._write_entry(engine)
+                await asyncio.sleep(duration)
+                engine.is_draining = False
+                self._write_entry(engine)
+
+    async def _crash(self, engine):
+        engine.is_alive = False
+        engine.reset()
+        await asyncio.sleep(self.rng.uniform(0.5, 6.0))
+        engine.born += 1
+        engine.is_alive = True
+        self._write_entry(engine)
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -223,9 +223,10 @@
     """Whether the head of a group can't be open any more.
 
     Only then may the members of the group join another one. A head that has
-    not answered the order to open may carry it out later. After an outage
-    of a domain its engines come back one after another, so the head of a
-    group whose member has just come back may still be open, although it has
+    not answered the order to open may carry it out later. One that does not
+    answer at all may have been opened since its entry was written. After an
+    outage of a domain its engines come back one after another, so the head of
+    a group whose member has just come back may still be open, although it has
     not been seen again yet. A head without any entry may be open as well,
     unless this node has watched for long enough to know all open heads.
     """
@@ -236,6 +237,8 @@
         return settled and (head is not None or view.knows_all_heads)
     if head.server_id in view.late_openers:
         return False
+    if head.server_id in view.down:
+        return group.state is _records.MemberState.BROKEN
     return group.state not in (
         _records.MemberState.OPEN,
         _records.MemberState.CLOSING,
