Check deadline and size of carried attempts

Read in the diff: a node that is paused as it carries an attempt checked only that the first node is there, not the deadline; and a body over the limit of a frame would have cut the connection between the nodes, which leaves the outcome of a request unknown that was not run. The sender of an attempt checks its deadline immediately before it sends; bodies over 2 MiB are not sent through other nodes.

--- a/balsamwind/relay/_attempt_carrier.py
+++ b/balsamwind/relay/_attempt_carrier.py
@@ -177,6 +177,10 @@
     async def _handle_failure(self, backend, attempt, error):
         """Find out whether a failure shows something of the server."""
         service = attempt.backend.service
+        if isinstance(error, exceptions.DeadlinePassed):
+            return _carried_attempts.AttemptFailed(
+                _carried_attempts.CarryFailure.NOT_USABLE, error.message
+            )
         if not error.sent:
             is_open = await self._relay.settle_path(service)
             cause = (
--- a/balsamwind/relay/_direct_path.py
+++ b/balsamwind/relay/_direct_path.py
@@ -50,6 +50,14 @@
         metadata = relay.header_codec.decode_response(headers)
         return metadata.request_id in ('', attempt.request_id)
 
+    def check_before_send():
+        # This node may have been paused while it waited for a connection.
+        if clock.monotonic() > deadline:
+            raise exceptions.DeadlinePassed(
+                'the deadline passed before the request was sent'
+            )
+        before_send()
+
     added = _metadata.ForwardedMetadata(
         server_id=server_id,
         time_budget=max(attempt.time_left, 0.001),
@@ -68,7 +76,7 @@
             timeout=max(deadline - clock.monotonic(), 0.0) + READ_MARGIN,
             connect_timeout=connect_timeout,
             is_own_response=is_own_response,
-            before_send=before_send,
+            before_send=check_before_send,
         )
     except exceptions.DeadlinePassed:
         raise
--- a/balsamwind/relay/_peer_service.py
+++ b/balsamwind/relay/_peer_service.py
@@ -8,6 +8,10 @@
 MAX_PEERS_TRIED = 4
 """Nodes that one attempt turns to at most (count)."""
 
+MAX_CARRIED_BODY = 2 * 1024 * 1024
+"""Largest body of an attempt that another node carries, well below the limit
+of a frame between nodes (bytes)."""
+
 WITNESS_COUNT = 3
 """Nodes that are asked at once whether they reach a server (count). Some of
 them may lack a path to it, too."""
@@ -69,6 +73,8 @@
         balsamwind.exceptions.TransportError
             The attempt failed at the server.
         """
+        if len(attempt.body) > MAX_CARRIED_BODY:
+            return None
         service = attempt.backend.service
         tried = set()
         for _ in range(MAX_PEERS_TRIED):
