--- a/balsamwind/node/tests/test_leaving_servers.py
+++ b/balsamwind/node/tests/test_leaving_servers.py
@@ -8,29 +8,21 @@
 from balsamwind.node import _updates
 from balsamwind.node.tests import helpers
 
-NAMES = ('n1', 'n2', 'n3')
+PLACEMENT = (('n1', 'z1'), ('n2', 'z1'), ('n3', 'z1'))
+
+
+def _ignore(server_id, born):
+    """Stand in for the report of a leaving server."""
 
 
 @contextlib.asynccontextmanager
 async def _open_fleet(engines=6):
-    async with (
-        helpers.open_platform(engines) as fake_platform,
-        contextlib.AsyncExitStack() as stack,
-    ):
-        nodes = [
-            await stack.enter_async_context(
-                helpers.open_node(fake_platform, name)
-            )
-            for name in NAMES
-        ]
+    async with helpers.open_fleet(PLACEMENT, engines) as (platform, nodes):
         for process in nodes:
-            await helpers.wait_until(
-                lambda process=process: (
-                    helpers.count_serving_groups(process) == engines // 2
-                )
-            )
+            # Only answers to requests tell, not those to probes.
+            process.platform.on_server_leaving = _ignore
         await helpers.wait_until(nodes[2].subscriber.has_fresh_servers)
-        yield fake_platform, nodes
+        yield platform, nodes
 
 
 def _find_backend(process, server_id):
@@ -51,19 +43,12 @@
     raise AssertionError('the engine was never chosen')
 
 
-def _ignore(server_id, born):
-    """Stand in for the report of a leaving server."""
-
-
 @pytest.mark.parametrize('reader', [0, 2])
 def test_leaving_engine_gets_no_new_request_at_any_node(reader):
     """Its entry still says that it is ready, also when it is written anew."""
 
     async def scenario():
         async with _open_fleet() as (fake_platform, nodes):
-            for process in nodes:
-                # Only answers to requests tell, not those to probes.
-                process.platform.on_server_leaving = _ignore
             engine = helpers.find_open_head(fake_platform)
             engine.leaving = True
             answer = await _send_until_served(nodes[reader], engine)
--- a/balsamwind/node/tests/test_restored_store.py
+++ b/balsamwind/node/tests/test_restored_store.py
@@ -14,7 +14,7 @@
 from balsamwind.node.tests import helpers
 from balsamwind import traffic
 
-NAMES = ('n1', 'n2', 'n3')
+PLACEMENT = (('n1', 'z1'), ('n2', 'z1'), ('n3', 'z1'))
 
 OTHER_KEY = 'k2'
 
@@ -28,24 +28,10 @@
 
 @contextlib.asynccontextmanager
 async def _open_fleet(engines=4):
-    async with (
-        helpers.open_platform(engines) as fake_platform,
-        contextlib.AsyncExitStack() as stack,
-    ):
-        nodes = [
-            await stack.enter_async_context(
-                helpers.open_node(fake_platform, name)
-            )
-            for name in NAMES
-        ]
+    async with helpers.open_fleet(PLACEMENT, engines) as (platform, nodes):
         for process in nodes:
-            await helpers.wait_until(
-                lambda process=process: (
-                    helpers.count_serving_groups(process) == engines // 2
-                    and process.is_ready()
-                )
-            )
-        yield fake_platform, nodes
+            await helpers.wait_until(process.is_ready)
+        yield platform, nodes
 
 
 def _find_holder(nodes):
@@ -135,7 +121,7 @@
                     await stack.enter_async_context(
                         helpers.open_node(fake_platform, name)
                     )
-                    for name in NAMES
+                    for name, _ in PLACEMENT
                 ]
                 await helpers.wait_until(
                     lambda: all(process.is_ready() for process in nodes)
@@ -152,7 +138,8 @@
                     leases = fake_platform.store.get_objects(
                         _lease_records.KIND
                     )
-                    return set(NAMES) - set(stored) or not leases
+                    names = {name for name, _ in PLACEMENT}
+                    return names - set(stored) or not leases
 
                 await helpers.wait_until(lambda: not find_missing(), 20.0)
 
