--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -17,10 +17,10 @@
 from balsamwind.relay._carried_attempts import Reach
 from balsamwind.relay._carried_attempts import ReachQuery
 from balsamwind.relay._carried_attempts import ReachReply
-from balsamwind.relay._crash_quarantine import CrashEvidence
+from balsamwind.relay._crash_evidence import CrashEvidence
+from balsamwind.relay._crash_evidence import CrashReport
+from balsamwind.relay._crash_evidence import SoundPart
 from balsamwind.relay._crash_quarantine import CrashQuarantine
-from balsamwind.relay._crash_quarantine import CrashReport
-from balsamwind.relay._crash_quarantine import SoundPart
 from balsamwind.relay._direct_path import READ_MARGIN
 from balsamwind.relay._event_stream import EventStreamBuffer
 from balsamwind.relay._load_balancing import choose_backend
--- /dev/null
+++ b/balsamwind/relay/_crash_evidence.py
@@ -0,0 +1,107 @@
+"""Evidence of crashes that nodes share, and what counts as such."""
+
+import dataclasses
+
+BEGINNING_TIME = 0.25
+"""Time since the first event of an answer after which a crash of the engine is
+not put down to that answer (seconds)."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CrashReport:
+    """An engine crashed soon after it had begun an answer.
+
+    Parameters
+    ----------
+    crash : str
+        Identifies the crash: the incarnation of the engine that ended.
+    service : str
+        Service of the engine.
+    parts : tuple of str
+        Prompt parts of the answer that other requests may share.
+    duration : float
+        Time from the beginning of the answer to the crash (seconds).
+    age : float
+        Time since the crash when the report is sent (seconds).
+    data_centre : str
+        Data centre of the node that saw it.
+    """
+
+    crash: str
+    service: str
+    parts: tuple[str, ...]
+    duration: float
+    age: float = 0.0
+    data_centre: str = ''
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SoundPart:
+    """A part was answered completely, so some crashes are not its.
+
+    Parameters
+    ----------
+    service : str
+        Service of the engine that answered.
+    part : str
+        Id of the part.
+    crashes : tuple of str
+        Crashes that it is cleared of.
+    """
+
+    service: str
+    part: str
+    crashes: tuple[str, ...]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CrashEvidence:
+    """What nodes tell each other of crashes.
+
+    Parameters
+    ----------
+    reports : tuple of CrashReport
+        Crashes, with the parts that may have caused them.
+    sound : tuple of SoundPart
+        Parts that are cleared.
+    """
+
+    reports: tuple[CrashReport, ...] = ()
+    sound: tuple[SoundPart, ...] = ()
+
+    def __bool__(self):
+        return bool(self.reports or self.sound)
+
+
+def is_beginning(progress, now):
+    """Tell whether an answer had just begun, so that it may be to blame.
+
+    Parameters
+    ----------
+    progress : AttemptProgress
+        How far the attempt had come.
+    now : float
+        Time at which the engine was lost (seconds, boot clock).
+
+    Returns
+    -------
+    bool
+    """
+    return progress.began_at is not None and may_have_begun(progress, now)
+
+
+def may_have_begun(progress, now):
+    """Tell whether a request may just have begun to run.
+
+    Parameters
+    ----------
+    progress, now
+        As for `is_beginning`.
+
+    Returns
+    -------
+    bool
+        Also if the head of its answer has not come.
+    """
+    first_event_at = progress.first_event_at
+    return first_event_at is None or now - first_event_at <= BEGINNING_TIME
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -16,15 +16,12 @@
 import collections
 import dataclasses
 
+from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _fingerprint
 
 MIN_CRASHES = 2
 """Crashes, one after the other, that put a part into quarantine (count)."""
 
-BEGINNING_TIME = 0.25
-"""Time since the first event of an answer after which a crash of the engine is
-not put down to that answer (seconds)."""
-
 BASE_QUARANTINE_TIME = 60.0
 """Duration of the first quarantine of a part (seconds)."""
 
@@ -51,72 +48,6 @@
 """Parts of completed answers that are remembered (count)."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class CrashReport:
-    """An engine crashed soon after it had begun an answer.
-
-    Parameters
-    ----------
-    crash : str
-        Identifies the crash: the incarnation of the engine that ended.
-    service : str
-        Service of the engine.
-    parts : tuple of str
-        Prompt parts of the answer that other requests may share.
-    duration : float
-        Time from the beginning of the answer to the crash (seconds).
-    age : float
-        Time since the crash when the report is sent (seconds).
-    data_centre : str
-        Data centre of the node that saw it.
-    """
-
-    crash: str
-    service: str
-    parts: tuple[str, ...]
-    duration: float
-    age: float = 0.0
-    data_centre: str = ''
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class SoundPart:
-    """A part was answered completely, so some crashes are not its.
-
-    Parameters
-    ----------
-    service : str
-        Service of the engine that answered.
-    part : str
-        Id of the part.
-    crashes : tuple of str
-        Crashes that it is cleared of.
-    """
-
-    service: str
-    part: str
-    crashes: tuple[str, ...]
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class CrashEvidence:
-    """What nodes tell each other of crashes.
-
-    Parameters
-    ----------
-    reports : tuple of CrashReport
-        Crashes, with the parts that may have caused them.
-    sound : tuple of SoundPart
-        Parts that are cleared.
-    """
-
-    reports: tuple[CrashReport, ...] = ()
-    sound: tuple[SoundPart, ...] = ()
-
-    def __bool__(self):
-        return bool(self.reports or self.sound)
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Quarantine:
     """A part whose requests are not sent to servers.
@@ -236,7 +167,7 @@
                 for part in report.parts
             )
         ]
-        return CrashEvidence(tuple(reports), evidence.sound)
+        return _crash_evidence.CrashEvidence(tuple(reports), evidence.sound)
 
     def count_quarantined(self, now):
         """Count the parts that are quarantined, unless others explain them.
@@ -317,10 +248,10 @@
         suspected = tuple(
             part for part in parts if not self._is_sound(service, part, now)
         )
-        report = CrashReport(
+        report = _crash_evidence.CrashReport(
             crash, service, suspected, duration, 0.0, self._data_centre
         )
-        return self.merge(CrashEvidence((report,)), now)
+        return self.merge(_crash_evidence.CrashEvidence((report,)), now)
 
     def record_answer(self, service, parts, now):
         """Record that an answer to a prompt was completed.
@@ -348,7 +279,7 @@
                 sound.append(self._clear_all(key))
         while len(self._sound) > MAX_SOUND_PARTS:
             self._sound.popitem(last=False)
-        return CrashEvidence(sound=tuple(sound))
+        return _crash_evidence.CrashEvidence(sound=tuple(sound))
 
     def merge(self, evidence, now):
         """Add the evidence of another node.
@@ -379,7 +310,7 @@
                 for part in new_parts
                 if self._is_sound(report.service, part, now)
             ]
-        return CrashEvidence(tuple(reports), tuple(sound))
+        return _crash_evidence.CrashEvidence(tuple(reports), tuple(sound))
 
     def make_snapshot(self, now, data_centre=None):
         """Make the evidence that a node without any must be told.
@@ -398,7 +329,7 @@
         """
         self._drop_expired(now)
         reports = [
-            CrashReport(
+            _crash_evidence.CrashReport(
                 crash,
                 service,
                 (part,),
@@ -415,10 +346,10 @@
             )
         ]
         sound = [
-            SoundPart(service, part, (crash,))
+            _crash_evidence.SoundPart(service, part, (crash,))
             for service, part, crash in self._cleared
         ]
-        return CrashEvidence(tuple(reports), tuple(sound))
+        return _crash_evidence.CrashEvidence(tuple(reports), tuple(sound))
 
     def _is_sound(self, service, part, now):
         answered_at = self._sound.get((service, part), float('-inf'))
@@ -445,7 +376,7 @@
 
     def _clear_all(self, key):
         crashes = tuple(sorted(self._suspects[key].crashes))
-        item = SoundPart(*key, crashes)
+        item = _crash_evidence.SoundPart(*key, crashes)
         self._clear(item)
         return item
 
@@ -479,40 +410,6 @@
     return all(map(_fingerprint.is_fingerprint, (part, other)))
 
 
-def is_beginning(progress, now):
-    """Tell whether an answer had just begun, so that it may be to blame.
-
-    Parameters
-    ----------
-    progress : AttemptProgress
-        How far the attempt had come.
-    now : float
-        Time at which the engine was lost (seconds, boot clock).
-
-    Returns
-    -------
-    bool
-    """
-    return progress.began_at is not None and may_have_begun(progress, now)
-
-
-def may_have_begun(progress, now):
-    """Tell whether a request may just have begun to run.
-
-    Parameters
-    ----------
-    progress, now
-        As for `is_beginning`.
-
-    Returns
-    -------
-    bool
-        Also if the head of its answer has not come.
-    """
-    first_event_at = progress.first_event_at
-    return first_event_at is None or now - first_event_at <= BEGINNING_TIME
-
-
 def _find_quarantine_time(crashes):
     """Return how long a part is quarantined after its last crash (seconds)."""
     if crashes < MIN_CRASHES:
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from balsamwind.relay import _crash_quarantine
+from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _fingerprint
 
 CONFIRMATION_TIMEOUT = 0.35
@@ -78,9 +78,9 @@
         """
         now = self._clock.monotonic()
         suspected = []
-        if parts and _crash_quarantine.is_beginning(progress, now):
+        if parts and _crash_evidence.is_beginning(progress, now):
             suspected.append((parts, now - progress.began_at))
-        if _crash_quarantine.may_have_begun(progress, now):
+        if _crash_evidence.may_have_begun(progress, now):
             suspected.append(((fingerprint,), now - progress.sent_at))
         if not suspected:
             return
--- a/balsamwind/relay/tests/test_crash_quarantine.py
+++ b/balsamwind/relay/tests/test_crash_quarantine.py
@@ -7,6 +7,7 @@
 import pytest
 
 from balsamwind import relay
+from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _crash_quarantine
 
 SERVICE = 'llm'
@@ -266,7 +267,7 @@
     began_at, first_event_at, expected
 ):
     progress = relay.AttemptProgress(began_at, first_event_at)
-    assert _crash_quarantine.is_beginning(progress, 10.0) is expected
+    assert _crash_evidence.is_beginning(progress, 10.0) is expected
 
 
 REQUEST = 'request:1'
