Run virtual loops with many open files

The virtual loop of the replay used select(), which takes no descriptor over 1,023; the new fleets of tests hold more ports by then. It uses the platform's default selector now, and the simulation of a shard uses that loop in place of its own copy.

--- a/balsamwind/node/tests/shard_simulation.py
+++ b/balsamwind/node/tests/shard_simulation.py
@@ -8,7 +8,6 @@
 import asyncio
 import dataclasses
 import random
-import selectors
 import types
 
 from balsamwind import exceptions
@@ -17,6 +16,7 @@
 from balsamwind.node.tests import doubles
 from balsamwind import pool
 from balsamwind import relay
+from balsamwind import replay
 from balsamwind import traffic
 
 STALL_TIME = 4.0
@@ -43,35 +43,6 @@
 )
 
 
-class _VirtualSelector(selectors.SelectSelector):
-    """Selector that lets time pass instead of waiting."""
-
-    def __init__(self):
-        super().__init__()
-        self.now = 0.0
-
-    def select(self, timeout=None):
-        if timeout:
-            self.now += timeout
-        return super().select(0)
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Event loop whose time passes as fast as its tasks allow."""
-
-    def __init__(self):
-        self._virtual_selector = _VirtualSelector()
-        super().__init__(self._virtual_selector)
-
-    def time(self):
-        """Return the virtual time (seconds)."""
-        return self._virtual_selector.now
-
-    def monotonic(self):
-        """Return the virtual time (seconds), as a clock."""
-        return self.time()
-
-
 class _Engine:
     """One engine, as its process knows itself."""
 
@@ -153,15 +124,10 @@
 
     def run(self, seconds):
         """Let the shard live for some virtual time."""
-        loop = VirtualLoop()
-        self._loop = loop
-        try:
+        with replay.open_virtual_loop() as loop:
+            self._loop = loop
+            self._clock = replay.VirtualClock(loop, 0.0)
             loop.run_until_complete(self._run(seconds))
-        finally:
-            for task in asyncio.all_tasks(loop):
-                task.cancel()
-            loop.run_until_complete(asyncio.sleep(0.0))
-            loop.close()
 
     async def _run(self, seconds):
         for engine in self._engines.values():
@@ -205,7 +171,7 @@
                 peers=self,
                 paths=relay.PathTable(),
             ),
-            self._loop,
+            self._clock,
             doubles.Log(),
             lambda changed, removed: None,
         )
--- a/balsamwind/replay/_loop.py
+++ b/balsamwind/replay/_loop.py
@@ -5,7 +5,7 @@
 import selectors
 
 
-class _VirtualSelector(selectors.SelectSelector):
+class _VirtualSelector(selectors.DefaultSelector):
     """Selector that advances virtual time instead of waiting for a timeout."""
 
     def __init__(self):
