--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -160,7 +160,7 @@
         self.relay.placement = _placement_client.PlacementClient(
             link, self._clock, self._log
         )
-        self._open_other_paths()
+        self._set_up_peers()
         self._caller_server = adapters.RelayServer(
             self.relay, self._clock, traffic.RequestLimits(), self._log
         )
@@ -290,7 +290,7 @@
         self._tasks = []
         self._leader_tasks = []
 
-    def _open_other_paths(self):
+    def _set_up_peers(self):
         """Let other nodes carry attempts for this one, and the reverse."""
         self._path_prober = relay.PathProber(
             self.relay.paths,
