--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -61,7 +61,7 @@
     def down(self):
         """Ids of the engines that are down.
 
-        None is before another node was asked.
+        An engine counts as down only once another node was asked about it.
         """
         return frozenset(
             server_id
