Ask a server for one connection as a witness

Read in the diff: a node that is asked whether it reaches a server opened two connections in turn, one to see whether it is refused and one whether it is accepted. One tells both: HttpClient.try_connecting, which both questions used already. The replies are the same.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -243,7 +243,7 @@
         bool
             False also if there is no answer: a silent server may be alive.
         """
-        error = await self._try_connecting(endpoint, timeout)
+        error = await self.try_connecting(endpoint, timeout)
         return isinstance(error, exceptions.ConnectionRefused)
 
     async def is_reachable(self, endpoint, timeout):
@@ -258,10 +258,21 @@
         -------
         bool
         """
-        return await self._try_connecting(endpoint, timeout) is None
+        return await self.try_connecting(endpoint, timeout) is None
 
-    async def _try_connecting(self, endpoint, timeout):
-        """Open and close a connection; return the error, None if it opened."""
+    async def try_connecting(self, endpoint, timeout):
+        """Open a connection and close it again.
+
+        Parameters
+        ----------
+        endpoint, timeout
+            As for `is_refused`.
+
+        Returns
+        -------
+        balsamwind.exceptions.TransportError or None
+            Why it could not be opened; None if it was.
+        """
         parts = urllib.parse.urlsplit(f'http://{endpoint}')
         try:
             stream = await self._connect(parts, endpoint, timeout)
--- a/balsamwind/node/_reach_witness.py
+++ b/balsamwind/node/_reach_witness.py
@@ -58,15 +58,21 @@
         return relay.Reach.UNKNOWN
 
     async def _try(self, record, wants_report):
-        client = self._relay.client
-        try:
-            if wants_report:
-                await self._fetch_report(record, TIMEOUT)
+        if wants_report:
+            return await self._try_report(record)
+        error = await self._relay.client.try_connecting(
+            record.address, TIMEOUT
+        )
+        match error:
+            case None:
                 return relay.Reach.ANSWERS
+            case exceptions.ConnectionRefused():
+                return relay.Reach.REFUSES
+        return relay.Reach.SILENT
+
+    async def _try_report(self, record):
+        try:
+            await self._fetch_report(record, TIMEOUT)
         except exceptions.TransportError:
             return relay.Reach.SILENT
-        if await client.is_refused(record.address, TIMEOUT):
-            return relay.Reach.REFUSES
-        if await client.is_reachable(record.address, TIMEOUT):
-            return relay.Reach.ANSWERS
-        return relay.Reach.SILENT
+        return relay.Reach.ANSWERS
