Show lost bookings in review case 3

Cause: the servers ended only after the nodes had stopped using them, so that no accepted work was lost.

Change: cuts of 3.8 to 5.5 s, and servers that end 1 to 1.9 s after their drain time.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,12 +9,12 @@
 from review.shared import wire
 from review.shared import world as world_module
 
-CUT_TIME = 5.5
+CUT_TIMES = (4.0, 4.2, 4.4, 3.8, 4.3, 4.1, 5.5)
 CYCLE = 11.5
-CYCLES = 7
-REMOVED_AT = 5.0
-SERVES_LONGER = (1.5, 2.0, 3.5)
-CALLS_PER_SECOND = 18
+CYCLES = len(CUT_TIMES)
+REMOVED_BEFORE_END = 0.5
+SERVES_LONGER = (1.0, 1.2, 1.9)
+CALLS_PER_SECOND = 26
 CONTACT = world_module.BOUNDS['ContactMs'] / 1000
 DRAIN = world_module.BOUNDS['DrainMs'] / 1000
 ZONE = 'z1'
@@ -76,15 +76,16 @@
 
 async def _run_cycle(world, node, number, server, trouble, disturbed):
     started_at = time.monotonic()
+    cut_time = CUT_TIMES[len(disturbed) % CYCLES]
     if trouble:
         world.proxies[node.name].cut()
         world.record.add('cut_from_store', node=node.name)
     await _add_server(world, number, server.zone)
-    await asyncio.sleep(REMOVED_AT)
+    await asyncio.sleep(cut_time - REMOVED_BEFORE_END)
     leaving = asyncio.ensure_future(
         _leave(world, server, SERVES_LONGER[number % len(SERVES_LONGER)])
     )
-    await asyncio.sleep(started_at + CUT_TIME - time.monotonic())
+    await asyncio.sleep(started_at + cut_time - time.monotonic())
     if trouble:
         world.proxies[node.name].heal()
         disturbed.append((node.name, started_at, time.monotonic()))
@@ -97,6 +98,7 @@
     """Count the requests that reached a server after its drain time."""
     broken = 0
     sent_at = {item[1]: item[0] for item in world.answers}
+    lost = world.record.lost
     for at, request_id, server_id in world.record.arrivals:
         late = at - removed.get(server_id, at) - DRAIN
         if late <= 0:
@@ -112,6 +114,8 @@
             in_touch=in_touch,
         )
         broken += in_touch
+        if in_touch and request_id in lost:
+            world.record.add('accepted_work_lost', id=request_id)
     return broken
 
 
--- a/review/shared/servers.py
+++ b/review/shared/servers.py
@@ -97,9 +97,7 @@
         if self._beat is not None:
             self._beat.cancel()
         for request_id in list(self.running):
-            self.world.record.add(
-                'work_lost', id=request_id, server=self.server_id
-            )
+            self.world.record.lose(request_id, self.server_id)
         self.server.stop()
 
     def is_expected(self, request):
--- a/review/shared/world.py
+++ b/review/shared/world.py
@@ -68,6 +68,7 @@
         self._started_at = time.monotonic()
         self.runs = {}
         self.arrivals = []
+        self.lost = set()
 
     def add(self, what, **values):
         """Add a line."""
@@ -85,6 +86,11 @@
         self.runs.setdefault(request_id, []).append(server_id)
         self.add('run', id=request_id, server=server_id, **values)
 
+    def lose(self, request_id, server_id):
+        """Record that a server has ended while it ran a request."""
+        self.lost.add(request_id)
+        self.add('work_lost', id=request_id, server=server_id)
+
     def close(self):
         """Write the rest."""
         self._file.close()
