Leave out odd entries of other writers alone

Cause: decoders took values of any type (a list as the name of a group, an object's name through str()), and raised what nobody caught (OverflowError for an infinite count, RecursionError for a deep nesting). An integer of thousands of digits made the whole page fail. Change: checks that return a value which every node can hash, log and pass on, or raise MalformedValue; one page with a value that the parser refuses is read again with that value marked as unreadable. What is left out is logged once (entry_left_out) and counted. The eras of the store moved out of platform/, which decides nothing. A probe whose report is odd ends as a bad answer. Addresses must be IP addresses, as the client connects to nothing else.

--- a/balsamwind/adapters/__init__.py
+++ b/balsamwind/adapters/__init__.py
@@ -10,6 +10,7 @@
         '_control_metrics': ['ControlCollector'],
         '_engine': ['HttpEngine'],
         '_http_client': ['HttpClient'],
+        '_json_reader': ['UNREADABLE', 'parse_json'],
         '_metrics': ['Metrics'],
         '_node_pages': ['make_metrics_server', 'make_readiness_server'],
         '_object_store': ['HttpObjectStore'],
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -360,6 +360,14 @@
     status = 503
 
 
+class MalformedValue(BalsamwindError, ValueError):
+    """A value that another program has written can't be used."""
+
+    code = 'malformed_value'
+    status = 502
+    run = NOT_RUN
+
+
 class HistoryGone(BalsamwindError):
     """The object API no longer has the history that a watch starts from."""
 
--- a/balsamwind/node/_lease_records.py
+++ b/balsamwind/node/_lease_records.py
@@ -30,7 +30,7 @@
     @property
     def era(self):
         """Era of the store; it grows when the store lost its last changes."""
-        return self._store.era
+        return self._store.eras.newest
 
     async def read_lease(self, shard, timeout, may_be_stale=False):
         """Read the lease of a shard; an `ObjectVersion`, or None.
--- /dev/null
+++ b/balsamwind/node/_malformed_entries.py
@@ -0,0 +1,78 @@
+"""Objects of the store that are left out because they can't be read."""
+
+import collections
+
+import prometheus_client
+
+MAX_REMEMBERED = 1000
+"""Objects that are remembered, so that each is logged once (count)."""
+
+MAX_NAME_LENGTH = 64
+"""Characters of a name that are logged (count)."""
+
+
+class MalformedEntries:
+    """Counts the objects that are left out, and logs each version once.
+
+    Parameters
+    ----------
+    log : structlog logger
+        Logger of the node.
+    metrics_registry : prometheus_client.CollectorRegistry
+        Metrics of the node.
+    """
+
+    __slots__ = ('_counter', '_log', '_logged')
+
+    def __init__(self, log, metrics_registry):
+        self._log = log
+        self._logged = collections.OrderedDict()
+        self._counter = prometheus_client.Counter(
+            'balsamwind_malformed_entries',
+            'Objects in answers of the store that were left out.',
+            ('kind',),
+            registry=metrics_registry,
+        )
+
+    def record_server(self, name, revision, reason):
+        """Record the entry of a server that can't be read.
+
+        Parameters
+        ----------
+        name : str
+            Name of the entry.
+        revision : int
+            Revision of the entry.
+        reason : str
+            What is wrong with it.
+        """
+        self._record('servers', name[:MAX_NAME_LENGTH], revision, reason)
+
+    def record_object(self, kind, reason):
+        """Record an object whose name or revision can't be read.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of the object.
+        reason : str
+            What is wrong with it.
+        """
+        self._record(kind, '', 0, reason)
+
+    def _record(self, kind, name, revision, reason):
+        self._counter.labels(kind).inc()
+        key = (kind, name, revision, reason)
+        if key in self._logged:
+            self._logged.move_to_end(key)
+            return
+        self._logged[key] = None
+        if len(self._logged) > MAX_REMEMBERED:
+            self._logged.popitem(last=False)
+        self._log.warning(
+            'entry_left_out',
+            kind=kind,
+            name=name,
+            revision=revision,
+            reason=reason,
+        )
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -23,6 +23,7 @@
 from balsamwind.node import _leaving_servers
 from balsamwind.node import _limit_exchange
 from balsamwind.node import _limit_shares
+from balsamwind.node import _malformed_entries
 from balsamwind.node import _node_discovery
 from balsamwind.node import _node_records
 from balsamwind.node import _placement_client
@@ -151,6 +152,11 @@
         self._unknown_messages = _unknown_messages.UnknownMessages(
             self._log, self._request_log.metrics_registry
         )
+        malformed_entries = _malformed_entries.MalformedEntries(
+            self._log, self._request_log.metrics_registry
+        )
+        platform.on_malformed = malformed_entries.record_server
+        platform.store.on_malformed = malformed_entries.record_object
         backends = relay.BackendTable(
             self.registry, pool.GroupIndex, self._clock.monotonic
         )
@@ -315,7 +321,7 @@
         self._restored_store.on_restored = (
             self._evacuation_watcher.handle_restored_store
         )
-        platform.store.on_era = self._restored_store.handle_era
+        platform.store.eras.on_change = self._restored_store.handle_era
         self._state = _state.NodeStateCollector(
             self.configuration_cache,
             self.registry,
--- a/balsamwind/node/tests/test_store_eras_state_machine.py
+++ b/balsamwind/node/tests/test_store_eras_state_machine.py
@@ -20,7 +20,6 @@
 from balsamwind.node import _settings
 from balsamwind.node.tests import doubles
 from balsamwind import objects
-from balsamwind.platform import _store
 from balsamwind import pool
 from balsamwind import traffic
 
@@ -64,7 +63,7 @@
             self.on_era(previous, self.era)
 
     def _add_era(self, revision):
-        return (self.era << _store.ERA_BITS) + revision
+        return (self.era << objects.ERA_BITS) + revision
 
     def _make(self, stored):
         return objects.ObjectVersion(
@@ -77,7 +76,7 @@
         return None if stored is None else self._make(stored)
 
     async def write_lease(self, lease, expected, timeout):
-        era, number = divmod(expected, 1 << _store.ERA_BITS)
+        era, number = divmod(expected, 1 << objects.ERA_BITS)
         if era not in (0, self.era):
             raise exceptions.Conflict('of an earlier era')
         known_era = self.era
--- a/balsamwind/objects/__init__.py
+++ b/balsamwind/objects/__init__.py
@@ -7,6 +7,17 @@
     submod_attrs={
         '_allocation': ['Allocation'],
         '_call': ['Answer', 'CALL_KINDS', 'CallRecord'],
+        '_checks': [
+            'MAX_NAME_LENGTH',
+            'check_address',
+            'check_integer',
+            'check_list',
+            'check_name',
+            'check_number',
+            'check_table',
+            'check_text',
+            'decoding',
+        ],
         '_claim': ['Claim'],
         '_codec': ['UnknownEnumValue', 'decode', 'encode'],
         '_contract': [
@@ -19,6 +30,7 @@
         ],
         '_epoch': ['EPOCH_NAME', 'Epoch'],
         '_group': ['Group', 'GroupState', 'Member'],
+        '_eras': ['ERA_BITS', 'StoreEras'],
         '_lease': ['Lease'],
         '_node': ['Node'],
         '_stored': [
--- a/balsamwind/platform/_client.py
+++ b/balsamwind/platform/_client.py
@@ -48,13 +48,22 @@
 
     Attributes
     ----------
+    on_malformed : callable
+        Called with the name, the revision and the reason for each entry of a
+        server that is left out because it can't be read.
     on_server_leaving : callable
         Called with the id and the start of an engine that says it leaves.
     store : balsamwind.platform._store.StoreClient
         As given, for objects of the nodes' own kinds.
     """
 
-    __slots__ = ('_client', 'header_codec', 'on_server_leaving', 'store')
+    __slots__ = (
+        '_client',
+        'header_codec',
+        'on_malformed',
+        'on_server_leaving',
+        'store',
+    )
 
     readiness_path = '/v1/ready'
     """Path of a node's readiness endpoint."""
@@ -63,6 +72,7 @@
         self._client = client
         self.store = store
         self.header_codec = _headers.HeaderCodec()
+        self.on_malformed = lambda name, revision, reason: None
         self.on_server_leaving = lambda server_id, born: None
 
     @property
@@ -115,7 +125,7 @@
         revision, items = await self.store.list(_servers.KIND, timeout)
         return revision, [
             record
-            for record in map(_decode_server, items)
+            for record in map(self._decode_server, items)
             if record is not None
         ]
 
@@ -131,7 +141,7 @@
         )
         changes = []
         for item in items:
-            record = None if item.deleted else _decode_server(item)
+            record = None if item.deleted else self._decode_server(item)
             if record is None:
                 record = pool.RemovedServer(item.name, item.revision)
             changes.append(record)
@@ -200,6 +210,13 @@
         except exceptions.TransportError:
             return pool.OrderResult.UNKNOWN
 
+    def _decode_server(self, item):
+        try:
+            return _servers.decode_server(item.name, item.revision, item.spec)
+        except exceptions.MalformedValue as error:
+            self.on_malformed(item.name, item.revision, error.message)
+            return None
+
     def _check_leaving(self, record, response):
         # An answer with status 421 comes from another server.
         if response.status != 421 and _headers.says_leaving(response.headers):
@@ -220,10 +237,3 @@
         return None
     with _store.check_malformed('configuration'):
         return _configuration.decode_configuration(stored.spec)
-
-
-def _decode_server(item):
-    try:
-        return _servers.decode_server(item.name, item.revision, item.spec)
-    except (AttributeError, KeyError, TypeError, ValueError):
-        return None
--- a/balsamwind/platform/_servers.py
+++ b/balsamwind/platform/_servers.py
@@ -2,7 +2,9 @@
 
 import json
 
+from balsamwind import adapters
 from balsamwind import exceptions
+from balsamwind import objects
 from balsamwind import pool
 
 KIND = 'servers'
@@ -36,26 +38,25 @@
 
     Raises
     ------
-    AttributeError, KeyError, TypeError, ValueError
+    balsamwind.exceptions.MalformedValue
         The entry is malformed or was written by another program.
     """
-    address = spec['Address']
-    if not address.rpartition(':')[2].isdigit():
-        raise ValueError(f'expected an address host:port, got {address!r}')
-    return pool.ServerRecord(
-        server_id=name,
-        service=_check_string(spec['Service']),
-        address=address,
-        data_centre=_check_string(spec['Zone']),
-        state=_SERVER_STATES[spec['State']],
-        slots=max(1, int(spec.get('SlotCount', 1))),
-        born=_check_integer(spec.get('born', 0)),
-        # `Seq` is left out: it counts heartbeats here, but orders in a report.
-        domain=str(spec.get('Domain', '')),
-        revision=revision,
-        cold_left=_decode_cold_left(spec.get('ColdLeftMs', 0)),
-        **_decode_model_state(spec),
-    )
+    with objects.decoding('entry'):
+        return pool.ServerRecord(
+            server_id=objects.check_name(name, 'id'),
+            service=objects.check_name(spec['Service'], 'service'),
+            address=objects.check_address(spec['Address'], 'address'),
+            data_centre=objects.check_name(spec['Zone'], 'zone'),
+            state=_SERVER_STATES[spec['State']],
+            slots=max(1, _check_count(spec.get('SlotCount', 1), 'slots')),
+            born=_check_count(spec.get('born', 0), 'born'),
+            # `Seq` is left out: it counts heartbeats here, but orders in a
+            # report.
+            domain=objects.check_text(spec.get('Domain') or '', 'domain'),
+            revision=revision,
+            cold_left=_decode_cold_left(spec.get('ColdLeftMs', 0)),
+            **_decode_model_state(spec),
+        )
 
 
 def _decode_cold_left(value):
@@ -80,24 +81,30 @@
         The report is malformed.
     """
     try:
-        data = json.loads(body)
-        return pool.ServerReport(
-            born=_check_integer(data.get('born', 0)),
-            sequence=_check_integer(data.get('Seq', 0)),
-            pace=float(data.get('pace', 1.0)),
-            requests=_check_integer(data.get('NumRunning', 0))
-            + _check_integer(data.get('NumQueued', 0)),
-            **_decode_model_state(data),
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        raise exceptions.BadAnswer(f'malformed report: {error!r}') from None
+        with objects.decoding('report'):
+            data = objects.check_table(adapters.parse_json(body), 'report')
+            return pool.ServerReport(
+                born=_check_count(data.get('born', 0), 'born'),
+                sequence=_check_count(data.get('Seq', 0), 'sequence'),
+                pace=objects.check_number(data.get('pace', 1.0), 'pace', 0.0),
+                requests=_check_count(data.get('NumRunning', 0), 'running')
+                + _check_count(data.get('NumQueued', 0), 'queued'),
+                **_decode_model_state(data),
+            )
+    except exceptions.MalformedValue as error:
+        raise exceptions.BadAnswer(f'malformed {error.message}') from None
 
 
 def _decode_model_state(data):
-    models = data.get('Models') or ()
+    models = objects.check_list(data.get('Models') or [], 'models')
+    staged = objects.check_list(data.get('Staged') or [], 'staged')
     return {
-        'model': models[0]['Name'] if models else '',
-        'staged': tuple(str(item) for item in data.get('Staged') or ()),
+        'model': objects.check_name(models[0]['Name'], 'model')
+        if models
+        else '',
+        'staged': tuple(
+            objects.check_name(item, 'staged model') for item in staged
+        ),
         'membership': _decode_membership(data.get('group')),
     }
 
@@ -106,23 +113,15 @@
     if not data:
         return None
     return pool.Membership(
-        group=data['Name'],
-        epoch=_check_integer(data['epoch']),
-        rank=_check_integer(data['rank']),
+        group=objects.check_name(data['Name'], 'group'),
+        epoch=_check_count(data['epoch'], 'epoch'),
+        rank=_check_count(data['rank'], 'rank'),
         state=_MEMBER_STATES[data['State']],
     )
 
 
-def _check_string(value):
-    if not isinstance(value, str) or not value:
-        raise ValueError(f'expected a non-empty string, got {value!r}')
-    return value
-
-
-def _check_integer(value):
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise ValueError(f'expected an integer, got {value!r}')
-    return value
+def _check_count(value, what):
+    return objects.check_integer(value, what, least=0)
 
 
 def encode_order(order, fencing, sequence):
--- a/balsamwind/platform/_store.py
+++ b/balsamwind/platform/_store.py
@@ -6,14 +6,13 @@
 import json
 import urllib.parse
 
+from balsamwind import adapters
 from balsamwind import exceptions
+from balsamwind import objects
 
 MAX_PAGES = 200
 """Most pages that are read for one list of objects (count)."""
 
-ERA_BITS = 40
-"""Bits of a revision number below those of its era."""
-
 _ERA = 'Store-Era'
 
 
@@ -49,10 +48,8 @@
     that is seconds old. `call_counts` holds the number of requests by kind and
     purpose.
 
-    A store that comes back from an older copy begins a new era and gives out
-    its revisions again. All revisions here carry their era in the upper bits,
-    so that later ones are larger across eras; one of an earlier era fits
-    nothing any more. Answers of an earlier era are dropped.
+    All revisions here carry the era of the store, see
+    `balsamwind.objects.StoreEras`; answers of an earlier era are dropped.
 
     Parameters
     ----------
@@ -63,21 +60,27 @@
 
     Attributes
     ----------
-    era : int
-        Highest era that an answer has stated; 0 if none has.
-    on_era : callable
-        Called with the era before and the one that an answer states, if they
-        differ; a lower one is that of a stale answer, None is unreadable.
+    eras : balsamwind.objects.StoreEras
+        Eras that the answers have stated.
+    on_malformed : callable
+        Called with the kind and the reason for each object of a list that is
+        left out because its name or its revision can't be read.
     """
 
-    __slots__ = ('_client', '_objects_url', 'call_counts', 'era', 'on_era')
+    __slots__ = (
+        '_client',
+        '_objects_url',
+        'call_counts',
+        'eras',
+        'on_malformed',
+    )
 
     def __init__(self, client, address):
         self._client = client
         self._objects_url = f'http://{address}/v1/objects'
         self.call_counts = collections.Counter()
-        self.era = 0
-        self.on_era = lambda previous, era: None
+        self.eras = objects.StoreEras()
+        self.on_malformed = lambda kind, reason: None
 
     async def get(self, kind, name, timeout, may_be_stale=False):
         """Read an object; a `StoredObject`, or None if it does not exist."""
@@ -111,7 +114,7 @@
             )
             self._check_status(status, kind)
             page = _parse_json_object(body)
-            page_items = self._decode_valid_objects(page.get('Items') or ())
+            page_items = self._decode_valid_objects(kind, page)
             items.extend(page_items)
             if revision is None:
                 revision = self._decode_revision(page)
@@ -136,30 +139,27 @@
             The store has discarded changes after `since` or began a new era,
             or a change can't be read; a new list is due.
         """
-        since_in_era = self._find_number_in_era(since)
+        since_in_era = self.eras.find_number(since)
         if since_in_era is None:
             raise exceptions.HistoryGone(f'{kind}: the store has a new era')
-        era = self.era
+        era = self.eras.newest
         self.call_counts[kind, 'watch'] += 1
         path = f'/{kind}?Watch={since_in_era}&WaitMs={int(wait * 1000)}'
         status, body = await self._call('GET', path, timeout)
-        if era and self.era != era:
+        if era and self.eras.newest != era:
             raise exceptions.HistoryGone(f'{kind}: the store has a new era')
         if status == 410:
             raise exceptions.HistoryGone(f'revision {since} is no longer held')
         self._check_status(status, kind)
         page = _parse_json_object(body)
-        changes = []
-        for event in page.get('events') or ():
-            try:
-                item = self._decode_object(event['Object'])
-            except (KeyError, TypeError, ValueError):
-                raise exceptions.HistoryGone(
-                    f'{kind}: malformed change after revision {since}'
-                ) from None
-            if event.get('Deleted') is True:
-                item = dataclasses.replace(item, deleted=True)
-            changes.append(item)
+        try:
+            with objects.decoding(f'change after revision {since}'):
+                events = objects.check_list(page.get('events') or [], 'list')
+                changes = [self._decode_event(event) for event in events]
+        except exceptions.MalformedValue as error:
+            raise exceptions.HistoryGone(
+                f'{kind}: malformed {error.message}'
+            ) from None
         return self._decode_revision(page), changes
 
     async def create(self, kind, name, spec, timeout):
@@ -184,8 +184,8 @@
             The object has another revision or does not exist, or the store
             began a new era meanwhile: then the write may have taken effect.
         """
-        number = self._find_number_in_era(revision)
-        era = self.era
+        number = self.eras.find_number(revision)
+        era = self.eras.newest
         if number is None:
             raise exceptions.Conflict(f'{kind}/{name}: of an earlier era')
         self.call_counts[kind, 'write'] += 1
@@ -194,7 +194,7 @@
         status, body = await self._call(
             'PUT', f'/{kind}/{name}', timeout, payload
         )
-        if era and self.era != era:
+        if era and self.eras.newest != era:
             raise exceptions.Conflict(
                 f'{kind}/{name}: the store has a new era'
             )
@@ -217,7 +217,7 @@
             raise exceptions.StoreError(f'{kind}: got status {status}')
 
     async def _call(self, method, path, timeout, payload=None):
-        body = b'' if payload is None else json.dumps(payload).encode('ascii')
+        body = b'' if payload is None else _encode(payload)
         headers = (('Content-Type', 'application/json'),) if body else ()
         try:
             response = await self._client.fetch(
@@ -230,57 +230,41 @@
             )
         except exceptions.TransportError as error:
             raise exceptions.StoreError(f'{method} {path}: {error}') from error
-        self._check_era(response.headers.get(_ERA, ''))
+        self.eras.check(response.headers.get(_ERA, ''))
         return response.status, response.body
 
-    def _check_era(self, text):
-        """Note the era of an answer; one without a readable era fits any."""
-        if not text:
-            return
-        is_readable = text.isascii() and text.isdigit() and len(text) <= 4
-        era = int(text) if is_readable else None
-        if era == self.era:
-            return
-        if era is None:
-            self.on_era(self.era, None)
-            return
-        previous, self.era = self.era, max(era, self.era)
-        if previous:
-            self.on_era(previous, era)
-        if era < previous:
-            raise exceptions.StoreError(f'answer of the earlier era {era}')
-
-    def _find_number_in_era(self, revision):
-        """Return a revision as the store counts it; None if it is void."""
-        era, number = divmod(revision, 1 << ERA_BITS)
-        return number if era in (0, self.era) else None
-
-    def _add_era(self, number):
-        return (self.era << ERA_BITS) + int(number)
-
     def _decode_stored_object(self, body):
         with check_malformed('object'):
             return self._decode_object(_parse_json_object(body))
 
     def _decode_revision(self, page):
         with check_malformed('page'):
-            return self._add_era(page['StoreRevision'])
+            return self.eras.add_to(page['StoreRevision'])
 
-    def _decode_valid_objects(self, rows):
+    def _decode_valid_objects(self, kind, page):
         """Decode objects as the store sends them, but for malformed ones."""
-        objects = []
+        with check_malformed('page'):
+            rows = objects.check_list(page.get('Items') or [], 'items')
+        items = []
         for row in rows:
             try:
-                objects.append(self._decode_object(row))
-            except (KeyError, TypeError, ValueError):
-                continue
-        return objects
+                with objects.decoding('object'):
+                    items.append(self._decode_object(row))
+            except exceptions.MalformedValue as error:
+                self.on_malformed(kind, error.message)
+        return items
+
+    def _decode_event(self, event):
+        item = self._decode_object(event['Object'])
+        if event.get('Deleted') is True:
+            return dataclasses.replace(item, deleted=True)
+        return item
 
     def _decode_object(self, row):
         metadata = row['Metadata']
         return StoredObject(
-            str(metadata['Name']),
-            self._add_era(metadata['Revision']),
+            objects.check_name(metadata['Name'], 'name'),
+            self.eras.add_to(metadata['Revision']),
             row.get('Spec'),
         )
 
@@ -289,11 +273,17 @@
 def check_malformed(what):
     """Raise `StoreError` if the block can't decode the object named `what`."""
     try:
-        yield
-    except (AttributeError, LookupError, TypeError, ValueError) as error:
-        raise exceptions.StoreError(f'malformed {what}: {error!r}') from None
+        with objects.decoding(what):
+            yield
+    except exceptions.MalformedValue as error:
+        raise exceptions.StoreError(f'malformed {error.message}') from None
 
 
 def _parse_json_object(body):
     with check_malformed('response'):
-        return dict(json.loads(body))
+        return objects.check_table(adapters.parse_json(body), 'object')
+
+
+def _encode(payload):
+    with check_malformed('content of a write'):
+        return json.dumps(payload).encode('ascii')
--- a/balsamwind/platform/tests/test_store.py
+++ b/balsamwind/platform/tests/test_store.py
@@ -7,8 +7,8 @@
 from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind.node.tests import helpers
+from balsamwind import objects
 from balsamwind import platform
-from balsamwind.platform import _store
 from balsamwind import pool
 
 
@@ -52,7 +52,7 @@
         fake_platform.store.put('servers', 'zz', {'Service': 7})
         revision, records = await client.list_servers(1.0)
         expected = (
-            fake_platform.store.era << _store.ERA_BITS
+            fake_platform.store.era << objects.ERA_BITS
         ) + fake_platform.store.revision
         return revision == expected, len(records)
 
--- a/balsamwind/platform/tests/test_store_era.py
+++ b/balsamwind/platform/tests/test_store_era.py
@@ -23,7 +23,9 @@
                 client, f'127.0.0.1:{fake_platform.store_port}'
             )
             eras = []
-            store.on_era = lambda previous, era: eras.append((previous, era))
+            store.eras.on_change = lambda previous, era: eras.append(
+                (previous, era)
+            )
             try:
                 return await scenario(fake_platform.store, store, eras)
             finally:
@@ -139,7 +141,9 @@
     async def scenario():
         store = _store.StoreClient(_Client(eras), 'x:1')
         seen = []
-        store.on_era = lambda previous, era: seen.append((previous, era))
+        store.eras.on_change = lambda previous, era: seen.append(
+            (previous, era)
+        )
         errors = 0
         revisions = []
         for _ in eras:
--- a/standins/pool/__init__.py
+++ b/standins/pool/__init__.py
@@ -6,9 +6,18 @@
 
 from standins.pool._engine import Engine
 from standins.pool._platform import FakePlatform
+from standins.pool._store import RawJson
 from standins.pool._store import Store
 from standins.pool._times import Times
 from standins.pool._trace import Run
 from standins.pool._trace import Trace
 
-__all__ = ['Engine', 'FakePlatform', 'Run', 'Store', 'Times', 'Trace']
+__all__ = [
+    'Engine',
+    'FakePlatform',
+    'RawJson',
+    'Run',
+    'Store',
+    'Times',
+    'Trace',
+]
--- a/standins/pool/_store.py
+++ b/standins/pool/_store.py
@@ -17,6 +17,34 @@
 """Time after which the connection of an unanswered call closes (seconds)."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RawJson:
+    """JSON that the store returns as it is.
+
+    Parameters
+    ----------
+    text : str
+        The JSON.
+    """
+
+    text: str
+
+
+def _dump(value):
+    """Encode an answer, in which `RawJson` may stand for values."""
+    raw = {}
+
+    def replace(item):
+        marker = f'raw-json-{len(raw)}-{id(raw)}'
+        raw[f'"{marker}"'] = item.text
+        return marker
+
+    text = json.dumps(value, default=replace)
+    for marker, replacement in raw.items():
+        text = text.replace(marker, replacement)
+    return text
+
+
 @dataclasses.dataclass(slots=True)
 class StoreFaults:
     """Faults of the store.
@@ -49,7 +77,7 @@
         self.set_header('Content-Type', 'application/json')
         if self._store.era:
             self.set_header('Store-Era', str(self._store.era))
-        self.finish(json.dumps(value) if value is not None else '')
+        self.finish(_dump(value) if value is not None else '')
 
     def _reset(self):
         self.request.connection.stream.close()
