Notice tasks that end, and start them again

Cause: background tasks were looked at only when the process stopped. Ruled out: ending the process, as an entry that does harm is still there after the restart, and the node serves without that task meanwhile. Change: one supervisor for the loops of nodes and entries: an end is logged with its reason, counted on the metrics address, and mended by a restart after 0.1 s, twice as long each time up to 5 s. Errors of all other tasks and callbacks that nobody takes are logged and counted the same way. A publisher that may have kept back changes sends the whole list; a listener that fails keeps no change from the others; probes of a path that fail are not repeated without a pause.

--- a/balsamwind/entry/_process.py
+++ b/balsamwind/entry/_process.py
@@ -1,6 +1,7 @@
 """Start, background loops and shutdown of an entry process."""
 
 import asyncio
+import functools
 import random
 
 import structlog
@@ -18,6 +19,7 @@
 from balsamwind import objects
 from balsamwind import peers
 from balsamwind import settings as settings_package
+from balsamwind import supervision
 
 DRAIN_NOTICE_TIME = 0.5
 """Time between reporting that this entry drains and closing its port for
@@ -166,7 +168,9 @@
             self.entry, self._tls.callers
         )
         self._operator_server = adapters.make_operator_server(self.entry)
-        self._tasks = []
+        self._supervisor = supervision.TaskSupervisor(
+            self._log, self.entry.metrics.registry
+        )
 
     def _make_node_object(self):
         settings = self._settings
@@ -245,38 +249,38 @@
         for peer in self._settings.peers:
             self.entry.links.connect_to(peer.name, peer.address)
         observation = self._settings.observation
-        self._spawn(self._store_watcher.run())
-        self._spawn(self._vm_list_poller.run())
-        self._spawn(self._registrar.run())
-        self._spawn(
-            self._run_periodically(
-                observation.interval, self._run_observation_round
-            )
-        )
-        self._spawn(
-            self._run_periodically(observation.interval, self._send_heartbeat)
-        )
-        sweep_interval = self._settings.requests.record_sweep_interval
-        self._spawn(
-            self._run_periodically(
-                sweep_interval, self._call_record_sweeper.run_round
-            )
-        )
-        self._spawn(
-            self._run_periodically(
-                self._settings.control.interval, self._run_control_round
-            )
-        )
-        self._spawn(
-            self._run_periodically(
-                self._settings.tls.reload_interval, self._reload_certificates
+        stack.enter_context(self._supervisor.watch_others())
+        for name, run in (
+            ('store', self._store_watcher.run),
+            ('vm list', self._vm_list_poller.run),
+            ('registration', self._registrar.run),
+        ):
+            self._supervisor.keep_running(name, run)
+        for name, interval, run_round in (
+            ('observation', observation.interval, self._run_observation_round),
+            ('heartbeat', observation.interval, self._send_heartbeat),
+            (
+                'call records',
+                self._settings.requests.record_sweep_interval,
+                self._call_record_sweeper.run_round,
+            ),
+            (
+                'control',
+                self._settings.control.interval,
+                self._run_control_round,
+            ),
+            (
+                'certificates',
+                self._settings.tls.reload_interval,
+                self._reload_certificates,
+            ),
+        ):
+            self._supervisor.keep_running(
+                name,
+                functools.partial(self._run_periodically, interval, run_round),
             )
-        )
         self._log.info('started', incarnation=self._incarnation)
 
-    def _spawn(self, coroutine):
-        self._tasks.append(asyncio.ensure_future(coroutine))
-
     async def _run_observation_round(self):
         self._observer.run_round()
 
@@ -329,9 +333,7 @@
 
     async def stop(self):
         """Cancel the background loops and close all connections."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._supervisor.close()
         await self._executor.close()
         self._caller_server.stop()
         self._operator_server.stop()
--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -140,7 +140,9 @@
 
     async def run(self):
         """Exchange evidence with other data centres; never returns."""
-        await asyncio.gather(self._run_watches(), self._run_writes())
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._run_watches())
+            tasks.create_task(self._run_writes())
 
     async def _run_watches(self):
         while True:
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import random
 import signal
 
@@ -41,6 +42,7 @@
 from balsamwind import relay
 from balsamwind import servers
 from balsamwind import settings as settings_package
+from balsamwind import supervision
 from balsamwind import traffic
 
 REVOCATION_MARGIN = 0.4
@@ -88,8 +90,11 @@
     stop_event = lifecycle.make_stop_event()
     reload_event = lifecycle.watch_signals(signal.SIGHUP)
     async with open_node(settings, make_platform_client) as process:
-        reload_task = asyncio.ensure_future(
-            _reload_settings(process, load_settings, reload_event)
+        reload_task = process.supervisor.keep_running(
+            'settings',
+            functools.partial(
+                _reload_settings, process, load_settings, reload_event
+            ),
         )
         await stop_event.wait()
         reload_task.cancel()
@@ -133,6 +138,11 @@
         Settings of the node.
     make_platform_client : callable
         Makes the client of the platform from the settings and an HTTP client.
+
+    Attributes
+    ----------
+    supervisor : balsamwind.supervision.TaskSupervisor
+        Keeps the background tasks running.
     """
 
     def __init__(self, settings, make_platform_client):
@@ -334,7 +344,9 @@
         )
         self._request_log.metrics_registry.register(self._state)
         self._draining = False
-        self._tasks = []
+        self.supervisor = supervision.TaskSupervisor(
+            self._log, self._request_log.metrics_registry
+        )
         self._leader_tasks = []
 
     def _record_return(self, data_centre):
@@ -536,18 +548,21 @@
         except OSError as error:
             findings.append(_make_finding('news', self._settings, error))
         settings_package.raise_findings(findings)
-        for component in (
-            self._configuration_watcher,
-            self._server_watcher,
-            self._evacuation_watcher,
-            self._node_discovery,
-            self.subscriber,
-            self._evidence,
+        stack.enter_context(self.supervisor.watch_others())
+        for name, run in (
+            ('configuration', self._configuration_watcher.run),
+            ('servers', self._server_watcher.run),
+            ('evacuations', self._evacuation_watcher.run),
+            ('nodes', self._node_discovery.run),
+            ('subscriber', self.subscriber.run),
+            ('evidence', self._evidence.run),
+            ('state log', self._log_state),
         ):
-            self._tasks.append(asyncio.ensure_future(component.run()))
-        self._tasks.append(asyncio.ensure_future(self._log_state()))
+            self.supervisor.keep_running(name, run)
         for leader in self._leaders:
-            self._leader_tasks.append(asyncio.ensure_future(leader.run()))
+            self._leader_tasks.append(
+                self.supervisor.keep_running('leader', leader.run)
+            )
         self._log.info(
             'started',
             data_centre=self._settings.data_centre,
@@ -590,10 +605,7 @@
 
     async def stop(self):
         """Stop the background tasks and close all connections."""
-        tasks = [*self._tasks, *self._leader_tasks]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.supervisor.close()
         self.relay.crash_reporter.close()
         self._path_prober.close()
         self._attempt_client.close()
--- a/balsamwind/node/_server_watcher.py
+++ b/balsamwind/node/_server_watcher.py
@@ -81,6 +81,7 @@
             'servers', clock, log
         )
         self._next_list_at = 0.0
+        self._may_lack_changes = False
 
     async def run(self):
         """Keep the registry up to date; never returns."""
@@ -109,6 +110,16 @@
         )
 
     async def _watch(self):
+        """Read the list and watch it until the next list is due."""
+        try:
+            await self._follow()
+        except (exceptions.HistoryGone, exceptions.StoreError):
+            raise
+        except Exception:
+            self._may_lack_changes = True
+            raise
+
+    async def _follow(self):
         revision, records = await self._platform.list_servers(CALL_TIMEOUT)
         now = self._clock.monotonic()
         self._next_list_at = now + RELIST_INTERVAL
@@ -117,8 +128,12 @@
         self._record_answer(now)
         changed, removed = self._registry.apply_full_list(records, now)
         self._registry.evict_expired(now)
-        # Subscribers have the rest since they connected.
-        self._publisher.publish_changes(changed, removed)
+        if self._may_lack_changes:
+            self._publisher.publish_whole()
+            self._may_lack_changes = False
+        else:
+            # Subscribers have the rest since they connected.
+            self._publisher.publish_changes(changed, removed)
         while self._clock.monotonic() < self._next_list_at:
             await asyncio.sleep(
                 LEADER_WATCH_INTERVAL
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -119,6 +119,10 @@
             _updates.ServerUpdate(False, tuple(records), tuple(removed))
         )
 
+    def publish_whole(self):
+        """Publish all listed entries, as subscribers may lack changes."""
+        self.publish(self._make_snapshot())
+
     def publish(self, update):
         """Send one `ServerUpdate` to all subscribers."""
         self._last_publish_at = self._clock.monotonic()
--- a/balsamwind/node/tests/test_takeover.py
+++ b/balsamwind/node/tests/test_takeover.py
@@ -54,8 +54,9 @@
 
 def _make_stale(process, fake_platform):
     """Stop the updates of a node, and hide the head of the open group."""
-    for task in process._tasks:
-        task.cancel()
+    for task in process.supervisor.tasks:
+        if task not in process._leader_tasks:
+            task.cancel()
     head = helpers.find_open_head(fake_platform)
     del process.registry._records[head.server_id]
 
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -117,8 +117,18 @@
         if known == record:
             return
         self.change_count += 1
+        self._tell_listeners(known, record)
+
+    def _tell_listeners(self, previous, record):
+        """Tell all listeners of a change, also if one of them fails."""
+        errors = []
         for listener in self._listeners:
-            listener(known, record)
+            try:
+                listener(previous, record)
+            except Exception as error:
+                errors.append(error)
+        if errors:
+            raise ExceptionGroup('listeners of an entry failed', errors)
 
     def mark_leaving(self, server_id, born):
         """Take a server for draining, whatever its entry says later.
--- a/balsamwind/relay/_path_prober.py
+++ b/balsamwind/relay/_path_prober.py
@@ -77,7 +77,13 @@
             return
         if task.exception() is not None:
             self._log.error('path_probes_failed', error=repr(task.exception()))
+            loop = asyncio.get_running_loop()
+            loop.call_later(PROBE_INTERVAL, self._start_if_due, service)
+            return
         # A doubt that came up as the task ended has none yet.
+        self._start_if_due(service)
+
+    def _start_if_due(self, service):
         if not self._paths.is_open(service):
             self.start(service)
 
