Read all kinds of objects without surprises

What callers saw: nothing yet; the same class of fault as odd entries of servers. An address of a node without a port, or with a port out of range, ended the task that looks for a publisher, an infinite capacity the list of nodes, and a key that is a list the configuration. Ruled out: evacuations, which read names only; frames between nodes, which are decoded by type hints. Strings with lone surrogates passed these, and can't be sent on: they are refused now. Change: configurations, registrations, leases and evidence are read with the same checks; a registration that can't be read is left out, logged and counted. A lease that can't be read stays an error of the store, as before.

--- a/balsamwind/node/_evidence_records.py
+++ b/balsamwind/node/_evidence_records.py
@@ -1,5 +1,6 @@
 """Evidence of crashes in the store, one object for each data centre."""
 
+from balsamwind import exceptions
 from balsamwind.node import _object_writer
 from balsamwind import objects
 from balsamwind import relay
@@ -78,9 +79,10 @@
 
     def _decode(self, stored):
         try:
-            return objects.decode(relay.CrashEvidence, stored.spec)
-        except (TypeError, ValueError) as error:
+            with objects.decoding('evidence'):
+                return objects.decode(relay.CrashEvidence, stored.spec)
+        except exceptions.MalformedValue as error:
             self._log.warning(
-                'evidence_malformed', name=stored.name, reason=repr(error)
+                'evidence_malformed', name=stored.name, reason=error.message
             )
             return relay.CrashEvidence()
--- a/balsamwind/node/_lease_records.py
+++ b/balsamwind/node/_lease_records.py
@@ -66,9 +66,10 @@
 
 def _decode(shard, stored):
     try:
-        lease = objects.decode(objects.Lease, {**stored.spec, 'shard': shard})
-    except (TypeError, ValueError) as error:
-        raise exceptions.StoreError(
-            f'malformed lease of shard {shard}: {error!r}'
-        ) from None
+        with objects.decoding(f'lease of shard {shard}'):
+            lease = objects.decode(
+                objects.Lease, {**stored.spec, 'shard': shard}
+            )
+    except exceptions.MalformedValue as error:
+        raise exceptions.StoreError(f'malformed {error.message}') from None
     return objects.ObjectVersion('lease', shard, stored.revision, lease)
--- a/balsamwind/node/_malformed_entries.py
+++ b/balsamwind/node/_malformed_entries.py
@@ -34,33 +34,21 @@
             registry=metrics_registry,
         )
 
-    def record_server(self, name, revision, reason):
-        """Record the entry of a server that can't be read.
-
-        Parameters
-        ----------
-        name : str
-            Name of the entry.
-        revision : int
-            Revision of the entry.
-        reason : str
-            What is wrong with it.
-        """
-        self._record('servers', name[:MAX_NAME_LENGTH], revision, reason)
-
-    def record_object(self, kind, reason):
-        """Record an object whose name or revision can't be read.
+    def record(self, kind, name, revision, reason):
+        """Record an object that is left out.
 
         Parameters
         ----------
         kind : str
             Kind of the object.
+        name : str
+            Name of the object; empty if it can't be read.
+        revision : int
+            Revision of the object; 0 if it can't be read.
         reason : str
             What is wrong with it.
         """
-        self._record(kind, '', 0, reason)
-
-    def _record(self, kind, name, revision, reason):
+        name = name[:MAX_NAME_LENGTH]
         self._counter.labels(kind).inc()
         key = (kind, name, revision, reason)
         if key in self._logged:
--- a/balsamwind/node/_node_records.py
+++ b/balsamwind/node/_node_records.py
@@ -3,6 +3,7 @@
 from balsamwind import exceptions
 from balsamwind.node import _object_writer
 from balsamwind.node import _ranking
+from balsamwind import objects
 
 KIND = 'balsamwind-nodes'
 """Kind of the objects."""
@@ -70,16 +71,24 @@
         _, items = await self._store.list(KIND, timeout, may_be_stale)
         nodes = {}
         for item in items:
-            if isinstance(item.spec, dict):
-                data_centre = str(item.spec.get('data_centre', ''))
-                nodes.setdefault(data_centre, []).append(_decode(item))
+            try:
+                with objects.decoding('registration'):
+                    data_centre, node = _decode(item)
+            except exceptions.MalformedValue as error:
+                self._store.on_malformed(
+                    KIND, item.name, item.revision, error.message
+                )
+            else:
+                nodes.setdefault(data_centre, []).append(node)
         return nodes
 
 
 def _decode(item):
-    capacity = item.spec.get('capacity')
-    return _ranking.RegisteredNode(
+    """Decode a registration; the data centre and the `RegisteredNode`."""
+    return objects.check_name(
+        item.spec['data_centre'], 'data centre'
+    ), _ranking.RegisteredNode(
         item.name,
-        str(item.spec.get('news', '')),
-        float(capacity) if isinstance(capacity, (int, float)) else 0.0,
+        objects.check_address(item.spec['news'], 'address', may_be_name=True),
+        objects.check_number(item.spec.get('capacity', 0), 'capacity', 0.0),
     )
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -162,11 +162,9 @@
         self._unknown_messages = _unknown_messages.UnknownMessages(
             self._log, self._request_log.metrics_registry
         )
-        malformed_entries = _malformed_entries.MalformedEntries(
+        platform.store.on_malformed = _malformed_entries.MalformedEntries(
             self._log, self._request_log.metrics_registry
-        )
-        platform.on_malformed = malformed_entries.record_server
-        platform.store.on_malformed = malformed_entries.record_object
+        ).record
         backends = relay.BackendTable(
             self.registry, pool.GroupIndex, self._clock.monotonic
         )
--- a/balsamwind/objects/_checks.py
+++ b/balsamwind/objects/_checks.py
@@ -20,6 +20,8 @@
 
 _CONTROL_CHARACTERS = re.compile(r'[\x00-\x1f\x7f\x85\u2028\u2029]')
 
+_HOST_NAME = re.compile(r'(?!-)[A-Za-z0-9-]{1,63}(\.[A-Za-z0-9-]{1,63}){0,15}')
+
 _PORT = re.compile(r'[0-9]{1,5}')
 
 
@@ -127,11 +129,28 @@
     return float(value)
 
 
-def check_address(value, what):
-    """Return an address ``host:port``, whose host is an IP address."""
+def check_address(value, what, may_be_name=False):
+    """Return an address ``host:port``.
+
+    Parameters
+    ----------
+    value : object
+        Value.
+    what : str
+        Name of the value.
+    may_be_name : bool
+        Whether the host may be a name; otherwise it is an IP address.
+    """
     host, _, port = check_name(value, what).rpartition(':')
     if not _PORT.fullmatch(port) or not 0 < int(port) < 1 << 16:
         raise exceptions.MalformedValue(f'{what}: no port')
+    if not (may_be_name and _HOST_NAME.fullmatch(host)):
+        _check_ip_address(host, what)
+    return value
+
+
+def _check_ip_address(host, what):
+    """Check an IP address; one of version 6 stands in brackets."""
     is_bracketed = host.startswith('[') and host.endswith(']')
     try:
         address = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
@@ -139,7 +158,6 @@
         raise exceptions.MalformedValue(f'{what}: no IP address') from None
     if is_bracketed is not (address.version == 6):
         raise exceptions.MalformedValue(f'{what}: no IP address')
-    return value
 
 
 def _check_type(value, expected, what):
--- a/balsamwind/objects/_codec.py
+++ b/balsamwind/objects/_codec.py
@@ -139,6 +139,9 @@
         raise TypeError(f'got {data!r}, expected {cls.__name__}')
     if cls is int or cls is float:
         return _check_range(data)
+    if cls is str and not data.isascii():
+        # JSON may hold lone surrogates, which CBOR does not carry.
+        data.encode('utf-8')
     return data
 
 
--- a/balsamwind/platform/_client.py
+++ b/balsamwind/platform/_client.py
@@ -48,22 +48,13 @@
 
     Attributes
     ----------
-    on_malformed : callable
-        Called with the name, the revision and the reason for each entry of a
-        server that is left out because it can't be read.
     on_server_leaving : callable
         Called with the id and the start of an engine that says it leaves.
     store : balsamwind.platform._store.StoreClient
         As given, for objects of the nodes' own kinds.
     """
 
-    __slots__ = (
-        '_client',
-        'header_codec',
-        'on_malformed',
-        'on_server_leaving',
-        'store',
-    )
+    __slots__ = ('_client', 'header_codec', 'on_server_leaving', 'store')
 
     readiness_path = '/v1/ready'
     """Path of a node's readiness endpoint."""
@@ -72,7 +63,6 @@
         self._client = client
         self.store = store
         self.header_codec = _headers.HeaderCodec()
-        self.on_malformed = lambda name, revision, reason: None
         self.on_server_leaving = lambda server_id, born: None
 
     @property
@@ -214,7 +204,9 @@
         try:
             return _servers.decode_server(item.name, item.revision, item.spec)
         except exceptions.MalformedValue as error:
-            self.on_malformed(item.name, item.revision, error.message)
+            self.store.on_malformed(
+                _servers.KIND, item.name, item.revision, error.message
+            )
             return None
 
     def _check_leaving(self, record, response):
--- a/balsamwind/platform/_configuration.py
+++ b/balsamwind/platform/_configuration.py
@@ -1,5 +1,6 @@
 """Decoder of the operator's configuration object."""
 
+from balsamwind import objects
 from balsamwind import traffic
 
 KIND = 'config'
@@ -29,46 +30,68 @@
 
     Raises
     ------
-    AttributeError, KeyError, TypeError, ValueError
+    balsamwind.exceptions.MalformedValue
         A required field is missing, or a value has the wrong type.
     """
-    accounts = spec.get('Tenants')
-    return traffic.Configuration(
-        version=int(spec['Version']),
-        routes=tuple(_decode_route(item) for item in spec['Routes']),
-        services=tuple(_decode_service(item) for item in spec['Services']),
-        limits=_decode_limits(spec.get('Limits') or {}),
-        accounts=None
-        if accounts is None
-        else tuple(_decode_account(item) for item in accounts),
-    )
+    with objects.decoding('configuration'):
+        accounts = spec.get('Tenants')
+        return traffic.Configuration(
+            version=_read_integer(spec, 'Version'),
+            routes=_decode_items(_decode_route, spec['Routes']),
+            services=_decode_items(_decode_service, spec['Services']),
+            limits=_decode_limits(spec.get('Limits') or {}),
+            accounts=None
+            if accounts is None
+            else _decode_items(_decode_account, accounts),
+        )
+
+
+def _decode_items(decode_item, data):
+    return tuple(map(decode_item, objects.check_list(data, 'list')))
+
+
+def _read_name(data, field):
+    return objects.check_name(data[field], field)
+
+
+def _read_integer(data, field, default=None):
+    value = data[field] if default is None else data.get(field, default)
+    return objects.check_integer(value, field, least=0)
+
+
+def _read_number(data, field, default=None):
+    value = data[field] if default is None else data.get(field, default)
+    return objects.check_number(value, field, least=0.0)
 
 
 def _decode_route(data):
     weighted_targets = data.get('TrafficSplit')
     if weighted_targets:
         targets = tuple(
-            traffic.Target(item['Service'], float(item.get('Weight', 1)))
+            traffic.Target(
+                _read_name(item, 'Service'), _read_number(item, 'Weight', 1)
+            )
             for item in weighted_targets
         )
     else:
-        targets = (traffic.Target(data['Service']),)
+        targets = (traffic.Target(_read_name(data, 'Service')),)
+    timeout = _read_number(data, 'TimeoutMs')
     return traffic.Route(
-        name=data['Name'],
-        host=data['Host'].lower(),
-        prefix=data['PathPrefix'],
+        name=_read_name(data, 'Name'),
+        host=_read_name(data, 'Host').lower(),
+        prefix=_read_name(data, 'PathPrefix'),
         # An unknown kind is taken as the one that must not run twice.
         kind=_REQUEST_KINDS.get(
             data['Kind'], traffic.RequestKind.NON_IDEMPOTENT
         ),
-        timeout=data['TimeoutMs'] / 1000,
-        latency_objective=data.get('SloMs', data['TimeoutMs']) / 1000,
-        priority=int(data.get('Priority', 0)),
+        timeout=timeout / 1000,
+        latency_objective=_read_number(data, 'SloMs', timeout) / 1000,
+        priority=_read_integer(data, 'Priority', 0),
         targets=targets,
-        max_attempts=max(1, int(data.get('MaxAttempts', 1))),
+        max_attempts=max(1, _read_integer(data, 'MaxAttempts', 1)),
         public=data.get('Public') is True,
         resumable=data.get('Resumable') is True,
-        max_event_gap=data.get('GapSloMs', 0) / 1000,
+        max_event_gap=_read_number(data, 'GapSloMs', 0) / 1000,
         allowed_regions=_decode_regions(data.get('AllowedRegions')),
     )
 
@@ -76,69 +99,79 @@
 def _decode_service(data):
     engine = data.get('Engine')
     return traffic.Service(
-        name=data['Name'],
-        health_path=data.get('HealthPath', '/health'),
-        max_connections=int(data.get('MaxConns', 64)),
+        name=_read_name(data, 'Name'),
+        health_path=objects.check_name(
+            data.get('HealthPath', '/health'), 'HealthPath'
+        ),
+        max_connections=_read_integer(data, 'MaxConns', 64),
         engine=_decode_engine(engine) if engine else None,
-        cold_time=float(data.get('ColdS', 0.0)),
-        cold_rate=float(data.get('ColdPerS', 0.0)),
+        cold_time=_read_number(data, 'ColdS', 0),
+        cold_rate=_read_number(data, 'ColdPerS', 0),
     )
 
 
 def _decode_engine(data):
     return traffic.EngineProfile(
-        models=tuple(_decode_model(item) for item in data.get('Models', ())),
-        slots=int(data.get('SlotCount', 1)),
-        kv_cache_tokens=int(data.get('KvTokens', 1 << 30)),
-        step_time=data.get('step_ms', 10.0) / 1000,
-        step_time_per_request=data.get('per_seq_ms', 0.0) / 1000,
+        models=_decode_items(_decode_model, data.get('Models', [])),
+        slots=_read_integer(data, 'SlotCount', 1),
+        kv_cache_tokens=_read_integer(data, 'KvTokens', 1 << 30),
+        step_time=_read_number(data, 'step_ms', 10) / 1000,
+        step_time_per_request=_read_number(data, 'per_seq_ms', 0) / 1000,
         # Configured in milliseconds for 1,000 tokens of context.
-        step_time_per_context_token=data.get('context_per_k', 0.0) / 1e6,
-        prefill_rate=float(data.get('read_per_s', 50000.0)),
+        step_time_per_context_token=_read_number(data, 'context_per_k', 0)
+        / 1e6,
+        prefill_rate=_read_number(data, 'read_per_s', 50000),
         # Configured in milliseconds for a million pairs of tokens.
-        prefill_time_per_token_pair=data.get('pairs_per_m', 0.0) / 1e9,
-        steps_per_pass=int(data.get('Stride', 1)),
-        loads_per_second=float(data.get('LoadsPerS', 1.0)),
-        max_full_speed_loads=int(data.get('loads_at_once', 1)),
-        form_time=data.get('FormMs', 0.0) / 1000,
-        report_lag=data.get('report_lag_ms', 0.0) / 1000,
+        prefill_time_per_token_pair=_read_number(data, 'pairs_per_m', 0) / 1e9,
+        steps_per_pass=_read_integer(data, 'Stride', 1),
+        loads_per_second=_read_number(data, 'LoadsPerS', 1),
+        max_full_speed_loads=_read_integer(data, 'loads_at_once', 1),
+        form_time=_read_number(data, 'FormMs', 0) / 1000,
+        report_lag=_read_number(data, 'report_lag_ms', 0) / 1000,
     )
 
 
 def _decode_model(data):
     return traffic.ModelProfile(
-        name=data['Name'],
-        group_size=int(data.get('size', 1)),
-        expected_work_share=float(data.get('Share', 1.0)),
-        time_factor=float(data.get('pace', 1.0)),
-        load_time=float(data.get('LoadS', 10.0)),
-        staged_load_time=float(data.get('WarmS', 1.0)),
+        name=_read_name(data, 'Name'),
+        group_size=_read_integer(data, 'size', 1),
+        expected_work_share=_read_number(data, 'Share', 1),
+        time_factor=_read_number(data, 'pace', 1),
+        load_time=_read_number(data, 'LoadS', 10),
+        staged_load_time=_read_number(data, 'WarmS', 1),
     )
 
 
 def _decode_limits(data):
-    defaults = traffic.RequestLimits()
+    default = traffic.RequestLimits()
     return traffic.RequestLimits(
-        max_header_bytes=int(
-            data.get('MaxHeaderBytes', defaults.max_header_bytes)
+        max_header_bytes=_read_integer(
+            data, 'MaxHeaderBytes', default.max_header_bytes
         ),
-        max_body_bytes=int(data.get('MaxBodyBytes', defaults.max_body_bytes)),
-        header_timeout=data.get(
-            'HeaderTimeoutMs', defaults.header_timeout * 1000
+        max_body_bytes=_read_integer(
+            data, 'MaxBodyBytes', default.max_body_bytes
+        ),
+        header_timeout=_read_number(
+            data, 'HeaderTimeoutMs', default.header_timeout * 1000
         )
         / 1000,
-        idle_timeout=data.get('IdleTimeoutMs', defaults.idle_timeout * 1000)
+        idle_timeout=_read_number(
+            data, 'IdleTimeoutMs', default.idle_timeout * 1000
+        )
         / 1000,
     )
 
 
 def _decode_account(data):
     return traffic.ClientAccount(
-        name=data['Name'],
-        keys=tuple(data.get('ApiKeys', ())),
-        priority=int(data.get('Priority', 0)),
+        name=_read_name(data, 'Name'),
+        keys=tuple(
+            objects.check_name(key, 'key')
+            for key in objects.check_list(data.get('ApiKeys', []), 'keys')
+        ),
+        priority=_read_integer(data, 'Priority', 0),
         allowed_regions=_decode_regions(data.get('AllowedRegions')),
-        rank=int(data['Priority']) if 'Priority' in data else None,
+        rank=_read_integer(data, 'Priority') if 'Priority' in data else None,
     )
 
 
@@ -147,5 +180,6 @@
     if value is None or value == []:
         return ()
     items = value if isinstance(value, list) else ()
-    regions = {item for item in items if isinstance(item, str) and item}
+    names = {item for item in items if isinstance(item, str) and item}
+    regions = {name for name in names if name.isprintable()}
     return tuple(sorted(regions)) or traffic.NO_REGIONS
--- a/balsamwind/platform/_store.py
+++ b/balsamwind/platform/_store.py
@@ -63,8 +63,8 @@
     eras : balsamwind.objects.StoreEras
         Eras that the answers have stated.
     on_malformed : callable
-        Called with the kind and the reason for each object of a list that is
-        left out because its name or its revision can't be read.
+        Called with the kind, name, revision and reason for each object that
+        is left out because it can't be read; the name may be unknown ('').
     """
 
     __slots__ = (
@@ -80,7 +80,7 @@
         self._objects_url = f'http://{address}/v1/objects'
         self.call_counts = collections.Counter()
         self.eras = objects.StoreEras()
-        self.on_malformed = lambda kind, reason: None
+        self.on_malformed = lambda kind, name, revision, reason: None
 
     async def get(self, kind, name, timeout, may_be_stale=False):
         """Read an object; a `StoredObject`, or None if it does not exist."""
@@ -251,7 +251,7 @@
                 with objects.decoding('object'):
                     items.append(self._decode_object(row))
             except exceptions.MalformedValue as error:
-                self.on_malformed(kind, error.message)
+                self.on_malformed(kind, '', 0, error.message)
         return items
 
     def _decode_event(self, event):
--- a/balsamwind/platform/tests/test_odd_entries.py
+++ b/balsamwind/platform/tests/test_odd_entries.py
@@ -13,6 +13,7 @@
 from balsamwind.platform import _client
 from balsamwind.platform import _servers
 from balsamwind.platform import _store
+from balsamwind.platform.tests import any_json
 from balsamwind.platform.tests import test_formats
 from balsamwind import pool
 
@@ -169,7 +170,6 @@
     store = _store.StoreClient(client, 'store:1')
     reader = _client.PlatformClient(client, store)
     left_out = []
-    reader.on_malformed = lambda *details: left_out.append(details)
     store.on_malformed = lambda *details: left_out.append(details)
     return asyncio.run(call(reader)), left_out
 
@@ -216,43 +216,11 @@
     assert [record.server_id for record in records] == ['e1']
 
 
-NUMBERS = strategies.integers() | strategies.floats() | strategies.booleans()
-
-TEXTS = strategies.text() | strategies.text(
-    strategies.characters(min_codepoint=0xD700, max_codepoint=0xE000)
-)
-
-ANY_JSON = strategies.recursive(
-    strategies.none() | NUMBERS | TEXTS,
-    lambda children: (
-        strategies.lists(children, max_size=4)
-        | strategies.dictionaries(TEXTS, children, max_size=4)
-    ),
-    max_leaves=8,
-)
-
-ENTRIES = strategies.fixed_dictionaries(
-    {},
-    optional={
-        name: strategies.just(value) | ANY_JSON
-        for name, value in test_formats.SERVER_ENTRY.items()
-        if name != 'group'
-    }
-    | {
-        'group': ANY_JSON
-        | strategies.fixed_dictionaries(
-            {},
-            optional={
-                name: strategies.just(value) | ANY_JSON
-                for name, value in GROUP.items()
-            },
-        )
-    },
-)
+ENTRIES = any_json.make_variants(test_formats.SERVER_ENTRY)
 """Entries in which each field is sound, missing or of any shape."""
 
 
-@hypothesis.given(ENTRIES | ANY_JSON, TEXTS | strategies.just('e1'))
+@hypothesis.given(ENTRIES, any_json.TEXTS | strategies.just('e1'))
 def test_every_entry_is_a_server_for_all_nodes_or_malformed(spec, name):
     try:
         record = _servers.decode_server(name, 9, spec)
@@ -265,7 +233,7 @@
     f'{record}'.encode()
 
 
-@hypothesis.given(ENTRIES | ANY_JSON)
+@hypothesis.given(ENTRIES)
 def test_every_report_is_read_or_malformed(spec):
     try:
         report = _servers.decode_report(json.dumps(spec).encode())
