Bound numbers of many digits in headers

Cause: dividing the integer raises OverflowError, outside of the part of the relay that answers errors. A load of 20 digits in a server's answer can't be decoded by the publisher that it is sent on to. Ruled out: 5,000 digits, which the interpreter refuses to convert, so that the header counted as absent already. Change: counts in headers are at most 2**53, what nodes keep exact.

--- a/balsamwind/node/tests/test_node.py
+++ b/balsamwind/node/tests/test_node.py
@@ -297,3 +297,22 @@
         return [run.ending for run in fake_platform.trace.runs]
 
     assert _run_scenario(scenario, engines=2) == ['caller gone']
+
+
+def test_request_with_a_budget_of_many_digits_is_served():
+    # Its connection was closed without an answer, and it counted as open
+    # until the node stopped.
+    async def scenario(fake_platform, process):
+        digits = '9' * 400
+        answer = await helpers.send_request(
+            process,
+            helpers.make_request(
+                extra=f'X-Balsamwind-Time-Budget-Ms: {digits}\r\n'
+            ),
+        )
+        await asyncio.sleep(0.05)
+        return answer, process.relay.open_requests
+
+    answer, open_requests = _run_scenario(scenario, engines=2)
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert open_requests == 0
--- a/balsamwind/platform/_headers.py
+++ b/balsamwind/platform/_headers.py
@@ -22,6 +22,7 @@
 _AUTHORIZATION = 'Authorization'
 _AUTHORIZATION_SCHEME = 'token '
 _MAX_SHARED_PARTS = 32
+_MAX_COUNT = 2**53
 
 _STRIPPED_NAMES = frozenset(
     name.lower()
@@ -149,7 +150,7 @@
 
 def _decode_count(text):
     try:
-        return max(0, int(text))
+        return min(max(0, int(text)), _MAX_COUNT)
     except (TypeError, ValueError):
         return None
 
@@ -157,10 +158,10 @@
 def _decode_token_usage(text):
     """Decode the tokens of the prompt and the most tokens of the output."""
     try:
-        prompt, output = text.split(',')
-        return max(0, int(prompt)), max(0, int(output))
-    except (AttributeError, TypeError, ValueError):
+        prompt, output = map(_decode_count, text.split(','))
+    except (AttributeError, ValueError):
         return 0, 0
+    return (0, 0) if None in (prompt, output) else (prompt, output)
 
 
 def _decode_shared_parts(text):
@@ -172,7 +173,8 @@
 def _decode_server_load(text):
     """Decode the counts of running and waiting requests and of slots."""
     try:
-        running, waiting, slots = (int(part) for part in text.split(','))
-    except (AttributeError, TypeError, ValueError):
+        counts = tuple(map(_decode_count, text.split(',')))
+    except AttributeError:
         return None
-    return relay.ReportedLoad(running, waiting, slots)
+    is_readable = len(counts) == 3 and None not in counts
+    return relay.ReportedLoad(*counts) if is_readable else None
--- a/balsamwind/platform/tests/test_formats.py
+++ b/balsamwind/platform/tests/test_formats.py
@@ -233,6 +233,31 @@
     assert metadata == relay.RequestMetadata('')
 
 
+@pytest.mark.parametrize('digits', [15, 16, 400, 5000])
+def test_numbers_of_many_digits_in_headers_are_bounded(digits):
+    # A time budget of 400 digits ended the connection without an answer, and
+    # a load of 20 the connection to the publisher that it was sent to.
+    text = '9' * digits
+    codec = _headers.HeaderCodec()
+    request = codec.decode_request(
+        {
+            'X-Balsamwind-Time-Budget-Ms': text,
+            'X-Balsamwind-Token-Usage': f'{text},{text}',
+            'X-Balsamwind-Length-Hint': text,
+        }
+    )
+    response = codec.decode_response(
+        {'X-Balsamwind-Server-Load': f'{text},0,{text}'}
+    )
+    for value in (
+        request.time_budget,
+        request.prompt_tokens,
+        request.expected_output_tokens,
+        response.load and response.load.running,
+    ):
+        assert value is None or 0 <= value <= 2**53
+
+
 def test_response_headers_are_decoded():
     metadata = _headers.HeaderCodec().decode_response(
         {
