Take no request that a stop would cut

Cause: a connection lives on by what was true when its request was read, idle ones were closed once, and nothing refused what came later. Ruled out: attempts carried for other nodes, of which none is taken after the signal; closing all connections at the signal, as requests that are on their way would be lost for nothing. At the exit each open request gets its final answer.

--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import weakref
 
 from tornado import httpserver
 from tornado import httputil
@@ -24,6 +25,27 @@
 module checks the limit of the settings itself."""
 
 
+class _Shutdown:
+    """How far a server is on its way to the end.
+
+    Attributes
+    ----------
+    announced : bool
+        Whether responses announce the close of their connection.
+    is_closing : bool
+        Whether connections without a request are closed.
+    streams : weakref.WeakSet of tornado.iostream.IOStream
+        Connections whose close was announced.
+    """
+
+    __slots__ = ('announced', 'is_closing', 'streams')
+
+    def __init__(self):
+        self.announced = False
+        self.is_closing = False
+        self.streams = weakref.WeakSet()
+
+
 class Responder:
     """Writes the response to one request of a caller.
 
@@ -31,6 +53,8 @@
     ----------
     connection : tornado.http1connection.HTTP1Connection
         Connection of the caller.
+    shutdown : _Shutdown
+        Tells whether the response announces the close of its connection.
 
     Attributes
     ----------
@@ -48,14 +72,16 @@
         '_closed',
         '_connection',
         '_has_marked_end',
+        '_shutdown',
         'done',
         'http_version',
         'started',
         'status',
     )
 
-    def __init__(self, connection):
+    def __init__(self, connection, shutdown):
         self._connection = connection
+        self._shutdown = shutdown
         self._closed = False
         self._has_marked_end = True
         self.started = False
@@ -89,6 +115,11 @@
         fields = httputil.HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
+        if self._shutdown.announced:
+            # tornado does so only where the request came after the call of
+            # `RelayServer.disable_keep_alive`.
+            fields['Connection'] = 'close'
+            self._shutdown.streams.add(self._connection.stream)
         # HTTP/1.0 has no chunks.
         self._has_marked_end = (
             'Content-Length' in fields or self.http_version != 'HTTP/1.0'
@@ -178,9 +209,14 @@
 
 
 def _has_unread_bytes(stream):
-    """Return whether bytes of a caller have arrived and were not read yet."""
+    """Return whether bytes of a caller have arrived and were not read yet.
+
+    tornado has no public name for the bytes that it has taken from the socket.
+    """
     if stream.closed():
         return False
+    if stream._read_buffer_size:
+        return True
     try:
         return bool(
             stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -195,7 +231,7 @@
     def __init__(self, server, connection):
         self._server = server
         self._connection = connection
-        self._responder = Responder(connection)
+        self._responder = Responder(connection, server.shutdown)
         self._task = None
         self._chunks = []
         self._size = 0
@@ -210,8 +246,11 @@
         answered. A request that arrives after the close is not run.
         """
         stream = self._connection.stream
-        if stream is None or _has_unread_bytes(stream):
-            return
+        if stream is not None and not _has_unread_bytes(stream):
+            self.close()
+
+    def close(self):
+        """Close the connection; no request is taken from it."""
         self._server.discard_idle_receiver(self)
         self._responder.done = True
         self._connection.close()
@@ -309,6 +348,7 @@
     """
 
     def __init__(self, request_relay, clock, limits, log):
+        self.shutdown = _Shutdown()
         self.relay = request_relay
         self.clock = clock
         self.limits = limits
@@ -346,7 +386,8 @@
         self._server.listen(int(port), host)
 
     def disable_keep_alive(self):
-        """Close each connection after its next response."""
+        """Close each connection after the response that begins next on it."""
+        self.shutdown.announced = True
         self._server.conn_params.no_keep_alive = True
 
     def stop(self):
@@ -354,7 +395,11 @@
         self._server.stop()
 
     def close_idle(self):
-        """Close the connections on which no request has arrived."""
+        """Close the connections on which no request has arrived.
+
+        From now on, that holds for connections whose response ends later.
+        """
+        self.shutdown.is_closing = True
         for receiver in list(self._idle_receivers):
             receiver.close_idle()
 
@@ -365,6 +410,10 @@
     def start_request(self, server_conn, request_conn):
         receiver = _RequestReceiver(self, request_conn)
         self._idle_receivers.add(receiver)
+        if request_conn.stream in self.shutdown.streams:
+            receiver.close()
+        elif self.shutdown.is_closing:
+            receiver.close_idle()
         return receiver
 
     def discard_idle_receiver(self, receiver):
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -65,6 +65,10 @@
 """Time before the end of the grace period at which the process exits
 (seconds)."""
 
+LAST_ANSWERS_TIME = 0.2
+"""Part of that margin in which requests that are still open get their final
+answers (seconds)."""
+
 RELOAD_INTERVAL = 3.0
 """Time between two reads of the settings without a signal (seconds)."""
 
@@ -574,7 +578,10 @@
             self._log.info('node_state', **self._state.make_log_fields())
 
     async def drain(self):
-        """Release the leases, and wait for the open requests to finish."""
+        """Release the leases, and wait for the open requests to finish.
+
+        All times are counted from the call, also if the store is slow.
+        """
         started_at = self._clock.monotonic()
         self._log.info('draining', open_requests=self.relay.open_requests)
         self._draining = True
@@ -582,20 +589,44 @@
         self._caller_server.disable_keep_alive()
         for task in self._leader_tasks:
             task.cancel()
-        await asyncio.gather(
-            *(leader.lease.release() for leader in self._leaders)
+        exit_time = self._settings.bounds.grace - EXIT_MARGIN
+        results = await asyncio.gather(
+            self._close_callers(
+                min(READINESS_PROPAGATION_TIME, exit_time / 2)
+            ),
+            *(leader.lease.release() for leader in self._leaders),
+            return_exceptions=True,
         )
-        await asyncio.sleep(READINESS_PROPAGATION_TIME)
-        # A request that arrives later on a kept-alive connection could not
-        # finish in time.
-        self._caller_server.stop()
-        self._caller_server.close_idle()
-        await asyncio.sleep(DRAIN_POLL_INTERVAL)
-        deadline = started_at + self._settings.bounds.grace - EXIT_MARGIN
+        for error in filter(None, results):
+            self._log.error('drain_step_failed', error=repr(error))
+        deadline = started_at + exit_time
         while self._has_open_work() and self._clock.monotonic() < deadline:
             await asyncio.sleep(DRAIN_POLL_INTERVAL)
+        if self.relay.open_requests:
+            await self._end_open_requests()
         self._log.info('drained', open_requests=self.relay.open_requests)
 
+    async def _close_callers(self, delay):
+        """Close connections without a request, and take no further ones.
+
+        A request that arrives later could not finish in time.
+        """
+        await asyncio.sleep(delay)
+        self.relay.refuses_new = True
+        self._caller_server.stop()
+        self._caller_server.close_idle()
+        await asyncio.sleep(DRAIN_POLL_INTERVAL)
+
+    async def _end_open_requests(self):
+        """Answer the requests that are open when this node must exit."""
+        self._log.warning(
+            'requests_ended_at_exit', open_requests=self.relay.open_requests
+        )
+        self.relay.end_open_requests()
+        deadline = self._clock.monotonic() + LAST_ANSWERS_TIME
+        while self.relay.open_requests and self._clock.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL / 5)
+
     def _has_open_work(self):
         return bool(
             self.relay.open_requests or self._attempt_carrier.open_attempts
--- /dev/null
+++ b/balsamwind/node/tests/test_planned_stop.py
@@ -0,0 +1,188 @@
+"""Connections of callers around the planned stop of a node."""
+
+import asyncio
+
+import pytest
+
+from balsamwind.node import _process
+from balsamwind.node.tests import helpers
+
+CLOSE_DELAY = 0.4
+"""Time from the signal to the close of idle connections (seconds)."""
+
+EVENT_INTERVAL = 0.15
+"""Time between two of the six events of a stream (seconds)."""
+
+
+@pytest.fixture(autouse=True)
+def _shorten_times(monkeypatch):
+    monkeypatch.setattr(_process, 'READINESS_PROPAGATION_TIME', CLOSE_DELAY)
+
+
+def _run_scenario(scenario, engines=2, **values):
+    async def body():
+        async with (
+            helpers.open_platform(engines) as fake_platform,
+            helpers.open_node(fake_platform, **values) as process,
+        ):
+            await helpers.wait_until(
+                lambda: helpers.count_serving_groups(process) == engines // 2
+            )
+            for engine in fake_platform.engines.values():
+                engine.event_interval = EVENT_INTERVAL
+            return await scenario(fake_platform, process)
+
+    return asyncio.run(body())
+
+
+def _list_ran(fake_platform):
+    return [run.request_id for run in fake_platform.trace.runs]
+
+
+async def _connect(process):
+    host, port = process.settings.callers.rsplit(':', 1)
+    return await asyncio.open_connection(host, int(port))
+
+
+async def _read_answer(reader):
+    """Read one answer; empty if the connection ends before it."""
+    answer = b''
+    while not answer.endswith(b'0\r\n\r\n'):
+        chunk = await asyncio.wait_for(reader.read(65536), 4.0)
+        if not chunk:
+            break
+        answer += chunk
+        head, separator, body = answer.partition(b'\r\n\r\n')
+        if separator and b'Content-Length' in head:
+            break
+    return answer
+
+
+REQUEST = helpers.make_request(request_id='late')
+HEAD, _, BODY = REQUEST.partition(b'\r\n\r\n')
+HEAD += b'\r\n\r\n'
+
+
+def _find_split(sent_before):
+    return {'head': 30, 'body': len(HEAD) + 1, 'nothing': 0}[sent_before]
+
+
+@pytest.mark.parametrize('has_answer', [False, True])
+@pytest.mark.parametrize('sent_before', ['nothing', 'head', 'body'])
+def test_request_that_is_complete_after_the_close_is_not_run(
+    sent_before, has_answer
+):
+    # A connection that was busy when the idle ones were closed stayed open:
+    # its next request ran, and was cut as the process exited (LOST).
+    async def scenario(fake_platform, process):
+        reader, writer = await _connect(process)
+        if has_answer:
+            writer.write(helpers.make_request(request_id='first'))
+            await helpers.wait_until(lambda: process.relay.open_requests)
+        split = _find_split(sent_before)
+        if not has_answer:
+            writer.write(REQUEST[:split])
+        draining = asyncio.ensure_future(process.drain())
+        await asyncio.sleep(CLOSE_DELAY + 0.2)
+        first = await _read_answer(reader) if has_answer else b''
+        if has_answer:
+            writer.write(REQUEST[:split])
+            await asyncio.sleep(0.05)
+        writer.write(REQUEST[split:])
+        try:
+            answer = await _read_answer(reader)
+        except ConnectionError:
+            answer = b''
+        await draining
+        return first, answer, _list_ran(fake_platform)
+
+    first, answer, ran = _run_scenario(scenario)
+    assert 'late' not in ran
+    assert answer == b'' or answer.startswith(b'HTTP/1.1 503')
+    if has_answer:
+        assert first.count(b'data: token') == 6
+    elif sent_before != 'nothing':
+        # What a caller has begun to send is read, and refused at once.
+        assert b'Connection: close' in answer
+        assert b'Retry-After: 0.000' in answer
+
+
+def test_request_sent_behind_another_is_not_run_after_the_close():
+    # Both arrive before the signal; the first is answered after the close.
+    async def scenario(fake_platform, process):
+        reader, writer = await _connect(process)
+        writer.write(helpers.make_request(request_id='first') + REQUEST)
+        await helpers.wait_until(lambda: process.relay.open_requests)
+        await process.drain()
+        answers = await asyncio.wait_for(reader.read(), 2.0)
+        return answers, _list_ran(fake_platform)
+
+    answers, ran = _run_scenario(scenario)
+    assert ran == ['first']
+    assert answers.count(b'data: token') == 6
+    assert answers.count(b'HTTP/1.1') == 1 or b'HTTP/1.1 503' in answers
+
+
+def test_answer_that_begins_after_the_signal_ends_its_connection():
+    # The head of the request came before the signal, so that tornado kept
+    # the connection alive without a word to the caller.
+    async def scenario(fake_platform, process):
+        reader, writer = await _connect(process)
+        writer.write(HEAD)
+        await asyncio.sleep(0.1)
+        draining = asyncio.ensure_future(process.drain())
+        await asyncio.sleep(0.1)
+        writer.write(BODY)
+        answer = await _read_answer(reader)
+        is_closed = await asyncio.wait_for(reader.read(), 2.0) == b''
+        await draining
+        return answer, is_closed
+
+    answer, is_closed = _run_scenario(scenario)
+    assert answer.count(b'data: token') == 6
+    assert b'Connection: close' in answer
+    assert is_closed
+
+
+def test_connections_are_closed_in_time_while_the_store_is_silent():
+    # The close waited for the answer to the release of the leases, so that
+    # requests were taken later than they could finish.
+    async def scenario(fake_platform, process):
+        await helpers.wait_until(process._is_leader)
+        reader, _ = await _connect(process)
+        fake_platform.store.faults.down = 'silent'
+        started_at = asyncio.get_running_loop().time()
+        draining = asyncio.ensure_future(process.drain())
+        await reader.read()
+        lasted = asyncio.get_running_loop().time() - started_at
+        await draining
+        return lasted
+
+    assert _run_scenario(scenario) < CLOSE_DELAY + 0.3
+
+
+@pytest.mark.parametrize(
+    ('engines', 'status'),
+    [
+        pytest.param(0, b'503', id='waits for a group'),
+        pytest.param(2, b'504', id='waits for a silent engine'),
+    ],
+)
+def test_request_that_is_open_at_the_exit_gets_an_answer(
+    monkeypatch, engines, status
+):
+    # Its connection was cut, and its caller knew nothing of it (LOST).
+    async def scenario(fake_platform, process):
+        for engine in fake_platform.engines.values():
+            engine.dark = True
+        monkeypatch.setattr(_process, 'EXIT_MARGIN', 7.5)
+        reader, writer = await _connect(process)
+        writer.write(REQUEST)
+        await helpers.wait_until(lambda: process.relay.open_requests)
+        answer = asyncio.ensure_future(_read_answer(reader))
+        await process.drain()
+        await asyncio.sleep(0.05)
+        return answer.result() if answer.done() else b''
+
+    answer = _run_scenario(scenario, engines)
+    assert answer.startswith(b'HTTP/1.1 ' + status)
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -173,32 +173,43 @@
     def _find_read_timeout(self):
         return max(self._time_left(), 0.0) + _direct_path.READ_MARGIN
 
-    def make_timeout_error(self):
-        """Make the error for a request whose deadline has passed.
+    def make_timeout_error(self, is_ending=False):
+        """Make the error for a request that has run out of time.
 
         An attempt that is under way is logged, so that the log names the
         backend at which the request was waiting.
 
+        Parameters
+        ----------
+        is_ending : bool
+            Whether this node ends, before the deadline of the request.
+
         Returns
         -------
         balsamwind.exceptions.BalsamwindError
-            `DeadlineExceeded` if the request may have run, else `Overloaded`.
+            `DeadlineExceeded` if the request may have run, else `Overloaded`,
+            or `Draining` if this node ends.
         """
+        cause = 'this node ended' if is_ending else 'the deadline passed'
         may_have_run = self._sender.may_be_sent or (
             self._ambiguous_failure is not None
         )
         if may_have_run:
             error = exceptions.DeadlineExceeded(
-                'the deadline passed after a backend server may have received'
-                ' the request'
+                f'{cause} after a backend server may have received the request'
             )
             if self._backend is not None:
                 self._log_failed_attempt(
                     self._backend, _attempts.Failure(error)
                 )
             return error
+        if is_ending:
+            return exceptions.Draining(
+                f'{cause} before a backend server accepted the request',
+                retry_after=0.0,
+            )
         return exceptions.Overloaded(
-            'the deadline passed before a backend server accepted the request'
+            f'{cause} before a backend server accepted the request'
         )
 
     async def run(self):
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -1,6 +1,7 @@
 """Entry point of the request path: routing, then forwarding of a request."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 
@@ -121,6 +122,8 @@
         Returns whether this node does not know it yet.
     homes : balsamwind.traffic.Homes
         Data centres in which requests may run.
+    refuses_new : bool
+        Whether requests that arrive are refused, as this node stops.
     open_requests : int
         Requests that have no final response yet (count).
     requests_received : int
@@ -178,8 +181,11 @@
         self.start_wait = _start_wait.StartWait(clock, request_log.log)
         self.is_starting = self._lacks_configuration
         self.homes = traffic.Homes({})
+        self.refuses_new = False
         self.open_requests = 0
         self.requests_received = 0
+        self._timeouts = set()
+        self._is_ending = False
 
     def _lacks_configuration(self):
         """Stand in where entries of servers are not awaited."""
@@ -300,9 +306,26 @@
             error.retry_after = DEFAULT_RETRY_AFTER
         responder.fail(error)
 
+    def end_open_requests(self):
+        """Give all open requests their final response, as this node ends.
+
+        A response that has begun is cut. One that has not says whether the
+        request may have run.
+        """
+        self._is_ending = True
+        self.start_wait.end()
+        now = asyncio.get_running_loop().time()
+        for timeout in self._timeouts:
+            if not timeout.expired():
+                timeout.reschedule(now)
+
     async def _forward(self, request, metadata, responder):
+        if self.refuses_new:
+            raise exceptions.Draining('this node stops', retry_after=0.0)
         if not self.start_wait.is_over and self.is_starting():
             await self.start_wait.wait(metadata.time_budget)
+            if self._is_ending:
+                raise exceptions.Draining('this node ended', retry_after=0.0)
         route = self.configuration.find_route(request.host, request.path)
         account = self.configuration.authenticate(
             route, metadata.api_key, self.clock.monotonic()
@@ -326,12 +349,24 @@
         self._record_arrival(service, metadata)
         time_left = request.received_at + timeout - self.clock.monotonic()
         try:
-            async with asyncio.timeout(max(0.0, time_left) + RESPONSE_GRACE):
+            async with self._limit_time(time_left):
                 await forwarder.run()
         except TimeoutError:
-            raise forwarder.make_timeout_error() from None
+            raise forwarder.make_timeout_error(self._is_ending) from None
         self.request_log.record_request(request, metadata, 'ok')
 
+    @contextlib.asynccontextmanager
+    async def _limit_time(self, time_left):
+        """End the block some time after the deadline, or with this node."""
+        async with asyncio.timeout(
+            max(0.0, time_left) + RESPONSE_GRACE
+        ) as timeout:
+            self._timeouts.add(timeout)
+            try:
+                yield
+            finally:
+                self._timeouts.discard(timeout)
+
     def _record_arrival(self, service, metadata):
         now = self.clock.monotonic()
         self.get_retry_budget(service.name).record_request(now)
