Never unlearn that a server has left

Cause: after an outage a node keeps servers that the store lacks for a moment, as they could not renew their entries. Its publications contained them as listed, and subscribers took the same revision over their own knowledge of the removal. Nothing said as of when a list was true. Ruled out: the rate of the watch (a subscriber hears of a removal within 1.1 s); retries, which these bookings do not have. Change: lists and changes carry the revision up to which they hold; what is behind the own knowledge is not applied, nor is its sender relied upon. Publications hold what the store has said; each node judges by its own outage what it keeps, until 2.85 s after its last failed call was sent. After an outage, and for subscribers that got no list, the whole list is sent, in one step with the connection. Removals and outdated updates are logged with source and revision.

--- a/balsamwind/adapters/_update_link.py
+++ b/balsamwind/adapters/_update_link.py
@@ -118,9 +118,11 @@
     async def _serve_subscriber(self, connection):
         session = self._open_session(functools.partial(send_frame, connection))
         try:
+            # Without a wait between them, nothing that is published meanwhile
+            # is missed.
             first_frame = self._make_first_frame()
             if first_frame is not None:
-                await connection.send(first_frame)
+                send_frame(connection, first_frame)
             self._connections.add(connection)
             async for data in connection:
                 reply = session.handle(data)
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -226,16 +226,18 @@
             return True
         await asyncio.sleep(ORDER_SETTLE_TIME)
         try:
-            _, records = await self._platform.list_servers(LIST_TIMEOUT)
+            revision, records = await self._platform.list_servers(LIST_TIMEOUT)
         except exceptions.StoreError as error:
             self._log.info('entries_not_listed', reason=str(error))
             return False
-        changed, removed = self._registry.apply_full_list(
-            records, self._clock.monotonic()
-        )
-        # The next regular list finds nothing new, so nobody else would tell
-        # the subscribers of this node.
-        self._publish_changes(changed, removed)
+        # A watch may have told more since the list was read.
+        if not self._registry.is_outdated(revision):
+            changed, removed = self._registry.apply_full_list(
+                records, self._clock.monotonic(), revision
+            )
+            # The next regular list finds nothing new, so nobody else would
+            # tell the subscribers of this node.
+            self._publish_changes(changed, removed)
         self._listed_fencing = fencing
         return self.lease.held
 
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -17,6 +17,7 @@
 from balsamwind.node import _attempt_server
 from balsamwind.node import _configuration_updater
 from balsamwind.node import _configuration_watcher
+from balsamwind.node import _entry_contact
 from balsamwind.node import _evacuation_watcher
 from balsamwind.node import _evidence_exchange
 from balsamwind.node import _evidence_records
@@ -75,6 +76,9 @@
 STATE_LOG_INTERVAL = 15.0
 """Time between two log lines about the state of the node (seconds)."""
 
+GRACE_TIMER_MARGIN = 0.01
+"""Time by which the timer of the relisting grace may fire early (seconds)."""
+
 DRAIN_POLL_INTERVAL = 0.05
 """Time between two checks for open requests while draining (seconds)."""
 
@@ -220,6 +224,8 @@
             self._log,
             self._apply_configuration,
         )
+        contact = _entry_contact.EntryContact(self.registry, self._clock)
+        contact.on_grace = self._end_grace_later
         self.subscriber = _update_subscriber.UpdateSubscriber(
             settings.name,
             self.registry,
@@ -232,6 +238,7 @@
             link,
             self.relay.placement,
             settings.first_start,
+            contact,
         )
         self.relay.placement.convert_time = self.subscriber.convert_time
         self._evidence = _evidence_exchange.EvidenceExchange(
@@ -285,6 +292,7 @@
             self._awaits_changes,
             self.subscriber,
             self._publisher,
+            contact,
         )
         self._evacuation_watcher = _evacuation_watcher.EvacuationWatcher(
             platform,
@@ -351,6 +359,13 @@
         )
         self._leader_tasks = []
 
+    def _end_grace_later(self, seconds):
+        """Stop using servers that the store lacks, after some time."""
+        asyncio.get_running_loop().call_later(
+            seconds + GRACE_TIMER_MARGIN,
+            lambda: self.registry.evict_expired(self._clock.monotonic()),
+        )
+
     def _record_return(self, data_centre):
         """Treat the servers of a data centre as cold after its evacuation."""
         self.relay.server_statements.limits.cold.servers.record_return(
--- a/balsamwind/node/_server_watcher.py
+++ b/balsamwind/node/_server_watcher.py
@@ -26,13 +26,16 @@
 """Time between two reads of the whole list, in case a watch missed changes
 (seconds)."""
 
-RELIST_DELAY_AFTER_OUTAGE = 2.7
+RELIST_DELAY_AFTER_OUTAGE = 2.9
 """Time until the whole list is read again after an outage of the store
 (seconds)."""
 
-OUTAGE_THRESHOLD = 1.5
-"""Time without answers of the store after which entries may have expired there
-(seconds)."""
+MIN_RETRY_WAIT = 0.05
+"""Least wait after a call that failed late (seconds); its timeout and this
+time bound how late the return of the store is noticed."""
+
+MAX_LOGGED_SERVERS = 5
+"""Ids of servers in one log line (count)."""
 
 
 class ServerWatcher:
@@ -56,6 +59,8 @@
         Tells whether a publisher keeps the registry up to date.
     publisher : UpdatePublisher
         Passes on what is read to the subscribers of this node.
+    contact : EntryContact
+        Notices the end of an outage.
     """
 
     def __init__(
@@ -68,7 +73,9 @@
         awaits_changes,
         subscriber,
         publisher,
+        contact,
     ):
+        self._contact = contact
         self._is_leader = is_leader
         self._awaits_changes = awaits_changes
         self._subscriber = subscriber
@@ -82,6 +89,7 @@
         )
         self._next_list_at = 0.0
         self._may_lack_changes = False
+        self._sent_at = clock.monotonic()
 
     async def run(self):
         """Keep the registry up to date; never returns."""
@@ -98,8 +106,11 @@
             except exceptions.HistoryGone as error:
                 self._log.info('watch_restarted', reason=str(error))
             except exceptions.StoreError as error:
+                self._contact.record_failure(self._sent_at)
+                wait = self._availability.record_failure(error)
+                wait -= self._clock.monotonic() - self._sent_at
                 await _store_availability.wait_for_retry(
-                    self._availability.record_failure(error),
+                    max(wait, MIN_RETRY_WAIT),
                     self._subscriber.has_fresh_servers,
                     self._is_leader() or self._subscriber.reads_store_first,
                 )
@@ -120,13 +131,20 @@
             raise
 
     async def _follow(self):
+        self._sent_at = self._clock.monotonic()
         revision, records = await self._platform.list_servers(CALL_TIMEOUT)
         now = self._clock.monotonic()
         self._next_list_at = now + RELIST_INTERVAL
         if now < self._registry.restored_until:
             self._next_list_at = self._registry.restored_until
-        self._record_answer(now)
-        changed, removed = self._registry.apply_full_list(records, now)
+        if self._record_answer(now):
+            # Subscribers that were not cut off learn what has left meanwhile,
+            # also if this node keeps using it for a moment.
+            self._may_lack_changes = True
+        changed, removed = self._registry.apply_full_list(
+            records, now, revision
+        )
+        log_removed(self._log, removed, revision, 'store')
         self._registry.evict_expired(now)
         if self._may_lack_changes:
             self._publisher.publish_whole()
@@ -142,20 +160,23 @@
             )
             if self._relies_on_publisher():
                 return
+            self._sent_at = self._clock.monotonic()
             revision, changes = await self._platform.watch_servers(
                 revision, WATCH_TIME, WATCH_TIME + WATCH_MARGIN
             )
             now = self._clock.monotonic()
             self._record_answer(now)
-            self._apply(changes, now)
+            self._apply(changes, now, revision)
 
     def _record_answer(self, now):
-        silence = self._availability.record_answer()
-        if silence > WATCH_TIME + OUTAGE_THRESHOLD:
-            self._registry.start_relisting_grace(now)
-            self._next_list_at = now + RELIST_DELAY_AFTER_OUTAGE
-
-    def _apply(self, changes, now):
+        """Record an answer; whether it comes after an outage."""
+        self._availability.record_answer()
+        if not self._contact.record_answer():
+            return False
+        self._next_list_at = now + RELIST_DELAY_AFTER_OUTAGE
+        return True
+
+    def _apply(self, changes, now, revision):
         records = []
         removed = []
         for change in changes:
@@ -167,6 +188,8 @@
                 previous = self._registry.apply_entry(change, now)
                 self._log_change(previous, change)
                 records.append(change)
+        log_removed(self._log, removed, revision, 'store')
+        self._registry.revision = revision
         self._publisher.publish_changes(records, removed)
 
     def _log_change(self, previous, record):
@@ -189,6 +212,30 @@
         )
 
 
+def log_removed(log, removed, revision, source):
+    """Log which servers are no longer listed, and who says so.
+
+    Parameters
+    ----------
+    log : structlog logger
+        Logger of the node.
+    removed : sequence of balsamwind.pool.RemovedServer
+        The servers.
+    revision : int
+        Store revision up to which the source knows all changes.
+    source : str
+        The store, or the address of a publisher.
+    """
+    if removed:
+        log.info(
+            'servers_unlisted',
+            source=source,
+            revision=revision,
+            servers=[item.server_id for item in removed[:MAX_LOGGED_SERVERS]],
+            count=len(removed),
+        )
+
+
 def _heads_open_group(record):
     """Whether an engine reports that it is the head of an open group."""
     membership = record.membership
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -72,6 +72,7 @@
         self._packed = b''
         self._is_large = False
         self._last_publish_at = float('-inf')
+        self._owes_whole = False
         self.server = adapters.UpdateServer(
             self._make_first_frame, self.open_session, log
         )
@@ -93,16 +94,22 @@
         Returns
         -------
         bytes or None
-            Snapshot of the registry; None while the store does not answer.
+            Snapshot of the registry; None while the store does not answer,
+            and all subscribers get one with its next answer.
         """
         if self._clock.monotonic() - self._last_publish_at > PUBLISHER_TIMEOUT:
+            self._owes_whole = True
             return None
         return _updates.encode_frame(self._make_snapshot())
 
     def _make_snapshot(self):
-        records = tuple(item for item in self._registry if item.listed)
         return self._add_evacuations(
-            _updates.ServerUpdate(whole=True, records=records)
+            _updates.ServerUpdate(
+                whole=True,
+                records=self._registry.find_listed(),
+                revision=self._registry.revision,
+                grace=self._registry.find_grace_left(self._clock.monotonic()),
+            )
         )
 
     def _add_evacuations(self, update):
@@ -116,16 +123,25 @@
     def publish_changes(self, records, removed):
         """Publish changed entries; without any, a sign of life."""
         self.publish(
-            _updates.ServerUpdate(False, tuple(records), tuple(removed))
+            _updates.ServerUpdate(
+                False,
+                tuple(records),
+                tuple(removed),
+                revision=self._registry.revision,
+            )
         )
 
     def publish_whole(self):
         """Publish all listed entries, as subscribers may lack changes."""
-        self.publish(self._make_snapshot())
+        self._owes_whole = True
+        self.publish(_updates.ServerUpdate())
 
     def publish(self, update):
         """Send one `ServerUpdate` to all subscribers."""
         self._last_publish_at = self._clock.monotonic()
+        if self._owes_whole:
+            self._owes_whole = False
+            update = self._make_snapshot()
         if self.server.subscriber_count:
             update = self._add_evacuations(update)
             self.server.broadcast(_updates.encode_frame(update))
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -11,8 +11,10 @@
 from balsamwind import exceptions
 from balsamwind.node import _frame_codec
 from balsamwind.node import _ranking
+from balsamwind.node import _server_watcher
 from balsamwind.node import _update_publisher
 from balsamwind.node import _updates
+from balsamwind import pool
 from balsamwind import relay
 
 PUBLISHER_COUNT = 2
@@ -107,6 +109,8 @@
         Whether to wait long for a publisher at the start, because no caller
         waits for this node yet and all others start as well. Otherwise the
         wait is short.
+    contact : EntryContact
+        Notices the end of an outage.
 
     Attributes
     ----------
@@ -135,7 +139,9 @@
         link,
         placement,
         waits_at_start,
+        contact,
     ):
+        self._contact = contact
         self._name = name
         self._forward = forward
         self._registry = registry
@@ -159,7 +165,10 @@
         )
         self._publishers = ()
         self._last_update_at = float('-inf')
+        self._last_heard_at = float('-inf')
         self._is_missing_update = False
+        self._is_complete = False
+        self._source = ''
         self._proved_at = float('-inf')
         self._newest_version = 0
         self._request_number = 0
@@ -283,6 +292,8 @@
             self._log.info('news_heard', source=address)
             self._clock_offset = None
             self._is_missing_update = False
+            self._is_complete = False
+            self._source = address
             self._unknown_from_publisher = (
                 self.unknown_messages.open_connection('subscriber', address)
             )
@@ -300,7 +311,7 @@
                         connection, _update_publisher.PUBLISHER_TIMEOUT
                     )
                     self._handle(_updates.decode_frame(data))
-                    last_update_at = max(last_update_at, self._last_update_at)
+                    last_update_at = max(last_update_at, self._last_heard_at)
                     self._check_server_updates(last_update_at)
             finally:
                 self._link.detach(connection)
@@ -374,19 +385,64 @@
         self._unknown_from_publisher.add(message)
         if message.tag == _updates.SERVER_UPDATE_TAG:
             self._is_missing_update = True
+            self._is_complete = False
 
     def _accept_servers(self, message):
+        """Apply an update, unless this node knows more than its publisher."""
         now = self._clock.monotonic()
+        self._last_heard_at = now
         if message.whole:
             self._is_missing_update = False
-        message = self._correct(message)
+            self._is_complete = bool(message.revision)
         # An evacuation is in force before its servers are known.
         self._receive_evacuations(message.evacuations)
+        if self._registry.is_outdated(message.revision):
+            self._log_outdated(message)
+            self._note_leaving(message.records)
+            return
+        self._contact.record_news(message.grace)
+        message = self._correct(message)
         self._apply_servers(message, now)
         if not self._is_missing_update:
             self._last_update_at = now
             self._forward(message)
 
+    def _note_leaving(self, records):
+        """Take over that servers say that they leave, which no revision shows.
+
+        Parameters
+        ----------
+        records : tuple of balsamwind.pool.ServerRecord
+            Entries of an update that is outdated otherwise.
+        """
+        leaving = []
+        for record in records:
+            known = self._registry.get(record.server_id)
+            if (
+                record.state is pool.ServerState.DRAINING
+                and known is not None
+                and (known.revision, known.born)
+                == (record.revision, record.born)
+                and self._registry.mark_leaving(record.server_id, record.born)
+            ):
+                leaving.append(self._registry.get(record.server_id))
+        if leaving:
+            self._forward(
+                _updates.ServerUpdate(
+                    records=tuple(leaving), revision=self._registry.revision
+                )
+            )
+
+    def _log_outdated(self, message):
+        """Log an update that would undo what is known; signs of life not."""
+        if message.records or message.removed:
+            self._log.info(
+                'entries_outdated',
+                source=self._source,
+                revision=message.revision,
+                known=self._registry.revision,
+            )
+
     def _compare_clocks(self, reading):
         """Find a lower bound of the time between the two clocks.
 
@@ -478,10 +534,24 @@
             )
 
     def _apply_servers(self, message, now):
+        records = message.records
+        if not message.revision:
+            records = self._registry.leave_out_unlisted(records)
         if message.whole:
-            self._registry.apply_full_list(message.records, now)
-            return
-        for record in message.records:
+            _, removed = self._registry.apply_full_list(
+                records, now, message.revision or None
+            )
+        else:
+            removed = message.removed
+            self._apply_changes(records, removed, now)
+            if self._is_complete:
+                self._registry.revision = message.revision
+        _server_watcher.log_removed(
+            self._log, removed, message.revision, self._source
+        )
+
+    def _apply_changes(self, records, removed, now):
+        for record in records:
             self._registry.apply_entry(record, now)
-        for removed in message.removed:
-            self._registry.apply_removal(removed, now)
+        for item in removed:
+            self._registry.apply_removal(item, now)
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -55,12 +55,21 @@
         Entries that are no longer listed.
     evacuations : EvacuationNotice or None
         Evacuated data centres; None if the publisher does not know them.
+    revision : int
+        Store revision up to which the publisher knows all changes; 0 if it
+        does not state any, as earlier builds.
+    grace : float
+        Time for which the publisher itself goes on using servers that the
+        store lacks after an outage, and that are not among `records`
+        (seconds). Only subscribers that were cut off as well do so.
     """
 
     whole: bool = False
     records: tuple[pool.ServerRecord, ...] = ()
     removed: tuple[pool.RemovedServer, ...] = ()
     evacuations: EvacuationNotice | None = None
+    revision: int = 0
+    grace: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/node/tests/test_homes.py
+++ b/balsamwind/node/tests/test_homes.py
@@ -100,6 +100,7 @@
         None,
         None,
         False,
+        None,
     )
     subscriber._clock_offset = 0.0
     change = dataclasses.replace(
--- a/balsamwind/node/tests/test_proofs_state_machine.py
+++ b/balsamwind/node/tests/test_proofs_state_machine.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from balsamwind.node import _configuration_updater
+from balsamwind.node import _entry_contact
 from balsamwind.node import _placement_client
 from balsamwind.node import _publisher_link
 from balsamwind.node import _ranking
@@ -72,9 +73,10 @@
             self.cache, self.publisher, doubles.Log(), lambda: None
         )
         link = _publisher_link.PublisherLink()
+        registry = pool.ServerRegistry()
         self.subscriber = _update_subscriber.UpdateSubscriber(
             NAMES[rank],
-            pool.ServerRegistry(),
+            registry,
             self.updater,
             self.clock,
             doubles.Log(),
@@ -84,6 +86,7 @@
             link,
             _placement_client.PlacementClient(link, self.clock, doubles.Log()),
             True,
+            _entry_contact.EntryContact(registry, self.clock),
         )
         self.subscriber.set_nodes(
             [_ranking.RegisteredNode(name, name) for name in NAMES]
--- a/balsamwind/node/tests/test_updates.py
+++ b/balsamwind/node/tests/test_updates.py
@@ -10,6 +10,7 @@
 
 from balsamwind import exceptions
 from balsamwind.node import _configuration_updater
+from balsamwind.node import _entry_contact
 from balsamwind.node import _placement_client
 from balsamwind.node import _publisher_link
 from balsamwind.node import _ranking
@@ -347,9 +348,10 @@
         for number in range(rank + 1)
     ]
     link = _publisher_link.PublisherLink()
+    registry = pool.ServerRegistry()
     subscriber = _update_subscriber.UpdateSubscriber(
         f'n{rank}',
-        pool.ServerRegistry(),
+        registry,
         updater,
         clock,
         doubles.Log(),
@@ -359,6 +361,7 @@
         link,
         _placement_client.PlacementClient(link, clock, doubles.Log()),
         waits_at_start,
+        _entry_contact.EntryContact(registry, clock),
     )
     subscriber.set_nodes(nodes)
     clock.now += _update_subscriber.SUBSCRIPTION_TIME
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -4,11 +4,13 @@
 
 from balsamwind.pool import _records
 
-RELISTING_GRACE = 2.5
-"""Time after an outage of the store during which listed servers that are
-absent from a full list stay listed (seconds).
+RELISTING_GRACE = 2.85
+"""Time from the last call that failed in an outage of the store during which
+listed servers that are absent from a full list stay listed (seconds).
 
-Entries lapse while servers can't renew them, and reappear within this time.
+Entries lapse while servers can't renew them. They reappear within two seconds
+of the store's return, which is noticed up to 0.85 s later. A node that alone
+was cut off is to know three seconds after it what has left.
 """
 
 UNLISTED_RETENTION = 60.0
@@ -27,11 +29,17 @@
     while, with `listed` set to False: its engine may still run, and the group
     of the engine may still be open.
 
+    Right after an outage of the store, entries that it lacks are kept as
+    listed for the node's own use. Others are told what the store has said, as
+    they may not have been cut off themselves.
+
     Attributes
     ----------
     change_count : int
         Number of changes to the entries so far (count). Readers compare it to
         tell whether what they derived from the entries is still current.
+    revision : int
+        Store revision up to which all changes are known; 0 if there is none.
     """
 
     __slots__ = (
@@ -39,11 +47,13 @@
         '_leaving',
         '_listed_since',
         '_listeners',
+        '_missing',
         '_records',
         '_records_by_service',
         '_restored_until',
         '_unlisted_since',
         'change_count',
+        'revision',
     )
 
     def __init__(self):
@@ -55,7 +65,9 @@
         self._listed_since = {}
         self._grace_until = float('-inf')
         self._restored_until = float('-inf')
+        self._missing = set()
         self.change_count = 0
+        self.revision = 0
 
     def __iter__(self):
         return iter(self._records.values())
@@ -89,6 +101,57 @@
         """
         return list(self._records_by_service.get(service, {}).values())
 
+    def find_listed(self):
+        """Return the entries that the store has, as far as it was heard.
+
+        Returns
+        -------
+        tuple of ServerRecord
+            Without those that are only kept after an outage.
+        """
+        return tuple(
+            record
+            for record in self
+            if record.listed and record.server_id not in self._missing
+        )
+
+    def is_outdated(self, revision):
+        """Tell whether something newer is known than a list or a change.
+
+        Parameters
+        ----------
+        revision : int
+            Store revision up to which the sender knows all changes; 0 if it
+            doesn't state any.
+
+        Returns
+        -------
+        bool
+        """
+        return 0 < revision < self.revision
+
+    def leave_out_unlisted(self, records):
+        """Leave out entries of which this registry knows that they are gone.
+
+        Parameters
+        ----------
+        records : iterable of ServerRecord
+            Entries that a node lists that does not state as of when.
+
+        Returns
+        -------
+        list of ServerRecord
+        """
+        return [record for record in records if not self._is_gone(record)]
+
+    def _is_gone(self, record):
+        known = self._records.get(record.server_id)
+        return (
+            known is not None
+            and not known.listed
+            and record.revision <= known.revision
+        )
+
     def add_listener(self, listener):
         """Report each change of an entry from now on.
 
@@ -173,15 +236,40 @@
             return record
         return dataclasses.replace(record, state=_records.ServerState.DRAINING)
 
-    def start_relisting_grace(self, now):
+    def start_relisting_grace(self, failed_at):
         """Note that the store answers again after an outage.
 
+        Parameters
+        ----------
+        failed_at : float
+            When the last call that failed was sent (monotonic time, seconds).
+        """
+        self.keep_missing_until(failed_at + RELISTING_GRACE)
+
+    def keep_missing_until(self, until):
+        """Keep listed servers for a while if a full list lacks them.
+
+        Parameters
+        ----------
+        until : float
+            Monotonic time (seconds).
+        """
+        self._grace_until = until
+
+    def find_grace_left(self, now):
+        """Find for how long servers that a full list lacks are kept.
+
         Parameters
         ----------
         now : float
             Current monotonic time (seconds).
+
+        Returns
+        -------
+        float
+            Time (seconds); 0 if they are not.
         """
-        self._grace_until = now + RELISTING_GRACE
+        return max(0.0, self._grace_until - now)
 
     def start_restore_grace(self, until):
         """Distrust lists for a while, as the store is from an older copy.
@@ -213,12 +301,13 @@
                     dataclasses.replace(known, revision=record.revision),
                 )
 
-    def apply_full_list(self, records, now):
+    def apply_full_list(self, records, now, revision=None):
         """Apply a full list of entries.
 
-        Servers that the list does not contain become unlisted, unless the
-        store was unavailable a moment ago. While the store may hold an older
-        copy, known entries keep their content and others are not added.
+        Servers that the list does not contain become unlisted; if the store
+        was unavailable a moment ago, only once it has had time to list them
+        again. While the store may hold an older copy, known entries keep
+        their content and others are not added.
 
         Parameters
         ----------
@@ -226,6 +315,8 @@
             All entries that the platform lists.
         now : float
             Current monotonic time (seconds).
+        revision : int or None
+            Store revision of the list; None if it is not known.
 
         Returns
         -------
@@ -233,23 +324,17 @@
             Entries that were not known like this, and those that became
             unlisted.
         """
+        if revision is not None:
+            self.revision = revision
         if now < self._restored_until and self._records:
             self._rebase(records)
             return [], []
         records = [self.correct(record) for record in records]
-        listed_ids = {record.server_id for record in records}
-        changed = [
-            record
-            for record in records
-            if self.apply_entry(record, now) != record
-        ]
+        changed = [record for record in records if self._accept(record, now)]
+        missing = self._find_missing(records, revision)
         if now < self._grace_until:
+            self._missing.update(record.server_id for record in missing)
             return changed, []
-        missing = [
-            record
-            for record in self
-            if record.listed and record.server_id not in listed_ids
-        ]
         for record in missing:
             self.mark_unlisted(record.server_id, now)
         return changed, [
@@ -257,6 +342,30 @@
             for record in missing
         ]
 
+    def _find_missing(self, records, revision):
+        """Find the listed entries that a list of a revision lacks."""
+        found = {record.server_id for record in records}
+        return [
+            record
+            for record in self
+            if record.listed
+            and record.server_id not in found
+            and (revision is None or record.revision <= revision)
+        ]
+
+    def _accept(self, record, now):
+        """Store an entry unless a newer one is known; whether it is new."""
+        known = self._records.get(record.server_id)
+        if known is not None and known.revision > record.revision:
+            return False
+        if known != record:
+            self._set_record(record.server_id, record)
+        self._missing.discard(record.server_id)
+        self._unlisted_since.pop(record.server_id, None)
+        if known is None or not known.listed:
+            self._listed_since[record.server_id] = now
+        return known != record
+
     def apply_entry(self, record, now):
         """Store an entry, unless a newer revision of it is known.
 
@@ -274,13 +383,7 @@
         """
         record = self.correct(record)
         known = self._records.get(record.server_id)
-        if known is not None and known.revision > record.revision:
-            return known
-        if known != record:
-            self._set_record(record.server_id, record)
-        self._unlisted_since.pop(record.server_id, None)
-        if known is None or not known.listed:
-            self._listed_since[record.server_id] = now
+        self._accept(record, now)
         return known
 
     def apply_removal(self, removed, now):
@@ -307,6 +410,7 @@
         now : float
             Current monotonic time (seconds).
         """
+        self._missing.discard(server_id)
         record = self._records.get(server_id)
         if record is None or not record.listed:
             return
@@ -355,11 +459,17 @@
     def evict_expired(self, now):
         """Remove entries that have been unlisted beyond the retention time.
 
+        Entries that were kept after an outage, and that the store still
+        lacks, become unlisted.
+
         Parameters
         ----------
         now : float
             Current monotonic time (seconds).
         """
+        if now >= self._grace_until:
+            for server_id in list(self._missing):
+                self.mark_unlisted(server_id, now)
         for server_id, unlisted_since in list(self._unlisted_since.items()):
             if now - unlisted_since > UNLISTED_RETENTION:
                 del self._unlisted_since[server_id]
