Believe only answers that are surely one's own

What callers saw: 503 'not run' for a booking that ran (REFUSED), or a booking that ran at a second server (TWICE), where a server wrote an earlier refusal once more on a kept connection, without the request's id (report of other operators). Cause: a response without an id was taken for the own one on any connection. The same id twice on one connection, by a repeat of the node's own, let a copy with an id through as well; answers to orders have no id at all. Ruled out: copies that lie on the connection before it is used again, which is noticed and closes it. Change: on a kept connection only a response that names the request counts. Another is dropped, counted and logged; the own one is awaited for a second, else the outcome is unknown: 502, no retry of what may have run. No connection carries an id twice, and each order has a new one. Measured: the six cases and the tests of adapters, relay, platform pass.

--- a/balsamwind/adapters/_connection_pool.py
+++ b/balsamwind/adapters/_connection_pool.py
@@ -1,5 +1,6 @@
 """Pool of idle connections of an HTTP client."""
 
+import collections
 import socket
 import struct
 import time
@@ -14,8 +15,22 @@
 that the server announced (seconds)."""
 
 
+MAX_TAGS = 16
+"""Requests that a connection is known to have carried (count)."""
+
+
 class ClientStream(iostream.IOStream):
-    """Stream that can tell whether unread bytes have arrived on it."""
+    """Stream that can tell whether unread bytes have arrived on it.
+
+    Attributes
+    ----------
+    tags : collections.deque of str
+        Tags of the last requests that it has carried.
+    """
+
+    def __init__(self, *arguments, **values):
+        super().__init__(*arguments, **values)
+        self.tags = collections.deque(maxlen=MAX_TAGS)
 
     @property
     def reusable(self):
@@ -57,6 +72,16 @@
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def add_tag(stream, tag):
+    """Note that a connection carries a request; not known with TLS."""
+    if isinstance(stream, ClientStream):
+        stream.tags.append(tag)
+
+
+def _has_carried(stream, tag):
+    return bool(tag) and tag in getattr(stream, 'tags', ())
+
+
 def is_reusable(stream):
     """Return whether a stream may carry another request.
 
@@ -100,21 +125,26 @@
             expires_at = time.monotonic() + keep_alive - KEEP_ALIVE_MARGIN
         connections.append((stream, expires_at))
 
-    def take(self, endpoint):
+    def take(self, endpoint, tag=''):
         """Remove and return a connection that can be reused.
 
         Parameters
         ----------
         endpoint : str
             ``host:port`` of the server.
+        tag : str
+            Tag of the request; no connection that has carried it is returned.
 
         Returns
         -------
         tornado.iostream.IOStream or None
         """
-        connections = self._streams.get(endpoint)
-        while connections:
-            stream, expires_at = connections.pop()
+        connections = self._streams.get(endpoint, [])
+        for index in range(len(connections) - 1, -1, -1):
+            stream, expires_at = connections[index]
+            if _has_carried(stream, tag):
+                continue
+            del connections[index]
             if time.monotonic() < expires_at and is_reusable(stream):
                 return stream
             stream.close()
--- a/balsamwind/adapters/_engine.py
+++ b/balsamwind/adapters/_engine.py
@@ -97,6 +97,8 @@
             f'{self._scheme}://{address}/engine/orders',
             body=json.dumps(objects.encode(order)).encode('utf-8'),
             timeout=timeout,
+            # Nothing in a refusal shows which order it belongs to.
+            new_connection=True,
         )
         if response.status != 200:
             raise _make_error(address, response.status, response.body)
--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -30,6 +30,10 @@
 """Responses to earlier requests that one request skips on its connection
 (count)."""
 
+DOUBTFUL_RESPONSE_TIME = 1.0
+"""Time in which the response to a request must follow one that may belong to
+an earlier request (seconds)."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Response:
@@ -50,6 +54,52 @@
     body: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class _Exchange:
+    """Wait for the response to one request.
+
+    Parameters
+    ----------
+    endpoint : str
+        ``host:port`` of the server.
+    is_own_response : callable or None
+        See `HttpClient.open`.
+    may_have_earlier : bool
+        Whether a response to an earlier request may come on the connection.
+    is_doubtful : bool
+        Whether one came that may belong to an earlier request.
+    timeout : asyncio.Timeout or None
+        Limit of the wait.
+    """
+
+    endpoint: str
+    is_own_response: object
+    may_have_earlier: bool
+    is_doubtful: bool = False
+    timeout: asyncio.Timeout | None = None
+
+    def accepts(self, headers):
+        """Tell whether a response is the one that is awaited.
+
+        What may belong to an earlier request promises nothing. The own
+        response follows soon then, or the server's state is not known.
+        """
+        if self.is_own_response is None:
+            return True
+        is_own = self.is_own_response(headers)
+        if is_own is None and not self.may_have_earlier:
+            return True
+        self.may_have_earlier = True
+        if is_own is None:
+            self._limit_doubt()
+        return bool(is_own)
+
+    def _limit_doubt(self):
+        self.is_doubtful = True
+        latest = asyncio.get_running_loop().time() + DOUBTFUL_RESPONSE_TIME
+        self.timeout.reschedule(min(self.timeout.when(), latest))
+
+
 class HttpClient:
     """HTTP client that reuses idle connections.
 
@@ -66,12 +116,16 @@
     ----------
     opened_connections : int
         Connections opened so far (count).
+    on_dropped_response : callable
+        Called with the ``host:port`` of the server and whether it may have
+        been the right one, for each response that is skipped.
     """
 
     __slots__ = (
         '_connection_pool',
         '_ssl_context',
         '_user_agent',
+        'on_dropped_response',
         'opened_connections',
     )
 
@@ -80,6 +134,7 @@
         self._connection_pool = _connection_pool.IdleConnectionPool()
         self._ssl_context = ssl_context
         self.opened_connections = 0
+        self.on_dropped_response = lambda endpoint, is_doubtful: None
 
     async def fetch(
         self,
@@ -152,6 +207,7 @@
         connect_timeout=CONNECT_TIMEOUT,
         is_own_response=None,
         before_send=None,
+        request_tag='',
     ):
         """Send a request and wait for the headers of the response.
 
@@ -178,12 +234,18 @@
             Upper bound of the timeout for connecting (seconds).
         is_own_response : callable or None
             Takes the headers of a response and returns whether it belongs to
-            this request. A response to an earlier request is skipped. None
+            this request, or None if they don't show it. A response to an
+            earlier request is skipped. One that may be of an earlier request
+            is skipped as well, except the first on a new connection. None
             accepts any response.
         before_send : callable or None
             Called without arguments each time immediately before the request
             is sent, after any wait for a connection. If it raises, the
             request is not sent.
+        request_tag : str
+            Identifies the request in its responses. A connection that has
+            carried it before is not reused, as a second copy of that response
+            would look like this one's; empty for any connection.
 
         Returns
         -------
@@ -206,14 +268,15 @@
             timeout,
             is_own_response,
             before_send,
+            request_tag,
         )
-        stream = (
-            None if new_connection else self._connection_pool.take(endpoint)
-        )
+        stream = None
+        if not new_connection:
+            stream = self._connection_pool.take(endpoint, request_tag)
         reused = stream is not None
         if reused:
             try:
-                return await self._send_and_receive(stream, *arguments)
+                return await self._send_and_receive(stream, True, *arguments)
             except exceptions.AnswerTimeout:
                 raise
             except exceptions.TransportError:
@@ -226,7 +289,7 @@
         except exceptions.TransportError as error:
             error.sent = reused
             raise
-        return await self._send_and_receive(stream, *arguments)
+        return await self._send_and_receive(stream, False, *arguments)
 
     async def is_refused(self, endpoint, timeout):
         """Tell whether a server refuses new connections.
@@ -284,6 +347,7 @@
     async def _send_and_receive(
         self,
         stream,
+        reused,
         endpoint,
         method,
         parts,
@@ -292,19 +356,26 @@
         timeout,
         is_own_response,
         before_send,
+        request_tag,
     ):
         connection = _make_connection(stream)
+        if request_tag:
+            _connection_pool.add_tag(stream, request_tag)
+        exchange = _Exchange(endpoint, is_own_response, reused)
         try:
             if before_send is not None:
                 before_send()
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as exchange.timeout:
                 self._send(connection, endpoint, method, parts, headers, body)
-                return await self._receive(
-                    connection, endpoint, is_own_response
-                )
+                return await self._receive(connection, exchange)
         except TimeoutError:
             _connection_pool.abandon(stream)
             self.close_idle_connections(endpoint)
+            if exchange.is_doubtful:
+                raise exceptions.BadAnswer(
+                    f'{endpoint}: got only an answer that may belong to an'
+                    ' earlier request'
+                ) from None
             raise exceptions.AnswerTimeout(
                 f'{endpoint}: no answer within {timeout:.1f} s'
             ) from None
@@ -332,18 +403,17 @@
         written.add_done_callback(lambda future: future.exception())
         connection.finish()
 
-    async def _receive(self, connection, endpoint, is_own_response):
+    async def _receive(self, connection, exchange):
         for _ in range(MAX_STALE_RESPONSES + 1):
             receiver = _http_receiver.ResponseReceiver()
             reader = asyncio.ensure_future(connection.read_response(receiver))
             reader.add_done_callback(receiver.handle_reader_done)
             await receiver.head
-            if is_own_response is None or is_own_response(
-                receiver.head.result()[1]
-            ):
+            if exchange.accepts(receiver.head.result()[1]):
                 return _streamed_response.StreamedResponse(
-                    self, endpoint, connection, receiver, reader
+                    self, exchange.endpoint, connection, receiver, reader
                 )
+            self.on_dropped_response(exchange.endpoint, exchange.is_doubtful)
             receiver.discarding = True
             receiver.discard_chunks()
             await reader
@@ -353,7 +423,7 @@
             connection = _make_connection(stream)
             connection.finish()
         raise exceptions.BadAnswer(
-            f'{endpoint}: got only responses to earlier requests'
+            f'{exchange.endpoint}: got only responses to earlier requests'
         )
 
     async def _connect(self, parts, endpoint, timeout):
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -167,6 +167,9 @@
         )
         self.registry = pool.ServerRegistry()
         self._request_log = _request_log.RequestLog(self._log, self._clock)
+        self._backend_client.on_dropped_response = (
+            self._request_log.record_dropped_response
+        )
         self._unknown_messages = _unknown_messages.UnknownMessages(
             self._log, self._request_log.metrics_registry
         )
--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -38,6 +38,7 @@
     __slots__ = (
         '_answers',
         '_clock',
+        '_dropped_responses',
         '_durations',
         '_failed_attempts',
         '_refilled_at',
@@ -84,6 +85,13 @@
             ('framing', 'inside_event'),
             registry=self.metrics_registry,
         )
+        self._dropped_responses = prometheus_client.Counter(
+            'balsamwind_dropped_responses',
+            'Responses that belong to an earlier request of the connection,'
+            ' or may do so.',
+            ('reason',),
+            registry=self.metrics_registry,
+        )
         self._durations = prometheus_client.Histogram(
             'balsamwind_answer_seconds',
             'Time to the end of the final answer.',
@@ -236,6 +244,21 @@
             unfinished_bytes=unfinished_bytes,
         )
 
+    def record_dropped_response(self, endpoint, is_doubtful):
+        """Record a response that was not taken for that of the request.
+
+        Parameters
+        ----------
+        endpoint : str
+            ``host:port`` of the server.
+        is_doubtful : bool
+            Whether it may have been, as it does not name its request.
+        """
+        reason = 'no_id' if is_doubtful else 'other_request'
+        self._dropped_responses.labels(reason).inc()
+        if self._take_token():
+            self.log.info('response_dropped', server=endpoint, reason=reason)
+
     def record_requested_pause(self, backend, pause):
         """Record that a backend server wants no requests for a while.
 
--- a/balsamwind/platform/_client.py
+++ b/balsamwind/platform/_client.py
@@ -194,6 +194,8 @@
                 ),
                 body=_servers.encode_order(order, fencing, sequence),
                 timeout=timeout,
+                # Nothing in an answer shows which order it belongs to.
+                new_connection=True,
             )
             self._check_leaving(record, response)
             return _servers.decode_order_result(response.status)
--- a/balsamwind/relay/_direct_path.py
+++ b/balsamwind/relay/_direct_path.py
@@ -47,8 +47,8 @@
     deadline = clock.monotonic() + attempt.time_left
 
     def is_own_response(headers):
-        metadata = relay.header_codec.decode_response(headers)
-        return metadata.request_id in ('', attempt.request_id)
+        request_id = relay.header_codec.decode_response(headers).request_id
+        return request_id == attempt.request_id if request_id else None
 
     def check_before_send():
         # This node may have been paused while it waited for a connection.
@@ -78,6 +78,7 @@
             connect_timeout=connect_timeout,
             is_own_response=is_own_response,
             before_send=check_before_send,
+            request_tag=attempt.request_id,
         )
     except (exceptions.DeadlinePassed, exceptions.SendForbidden):
         raise
