Continue a stream by its next events only

Cause: an answer to a resumption was taken for a continuation unless its status, its media type or its first id spoke against it. Ruled out: errors by status, cut heads, other media types (no harm before). Change: each event of a resumed answer must have an id after the last one, else nothing of its chunk is passed on and the attempt has failed. Streams are resumed only after an event with an id. An empty answer ends a stream only where a second server says the same and no event had begun.

--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -303,6 +303,10 @@
     code = 'bad_answer'
 
 
+class EmptyContinuation(BadAnswer):
+    """A stream that was resumed has no further event."""
+
+
 class BackendRefused(BalsamwindError):
     """A backend server reports that it did not run the request.
 
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -494,6 +494,8 @@
             self._sender.through_peer,
             self._relay.paths.is_open(self._service.name),
         )
+        if isinstance(error, exceptions.EmptyContinuation):
+            values['counts_for_ejection'] = False
         return _attempts.Failure(error, fault=fault, **values)
 
     def _assess_path(self, backend, waiting_since, timeout):
--- a/balsamwind/relay/_response_relay.py
+++ b/balsamwind/relay/_response_relay.py
@@ -49,9 +49,12 @@
     def may_be_continued(self):
         """Whether another attempt can still complete the response.
 
-        Once the response has started, only an event stream can be continued.
+        Once the response has started, only an event stream can be continued,
+        after an event with an id.
         """
-        return not self.started or self._stream_media_type is not None
+        return not self.started or (
+            self._stream_media_type is not None and self.events.may_be_resumed
+        )
 
     def is_event_stream(self, response):
         """Tell whether a response is a stream of events.
--- a/balsamwind/relay/tests/test_stream_retries.py
+++ b/balsamwind/relay/tests/test_stream_retries.py
@@ -60,6 +60,39 @@
 ]
 
 
+CUT_BETWEEN_EVENTS = [
+    forwarding.make_head(framing=forwarding.CHUNKED),
+    forwarding.make_chunk(forwarding.make_event(0) + forwarding.make_event(1)),
+    forwarding.CUT,
+]
+
+ERROR_EVENT = b'event: error\ndata: overloaded\n\n'
+
+EVENT_WITHOUT_ID = [
+    forwarding.make_head(framing=forwarding.CHUNKED),
+    forwarding.make_chunk(ERROR_EVENT),
+    forwarding.LAST_CHUNK,
+]
+
+EVENT_WITH_A_LONG_ID = [
+    forwarding.make_head(framing=forwarding.CHUNKED),
+    forwarding.make_chunk(b'id: %s\ndata: x\n\n' % (b'9' * 5000)),
+    forwarding.LAST_CHUNK,
+]
+
+SECOND_HEAD = [
+    forwarding.make_head(),
+    b'HTTP/1.1 500 X\r\nContent-Type: text/plain\r\n\r\noops\r\n\r\n',
+    forwarding.CUT,
+]
+
+EMPTY_CHUNKED = [
+    forwarding.make_head(framing=forwarding.CHUNKED),
+    forwarding.LAST_CHUNK,
+]
+
+EMPTY_WITH_LENGTH = [forwarding.make_head(framing='Content-Length: 0\r\n')]
+
 FIRST_TWO = forwarding.make_event(0) + forwarding.make_event(1)
 ALL_FOUR = FIRST_TWO + forwarding.make_event(2) + forwarding.make_event(3)
 
@@ -69,6 +102,7 @@
     [
         pytest.param(CUT_CHUNKED, id='chunked'),
         pytest.param(CUT_WITH_LENGTH, id='with a length'),
+        pytest.param(CUT_BETWEEN_EVENTS, id='between two events'),
     ],
 )
 @pytest.mark.parametrize(
@@ -80,6 +114,11 @@
         pytest.param(OTHER_TYPE, id='success of another media type'),
         pytest.param(REPEATED, id='events that were sent before'),
         pytest.param([forwarding.SILENCE], id='silence'),
+        pytest.param(EVENT_WITHOUT_ID, id='event without an id'),
+        pytest.param(EVENT_WITH_A_LONG_ID, id='event with a long id'),
+        pytest.param(SECOND_HEAD, id='second head and a text'),
+        pytest.param(EMPTY_CHUNKED, id='nothing, chunked'),
+        pytest.param(EMPTY_WITH_LENGTH, id='nothing, with a length'),
     ],
 )
 @pytest.mark.parametrize('max_attempts', [2, 3])
@@ -100,6 +139,112 @@
         assert error is not None
 
 
+@pytest.mark.parametrize(
+    'second',
+    [
+        pytest.param(
+            [forwarding.make_event(2) + ERROR_EVENT], id='error at once'
+        ),
+        pytest.param(
+            [forwarding.make_event(2), ERROR_EVENT], id='error afterwards'
+        ),
+        pytest.param(
+            [forwarding.make_event(2) + forwarding.make_event(1)],
+            id='earlier event at once',
+        ),
+        pytest.param(
+            [forwarding.make_event(2), forwarding.make_event(2)],
+            id='same event afterwards',
+        ),
+    ],
+)
+def test_events_that_do_not_continue_a_stream_are_held_back(second):
+    # Clients found the text of an error, and no event was to be lost or
+    # doubled where a part of the answer was sound (MIXED, ORDER).
+    answer = [
+        forwarding.make_head(framing=forwarding.CHUNKED),
+        *map(forwarding.make_chunk, second),
+        forwarding.LAST_CHUNK,
+    ]
+    last = [
+        forwarding.make_head(framing=forwarding.CHUNKED),
+        forwarding.make_chunk(forwarding.make_event(3)),
+        forwarding.LAST_CHUNK,
+    ]
+    whole_second = second[0] == forwarding.make_event(2)
+    responder, engine, error = asyncio.run(
+        forwarding.forward(
+            [CUT_BETWEEN_EVENTS, answer, last if whole_second else REST]
+        )
+    )
+    assert error is None
+    assert responder.complete
+    assert responder.body == ALL_FOUR
+
+
+ALL_CUT = [
+    forwarding.make_head(framing=forwarding.CHUNKED),
+    forwarding.make_chunk(ALL_FOUR),
+    forwarding.CUT,
+]
+
+
+@pytest.mark.parametrize(
+    ('scripts', 'is_complete'),
+    [
+        pytest.param([ALL_CUT, EMPTY_CHUNKED], False, id='one says so'),
+        pytest.param(
+            [ALL_CUT, EMPTY_CHUNKED, EMPTY_WITH_LENGTH], True, id='two do'
+        ),
+        pytest.param(
+            [CUT_CHUNKED, EMPTY_CHUNKED, EMPTY_CHUNKED],
+            False,
+            id='an event had begun',
+        ),
+    ],
+)
+def test_stream_ends_where_two_servers_have_nothing_to_add(
+    scripts, is_complete
+):
+    # An empty answer to the resumption ended any stream as complete (ORDER).
+    responder, engine, error = asyncio.run(
+        forwarding.forward(scripts, max_attempts=len(scripts))
+    )
+    assert responder.complete is is_complete
+    assert (error is None) is is_complete
+
+
+def test_stream_without_ids_is_not_continued():
+    # It would begin anew, and its events come twice (ORDER).
+    first = [
+        forwarding.make_head(framing=forwarding.CHUNKED),
+        forwarding.make_chunk(b'data: a\n\n'),
+        forwarding.CUT,
+    ]
+    responder, engine, error = asyncio.run(forwarding.forward([first, REST]))
+    assert responder.body == b'data: a\n\n'
+    assert not responder.complete
+    assert error is not None
+
+
+def test_comments_do_not_end_a_resumed_stream():
+    second = [
+        forwarding.make_head(framing=forwarding.CHUNKED),
+        forwarding.make_chunk(b': ping\n\n' + forwarding.make_event(2)),
+        forwarding.make_chunk(b':\n\n' + forwarding.make_event(3)),
+        forwarding.LAST_CHUNK,
+    ]
+    responder, engine, error = asyncio.run(
+        forwarding.forward([CUT_CHUNKED, second])
+    )
+    assert error is None
+    assert responder.complete
+    assert (
+        responder.body.replace(b': ping\n\n', b'').replace(b':\n\n', b'')
+        == ALL_FOUR
+    )
+
+
 def test_stream_is_resumed_after_an_error_answer():
     scripts = [CUT_CHUNKED, ERROR_WITH_LENGTH, REST]
     responder, engine, error = asyncio.run(forwarding.forward(scripts))
