Reject a ticket that becomes late only once

Cause: the last entries of all accounts are listed first. A prediction for one of them moves another from those in time to the late ones, where it is met, rejected, and then met again by the list. Ruled out: overdue tickets, which are rejected before the list is made. Change: an entry that does not wait any more is passed over.

--- a/balsamwind/scheduling/_waiting_queue.py
+++ b/balsamwind/scheduling/_waiting_queue.py
@@ -442,8 +442,12 @@
         for model in self.models:
             model_queue = self._models[model]
             for entry in model_queue.list_last():
-                while entry is not None and self._misses_deadline(
-                    model_queue, entry, now
+                # A prediction may move it to the late ones, where it was met
+                # and rejected before.
+                while (
+                    entry is not None
+                    and self._is_waiting(entry)
+                    and self._misses_deadline(model_queue, entry, now)
                 ):
                     fair_queue = entry.flow.fair_queue
                     self._drop(entry)
--- a/balsamwind/scheduling/tests/test_waiting_queue.py
+++ b/balsamwind/scheduling/tests/test_waiting_queue.py
@@ -199,3 +199,17 @@
         is_second = any(getattr(ticket, n) == v for n, v in second.items())
         work[is_second] += ticket.work
     assert work[1] / sum(work) == pytest.approx(share, rel=0.15)
+
+
+def test_ticket_that_becomes_late_during_a_recheck_is_rejected_once():
+    # It was met again after its rejection: an error lost all rejections of
+    # the round, and their callers waited until their deadlines.
+    tickets = [
+        make_ticket(returned=True, start_by=1.0),
+        make_ticket(start_by=0.5),
+    ]
+    queue = make_queue(tickets)
+    rejections = queue.expire(2.0, lambda model: 0.0)
+    assert {rejection.ticket for rejection in rejections} == set(tickets)
+    assert len(rejections) == 2
+    assert len(queue) == 0
