Ask enough nodes before a head is dead

Cause: a missing entry counted as two heartbeats of silence whatever the reason, and three nodes drawn at random, asked once, settled that nobody reaches the head. Ruled out: that the opinion is forgotten at the next failed probe, as each new suspicion asks again. Change: while an engine is down, other nodes are asked again, others each time; eight of them, or all, must have got no answer within 6 s. A missing entry shows nothing if the node missed news of entries meanwhile. A head that nobody reaches is taken for dead as soon as before (1.8 to 4.5 s in the test).

--- a/balsamwind/node/_entry_contact.py
+++ b/balsamwind/node/_entry_contact.py
@@ -4,6 +4,10 @@
 """Time without news of entries after which they may have expired in the store
 (seconds)."""
 
+GAP_TIME = 1.3
+"""Time without news of entries after which the store may have been away, for
+how long is not known (seconds)."""
+
 
 class EntryContact:
     """Notices that a node hears of the entries again after an outage.
@@ -25,13 +29,21 @@
         Called with the time for which missing entries are kept (seconds).
     """
 
-    __slots__ = ('_clock', '_failed_at', '_heard_at', '_registry', 'on_grace')
+    __slots__ = (
+        '_clock',
+        '_failed_at',
+        '_heard_at',
+        '_heard_since',
+        '_registry',
+        'on_grace',
+    )
 
     def __init__(self, registry, clock):
         self._registry = registry
         self._clock = clock
         self._heard_at = clock.monotonic()
         self._failed_at = self._heard_at
+        self._heard_since = self._heard_at
         self.on_grace = lambda seconds: None
 
     def record_failure(self, sent_at):
@@ -71,9 +83,24 @@
             self._registry.keep_missing_until(self._heard_at + grace)
             self._tell_grace()
 
+    def find_time_heard(self):
+        """Find for how long there was no gap in the news of entries.
+
+        Returns
+        -------
+        float
+            Time (seconds).
+        """
+        now = self._clock.monotonic()
+        if now - self._heard_at > GAP_TIME:
+            return 0.0
+        return now - self._heard_since
+
     def _record(self):
         now = self._clock.monotonic()
         silence = now - self._heard_at
+        if silence > GAP_TIME or self._failed_at > self._heard_at:
+            self._heard_since = now
         self._heard_at = now
         self._failed_at = max(self._failed_at, now - silence)
         return silence > OUTAGE_TIME
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -12,6 +12,7 @@
 from balsamwind.node import _lease
 from balsamwind.node import _lease_records
 from balsamwind.node import _prober
+from balsamwind.node import _reach_opinions
 from balsamwind import pool
 from balsamwind import servers
 
@@ -108,6 +109,9 @@
         Executes the planned actions.
     demand : dict of str to float
         Moving average of the running and waiting requests, by model (count).
+    heard_of_entries_for : callable
+        Returns for how long this node has heard of the entries without a gap
+        (seconds).
     """
 
     def __init__(
@@ -124,6 +128,7 @@
     ):
         self._publish_changes = publish_changes
         self.evacuations = servers.Evacuations(None)
+        self.heard_of_entries_for = lambda: float('inf')
         self._data_centre = data_centre
         self.settings = settings
         self._configuration_cache = configuration_cache
@@ -147,8 +152,9 @@
             clock,
             self._log,
         )
+        self._opinions = _reach_opinions.ReachOpinions(relay, clock)
         self._prober = _prober.Prober(
-            platform, registry, clock, self._log, self._ask_others
+            platform, registry, clock, self._log, self._opinions
         )
         self.executor = _action_executor.ActionExecutor(
             data_centre,
@@ -188,10 +194,6 @@
                 ROUND_INTERVAL if self.lease.held else self._find_idle_time()
             )
 
-    async def _ask_others(self, record):
-        """Ask another node whether an engine answers it."""
-        return await self._relay.peers.ask(record, wants_report=True)
-
     def _lacks_path(self):
         """Tell whether this node reaches no engine, by its own requests."""
         lost_services = self._relay.paths.lost_services
@@ -376,12 +378,16 @@
     def _cannot_head_open_group(self, record, now):
         """Whether an engine can't be the head of an open group any more.
 
-        A head that is unreachable and has lost its members stalls, and breaks
-        its group after the stall bound. Its entry expires sooner, after a
-        silence of at least two heartbeat intervals. A leader that has just
-        taken over knows only for how long the entry has been missing.
+        A head that nobody reaches has lost its members as well: it stalls,
+        and breaks its group after the stall bound. Until enough other nodes
+        were asked, it may serve the requests of some.
+
+        A leader that has just taken over knows only for how long the entry
+        has been missing, which expires after a silence of at least two
+        heartbeat intervals. That shows nothing if it may have been missing
+        because the store was away.
         """
-        if record.listed:
+        if record.listed or not self._opinions.are_enough(record):
             return False
         server_id = record.server_id
         bounds = self.settings.bounds
@@ -391,7 +397,10 @@
         unlisted_for = self._registry.unlisted_for(server_id, now)
         if self._prober.has_answered_within(server_id, unlisted_for, now):
             return False
-        return unlisted_for + MIN_SILENT_HEARTBEATS * bounds.heartbeat > stall
+        silence = MIN_SILENT_HEARTBEATS * bounds.heartbeat
+        if self.heard_of_entries_for() < unlisted_for + silence:
+            return False
+        return unlisted_for + silence > stall
 
     def _count_loads_allowed(self, service, now):
         bounds = self.settings.bounds
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -13,6 +13,13 @@
 PROBE_TIMEOUT = 0.2
 """Timeout of one probe (seconds)."""
 
+ASK_INTERVAL = 0.4
+"""Time between two questions to other nodes about an engine that is down,
+until enough of them were asked (seconds)."""
+
+REPEATED_ASK_INTERVAL = 1.5
+"""Time between two such questions afterwards (seconds)."""
+
 PROCESS_PAUSE_THRESHOLD = 0.6
 """Duration from which an unanswered probe is not counted as a failure
 (seconds). It is far above the timeout, so this node itself was paused."""
@@ -32,10 +39,8 @@
         Monotonic clock.
     log : structlog logger
         Logger of the shard.
-    ask_others : callable or None
-        Coroutine function that takes the entry of an engine, and returns the
-        `balsamwind.relay.Reach` that another node has found; None if there
-        are no other nodes.
+    opinions : ReachOpinions or None
+        Asks other nodes about engines; None if there are none.
 
     Attributes
     ----------
@@ -43,7 +48,7 @@
         Requests that run and wait at each engine, as last reported (count).
     """
 
-    def __init__(self, platform, registry, clock, log, ask_others=None):
+    def __init__(self, platform, registry, clock, log, opinions=None):
         self._platform = platform
         self._registry = registry
         self._clock = clock
@@ -52,8 +57,9 @@
         self._in_flight = set()
         self._health = _engine_health.EngineHealth()
         self._was_blind = False
-        self._ask_others = ask_others
+        self._opinions = opinions
         self._asking = set()
+        self._next_ask_at = {}
         self._confirmed = set()
         self.requests = {}
 
@@ -113,8 +119,19 @@
         self._health.keep_only({record.server_id for record in records})
         for record in records:
             self._ask_if_failed(record)
+        self._forget_others(records)
         self._note_blindness()
 
+    def _forget_others(self, records):
+        ids = {record.server_id for record in records}
+        self._next_ask_at = {
+            server_id: at
+            for server_id, at in self._next_ask_at.items()
+            if server_id in ids
+        }
+        if self._opinions is not None:
+            self._opinions.keep_only(ids)
+
     def _is_due(self, record, now):
         server_id = record.server_id
         return (
@@ -147,6 +164,9 @@
         """Forget what was seen, as this node no longer leads the shard."""
         self._health.reset()
         self._confirmed.clear()
+        self._next_ask_at.clear()
+        if self._opinions is not None:
+            self._opinions.reset()
         self.requests.clear()
 
     async def _probe(self, record):
@@ -197,36 +217,52 @@
         The path of this node to this engine alone may be lost, also if the
         engine has lost its own to the store.
         """
-        return (
-            self._ask_others is not None and server_id not in self._confirmed
-        )
+        return self._opinions is not None and server_id not in self._confirmed
 
     def _ask_if_failed(self, record):
+        """Ask other nodes about an engine, and again while it is down."""
         server_id = record.server_id
+        now = self._clock.monotonic()
         if (
-            self._health.has_failed(server_id)
-            and server_id not in self._asking
-            and self._awaits_opinion(server_id)
+            self._opinions is None
+            or not self._health.has_failed(server_id)
+            or server_id in self._asking
+            or (
+                server_id in self._confirmed
+                and now < self._next_ask_at.get(server_id, 0.0)
+            )
         ):
-            self._asking.add(server_id)
-            asyncio.ensure_future(self._ask(record))
+            return
+        self._asking.add(server_id)
+        asyncio.ensure_future(self._ask(record))
 
     async def _ask(self, record):
         server_id = record.server_id
         reach = relay.Reach.UNKNOWN
         try:
-            reach = await self._ask_others(record)
+            reach = await self._opinions.ask(record)
         except Exception:
             self._log.exception('opinion_failed', engine=server_id)
         finally:
             self._asking.discard(server_id)
+        self._next_ask_at[server_id] = self._clock.monotonic() + (
+            REPEATED_ASK_INTERVAL
+            if self._opinions.are_enough(record)
+            else ASK_INTERVAL
+        )
         if reach is relay.Reach.ANSWERS:
-            self._log.info('engine_answers_another_node', engine=server_id)
-            self._health.record_vouched(server_id)
+            self._record_vouched(record)
             return
         with self._log_changes(record, f'another node: {reach.value}'):
             self._confirmed.add(server_id)
 
+    def _record_vouched(self, record):
+        server_id = record.server_id
+        self._log.info('engine_answers_another_node', engine=server_id)
+        with self._log_changes(record, ''):
+            self._health.record_vouched(server_id)
+            self._confirmed.discard(server_id)
+
     @contextlib.contextmanager
     def _log_changes(self, record, reason):
         """Log the engines that are down, or no longer, after the block."""
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -332,6 +332,7 @@
         ]
         for leader in self._leaders:
             leader.evacuations = self._evacuations
+            leader.heard_of_entries_for = contact.find_time_heard
         self._restored_store = _restored_store.RestoredStoreHandler(
             settings.bounds,
             self.registry,
--- /dev/null
+++ b/balsamwind/node/_reach_opinions.py
@@ -0,0 +1,92 @@
+"""What other nodes say of engines that do not answer the leader.
+
+Failure pattern: an engine that heads an open group is cut off from the store
+and has lost its paths to the leader and to some other nodes, but serves the
+requests of the rest. Neither its missing entry nor the opinion of a few nodes
+shows that its group is broken.
+"""
+
+from balsamwind import relay
+
+WITNESSES_NEEDED = 8
+"""Nodes that must have been asked before an engine is taken for dead (count);
+all of them where there are fewer."""
+
+OPINION_MEMORY = 6.0
+"""Time for which opinions count (seconds)."""
+
+
+class ReachOpinions:
+    """Asks one node after the other about engines, and remembers whom.
+
+    Parameters
+    ----------
+    request_relay : balsamwind.relay.Relay
+        Request path, whose peers are asked.
+    clock : balsamwind.ports.Clock
+        Monotonic clock.
+    """
+
+    __slots__ = ('_asked', '_clock', '_relay')
+
+    def __init__(self, request_relay, clock):
+        self._relay = request_relay
+        self._clock = clock
+        self._asked = {}
+
+    async def ask(self, record):
+        """Ask some nodes, those first that were not asked a moment ago.
+
+        Parameters
+        ----------
+        record : balsamwind.pool.ServerRecord
+            Entry of the engine.
+
+        Returns
+        -------
+        balsamwind.relay.Reach
+        """
+        opinions = await self._relay.peers.find_opinions(
+            record, True, self._find_asked(record.server_id)
+        )
+        reach = relay.combine_opinions(opinions.values())
+        if reach is relay.Reach.ANSWERS:
+            self._asked.pop(record.server_id, None)
+            return reach
+        now = self._clock.monotonic()
+        asked = self._asked.setdefault(record.server_id, {})
+        asked.update(dict.fromkeys(opinions, now))
+        return reach
+
+    def _find_asked(self, server_id):
+        """Return the nodes that were asked, and got no answer, lately."""
+        since = self._clock.monotonic() - OPINION_MEMORY
+        asked = self._asked.get(server_id, {})
+        return {address for address, at in asked.items() if at >= since}
+
+    def are_enough(self, record):
+        """Tell whether enough nodes were asked that got no answer.
+
+        Parameters
+        ----------
+        record : balsamwind.pool.ServerRecord
+            Entry of the engine.
+
+        Returns
+        -------
+        bool
+        """
+        known = self._relay.peers.count_witnesses(record.service)
+        needed = min(WITNESSES_NEEDED, known)
+        return len(self._find_asked(record.server_id)) >= needed
+
+    def keep_only(self, server_ids):
+        """Forget the engines that are not among `server_ids`."""
+        for server_id in [
+            item for item in self._asked if item not in server_ids
+        ]:
+            del self._asked[server_id]
+
+    def reset(self):
+        """Forget all opinions."""
+        self._asked.clear()
--- a/balsamwind/node/tests/shard_simulation.py
+++ b/balsamwind/node/tests/shard_simulation.py
@@ -264,6 +264,14 @@
             return relay.Reach.ANSWERS
         return relay.Reach.REFUSES
 
+    async def find_opinions(self, record, wants_report, asked=()):
+        """Return the opinion of one node that stands for all."""
+        return {'x:1': await self.ask(record, wants_report)}
+
+    def count_witnesses(self, service):
+        """Count the nodes that may be asked."""
+        return 1
+
     # Engines.
 
     def _execute(self, engine, born, order, fencing, sequence):
--- a/balsamwind/relay/_attempt_sender.py
+++ b/balsamwind/relay/_attempt_sender.py
@@ -21,6 +21,14 @@
         """Return `Reach.UNKNOWN`: there is no node to ask."""
         return _carried_attempts.Reach.UNKNOWN
 
+    async def find_opinions(self, record, wants_report, asked=()):
+        """Return no opinions: there is no node to ask."""
+        return {}
+
+    def count_witnesses(self, service):
+        """Return 0: there is no node to ask."""
+        return 0
+
 
 class AttemptSender:
     """Sends the attempts of one request.
--- a/balsamwind/relay/_peer_selection.py
+++ b/balsamwind/relay/_peer_selection.py
@@ -137,7 +137,7 @@
         pair = self._rng.sample(pool, min(2, len(pool)))
         return min(pair, key=lambda peer: self._in_flight[peer.address])
 
-    def choose_witnesses(self, service, count, now):
+    def choose_witnesses(self, service, count, now, asked=()):
         """Choose nodes that are asked whether they reach a server.
 
         They are chosen at random over all data centres, as nodes of one often
@@ -151,13 +151,33 @@
             Nodes at most (count).
         now : float
             Current time.
+        asked : container of str
+            Addresses of nodes that were asked before; others come first.
 
         Returns
         -------
         list of Peer
         """
         usable = self._find_usable(service, (), now)
-        return self._rng.sample(usable, min(count, len(usable)))
+        chosen = self._rng.sample(usable, len(usable))
+        chosen.sort(key=lambda peer: peer.address in asked)
+        return chosen[:count]
+
+    def count_usable(self, service, now):
+        """Count the nodes that are not passed over for a service.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        now : float
+            Current time.
+
+        Returns
+        -------
+        int
+        """
+        return len(self._find_usable(service, (), now))
 
     def _find_usable(self, service, tried, now):
         return [
--- a/balsamwind/relay/_peer_service.py
+++ b/balsamwind/relay/_peer_service.py
@@ -110,30 +110,54 @@
         Reach
             UNKNOWN if no node knows.
         """
+        opinions = await self.find_opinions(record, wants_report)
+        return _carried_attempts.combine_opinions(opinions.values())
+
+    async def find_opinions(self, record, wants_report, asked=()):
+        """Ask some other nodes whether they reach a server.
+
+        Parameters
+        ----------
+        record, wants_report
+            As for `ask`.
+        asked : container of str
+            Addresses of nodes that were asked before; others come first.
+
+        Returns
+        -------
+        dict of str to Reach
+            Opinions by the address of the node; not of all that were asked
+            if one of them gets an answer.
+        """
         query = _carried_attempts.ReachQuery(
             record.service, record.server_id, record.born, wants_report
         )
         witnesses = self._selector.choose_witnesses(
-            record.service, WITNESS_COUNT, self._clock.monotonic()
+            record.service, WITNESS_COUNT, self._clock.monotonic(), asked
         )
         tasks = [
             asyncio.ensure_future(self._ask_one(peer.address, query))
             for peer in witnesses
         ]
         # The replies that are left come soon, and leave connections to reuse.
-        opinions = set()
+        opinions = {}
         for opinion in asyncio.as_completed(tasks):
-            opinions.add(await opinion)
-            if _carried_attempts.Reach.ANSWERS in opinions:
+            address, reach = await opinion
+            opinions[address] = reach
+            if reach is _carried_attempts.Reach.ANSWERS:
                 break
-        return _carried_attempts.combine_opinions(opinions)
+        return opinions
+
+    def count_witnesses(self, service):
+        """Count the nodes that may be asked about servers of a service."""
+        return self._selector.count_usable(service, self._clock.monotonic())
 
     async def _ask_one(self, address, query):
         try:
-            return await self._client.ask(address, query)
+            return address, await self._client.ask(address, query)
         except exceptions.PeerUnavailable as error:
             self._record_not_carried(query.service, address, error)
-            return _carried_attempts.Reach.UNKNOWN
+            return address, _carried_attempts.Reach.UNKNOWN
 
     async def _open_through(self, address, attempt, before_send):
         self._selector.record_start(address)
