Give prevented sends one base class

Three errors of the check right before a send were caught as two at each place, one as a subclass of another that it is not. Tests of the relay pass.

--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -252,21 +252,22 @@
     """Nothing listens at the address, as after a crash of the server."""
 
 
-class DeadlinePassed(TransportError):
-    """The deadline passed before anything was sent."""
+class SendPrevented(TransportError):
+    """The check right before the send failed; nothing was sent."""
 
     def __init__(self, message=''):
         super().__init__(message, sent=False)
 
 
-class SendForbidden(TransportError):
-    """A rule forbade the server right before anything was sent."""
+class DeadlinePassed(SendPrevented):
+    """The deadline passed before anything was sent."""
 
-    def __init__(self, message=''):
-        super().__init__(message, sent=False)
+
+class SendForbidden(SendPrevented):
+    """A rule forbade the server right before anything was sent."""
 
 
-class ChoiceExpired(DeadlinePassed):
+class ChoiceExpired(SendPrevented):
     """The backend was chosen too long ago for what it may be sent now."""
 
 
--- a/balsamwind/relay/_attempt_carrier.py
+++ b/balsamwind/relay/_attempt_carrier.py
@@ -188,9 +188,7 @@
     async def _handle_failure(self, backend, attempt, error):
         """Find out whether a failure shows something of the server."""
         service = attempt.backend.service
-        if isinstance(
-            error, (exceptions.DeadlinePassed, exceptions.SendForbidden)
-        ):
+        if isinstance(error, exceptions.SendPrevented):
             return _carried_attempts.AttemptFailed(
                 _carried_attempts.CarryFailure.NOT_USABLE, error.message
             )
--- a/balsamwind/relay/_attempt_sender.py
+++ b/balsamwind/relay/_attempt_sender.py
@@ -93,7 +93,7 @@
                 return await _direct_path.open_directly(
                     relay, backend, attempt, note_send
                 )
-            except (exceptions.DeadlinePassed, exceptions.SendForbidden):
+            except exceptions.SendPrevented:
                 raise
             except exceptions.TransportError as error:
                 if error.sent or not relay.peers.has_peers:
--- a/balsamwind/relay/_direct_path.py
+++ b/balsamwind/relay/_direct_path.py
@@ -80,7 +80,7 @@
             before_send=check_before_send,
             request_tag=attempt.request_id,
         )
-    except (exceptions.DeadlinePassed, exceptions.SendForbidden):
+    except exceptions.SendPrevented:
         raise
     except exceptions.TransportError as error:
         record_failure(relay, backend, error)
