--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -475,7 +475,9 @@
         configuration = self.configuration_cache.configuration
         self._caller_server.set_limits(configuration.limits)
         self.relay.homes.clear()
-        for route, account in self.relay.homes.find_homeless(configuration):
+        for route, account in self.relay.homes.find_without_home(
+            configuration
+        ):
             self._log.warning('no_home', route=route, account=account)
         self.relay.server_statements.limits.cold.set_services(
             configuration.services, self.registry, self._clock.monotonic()
--- a/balsamwind/traffic/_homes.py
+++ b/balsamwind/traffic/_homes.py
@@ -92,7 +92,7 @@
             )
         )
 
-    def find_homeless(self, configuration):
+    def find_without_home(self, configuration):
         """Find the routes and accounts whose requests can run nowhere.
 
         Parameters
@@ -111,7 +111,7 @@
             for account in configuration.accounts or ()
             if account.allowed_regions
         ]
-        if not self._has_homeless(configuration.routes, restricted):
+        if not self._has_any_without_home(configuration.routes, restricted):
             return []
         pairs = []
         for route in configuration.routes:
@@ -127,7 +127,7 @@
                 break
         return pairs[:MAX_HOMELESS_PAIRS]
 
-    def _has_homeless(self, routes, restricted):
+    def _has_any_without_home(self, routes, restricted):
         """Compare each list of a route with each one of an account once.
 
         There are thousands of routes, but few different lists.
--- a/balsamwind/traffic/tests/test_homes.py
+++ b/balsamwind/traffic/tests/test_homes.py
@@ -112,12 +112,14 @@
 def test_routes_and_accounts_without_a_home_are_found(routes, accounts, pairs):
     # Their requests are all rejected, which an operator must learn of.
     configuration = _make_configuration(routes, accounts)
-    assert traffic.Homes(REGIONS).find_homeless(configuration) == pairs
+    assert traffic.Homes(REGIONS).find_without_home(configuration) == pairs
 
 
 def test_findings_are_few_for_many_routes():
     routes = [make_route('east', name=f'r{number}') for number in range(5000)]
-    pairs = traffic.Homes(REGIONS).find_homeless(_make_configuration(routes))
+    pairs = traffic.Homes(REGIONS).find_without_home(
+        _make_configuration(routes)
+    )
     assert len(pairs) == 20
 
 
