Keep the whole version of a publisher in one place

Whether a version fits a frame was held in three attributes, and its change planned again for each subscriber without one.

--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -20,6 +20,26 @@
 it needs any; subscribers read a larger one from the store (bytes)."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _WholeVersion:
+    """A whole version, as subscribers without any get it.
+
+    Parameters
+    ----------
+    version : int
+        The version.
+    change : balsamwind.traffic.ConfigurationChange or None
+        Change that contains it; None if that is too large for a frame, or
+        can't be expressed.
+    packed : bytes
+        Its packed update in that case, see `_pack`.
+    """
+
+    version: int
+    change: traffic.ConfigurationChange | None
+    packed: bytes
+
+
 class UpdatePublisher:
     """Publishes what this node has read from the store.
 
@@ -68,9 +88,7 @@
         self.evacuations = None
         self.unknown_messages = None
         self._last_proof = None
-        self._packed_version = 0
-        self._packed = b''
-        self._is_large = False
+        self._whole = _WholeVersion(0, None, b'')
         self._last_publish_at = float('-inf')
         self._owes_whole = False
         self.server = adapters.UpdateServer(
@@ -171,23 +189,18 @@
         )
         if not self.server.subscriber_count:
             return
-        frame = self._encode_change(previous or traffic.NO_CONFIGURATION)
+        frame = self._encode_change(
+            traffic.plan_change(
+                previous or traffic.NO_CONFIGURATION, configuration
+            )
+        )
         if frame is None or len(frame) > MAX_CHANGE_BYTES:
             proof = dataclasses.replace(self._last_proof, packed=_pack(frame))
             frame = _updates.encode_frame(proof)
         self.server.broadcast(frame)
 
-    def _encode_change(self, base):
-        """Encode the change from a version to the one in force.
-
-        Returns
-        -------
-        bytes or None
-            None if the change can't be expressed as a difference.
-        """
-        change = traffic.plan_change(
-            base, self._configuration_cache.configuration
-        )
+    def _encode_change(self, change):
+        """Encode a change to the version in force; None if there is none."""
         if change is None:
             return None
         return _updates.encode_frame(
@@ -269,25 +282,28 @@
         """Encode a reading for a subscriber that has no configuration yet.
 
         Many subscribers ask for a version at once after a loss of power, so
-        it is packed once.
+        it is prepared once.
         """
         version = reading.proof.version
-        if self._packed_version != version:
-            frame = self._encode_change(traffic.NO_CONFIGURATION)
-            is_large = frame is not None and len(frame) > MAX_CHANGE_BYTES
-            self._packed = _pack(frame) if is_large else b''
-            self._is_large = frame is None or is_large
-            self._packed_version = version
-        if self._is_large:
-            reading = dataclasses.replace(reading, packed=self._packed)
-            return _updates.encode_frame(reading)
+        if self._whole.version != version:
+            self._whole = self._make_whole(version)
+        if self._whole.change is None:
+            reading = dataclasses.replace(reading, packed=self._whole.packed)
+        else:
+            update = _updates.ConfigurationUpdate(
+                self._whole.change, reading.proof
+            )
+            reading = dataclasses.replace(reading, update=update)
+        return _updates.encode_frame(reading)
+
+    def _make_whole(self, version):
         change = traffic.plan_change(
             traffic.NO_CONFIGURATION, self._configuration_cache.configuration
         )
-        update = _updates.ConfigurationUpdate(change, reading.proof)
-        return _updates.encode_frame(
-            dataclasses.replace(reading, update=update)
-        )
+        frame = self._encode_change(change)
+        if frame is None or len(frame) > MAX_CHANGE_BYTES:
+            return _WholeVersion(version, None, _pack(frame))
+        return _WholeVersion(version, change, b'')
 
 
 def _pack(frame):
