Ignore SIGHUP from the first statement on

Cause: the default action holds until the interpreter has come to the first statement of the program: 25 ms with the system's interpreter, 50 ms with one that loads more site packages (signals every 5 ms, 5 tries each). Ruled out: -S, which saves 20 ms here and nothing on a clean machine. Change: the launcher of the one-file program ignores the signal, which lasts over execv until the node's handler is installed.

--- a/build_tools/launcher.c
+++ b/build_tools/launcher.c
@@ -14,6 +14,7 @@
  */
 #include <errno.h>
 #include <fcntl.h>
+#include <signal.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -107,7 +108,12 @@
     uint64_t length;
     FILE *self = fopen("/proc/self/exe", "rb");
 
-    (void)argc;
+    /*
+     * A running node reloads its settings on SIGHUP. Until its handler is
+     * installed the signal is ignored, which execv preserves.
+     */
+    if (argc > 1 && !strcmp(argv[1], "entry"))
+        signal(SIGHUP, SIG_IGN);
     if (!self || fseek(self, -TRAILER_SIZE, SEEK_END))
         fail("cannot read the executable /proc/self/exe");
     read_exactly(self, trailer, sizeof trailer);
--- a/build_tools/make_binary.py
+++ b/build_tools/make_binary.py
@@ -97,6 +97,7 @@
     pathlib.Path
         The executable.
     """
+    BUILD.mkdir(exist_ok=True)
     target = BUILD / 'launcher'
     source = ROOT / 'build_tools' / 'launcher.c'
     subprocess.run(
@@ -106,18 +107,30 @@
     return target
 
 
-def main():
-    """Build the executable and print its size."""
-    BUILD.mkdir(exist_ok=True)
-    archive = make_archive(collect_program())
+def write_executable(target, archive):
+    """Write the launcher with an archive.
+
+    Parameters
+    ----------
+    target : pathlib.Path
+        File to write.
+    archive : bytes
+        Result of `make_archive`.
+    """
     checksum = hashlib.sha256(archive).hexdigest()[:CHECKSUM_DIGITS]
-    target = BUILD / 'balsamwind'
     with target.open('wb') as file:
         file.write(compile_launcher().read_bytes())
         file.write(archive)
         file.write(struct.pack('<Q', len(archive)))
         file.write(checksum.encode('ascii'))
     target.chmod(0o755)
+
+
+def main():
+    """Build the executable and print its size."""
+    BUILD.mkdir(exist_ok=True)
+    target = BUILD / 'balsamwind'
+    write_executable(target, make_archive(collect_program()))
     shutil.rmtree(BUILD / 'work')
     print(f'{target.name}: {target.stat().st_size / 1e6:.1f} MB')
 
