Start no waiting request where a group left

Cause: when an attempt ends, the waiting room starts the next request at the same backend. It did not ask whether that may still get any, and a refusal ends an attempt at once. Change: the room asks the table of backends; a check right before each send covers waits for a connection and pauses of the node.

--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -356,8 +356,8 @@
         """Check that somebody still waits, and that the server may be used.
 
         On a slow node, the caller may have left, its deadline may have
-        passed, or the server's data centre may be evacuated, while the
-        request waited for the event loop or a connection.
+        passed, or the server may have left or its data centre be evacuated,
+        while the request waited for the event loop or a connection.
 
         Parameters
         ----------
@@ -378,6 +378,9 @@
             raise exceptions.DeadlinePassed(
                 'the deadline passed before the request was sent'
             )
+        backends = self._relay.backends
+        if backends.find(self._service, backend.key) is not backend:
+            raise exceptions.SendForbidden('the server may have left')
         if not self._selector.is_home(backend):
             raise exceptions.SendForbidden(
                 f'the request may not run in {backend.record.data_centre}'
--- a/balsamwind/relay/_waiting_room.py
+++ b/balsamwind/relay/_waiting_room.py
@@ -356,12 +356,27 @@
             service = self._services[name]
             if backend is None:
                 backends = self._backends.get_by_service(service)
-            elif backend.model == model and backend.key[0] == name:
+            elif self._may_start(service, model, backend):
                 backends = (backend,)
             else:
                 continue
             self._start(service, model, backends, now)
 
+    def _may_start(self, service, model, backend):
+        """Tell whether a backend may still get requests for a model.
+
+        An attempt that ends may have been at a group that is closing, or whose
+        head has left.
+        """
+        return (
+            backend.model == model
+            and backend.key[0] == service.name
+            and any(
+                item is backend
+                for item in self._backends.get_by_service(service)
+            )
+        )
+
     def _find_waiting_models(self):
         """Find the services and models that requests wait for.
 
--- a/balsamwind/relay/tests/test_unrun_attempts.py
+++ b/balsamwind/relay/tests/test_unrun_attempts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind.relay import _forwarder
 from balsamwind.relay.tests import forwarding
@@ -90,3 +91,31 @@
     assert engine.requests == 2
     assert len(spent) == 2
     assert error.run == exceptions.NOT_RUN
+
+
+def test_server_that_left_during_the_connect_gets_nothing():
+    # A node that waits for a connection, or is paused, must not send to a
+    # server that it knows by then to be gone (DRAIN).
+    relays, endpoints = [], []
+
+    class SlowClient(adapters.HttpClient):
+        async def _connect(self, parts, endpoint, timeout):
+            stream = await super()._connect(parts, endpoint, timeout)
+            endpoints.append(endpoint)
+            if len(endpoints) == 1:
+                relays[0].backends._backends[:] = [
+                    backend
+                    for backend in relays[0].backends._backends
+                    if backend.record.address != endpoint
+                ]
+            return stream
+
+    responder, engine, error = asyncio.run(
+        forwarding.forward(
+            [STREAM], client=SlowClient(), on_relay=relays.append
+        )
+    )
+    assert error is None
+    assert responder.complete
+    assert engine.requests == 1
+    assert len(set(endpoints)) == 2
--- a/balsamwind/relay/tests/test_waiting_room.py
+++ b/balsamwind/relay/tests/test_waiting_room.py
@@ -131,6 +131,25 @@
     assert len(fleet.room) == 0
 
 
+def test_group_that_has_left_gets_no_waiting_request():
+    # Each attempt that ended there, also a refused one, brought it the next
+    # request that waited, for seconds after it had left (DRAIN).
+    fleet = _Fleet()
+    fleet.fill()
+    left = fleet.table.backends[0]
+    fleet.ask(1)
+    fleet.table.backends = fleet.table.backends[1:]
+    for number in range(1000, 1000 + 2 * (SLOTS + 1)):
+        if left.in_flight:
+            fleet.end(number)
+    assert all(
+        placed.key.name != left.key[1]
+        for _, placed in fleet.replies
+        if isinstance(placed, relay.Placement)
+    )
+    assert left.in_flight == 0
+
+
 def test_groups_never_get_more_than_they_have_room_for():
     fleet = _Fleet()
     fleet.fill()
