Pass a cancelled request's turn to the next

What callers saw: nothing by itself; a place of a group counted as taken for good, and requests behind it were not started in that turn (seen by the reviewers in the code). Cause: a request that is cancelled in the same turn of the event loop in which it gets its backend has a cancelled future, and setting its result raises after the place was counted. Evidence: the new test fails before. Ruled out: a cancellation after the turn, which gives the place back. Change: a delivery to a cancelled request takes nothing. Measured: the tests of the waiting room pass.

--- a/balsamwind/relay/_backend_selection.py
+++ b/balsamwind/relay/_backend_selection.py
@@ -317,6 +317,9 @@
         reserved = asyncio.get_running_loop().create_future()
 
         def deliver(result, now):
+            if reserved.cancelled():
+                # The caller has left in this turn of the event loop.
+                return
             # It is counted now, as another request may be placed before this
             # one goes on.
             tracking = contextlib.ExitStack()
--- a/balsamwind/relay/tests/test_waiting_room.py
+++ b/balsamwind/relay/tests/test_waiting_room.py
@@ -408,6 +408,29 @@
     asyncio.run(run())
 
 
+def test_turn_that_comes_for_a_cancelled_request_goes_to_the_next():
+    # A place of the group counted as taken for good, and the requests behind
+    # it were not started.
+    async def run():
+        fleet = _SelectorFleet()
+        first, second = (
+            asyncio.ensure_future(fleet.reserve()) for _ in range(2)
+        )
+        await asyncio.sleep(0.01)
+        fleet.backend.in_flight -= 1
+        first.cancel()
+        # In the same turn of the event loop.
+        fleet.fake_relay.waiting_room.advance(
+            fleet.fake_relay.clock.monotonic()
+        )
+        with contextlib.suppress(asyncio.CancelledError):
+            await first
+        assert await asyncio.wait_for(second, 0.5) == SLOTS + 1
+        assert fleet.backend.in_flight == SLOTS
+
+    asyncio.run(run())
+
+
 def test_load_that_engines_report_bounds_a_partitioned_node():
     """It does not know the requests of others, but full groups say so."""
 
