Pass paths and queries on byte by byte

Cause: the URL of the server was taken apart and put together again, and what was read as Latin-1 was written as UTF-8. Ruled out: headers, which are written as Latin-1 again. Change: what follows the host is sent as it is; the target is decoded as UTF-8 once, and one that is no text is rejected with status 400.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -262,7 +262,7 @@
         arguments = (
             endpoint,
             method,
-            parts,
+            _find_target(url, parts),
             headers,
             body,
             timeout,
@@ -350,7 +350,7 @@
         reused,
         endpoint,
         method,
-        parts,
+        target,
         headers,
         body,
         timeout,
@@ -366,7 +366,7 @@
             if before_send is not None:
                 before_send()
             async with asyncio.timeout(timeout) as exchange.timeout:
-                self._send(connection, endpoint, method, parts, headers, body)
+                self._send(connection, endpoint, method, target, headers, body)
                 return await self._receive(connection, exchange)
         except TimeoutError:
             _connection_pool.abandon(stream)
@@ -386,10 +386,7 @@
             _connection_pool.abandon(stream)
             raise
 
-    def _send(self, connection, endpoint, method, parts, headers, body):
-        path = parts.path or '/'
-        if parts.query:
-            path = f'{path}?{parts.query}'
+    def _send(self, connection, endpoint, method, target, headers, body):
         fields = httputil.HTTPHeaders({'User-Agent': self._user_agent})
         for name, value in headers:
             fields.add(name, value)
@@ -397,7 +394,7 @@
             fields['Host'] = endpoint
         if body or method in ('POST', 'PUT', 'PATCH'):
             fields['Content-Length'] = str(len(body))
-        start = httputil.RequestStartLine(method, path, 'HTTP/1.1')
+        start = httputil.RequestStartLine(method, target, 'HTTP/1.1')
         # Not awaited: the response may arrive before the body was sent.
         written = connection.write_headers(start, fields, body or None)
         written.add_done_callback(lambda future: future.exception())
@@ -517,6 +514,12 @@
         self._connection_pool.close()
 
 
+def _find_target(url, parts):
+    """Return what follows the host in a URL, as it is."""
+    target = url[len(f'{parts.scheme}://{parts.netloc}') :]
+    return target if target.startswith('/') else f'/{target}'
+
+
 def _make_connection(stream):
     return http1connection.HTTP1Connection(
         stream,
--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -225,6 +225,20 @@
         return False
 
 
+def _decode_target(target):
+    """Decode the bytes of a path and query, which tornado reads as Latin-1.
+
+    Returns
+    -------
+    str or None
+        None if they are no text in UTF-8, in which they are passed on.
+    """
+    try:
+        return target.encode('latin-1').decode('utf-8')
+    except UnicodeError:
+        return None
+
+
 class _RequestReceiver(httputil.HTTPMessageDelegate):
     """Reads one request, checks its limits and passes it to the relay."""
 
@@ -236,6 +250,7 @@
         self._chunks = []
         self._size = 0
         self._start_line = None
+        self._target = None
         self._headers = None
         self._received_at = 0.0
 
@@ -261,6 +276,7 @@
         self._server.discard_idle_receiver(self)
         self._connection.stream.set_nodelay(True)
         self._start_line = start_line
+        self._target = _decode_target(start_line.path)
         self._responder.http_version = start_line.version
         self._headers = headers
         self._received_at = self._server.clock.monotonic()
@@ -274,6 +290,8 @@
                     f'{size} bytes of headers are over the limit'
                 )
             )
+        elif self._target is None:
+            self._reject(exceptions.BadRequest('the path is no text in UTF-8'))
         elif 'Host' not in headers:
             self._reject(exceptions.BadRequest('Host header is missing'))
         elif not headers.get('Content-Length', '0').isdigit():
@@ -305,7 +323,7 @@
             return
         request = relay.IncomingRequest(
             method=self._start_line.method,
-            target=self._start_line.path,
+            target=self._target,
             host=self._headers['Host'],
             headers=self._headers,
             body=b''.join(self._chunks),
