--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -17,6 +17,7 @@
 from balsamwind.node import _attempt_server
 from balsamwind.node import _configuration_updater
 from balsamwind.node import _configuration_watcher
+from balsamwind.node import _drain
 from balsamwind.node import _entry_contact
 from balsamwind.node import _evacuation_watcher
 from balsamwind.node import _evidence_exchange
@@ -58,18 +59,6 @@
 """Shortest age of a proof up to which a node relies on its publisher
 (seconds)."""
 
-READINESS_PROPAGATION_TIME = 2.6
-"""Time after readiness has ended until no new connections are opened to this
-node (seconds)."""
-
-EXIT_MARGIN = 0.6
-"""Time before the end of the grace period at which the process exits
-(seconds)."""
-
-LAST_ANSWERS_TIME = 0.2
-"""Part of that margin in which requests that are still open get their final
-answers (seconds)."""
-
 RELOAD_INTERVAL = 3.0
 """Time between two reads of the settings without a signal (seconds)."""
 
@@ -79,9 +68,6 @@
 GRACE_TIMER_MARGIN = 0.01
 """Time by which the timer of the relisting grace may fire early (seconds)."""
 
-DRAIN_POLL_INTERVAL = 0.05
-"""Time between two checks for open requests while draining (seconds)."""
-
 
 async def run_node(settings, make_platform_client, load_settings):
     """Run a node until SIGTERM or SIGINT, then drain it.
@@ -599,59 +585,19 @@
             self._log.info('node_state', **self._state.make_log_fields())
 
     async def drain(self):
-        """Release the leases, and wait for the open requests to finish.
-
-        All times are counted from the call, also if the store is slow.
-        """
-        started_at = self._clock.monotonic()
-        self._log.info('draining', open_requests=self.relay.open_requests)
+        """Hand over what others need, and wait for the open requests."""
         self._draining = True
-        self._attempt_carrier.is_draining = True
-        self._caller_server.disable_keep_alive()
         for task in self._leader_tasks:
             task.cancel()
-        exit_time = self._settings.bounds.grace - EXIT_MARGIN
-        results = await asyncio.gather(
-            self._close_callers(
-                min(READINESS_PROPAGATION_TIME, exit_time / 2)
-            ),
-            *(leader.lease.release() for leader in self._leaders),
-            return_exceptions=True,
-        )
-        for error in filter(None, results):
-            self._log.error('drain_step_failed', error=repr(error))
-        deadline = started_at + exit_time
-        while self._has_open_work() and self._clock.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL)
-        if self.relay.open_requests:
-            await self._end_open_requests()
-        self._log.info('drained', open_requests=self.relay.open_requests)
-
-    async def _close_callers(self, delay):
-        """Close connections without a request, and take no further ones.
-
-        A request that arrives later could not finish in time.
-        """
-        await asyncio.sleep(delay)
-        self.relay.refuses_new = True
-        self._caller_server.stop()
-        self._caller_server.close_idle()
-        await asyncio.sleep(DRAIN_POLL_INTERVAL)
-
-    async def _end_open_requests(self):
-        """Answer the requests that are open when this node must exit."""
-        self._log.warning(
-            'requests_ended_at_exit', open_requests=self.relay.open_requests
-        )
-        self.relay.end_open_requests()
-        deadline = self._clock.monotonic() + LAST_ANSWERS_TIME
-        while self.relay.open_requests and self._clock.monotonic() < deadline:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL / 5)
-
-    def _has_open_work(self):
-        return bool(
-            self.relay.open_requests or self._attempt_carrier.open_attempts
-        )
+        await _drain.Drain(
+            self._settings.bounds.grace,
+            self.relay,
+            self._attempt_carrier,
+            self._caller_server,
+            [leader.lease for leader in self._leaders],
+            self._clock,
+            self._log,
+        ).run()
 
     async def stop(self):
         """Stop the background tasks and close all connections."""
--- a/balsamwind/node/tests/test_planned_stop.py
+++ b/balsamwind/node/tests/test_planned_stop.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from balsamwind.node import _process
+from balsamwind.node import _drain
 from balsamwind.node.tests import helpers
 
 CLOSE_DELAY = 0.4
@@ -16,7 +16,7 @@
 
 @pytest.fixture(autouse=True)
 def _shorten_times(monkeypatch):
-    monkeypatch.setattr(_process, 'READINESS_PROPAGATION_TIME', CLOSE_DELAY)
+    monkeypatch.setattr(_drain, 'READINESS_PROPAGATION_TIME', CLOSE_DELAY)
 
 
 def _run_scenario(scenario, engines=2, **values):
@@ -175,7 +175,7 @@
     async def scenario(fake_platform, process):
         for engine in fake_platform.engines.values():
             engine.dark = True
-        monkeypatch.setattr(_process, 'EXIT_MARGIN', 7.5)
+        monkeypatch.setattr(_drain, 'EXIT_MARGIN', 7.5)
         reader, writer = await _connect(process)
         writer.write(REQUEST)
         await helpers.wait_until(lambda: process.relay.open_requests)
--- a/balsamwind/objects/_checks.py
+++ b/balsamwind/objects/_checks.py
@@ -102,11 +102,7 @@
     """
     if type(value) is float and value.is_integer():
         value = int(value)
-    _check_type(value, int, what)
-    lower = -_codec.MAX_EXACT_NUMBER if least is None else least
-    if not lower <= value <= _codec.MAX_EXACT_NUMBER:
-        raise exceptions.MalformedValue(f'{what}: out of range')
-    return value
+    return _check_range(_check_type(value, int, what), what, least)
 
 
 def check_number(value, what, least=None):
@@ -123,10 +119,7 @@
     """
     if type(value) is not float:
         _check_type(value, int, what)
-    lower = -_codec.MAX_EXACT_NUMBER if least is None else least
-    if not lower <= value <= _codec.MAX_EXACT_NUMBER:
-        raise exceptions.MalformedValue(f'{what}: out of range')
-    return float(value)
+    return float(_check_range(value, what, least))
 
 
 def check_address(value, what, may_be_name=False):
@@ -160,6 +153,14 @@
         raise exceptions.MalformedValue(f'{what}: no IP address')
 
 
+def _check_range(value, what, least):
+    """Check that every node keeps a number exact."""
+    lower = -_codec.MAX_EXACT_NUMBER if least is None else least
+    if not lower <= value <= _codec.MAX_EXACT_NUMBER:
+        raise exceptions.MalformedValue(f'{what}: out of range')
+    return value
+
+
 def _check_type(value, expected, what):
     """Check the type; True and False are no integers."""
     if not isinstance(value, expected) or isinstance(value, bool):
