Take no notice of leaving for a sign of life

What callers saw: nothing yet; open since the limits were built. A publisher that is cut off from the store was relied upon for as long as servers said that they leave, as its notices looked like news of the store (DRAIN). Evidence: the new test fails before. Ruled out: evacuations, whose notices go the same way now and are confirmed by their own times. Change: such an update states no revision; it is applied and passed on, and counts neither for the publisher's life nor for the end of an outage.

--- a/balsamwind/node/_leaving_servers.py
+++ b/balsamwind/node/_leaving_servers.py
@@ -43,5 +43,5 @@
         self._log.info('server_leaving', server=server_id, born=born)
         record = self._registry.get(server_id)
         if record is not None and record.born == born:
-            self._publisher.publish_changes([record], [])
+            self._publisher.publish_leaving(record)
         self._link.send(_updates.ServerLeaving(server_id, born))
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -229,6 +229,7 @@
             settings.first_start,
             contact,
         )
+        self.subscriber.forward_notice = self._publisher.broadcast
         self.relay.placement.convert_time = self.subscriber.convert_time
         self._evidence = _evidence_exchange.EvidenceExchange(
             settings.data_centre,
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -152,10 +152,14 @@
     def publish_whole(self):
         """Publish all listed entries, as subscribers may lack changes."""
         self._owes_whole = True
-        self.publish(_updates.ServerUpdate())
+        self.publish(_updates.ServerUpdate(revision=self._registry.revision))
+
+    def publish_leaving(self, record):
+        """Publish that a server says that it leaves; no sign of life."""
+        self.broadcast(_updates.ServerUpdate(records=(record,)))
 
     def publish(self, update):
-        """Send one `ServerUpdate` to all subscribers."""
+        """Send one `ServerUpdate` of the store to all subscribers."""
         self._last_publish_at = self._clock.monotonic()
         if self._owes_whole:
             self._owes_whole = False
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -116,6 +116,8 @@
     ----------
     max_proof_age, drain_time : float
         As given; replaced when the settings are read again.
+    forward_notice : callable
+        Forwards a `ServerUpdate` that is no sign of life of the store.
     evidence : EvidenceExchange
         Exchanges evidence of crashes with the publisher.
     limit_exchange : LimitExchange
@@ -152,6 +154,7 @@
         self.drain_time = drain_time
         self._link = link
         self._placement = placement
+        self.forward_notice = lambda message: None
         self.evidence = None
         self.limit_exchange = None
         self.evacuations = None
@@ -400,8 +403,14 @@
             self._log_outdated(message)
             self._note_leaving(message.records)
             return
-        self._contact.record_news(message.grace)
         message = self._correct(message)
+        if self._is_complete and not message.revision:
+            # It tells of a server that leaves, or of an evacuation.
+            self._apply_servers(message, now)
+            if message.records:
+                self.forward_notice(message)
+            return
+        self._contact.record_news(message.grace)
         self._apply_servers(message, now)
         if not self._is_missing_update:
             self._last_update_at = now
@@ -427,11 +436,7 @@
             ):
                 leaving.append(self._registry.get(record.server_id))
         if leaving:
-            self._forward(
-                _updates.ServerUpdate(
-                    records=tuple(leaving), revision=self._registry.revision
-                )
-            )
+            self.forward_notice(_updates.ServerUpdate(records=tuple(leaving)))
 
     def _log_outdated(self, message):
         """Log an update that would undo what is known; signs of life not."""
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -57,7 +57,8 @@
         Evacuated data centres; None if the publisher does not know them.
     revision : int
         Store revision up to which the publisher knows all changes; 0 if it
-        does not state any, as earlier builds.
+        does not state any, as earlier builds, or if the update does not come
+        from the store: then it is no sign of life.
     grace : float
         Time for which the publisher itself goes on using servers that the
         store lacks after an outage, and that are not among `records`
--- a/balsamwind/node/tests/test_removed_servers.py
+++ b/balsamwind/node/tests/test_removed_servers.py
@@ -249,6 +249,26 @@
     assert not registry.get('e2').listed
 
 
+def test_notice_of_a_leaving_server_is_no_sign_of_life():
+    # A publisher that was cut off was relied upon for as long as servers said
+    # that they leave, and hid what the store said (DRAIN).
+    clock = doubles.Clock()
+    subscriber, _, _ = test_updates._make_subscriber(clock)
+    registry = subscriber._registry
+    notices = []
+    subscriber.forward_notice = notices.append
+    record = _make_record('e1', 7)
+    subscriber._handle(_updates.ServerUpdate(True, (record,), revision=9))
+    leaving = dataclasses.replace(record, state=pool.ServerState.DRAINING)
+    notice = _updates.ServerUpdate(records=(leaving,))
+    for _ in range(4):
+        clock.now += 1.0
+        subscriber._handle(notice)
+    assert not registry.get('e1').usable
+    assert notices[0] == notice
+    assert not subscriber.has_fresh_servers()
+
+
 class _Server:
     """Connection of a subscriber."""
 
