Keep the revision over a notice of leaving

Found in reading: a notice without a revision set the known one to 0, so that outdated updates were applied until the next news. The test of the notice asserts it now and failed before.

--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -549,7 +549,7 @@
         else:
             removed = message.removed
             self._apply_changes(records, removed, now)
-            if self._is_complete:
+            if self._is_complete and message.revision:
                 self._registry.revision = message.revision
         _server_watcher.log_removed(
             self._log, removed, message.revision, self._source
--- a/balsamwind/node/tests/test_removed_servers.py
+++ b/balsamwind/node/tests/test_removed_servers.py
@@ -267,6 +267,7 @@
     assert not registry.get('e1').usable
     assert notices[0] == notice
     assert not subscriber.has_fresh_servers()
+    assert registry.revision == 9
 
 
 class _Server:
