Send requests without an id on new connections

What callers saw: nothing measured; found in reading. A request without an id has answers without one, so that a second copy of an earlier refusal on a kept connection can't be told from its own. Change: it gets a connection of its own.

--- a/balsamwind/platform/_configuration.py
+++ b/balsamwind/platform/_configuration.py
@@ -55,8 +55,7 @@
 
 
 def _read_integer(data, field, default=None):
-    value = data[field] if default is None else data.get(field, default)
-    return objects.check_integer(value, field, least=0)
+    return int(_read_number(data, field, default))
 
 
 def _read_number(data, field, default=None):
--- a/balsamwind/relay/_direct_path.py
+++ b/balsamwind/relay/_direct_path.py
@@ -76,6 +76,8 @@
             body=attempt.body,
             timeout=max(deadline - clock.monotonic(), 0.0) + READ_MARGIN,
             connect_timeout=connect_timeout,
+            # Without an id, only the first answer is surely the own one.
+            new_connection=not attempt.request_id,
             is_own_response=is_own_response,
             before_send=check_before_send,
             request_tag=attempt.request_id,
