Keep a silent attempt until another one answers

Cause: after 0.45 s without a byte an attempt was closed, and only then a place for the next one was looked for. Where there was none (no room, no budget, all groups of the model silent), where the next attempt failed without an event, or where only the end of the stream was missing, nothing was left. Class: the sound is given up before its replacement exists.

Ruled out: a longer stall timeout, as servers that are gone would then hold their streams for longer; their moving on is tested beside it.

Change: an attempt at a silent server goes on. Another one is made beside it when attempts, budget and time allow that; the first that has something for the caller claims the response and ends the others. Each silence is logged with what prevents a further attempt (attempt_silent, balsamwind_silent_attempts).

test_only_the_first_attempt_waits makes a selector for each attempt now, as the code does; what it asks for is the same. The buffer of an attempt is opened from the stream in test_decisions.py.

--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -44,6 +44,7 @@
         '_refilled_at',
         '_rejections',
         '_requested_pauses',
+        '_silences',
         '_stream_ends',
         '_suppressed_lines',
         '_tokens',
@@ -72,6 +73,13 @@
             ('reason',),
             registry=self.metrics_registry,
         )
+        self._silences = prometheus_client.Counter(
+            'balsamwind_silent_attempts',
+            'Attempts whose server was silent for long, by what prevented a'
+            ' further attempt.',
+            ('obstacle',),
+            registry=self.metrics_registry,
+        )
         self._unreadable_from = set()
         self._requested_pauses = prometheus_client.Counter(
             'balsamwind_requested_pauses',
@@ -215,6 +223,28 @@
             **_describe_progress(metadata, progress, self._clock.monotonic()),
         )
 
+    def record_silence(self, metadata, backend, obstacle):
+        """Record that the server of an attempt is silent for long.
+
+        Parameters
+        ----------
+        metadata : balsamwind.relay.RequestMetadata
+            Decoded headers of the request.
+        backend : balsamwind.relay.Backend
+            Backend server or replica group that is silent.
+        obstacle : str
+            Why no other attempt is made beside it; empty if one is.
+        """
+        self._silences.labels(obstacle or 'none').inc()
+        if self._take_token():
+            self.log.info(
+                'attempt_silent',
+                id=metadata.request_id,
+                place=':'.join(str(part) for part in backend.key),
+                server=backend.record.server_id,
+                obstacle=obstacle,
+            )
+
     def record_stream_end(
         self, request_id, backend, framing, unfinished_bytes
     ):
--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -22,7 +22,6 @@
 from balsamwind.relay._crash_evidence import SoundPart
 from balsamwind.relay._crash_quarantine import CrashQuarantine
 from balsamwind.relay._direct_path import READ_MARGIN
-from balsamwind.relay._event_stream import EventStreamBuffer
 from balsamwind.relay._load_balancing import choose_backend
 from balsamwind.relay._load_balancing import NoBackendAvailable
 from balsamwind.relay._load_balancing import predict_time_to_first_event
@@ -72,7 +71,6 @@
     'CrashQuarantine',
     'CrashReport',
     'DemandMeter',
-    'EventStreamBuffer',
     'ForwardedMetadata',
     'IncomingRequest',
     'MAX_PAUSE',
--- a/balsamwind/relay/_attempts.py
+++ b/balsamwind/relay/_attempts.py
@@ -7,10 +7,6 @@
 from balsamwind.relay import _placement
 
 
-class GroupStalled(Exception):
-    """A replica group made no progress within the stall timeout."""
-
-
 class Fault(enum.Enum):
     """What a failed attempt is blamed on.
 
--- a/balsamwind/relay/_backend_selection.py
+++ b/balsamwind/relay/_backend_selection.py
@@ -1,4 +1,4 @@
-"""Selection of the backend of each attempt of one request."""
+"""Selection of the backend of one attempt."""
 
 import asyncio
 import contextlib
@@ -16,7 +16,7 @@
 
 
 class BackendSelector:
-    """Reserves a backend for one attempt after the other.
+    """Reserves a backend for one attempt of a request.
 
     Parameters
     ----------
@@ -28,17 +28,21 @@
         Decoded headers of the request.
     find_time_left : callable
         Returns the time until the deadline of the request (seconds).
-    data_centres : tuple of str or None
-        Data centres in which the request may run; None for all.
     terms : RequestTerms
         Terms on which the request competes with others.
     find_key : callable
         Returns the key of the request, see `RequestRequirements`.
+    data_centres : tuple of str or None
+        Data centres in which the request may run; None for all.
+    tried : container of tuple
+        Keys of the backends that earlier attempts used.
+    may_wait : bool
+        Whether the attempt may wait for room. Only the first one of a
+        request may: others belong to requests that have begun, which do not
+        wait behind new ones.
 
     Attributes
     ----------
-    tried : set of tuple
-        Keys of the backends that earlier attempts used.
     outcome : Outcome
         How the attempt ended, for a node that placed it.
     reported_load : ReportedLoad or None
@@ -51,15 +55,16 @@
         '_chosen_at',
         '_find_time_left',
         '_has_waited',
+        '_may_wait',
         '_metadata',
         '_placement_number',
         '_relay',
         '_service',
         '_terms',
+        '_tried',
         '_wait_began_at',
         'outcome',
         'reported_load',
-        'tried',
     )
 
     def __init__(
@@ -71,8 +76,12 @@
         terms=_request_terms.RequestTerms(),
         find_key=str,
         data_centres=None,
+        tried=(),
+        may_wait=True,
     ):
         self._data_centres = data_centres
+        self._tried = tried
+        self._may_wait = may_wait and terms.objective_at is not None
         self._relay = relay
         self._service = service
         self._metadata = metadata
@@ -83,13 +92,12 @@
         self._wait_began_at = None
         self._has_waited = False
         self._chosen_at = float('-inf')
-        self.tried = set()
         self.outcome = _placement.Outcome.REFUSED
         self.reported_load = None
 
     @contextlib.asynccontextmanager
     async def reserve(self):
-        """Reserve the backend of one attempt until the block ends.
+        """Reserve the backend of the attempt until the block ends.
 
         Another node places the attempt if one does so for this node.
         Otherwise, and if that node names a backend that is not known here
@@ -104,9 +112,6 @@
         balsamwind.exceptions.NoCapacity
             No backend can serve the request in time.
         """
-        self._placement_number = None
-        self.outcome = _placement.Outcome.REFUSED
-        self.reported_load = None
         self._chosen_at = self._relay.clock.monotonic()
         backend = await self._find_backend()
         try:
@@ -118,12 +123,8 @@
                 )
 
     async def _find_backend(self):
-        """Find the backend of an attempt, and record how long that took.
-
-        Only the first attempt of a request may wait for room. Others belong
-        to requests that have begun, which do not wait behind new ones.
-        """
-        if self._wait_began_at is not None or self._terms.objective_at is None:
+        """Find the backend of an attempt, and record how long that took."""
+        if not self._may_wait:
             return await self._find_placed_backend(0.0) or self._choose()
         self._wait_began_at = self._relay.clock.monotonic()
         outcome = 'caller_gone'
@@ -157,7 +158,7 @@
         self._has_waited = True
 
     def report_stall(self):
-        """Tell the placing node of a stall, once for each attempt."""
+        """Tell the placing node of a stall, once."""
         if self.outcome is _placement.Outcome.STALLED:
             return
         self.outcome = _placement.Outcome.STALLED
@@ -180,7 +181,7 @@
             )
 
     def make_requirements(self):
-        """Make the `RequestRequirements` of the next attempt."""
+        """Make the `RequestRequirements` of the attempt."""
         terms = self._terms
         return _load_balancing.RequestRequirements(
             model=self._metadata.model if self._service.engine else '',
@@ -286,7 +287,7 @@
         placement = await self._relay.placement.place(
             self._service,
             self.make_requirements(),
-            self.tried,
+            self._tried,
             self._relay.server_statements.pauses,
             max_wait=max_wait,
             on_waiting=self._note_wait,
@@ -335,7 +336,7 @@
         placed = room.place(
             self._service,
             self.make_requirements(),
-            self.tried,
+            self._tried,
             relay.server_statements.pauses,
             now,
             max(self._find_time_left(), 0.0),
@@ -366,7 +367,7 @@
             self._service.engine,
             self.make_requirements(),
             self._relay.data_centre,
-            self.tried,
+            self._tried,
             self._relay.clock.monotonic(),
             self._relay.rng,
             statements.restrictions,
--- a/balsamwind/relay/_event_stream.py
+++ b/balsamwind/relay/_event_stream.py
@@ -16,8 +16,61 @@
 _COMMENT = re.compile(rb'(:[^\r\n]*(\r?\n|$))*')
 
 
+class EventStream:
+    """Events that a caller has got of one stream, over all attempts.
+
+    Attributes
+    ----------
+    last_event_id : int
+        Id of the last event that was released; -1 if none.
+    may_be_resumed : bool
+        Whether the last event that was released has an id.
+    """
+
+    __slots__ = (
+        '_confirmed_end',
+        '_next_event_after',
+        'last_event_id',
+        'may_be_resumed',
+    )
+
+    def __init__(self):
+        self.last_event_id = -1
+        self.may_be_resumed = True
+        self._next_event_after = None
+        self._confirmed_end = None
+
+    def open_attempt(self):
+        """Return the `EventStreamBuffer` of an attempt that begins now."""
+        return EventStreamBuffer(self)
+
+    def note_next_event(self):
+        """Note that an event after the last one has begun."""
+        self._next_event_after = self.last_event_id
+
+    def confirm_end(self):
+        """Believe two attempts that there is no further event, but not one.
+
+        A stream mostly breaks off in the middle; between two events that
+        looks like a break after the last one.
+
+        Raises
+        ------
+        balsamwind.exceptions.EmptyContinuation
+            Nothing but one attempt shows that there is none, or an event had
+            begun.
+        """
+        if self._next_event_after == self.last_event_id:
+            raise exceptions.EmptyContinuation(
+                'the resumed stream is empty, but an event had begun'
+            )
+        if self._confirmed_end != self.last_event_id:
+            self._confirmed_end = self.last_event_id
+            raise exceptions.EmptyContinuation('the resumed stream is empty')
+
+
 class EventStreamBuffer:
-    """Releases complete events and holds back a partial one.
+    """Releases the complete events of an attempt, holds back a partial one.
 
     A stream that is cut within an event can then be resumed at another
     backend after the last complete event. What follows must show that it
@@ -26,33 +79,22 @@
 
     Parameters
     ----------
-    last_event_id : int
-        Id of the last event that was released; -1 if none.
+    stream : EventStream
+        What was released over all attempts.
     """
 
-    __slots__ = (
-        '_ends_with_id',
-        '_has_confirmed_end',
-        '_has_events',
-        '_has_next_event',
-        '_is_resumed',
-        '_partial',
-        'last_event_id',
-    )
+    __slots__ = ('_has_events', '_is_resumed', '_partial', '_stream')
 
-    def __init__(self, last_event_id=-1):
-        self.last_event_id = last_event_id
-        self._ends_with_id = True
+    def __init__(self, stream):
+        self._stream = stream
         self._has_events = False
-        self._is_resumed = False
+        self._is_resumed = stream.last_event_id >= 0
         self._partial = b''
-        self._has_next_event = False
-        self._has_confirmed_end = False
 
     @property
-    def may_be_resumed(self):
-        """Whether the last event that was released has an id."""
-        return self._ends_with_id
+    def unfinished_bytes(self):
+        """Bytes of an event that has begun and not ended (count)."""
+        return len(self._partial.strip(b'\r\n'))
 
     def feed(self, data):
         """Add received bytes and release the complete events.
@@ -88,11 +130,14 @@
             self._take_ids(complete)
             self._has_events = True
         self._partial = data[end:]
+        if self.unfinished_bytes:
+            self._stream.note_next_event()
         return complete
 
     def _take_ids(self, complete):
         """Note the ids of events, if all of them may be released."""
-        last_id, ends_with_id = self.last_event_id, self._ends_with_id
+        stream = self._stream
+        last_id, ends_with_id = stream.last_event_id, stream.may_be_resumed
         for event in _EVENT_END.split(complete):
             if _COMMENT.fullmatch(event):
                 continue
@@ -103,25 +148,7 @@
             ends_with_id = found is not None
             if ends_with_id:
                 last_id = event_id
-        self.last_event_id, self._ends_with_id = last_id, ends_with_id
-
-    def start_attempt(self):
-        """Begin the stream of the next attempt.
-
-        A partial event is discarded, because the attempt sends it as a whole.
-        """
-        if self.unfinished_bytes:
-            self._has_next_event = True
-        elif self._has_events:
-            self._has_next_event = False
-        self._partial = b''
-        self._has_events = False
-        self._is_resumed = self.last_event_id >= 0
-
-    @property
-    def unfinished_bytes(self):
-        """Bytes of an event that has begun and not ended (count)."""
-        return len(self._partial.strip(b'\r\n'))
+        stream.last_event_id, stream.may_be_resumed = last_id, ends_with_id
 
     def finish(self, has_marked_end):
         """Check that the stream is complete, and release what is left.
@@ -153,24 +180,10 @@
                 'the connection ended before the first event of the stream'
             )
         if self._is_resumed and not self._has_events:
-            self._check_empty_end()
+            self._stream.confirm_end()
         rest, self._partial = self._partial, b''
         return rest
 
-    def _check_empty_end(self):
-        """Believe two attempts that there is no further event, but not one.
-
-        A stream mostly breaks off in the middle; between two events that
-        looks like a break after the last one.
-        """
-        if self._has_next_event:
-            raise exceptions.EmptyContinuation(
-                'the resumed stream is empty, but an event had begun'
-            )
-        if not self._has_confirmed_end:
-            self._has_confirmed_end = True
-            raise exceptions.EmptyContinuation('the resumed stream is empty')
-
 
 def _check_order(event_id, last_id):
     if event_id is None:
--- a/balsamwind/relay/_progress_watch.py
+++ b/balsamwind/relay/_progress_watch.py
@@ -1,6 +1,5 @@
 """Detection of replica groups that make no progress with a request."""
 
-from balsamwind.relay import _attempts
 from balsamwind.relay import _backends
 from balsamwind.relay import _load_balancing
 from balsamwind.relay import _paths
@@ -24,8 +23,8 @@
     on_stall : callable
         Called without arguments when the backend is ejected.
     on_long_stall : callable
-        Called without arguments after a longer wait; returns whether the
-        attempt is to end, so that the request is sent to another backend.
+        Called without arguments after each check that finds a longer wait,
+        so that the request may be sent to another backend as well.
     assess_path : callable
         Takes since when the attempt waits (seconds, boot clock) and after
         which pause its path is in doubt (seconds); returns the `PathState`.
@@ -110,14 +109,9 @@
         """Check the backend after a wait in which nothing came.
 
         A group that makes no progress is ejected first. After a longer wait
-        the attempt ends, but only if the request can be sent elsewhere:
-        waiting on is better than failing. Without a path the group can't be
+        the request may be sent elsewhere, too; the attempt goes on until
+        another one has begun to answer. Without a path the group can't be
         judged, and while the path is in doubt nothing is decided.
-
-        Raises
-        ------
-        GroupStalled
-            The attempt ends and the request may be sent elsewhere.
         """
         now = self._clock.monotonic()
         # A poll that takes much longer than its interval shows that this node
@@ -129,7 +123,7 @@
         )
         match path_state:
             case _paths.PathState.LOST:
-                self._end_if_repeatable()
+                self._on_long_stall()
             case _paths.PathState.OPEN if self._engine is not None:
                 self._check_group(now)
 
@@ -140,11 +134,7 @@
         self._backend.record_stall(now)
         self._on_stall()
         if self._is_stalled(now, retry_timeout):
-            self._end_if_repeatable()
-
-    def _end_if_repeatable(self):
-        if self._on_long_stall():
-            raise _attempts.GroupStalled
+            self._on_long_stall()
 
     def _is_stalled(self, now, timeout):
         return self._backend.is_stalled(self._waiting_since, now, timeout)
--- a/balsamwind/relay/_response_relay.py
+++ b/balsamwind/relay/_response_relay.py
@@ -26,7 +26,7 @@
     ----------
     started : bool
         Whether the caller has got the head of the response.
-    events : EventStreamBuffer
+    events : EventStream
         Events of a stream, over all attempts.
     """
 
@@ -43,7 +43,7 @@
         self._route = route
         self._stream_media_type = None
         self.started = False
-        self.events = _event_stream.EventStreamBuffer()
+        self.events = _event_stream.EventStream()
 
     @property
     def may_be_continued(self):
@@ -107,26 +107,22 @@
         self._start_event_stream(response)
         await self._responder.write(data)
 
-    async def finish_events(self, response):
+    async def finish_events(self, response, rest):
         """End the caller's response with the end of a stream.
 
         Parameters
         ----------
         response : balsamwind.adapters.HttpResponse
             Response that has ended.
-
-        Raises
-        ------
-        balsamwind.exceptions.TransportError
-            It has been broken off.
+        rest : bytes
+            What is left after the last event.
         """
-        rest = self.events.finish(response.has_marked_end)
         self._start_event_stream(response)
         if rest:
             await self._responder.write(rest)
         self._responder.finish()
 
-    async def relay_body(self, response, find_timeout):
+    async def relay_body(self, response, find_timeout, before_write):
         """Relay a response that is no stream of events.
 
         Parameters
@@ -135,6 +131,8 @@
             Response of a backend server.
         find_timeout : callable
             Returns the longest wait for more of the body (seconds).
+        before_write : callable
+            Called without arguments before the caller gets anything.
         """
         chunks = []
         size = 0
@@ -142,9 +140,11 @@
             chunks.append(chunk)
             size += len(chunk)
             if size > MAX_BUFFERED_BYTES:
+                before_write()
                 self._start(response, with_content_length=True)
                 await self._responder.write(b''.join(chunks))
                 chunks.clear()
+        before_write()
         self._start(response, with_content_length=True)
         if chunks:
             await self._responder.write(b''.join(chunks))
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -56,18 +56,24 @@
 
 
 class ScriptedEngine:
-    """Answers each request by the next script, on any connection."""
+    """Answers each request by the next script, on any connection.
+
+    A step of a script is what is sent, a pause (seconds), or one of the names
+    above.
+    """
 
     def __init__(self, scripts):
         self._scripts = list(scripts)
         self.requests = 0
         self.last_event_ids = []
+        self.asked_at = []
 
     async def handle(self, reader, writer):
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 self.requests += 1
+                self.asked_at.append(asyncio.get_running_loop().time())
                 for line in head.split(b'\r\n'):
                     if line.lower().startswith(b'last-event-id:'):
                         self.last_event_ids.append(line.split(b': ')[1])
@@ -80,6 +86,9 @@
                         return
                     if step == SILENCE:
                         await asyncio.sleep(60.0)
+                    if isinstance(step, float):
+                        await asyncio.sleep(step)
+                        continue
                     writer.write(step)
                     await writer.drain()
                     await asyncio.sleep(0.01)
@@ -115,6 +124,9 @@
     ):
         pass
 
+    def record_silence(self, metadata, backend, obstacle):
+        pass
+
     def record_stream_end(
         self, request_id, backend, framing, unfinished_bytes
     ):
--- a/balsamwind/relay/tests/test_decisions.py
+++ b/balsamwind/relay/tests/test_decisions.py
@@ -192,13 +192,14 @@
     ],
 )
 def test_only_complete_events_are_released(chunks, whole, last):
-    buffer = relay.EventStreamBuffer()
+    stream = _event_stream.EventStream()
+    buffer = stream.open_attempt()
     assert b''.join(map(buffer.feed, chunks)) == whole
-    assert buffer.last_event_id == last
+    assert stream.last_event_id == last
 
 
 def test_event_that_never_ends_is_given_up_at_a_bounded_size():
-    buffer = relay.EventStreamBuffer()
+    buffer = _event_stream.EventStream().open_attempt()
     chunk = b'x' * 65536
     with pytest.raises(exceptions.BadAnswer):
         for _ in range(2 * _event_stream.MAX_EVENT_SIZE // len(chunk)):
@@ -207,7 +208,7 @@
 
 
 def test_event_of_the_largest_size_is_released():
-    buffer = relay.EventStreamBuffer()
+    buffer = _event_stream.EventStream().open_attempt()
     event = b'data: ' + b'x' * (_event_stream.MAX_EVENT_SIZE - 8) + b'\n\n'
     released = b''.join(
         buffer.feed(event[start : start + 65536])
--- a/balsamwind/relay/tests/test_waiting_room.py
+++ b/balsamwind/relay/tests/test_waiting_room.py
@@ -341,7 +341,7 @@
             self.waits.append(fields)
         )
 
-    def make_selector(self):
+    def make_selector(self, may_wait=True):
         now = self.fake_relay.clock.monotonic()
         return _backend_selection.BackendSelector(
             self.fake_relay,
@@ -350,6 +350,7 @@
             lambda: now + 6.0 - self.fake_relay.clock.monotonic(),
             _request_terms.RequestTerms(1, 'acme', 'ask', now + 0.3),
             lambda: 'k',
+            may_wait=may_wait,
         )
 
     async def reserve(self):
@@ -456,11 +457,11 @@
 
     async def run():
         fleet = _SelectorFleet()
-        selector = fleet.make_selector()
         fleet.backend.in_flight = 0
-        async with selector.reserve():
+        async with fleet.make_selector().reserve():
             fleet.backend.in_flight = SLOTS + 1
-        async with asyncio.timeout(0.02), selector.reserve() as backend:
+        second = fleet.make_selector(may_wait=False)
+        async with asyncio.timeout(0.02), second.reserve() as backend:
             assert backend is fleet.backend
 
     asyncio.run(run())
