Withdraw a stall when the server goes on

Requests waited for groups that had long gone on: a stall ejects a group at the placing node for 0.7 s and more, and only the node that sends the attempt saw the end of the silence.

Evidence: test_sound_group_stayed_ejected_after_its_silence and test_group_that_goes_on_stayed_ejected_for_all_nodes failed before.

Change: a node that has reported a stall reports progress when bytes come again, by the message of the first event, which every build with that feature knows; the placing node ends the ejection then.

--- a/balsamwind/relay/_attempt_run.py
+++ b/balsamwind/relay/_attempt_run.py
@@ -229,8 +229,10 @@
         return None
 
     def _record_progress(self):
+        now = self._relay.clock.monotonic()
         self.is_silent = False
-        self.backend.record_progress(self._relay.clock.monotonic())
+        self.backend.record_progress(now)
+        self._selector.withdraw_stall(now - self.progress.sent_at)
 
     def _claim_response(self):
         self._claim(self)
--- a/balsamwind/relay/_backend_selection.py
+++ b/balsamwind/relay/_backend_selection.py
@@ -158,13 +158,26 @@
         self._has_waited = True
 
     def report_stall(self):
-        """Tell the placing node of a stall, once."""
+        """Tell the placing node of a stall, once for each."""
         if self.outcome is _placement.Outcome.STALLED:
             return
         self.outcome = _placement.Outcome.STALLED
         if self._placement_number is not None:
             self._relay.placement.report_stall(self._placement_number)
 
+    def withdraw_stall(self, time_since_send):
+        """Tell the placing node that a backend that stalled goes on.
+
+        Parameters
+        ----------
+        time_since_send : float
+            Time since the attempt was sent (seconds).
+        """
+        if self.outcome is not _placement.Outcome.STALLED:
+            return
+        self.outcome = _placement.Outcome.REFUSED
+        self.report_progress(time_since_send, None)
+
     def report_progress(self, time_to_first_event, load):
         """Tell the placing node of the first event of the answer.
 
--- a/balsamwind/relay/_placement.py
+++ b/balsamwind/relay/_placement.py
@@ -240,7 +240,9 @@
             attempt[0].record_stall(now)
 
     def report_progress(self, number, measured_time, load, now):
-        """Record that the answer to an attempt has begun.
+        """Record that the answer to an attempt has begun, or goes on.
+
+        An ejection for a stall ends.
 
         Parameters
         ----------
@@ -257,6 +259,7 @@
         if attempt is None:
             return
         backend, tracking, predicted_time = attempt
+        backend.record_progress(now)
         if predicted_time is not None:
             backend.record_first_event(measured_time, predicted_time, now)
             self._attempts[number] = (backend, tracking, None)
--- a/balsamwind/relay/tests/test_placement.py
+++ b/balsamwind/relay/tests/test_placement.py
@@ -150,3 +150,14 @@
     result = _place(session, 1, tried={b.key for b in table.backends})
     assert isinstance(result, relay.NoBackendAvailable)
     assert [backend.in_flight for backend in table.backends] == [0, 0]
+
+
+def test_group_that_goes_on_stayed_ejected_for_all_nodes():
+    # The end of a silence was known to the sending node only.
+    table, (session, other) = _open_sessions(2)
+    key = _place(session, 1).key
+    backend = table.backends[key.name == 'b']
+    session.report_stall(1, 10.5)
+    assert backend.is_ejected(10.6)
+    session.report_progress(1, 0.6, None, 10.6)
+    assert not backend.is_ejected(10.6)
--- a/balsamwind/relay/tests/test_silent_servers.py
+++ b/balsamwind/relay/tests/test_silent_servers.py
@@ -51,8 +51,7 @@
 
     def __init__(self, room):
         self._room = room
-        self.stalls = []
-        self.progress = []
+        self.reports = []
         self.ends = []
         self.placed = 0
 
@@ -64,10 +63,10 @@
         return relay.Placement(self.placed, key)
 
     def report_stall(self, number):
-        self.stalls.append(number)
+        self.reports.append((number, 'stall'))
 
     def report_progress(self, number, time_to_first_event, load):
-        self.progress.append(number)
+        self.reports.append((number, 'progress'))
 
     def end(self, number, outcome, load):
         self.ends.append((number, outcome))
@@ -195,3 +194,15 @@
     assert not responder.complete
     assert error.status == 504
     assert len(placement.ends) == 3
+
+
+def test_sound_group_stayed_ejected_after_its_silence():
+    # Requests waited for a group that had long gone on.
+    first = SOUND['between two events']
+    *_, placement = _forward([first], room=1)
+    assert placement.reports == [
+        (1, 'progress'),
+        (1, 'stall'),
+        (1, 'progress'),
+    ]
+    assert placement.ends == [(1, relay.Outcome.ANSWERED)]
