Close no group for a member's short silence

Cause: two failed probes, about 0.6 s, made a member 'down', and an open group with such a member was closed with cut. The head, silent itself or not, carried the order out and ended its requests, though all members went on a second later. Class: the sound is given up before it is known to be lost.

Evidence: test_stream_of_a_sound_group_was_cut_by_its_leader (one member silent, a request that may not be repeated) failed before; so did the table of what counts as lost. Ruled out: closing with wait, as a group of a lost member would keep its stalled requests and its members.

Change: 'down' still bars an engine from new groups at once; an open group is closed when a member is lost: it refuses connections, has started again or another server has its address (at once, as before), or it has been silent for half of the stall bound (2 s of 4).

--- a/balsamwind/node/_engine_health.py
+++ b/balsamwind/node/_engine_health.py
@@ -44,6 +44,7 @@
 
     __slots__ = (
         '_answers',
+        '_ended',
         '_failures',
         '_pending',
         '_silent_since',
@@ -54,6 +55,7 @@
 
     def __init__(self):
         self._answers = collections.deque()
+        self._ended = set()
         self._failures = {}
         self._pending = {}
         self._silent_since = {}
@@ -98,6 +100,10 @@
         """Return how long an engine has certainly not answered (seconds)."""
         return now - self._silent_since.get(server_id, now)
 
+    def has_ended(self, server_id):
+        """Tell whether an engine refuses connections or has started again."""
+        return server_id in self._ended
+
     def record_answer(self, server_id, sent_at, now):
         """Record that an engine has answered.
 
@@ -118,9 +124,7 @@
         was_down = self.is_down(server_id)
         if self._saw_nothing_until(sent_at):
             self.forget_failures()
-        self._failures.pop(server_id, None)
-        self._pending.pop(server_id, None)
-        self._silent_since.pop(server_id, None)
+        self._forget(server_id)
         self._unwitnessed_since = None
         self.answered_at[server_id] = now
         if was_down:
@@ -131,7 +135,7 @@
         self._count_witnessed()
         return was_down
 
-    def record_failure(self, server_id, sent_at, is_listed):
+    def record_failure(self, server_id, sent_at, is_listed, is_refused=False):
         """Record that a probe has failed.
 
         Parameters
@@ -143,7 +147,13 @@
         is_listed : bool
             Whether the platform still lists the engine. If not, the failure
             needs no witness.
+        is_refused : bool
+            Whether nothing listens at the address of the engine.
         """
+        if is_refused:
+            self._ended.add(server_id)
+        else:
+            self._ended.discard(server_id)
         if not is_listed:
             self._count(server_id, sent_at, 1)
             return
@@ -157,9 +167,12 @@
 
         Only the path of this node to that engine is lost.
         """
-        self._failures.pop(server_id, None)
-        self._pending.pop(server_id, None)
-        self._silent_since.pop(server_id, None)
+        self._forget(server_id)
+
+    def _forget(self, server_id):
+        self._ended.discard(server_id)
+        for known in (self._failures, self._pending, self._silent_since):
+            known.pop(server_id, None)
 
     def has_failed(self, server_id):
         """Tell whether a failure of an engine has been counted."""
@@ -171,6 +184,7 @@
         Another engine has the address, or the engine has started again; no
         witness is needed, as an answer has come.
         """
+        self._ended.add(server_id)
         self._count(server_id, sent_at, FAILURE_THRESHOLD)
 
     def _saw_nothing_until(self, sent_at):
@@ -204,12 +218,14 @@
 
         What was seen before does not tell what has happened meanwhile.
         """
+        self._ended.clear()
         self._failures.clear()
         self._pending.clear()
         self._silent_since.clear()
 
     def keep_only(self, server_ids):
         """Forget the engines that are not among `server_ids`."""
+        self._ended &= server_ids
         for known in (self._failures, self._pending, self._silent_since):
             for server_id in [
                 item for item in known if item not in server_ids
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -45,6 +45,11 @@
 """Time added to the configured stall bound, because a head that has lost a
 member may take slightly longer to break its group (seconds)."""
 
+MAX_SILENCE_SHARE = 0.5
+"""Longest silence of a member after which its group stays open, as a fraction
+of the stall bound (ratio). A sound engine may fall silent for a second; a head
+that has lost a member breaks its group after the bound."""
+
 MIN_SILENT_HEARTBEATS = 2.0
 """Least time since the last heartbeat of a backend server when its entry
 expires (heartbeat intervals)."""
@@ -176,6 +181,11 @@
         """Ids of the engines that do not answer this node."""
         return self._prober.down
 
+    @property
+    def _max_silence(self):
+        """Time for which a sound member may be silent (seconds)."""
+        return MAX_SILENCE_SHARE * self.settings.bounds.stall
+
     async def run(self):
         """Run planning rounds while the lease is held; never returns."""
         while True:
@@ -341,6 +351,11 @@
             records=records,
             terms=service.engine,
             down=down,
+            lost=frozenset(
+                server_id
+                for server_id in down
+                if self._prober.is_lost(server_id, self._max_silence, now)
+            ),
             presumed_dead=frozenset(
                 record.server_id
                 for record in records
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -89,6 +89,27 @@
         """How long an engine has not been answering (seconds)."""
         return self._health.silent_for(server_id, now)
 
+    def is_lost(self, server_id, max_silence, now):
+        """Tell whether an engine that is down will not go on.
+
+        Parameters
+        ----------
+        server_id : str
+            Id of the engine.
+        max_silence : float
+            Time for which a sound engine may be silent (seconds).
+        now : float
+            Current time (seconds, boot clock).
+
+        Returns
+        -------
+        bool
+        """
+        return (
+            self._health.has_ended(server_id)
+            or self.silent_for(server_id, now) >= max_silence
+        )
+
     def has_answered_within(self, server_id, seconds, now):
         """Whether an engine has answered within the last `seconds`."""
         answered_at = self._health.answered_at
@@ -182,7 +203,7 @@
             self._record_other_answer(record, 'bad report', sent_at)
         except exceptions.TransportError as error:
             if self._clock.monotonic() - sent_at < PROCESS_PAUSE_THRESHOLD:
-                self._record_failure(record, str(error), sent_at)
+                self._record_failure(record, error, sent_at)
         else:
             if not self._registry.apply_report(server_id, report):
                 self._record_other_answer(record, 'restarted', sent_at)
@@ -201,10 +222,13 @@
             self._health.record_other_answer(record.server_id, sent_at)
         self._next_probe_at[record.server_id] = 0.0
 
-    def _record_failure(self, record, reason, sent_at):
-        with self._log_changes(record, reason):
+    def _record_failure(self, record, error, sent_at):
+        with self._log_changes(record, str(error)):
             self._health.record_failure(
-                record.server_id, sent_at, record.listed
+                record.server_id,
+                sent_at,
+                record.listed,
+                isinstance(error, exceptions.ConnectionRefused),
             )
         self._ask_if_failed(record)
         # An immediate second probe tells a lost packet from a lost engine.
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -26,6 +26,9 @@
         Terms of the service, with its models and their group sizes.
     down : frozenset of str
         Ids of engines that do not answer.
+    lost : frozenset of str
+        Ids of those engines that will not go on: they have ended, or have not
+        answered for longer than a sound engine may be silent.
     presumed_dead : frozenset of str
         Ids of engines that are no longer listed and have not answered for so
         long that none of them can be the head of an open group any more.
@@ -74,6 +77,7 @@
     records: tuple
     terms: object
     down: frozenset = frozenset()
+    lost: frozenset = frozenset()
     presumed_dead: frozenset = frozenset()
     busy: frozenset = frozenset()
     late_joiners: frozenset = frozenset()
@@ -186,14 +190,17 @@
 def _plan_closing(view, group, member_ids):
     """Close an open group that lacks a member or is about to lose one.
 
-    Running requests are aborted only if a member is lost already. Returns
-    None if the group may stay open.
+    Running requests are aborted only if a member is lost already; one that is
+    silent may go on, and its requests with it. Returns None if the group may
+    stay open.
     """
-    down_ids = member_ids & view.down
-    if down_ids:
+    lost_ids = member_ids & view.lost
+    if lost_ids:
         return _actions.CloseGroup(
-            group, True, f'{sorted(down_ids)} do not answer'
+            group, True, f'{sorted(lost_ids)} do not answer'
         )
+    if member_ids & view.down:
+        return None
     if not group.size:
         return _actions.CloseGroup(
             group, False, 'its model is not configured any more'
