Show an attempt ended for a comment (fails)

A second attempt that sends a comment and falls silent ends the sound first one: the caller's stream is lost. Class: the sound is given up before its replacement exists. Fails at: 504 at the deadline, stream cut.

--- a/balsamwind/relay/tests/test_two_attempts.py
+++ b/balsamwind/relay/tests/test_two_attempts.py
@@ -131,6 +131,16 @@
     return responder, engine, error, placement
 
 
+def test_sound_attempt_was_ended_for_a_comment_of_another():
+    # LOST: the second attempt had nothing for the caller but a comment.
+    responder, _, error, _ = _forward(
+        [SOUND, [HEAD, COMMENT, forwarding.SILENCE]]
+    )
+    assert error is None
+    assert responder.complete
+    assert responder.body.replace(b': ready\n\n', b'') == ALL_EVENTS
+
+
 def test_stream_was_completed_by_a_comment_in_place_of_its_rest():
     # ORDER: the stream ended as complete before its last event.
     cut = _make_stream(0, 2, forwarding.CUT)
