Show a stall that outlives the silence (fails)

An attempt that was silent and went on keeps the outcome STALLED. If its caller leaves, or the deadline or the exit of the node ends it, the placing node ejects a sound group for all nodes; and a second silence of the same attempt is kept from it.

--- a/balsamwind/relay/tests/test_two_attempts.py
+++ b/balsamwind/relay/tests/test_two_attempts.py
@@ -149,6 +149,33 @@
     assert not responder.complete
 
 
+def test_sound_server_was_ejected_as_its_caller_left_after_a_silence():
+    async def run():
+        placement = _Placement()
+        script = [*_make_stream(0, 2), 0.7, *REST[1:2], forwarding.SILENCE]
+        async with _run_engine([script], placement) as (_, fake_relay):
+            fake_relay.try_consume = lambda now: False
+            responder = forwarding.Responder()
+            task = asyncio.ensure_future(
+                forwarding.send_one(fake_relay, responder, 2)
+            )
+            while EVENTS[2] not in responder.body:
+                await asyncio.sleep(0.01)
+            task.cancel()
+            await asyncio.wait({task})
+        assert placement.stalls == [1]
+        return placement.ends
+
+    assert asyncio.run(run()) == [(1, relay.Outcome.REFUSED)]
+
+
+def test_second_silence_of_an_attempt_was_kept_from_the_placing_node():
+    script = [*_make_stream(0, 2), 0.7, *REST[1:2], 0.7, *REST[2:]]
+    responder, _, _, placement = _forward([script], 1)
+    assert responder.complete
+    assert placement.stalls == [1, 1]
+
+
 def test_caller_that_left_a_silent_attempt_kept_none_running():
     # GONE: all attempts end with the caller, and give back their places.
     async def run():
