Show an unsent attempt that is paid for (fails)

Beside a silent attempt, one whose server refuses the connection costs the retry budget, and the next one costs it again: two payments for one arrival. Before an attempt without a sent byte cost nothing. The mend is in _forwarder.py and left to the lead.

--- a/balsamwind/relay/tests/test_two_attempts.py
+++ b/balsamwind/relay/tests/test_two_attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import pytest
 
@@ -207,6 +208,26 @@
     assert error.run != exceptions.NOT_RUN
 
 
+def test_attempt_that_was_not_sent_cost_the_budget_twice():
+    paid = []
+
+    def pay(now):
+        paid.append(now)
+        return True
+
+    def on_relay(fake_relay):
+        fake_relay.try_consume = pay
+        backend = fake_relay._backends[1]
+        backend.record = dataclasses.replace(
+            backend.record, address='127.0.0.1:1'
+        )
+
+    responder, engine, error, _ = _forward([GONE, REST], 2, on_relay)
+    assert responder.complete
+    assert engine.requests == 2
+    assert len(paid) == 1
+
+
 def test_request_that_runs_once_was_sent_twice(monkeypatch):
     make_route = forwarding.make_route
     monkeypatch.setattr(
