Show full groups that are never asked again (fails)

Beside a silent attempt, all groups that refuse for a moment are used up at once and count as tried: the search is repeated, and can't find them. The stream of a server that is gone waits for its deadline.

--- a/balsamwind/relay/tests/test_two_attempts.py
+++ b/balsamwind/relay/tests/test_two_attempts.py
@@ -228,6 +228,15 @@
     assert len(paid) == 1
 
 
+def test_groups_that_were_full_for_a_moment_were_never_asked_again():
+    # The stream of a server that was gone waited for its deadline.
+    placement = _Placement(0)
+    scripts = [GONE, *[[REFUSED]] * 3, REST]
+    responder, engine, error, _ = _forward(scripts, placement=placement)
+    assert error is None
+    assert responder.body == ALL_EVENTS
+
+
 def test_request_that_runs_once_was_sent_twice(monkeypatch):
     make_route = forwarding.make_route
     monkeypatch.setattr(
