End no attempt for less than an event

- A comment of the second attempt ended the sound first one; if the second then fell silent, the stream was lost.
An attempt that is not alone holds comments back until it has an event.
- An attempt that reached no server was paid from the retry budget, and the next one again.
What was paid is kept for the next attempt.
- Groups that were full for a moment were used up within 10 ms and never asked again, while the stream of a server that was gone waited for its deadline.

Also, not shown by a test: the outcome of an attempt that was ended is retrieved, and idle connections are closed once a silence and not every 0.1 s of it.

--- a/balsamwind/relay/_attempt_run.py
+++ b/balsamwind/relay/_attempt_run.py
@@ -46,14 +46,13 @@
         Keys of the backends that earlier attempts used.
     is_first : bool
         Whether it is the first attempt of the request.
-    may_follow : callable
-        Returns whether another attempt may follow if this one fails.
-    on_silence : callable
-        Called without arguments after each check that finds the backend
-        silent for long.
-    claim : callable
-        Called with this attempt before it writes to the caller; all others
-        must have ended when it returns.
+    is_paid : bool
+        Whether the retry budget has paid for it.
+    forwarder : RequestForwarder
+        Decides on attempts: its ``handle_silence()`` is called after each
+        check that finds the backend silent for long, ``claim(attempt)``
+        before anything is written to the caller, which ends all others.
+        ``may_follow()`` and ``is_alone()`` tell of other attempts.
 
     Attributes
     ----------
@@ -61,40 +60,32 @@
         Backend that was reserved; None before.
     progress : AttemptProgress or None
         How far the attempt has come; None before it was made.
+    is_paid : bool
+        As given.
     is_silent : bool
         Whether the backend has sent nothing for long.
     """
 
     __slots__ = (
-        '_claim',
         '_forwarded',
-        '_may_follow',
-        '_on_silence',
+        '_forwarder',
         '_relay',
         '_response',
         '_selector',
         '_sender',
         'backend',
+        'is_paid',
         'is_silent',
         'progress',
     )
 
     def __init__(
-        self,
-        forwarded,
-        response,
-        tried,
-        is_first,
-        may_follow,
-        on_silence,
-        claim,
+        self, forwarded, response, tried, is_first, is_paid, forwarder
     ):
         self._forwarded = forwarded
         self._relay = forwarded.relay
         self._response = response
-        self._may_follow = may_follow
-        self._on_silence = on_silence
-        self._claim = claim
+        self._forwarder = forwarder
         self._sender = _attempt_sender.AttemptSender(forwarded.relay)
         self._selector = _backend_selection.BackendSelector(
             forwarded.relay,
@@ -108,6 +99,7 @@
             is_first,
         )
         self.backend = None
+        self.is_paid = is_paid
         self.progress = None
         self.is_silent = False
 
@@ -210,7 +202,7 @@
         self._record_progress()
         if 200 <= status < 300:
             self.progress.began_at = self._relay.clock.monotonic()
-        if status >= 500 and self._may_follow():
+        if status >= 500 and self._forwarder.may_follow():
             return _attempts.Failure(
                 exceptions.BadAnswer(
                     f'the backend server failed with status {status}'
@@ -235,7 +227,7 @@
         self._selector.withdraw_stall(now - self.progress.sent_at)
 
     def _claim_response(self):
-        self._claim(self)
+        self._forwarder.claim(self)
 
     async def _explain_failure(self, error):
         """Find what a failure is blamed on.
@@ -285,10 +277,13 @@
         return paths.find_state(service)
 
     def _handle_long_silence(self):
-        # New connections may work although idle ones are dead.
-        self._relay.client.close_idle_connections(self.backend.record.address)
+        if not self.is_silent:
+            # New connections may work although idle ones are dead.
+            self._relay.client.close_idle_connections(
+                self.backend.record.address
+            )
         self.is_silent = True
-        self._on_silence()
+        self._forwarder.handle_silence()
 
     async def _open_response(self, watch):
         task = asyncio.ensure_future(
@@ -382,6 +377,7 @@
         self, response, watch, mark_prompt_processed, load
     ):
         events = self._response.events.open_attempt()
+        held_back = b''
         watch.expect_events()
         while True:
             watch.start_poll()
@@ -398,15 +394,19 @@
                 self._relay.paths.record_heard(
                     self._forwarded.service.name, now
                 )
-            complete_events = events.feed(chunk)
-            if complete_events:
+            held_back += events.feed(chunk)
+            # Comments alone are no reason to end another attempt.
+            if held_back and (
+                events.has_new_events or self._forwarder.is_alone()
+            ):
+                complete_events, held_back = held_back, b''
                 self._claim_response()
                 if self.progress.first_event_at is None:
                     self._report_first_event(watch, load, now)
                 self.progress.record_events(now)
                 await self._response.write_events(response, complete_events)
         self._record_stream_end(response, events)
-        rest = events.finish(response.has_marked_end)
+        rest = held_back + events.finish(response.has_marked_end)
         self._claim_response()
         await self._response.finish_events(response, rest)
 
--- a/balsamwind/relay/_event_stream.py
+++ b/balsamwind/relay/_event_stream.py
@@ -81,15 +81,27 @@
     ----------
     stream : EventStream
         What was released over all attempts.
+
+    Attributes
+    ----------
+    has_new_events : bool
+        Whether the last bytes completed an event, and not only comments.
     """
 
-    __slots__ = ('_has_events', '_is_resumed', '_partial', '_stream')
+    __slots__ = (
+        '_has_events',
+        '_is_resumed',
+        '_partial',
+        '_stream',
+        'has_new_events',
+    )
 
     def __init__(self, stream):
         self._stream = stream
         self._has_events = False
         self._is_resumed = stream.last_event_id >= 0
         self._partial = b''
+        self.has_new_events = False
 
     @property
     def unfinished_bytes(self):
@@ -126,6 +138,7 @@
                 f'an event is larger than {MAX_EVENT_SIZE} bytes'
             )
         complete = data[:end]
+        self.has_new_events = False
         if complete:
             self._take_ids(complete)
         self._partial = data[end:]
@@ -137,7 +150,7 @@
         """Note the ids of events, if all of them may be released."""
         stream = self._stream
         last_id, ends_with_id = stream.last_event_id, stream.may_be_resumed
-        has_events = self._has_events
+        has_events = False
         for event in _EVENT_END.split(complete):
             if _COMMENT.fullmatch(event):
                 continue
@@ -150,7 +163,8 @@
             if ends_with_id:
                 last_id = event_id
         stream.last_event_id, stream.may_be_resumed = last_id, ends_with_id
-        self._has_events = has_events
+        self.has_new_events = has_events
+        self._has_events = self._has_events or has_events
 
     def finish(self, has_marked_end):
         """Check that the stream is complete, and release what is left.
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -173,48 +173,63 @@
             self._succeed_silent_attempts()
         return False
 
-    def _start_attempt(self):
+    def _start_attempt(self, is_paid=False):
         attempt = _attempt_run.AttemptRun(
             self._forwarded,
             self._response,
             self._tried,
             self._is_first,
-            self._may_follow,
-            self._changed.set,
-            self._end_others,
+            is_paid,
+            self,
         )
         self._is_first = False
         task = asyncio.ensure_future(attempt.run())
-        task.add_done_callback(lambda _: self._changed.set())
+        task.add_done_callback(self._note_end)
         self._running[attempt] = task
 
+    def _note_end(self, task):
+        # The outcome of an attempt that others have ended is not used.
+        if not task.cancelled():
+            task.exception()
+        self._changed.set()
+
     def _handle_end(self, attempt, task):
         """Take over the outcome of an attempt; tell whether it was relayed."""
+        del self._running[attempt]
+        self._keep_payment(attempt)
         try:
             failure = task.result()
         except exceptions.NoCapacity as error:
-            del self._running[attempt]
             self._handle_no_capacity(error)
             return False
-        del self._running[attempt]
         if failure is None:
             self._record_answer(attempt)
             return True
         self._record_failure(attempt, failure)
-        if not self._running:
-            if not self._may_retry(failure):
-                raise self._select_final_error(failure)
-            self._start_attempt()
+        if self._running:
+            self._pause_succession(failure)
+            return False
+        if not self._may_retry(failure):
+            raise self._select_final_error(failure)
+        self._start_attempt(is_paid=failure.sent)
         return False
 
-    def _handle_no_capacity(self, error):
-        """Go on with the silent attempts; a failure must not be hidden."""
-        if self._running:
-            # The retry that was paid for has not been made.
+    def _keep_payment(self, attempt):
+        """Keep what was paid for an attempt that has reached no server."""
+        if attempt.is_paid and not attempt.may_be_sent:
             self._has_paid_retry = True
+
+    def _pause_succession(self, failure=None):
+        """Let backends that have no room get some, if that is what failed."""
+        if failure is None or failure.error.run == exceptions.NOT_RUN:
             self._next_succession_at = (
                 self._relay.clock.monotonic() + SUCCESSION_INTERVAL
             )
+
+    def _handle_no_capacity(self, error):
+        """Go on with the silent attempts; a failure must not be hidden."""
+        if self._running:
+            self._pause_succession()
             return
         if self._ambiguous_failure is None:
             raise error
@@ -224,17 +239,20 @@
         """Make another attempt beside those whose servers are silent."""
         if self._relay.clock.monotonic() < self._next_succession_at:
             return
+        is_sent = any(attempt.may_be_sent for attempt in self._running)
         obstacle = self._find_obstacle()
+        if not obstacle and is_sent and not self._pay_retry():
+            obstacle = 'no_budget'
         self._log_silence(obstacle)
         if obstacle:
             return
         for attempt in self._running:
             if attempt.make_silence_failure().fault is _attempts.Fault.SERVER:
                 self._tried.add(attempt.backend.key)
-        self._start_attempt()
+        self._start_attempt(is_paid=is_sent)
 
     def _find_obstacle(self):
-        """Find why no attempt is made beside the silent ones; else pay it.
+        """Find why no attempt is made beside the silent ones, but for budget.
 
         Returns
         -------
@@ -246,11 +264,7 @@
             return 'not_repeatable'
         if self._possible_runs + len(self._running) >= route.max_attempts:
             return 'no_attempt_left'
-        obstacle = self._find_ban()
-        if obstacle:
-            return obstacle
-        is_sent = any(attempt.may_be_sent for attempt in self._running)
-        return '' if not is_sent or self._pay_retry() else 'no_budget'
+        return self._find_ban()
 
     def _find_ban(self):
         """Find what forbids any further attempt; empty if nothing does."""
@@ -279,14 +293,29 @@
                     self._forwarded.metadata, attempt.backend, obstacle
                 )
 
-    def _end_others(self, winner):
-        """End all other attempts, as one has something for the caller."""
-        if len(self._running) == 1:
+    def handle_silence(self):
+        """Find out, soon, whether another attempt is made."""
+        self._changed.set()
+
+    def is_alone(self):
+        """Tell whether no more than one attempt is under way."""
+        return len(self._running) == 1
+
+    def claim(self, winner):
+        """End all other attempts, as one has something for the caller.
+
+        Parameters
+        ----------
+        winner : AttemptRun
+            The attempt; no other one writes to the caller from now on.
+        """
+        if self.is_alone():
             return
         for attempt, task in list(self._running.items()):
             if attempt is winner:
                 continue
             del self._running[attempt]
+            self._keep_payment(attempt)
             self._ending.add(task)
             task.add_done_callback(self._ending.discard)
             task.cancel()
@@ -302,9 +331,9 @@
         if tasks:
             await asyncio.wait(tasks)
 
-    def _may_follow(self):
-        """Tell whether a server error may be followed by an attempt."""
-        if len(self._running) > 1:
+    def may_follow(self):
+        """Tell whether a server error may be followed by another answer."""
+        if not self.is_alone():
             return True
         route = self._forwarded.route
         return (
@@ -352,7 +381,10 @@
     def _blame_server(self, attempt, failure):
         now = self._relay.clock.monotonic()
         backend = attempt.backend
-        self._tried.add(backend.key)
+        # One that is full for a moment may be asked again for a stream that
+        # waits for a silent server.
+        if failure.error.run != exceptions.NOT_RUN or not self._running:
+            self._tried.add(backend.key)
         if failure.stalled:
             backend.record_stall(now)
         elif failure.counts_for_ejection:
