Blame links that end on the node, not the server

Callers saw streams cut and calls ended as transport_error "connection lost: received 1000 (OK)" beside nodes that were being restarted.

Cause: a node that has just started knows no other nodes and closes their links. The asking node did not wrap the error of a send on such a link, so that it was blamed on the server, ejected it, and used up an attempt and budget; a close that came as a reply was blamed on the node but counted as an attempt that may have run.

A carrying node says that it accepts an attempt before it sends it, on an ordered connection, and sends nothing once it has sent a close frame. So an attempt was certainly not sent if the connection was not open at the send, or if a close frame came first, unless it answers one of this end. Such an attempt goes to the next node or the own path. A reset and a timeout stay ambiguous, as does every end after the acceptance.

Ruled out: the planned stop itself aborts its links without a close frame; 1000 comes only from a handler that returns.

--- a/balsamwind/adapters/_update_link.py
+++ b/balsamwind/adapters/_update_link.py
@@ -177,15 +177,34 @@
 
     Raises
     ------
+    balsamwind.exceptions.ConnectionClosed
+        The other end closed the connection, and all its frames were read.
     balsamwind.exceptions.TransportError
         The connection was lost.
     """
     try:
         return await connection.recv()
     except (OSError, websockets.WebSocketException) as error:
+        if _is_closed_by_other_end(error):
+            raise exceptions.ConnectionClosed(
+                f'connection closed: {error}'
+            ) from None
         raise exceptions.TransportError(f'connection lost: {error}') from None
 
 
+def _is_closed_by_other_end(error):
+    """Tell whether no frame can have been lost before the end.
+
+    The answer to a close of this end shows less: frames that came before it
+    may have been discarded.
+    """
+    return (
+        isinstance(error, websockets.ConnectionClosed)
+        and error.rcvd is not None
+        and error.rcvd_then_sent is not False
+    )
+
+
 async def open_websocket(address, path, timeout):
     """Connect to a node; the caller closes the connection.
 
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -252,6 +252,10 @@
     """Nothing listens at the address, as after a crash of the server."""
 
 
+class ConnectionClosed(TransportError):
+    """The remote end closed a connection; all that it had sent was read."""
+
+
 class SendPrevented(TransportError):
     """The check right before the send failed; nothing was sent."""
 
--- a/balsamwind/node/_attempt_client.py
+++ b/balsamwind/node/_attempt_client.py
@@ -1,6 +1,7 @@
 """Connections over which other nodes carry this node's attempts."""
 
 import asyncio
+import contextlib
 
 from tornado import httputil
 
@@ -240,14 +241,25 @@
 
         Raises
         ------
+        balsamwind.exceptions.PeerUnavailable
+            The node has not accepted it. It certainly did not send it if the
+            connection had ended before, or if it closed the connection in
+            place of accepting: that it accepts always comes first.
         balsamwind.exceptions.TransportError
-            The node has not accepted it.
+            The attempt failed at the server.
         """
+        if not adapters.is_open(self._connection):
+            raise exceptions.PeerUnavailable(
+                f'through {self._address}: the connection has ended',
+                sent=False,
+            )
         frame = _attempt_frames.CODEC.encode(attempt)
         try:
             async with asyncio.timeout(timeout):
-                await adapters.send_to(self._connection, frame)
-                message = await self._receive()
+                # What the node sent before the connection ended comes first.
+                with contextlib.suppress(exceptions.TransportError):
+                    await adapters.send_to(self._connection, frame)
+                message = await self._receive(is_accepted=False)
         except TimeoutError:
             raise exceptions.PeerUnavailable(
                 f'through {self._address}: not accepted within {timeout:.1f} s'
@@ -295,14 +307,16 @@
             f'through {self._address}: unexpected {type(message).__name__}'
         )
 
-    async def _receive(self):
+    async def _receive(self, is_accepted=True):
         try:
             return _attempt_frames.CODEC.decode(
                 await adapters.receive_from(self._connection)
             )
         except exceptions.TransportError as error:
+            is_closed = isinstance(error, exceptions.ConnectionClosed)
             raise exceptions.PeerUnavailable(
-                f'through {self._address}: {error.message}'
+                f'through {self._address}: {error.message}',
+                sent=is_accepted or not is_closed,
             ) from None
 
     async def wait_for_data(self, timeout):
--- a/balsamwind/node/tests/test_attempt_client.py
+++ b/balsamwind/node/tests/test_attempt_client.py
@@ -5,6 +5,7 @@
 
 import pytest
 import websockets
+from websockets.asyncio import server as ws_server
 
 from balsamwind import exceptions
 from balsamwind.node import _attempt_client
@@ -162,3 +163,88 @@
 
     asyncio.run(scenario())
     assert connection.sent == []
+
+
+async def _close_at_once(connection):
+    return
+
+
+async def _close_in_place_of_a_reply(connection):
+    await connection.recv()
+
+
+async def _fail(connection):
+    await connection.recv()
+    raise ValueError('x')
+
+
+async def _reset(connection):
+    await connection.recv()
+    connection.transport.abort()
+
+
+async def _be_silent(connection):
+    await connection.recv()
+    await connection.wait_closed()
+
+
+async def _accept_and_close(connection):
+    await connection.recv()
+    await connection.send(
+        _attempt_frames.CODEC.encode(relay.AttemptAccepted())
+    )
+
+
+async def _accept_and_reset(connection):
+    await _accept_and_close(connection)
+    connection.transport.abort()
+
+
+@pytest.mark.parametrize(
+    ('handle', 'is_idle', 'sent'),
+    [
+        pytest.param(_close_at_once, False, False, id='closed at once'),
+        pytest.param(_close_at_once, True, False, id='closed while idle'),
+        pytest.param(
+            _close_in_place_of_a_reply, False, False, id='closed unaccepted'
+        ),
+        pytest.param(_fail, False, False, id='failed unaccepted'),
+        pytest.param(_reset, False, True, id='reset'),
+        pytest.param(_be_silent, False, True, id='silent'),
+        pytest.param(_accept_and_close, False, True, id='closed accepted'),
+        pytest.param(_accept_and_reset, False, True, id='reset accepted'),
+    ],
+)
+def test_connection_that_ends_is_blamed_on_the_node(
+    monkeypatch, handle, is_idle, sent
+):
+    # The end of a link was taken for that of the server, and an attempt that
+    # no server got counted as one that may have run.
+    monkeypatch.setattr(_attempt_client, 'ACCEPT_TIMEOUT', 0.3)
+
+    async def scenario():
+        client = _attempt_client.AttemptClient(doubles.make_unknown_messages())
+        async with ws_server.serve(handle, '127.0.0.1', 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            address = f'127.0.0.1:{port}'
+            if is_idle:
+                connection = await client._connect(address)
+                client.put_back(address, connection)
+                # It is found closed only once the attempt is to be sent.
+                await connection.wait_closed()
+                monkeypatch.setattr(
+                    _attempt_client.AttemptClient,
+                    '_take',
+                    lambda *_: connection,
+                )
+            try:
+                await client.open(address, ATTEMPT, lambda: None)
+            except exceptions.TransportError as error:
+                return error
+            finally:
+                client.close()
+
+    error = asyncio.run(scenario())
+    assert type(error) is exceptions.PeerUnavailable
+    assert error.sent is sent
+    assert error.message.startswith('through 127.0.0.1:')
--- a/balsamwind/node/tests/test_peer_attempts.py
+++ b/balsamwind/node/tests/test_peer_attempts.py
@@ -340,3 +340,76 @@
                     )
 
     assert asyncio.run(scenario()) == relay.ReachReply(relay.Reach.UNKNOWN)
+
+
+def _count_runs(platform, request_id):
+    return sum(run.request_id == request_id for run in platform.trace.runs)
+
+
+def _choose_in_order(monkeypatch, process, carriers):
+    """Let a node turn to its carriers in this order."""
+    peers = [relay.Peer(carrier.settings.news, 'z1') for carrier in carriers]
+
+    def choose(self, service, tried, now, data_centres=None):
+        for peer in self._find_usable(service, tried, now):
+            if peer.address == peers[len(tried)].address:
+                return peer
+        return None
+
+    process._peer_selector.set_peers(peers)
+    monkeypatch.setattr(relay.PeerSelector, 'choose', choose)
+
+
+@pytest.mark.parametrize('path', ['/ask/x', '/once/x', '/balance/x'])
+@pytest.mark.parametrize(('refusing', 'status'), [(1, b'200'), (2, b'503')])
+def test_node_that_has_just_started_costs_no_attempt(
+    monkeypatch, path, refusing, status
+):
+    # It knows no nodes, and closed its links. That was taken for a fault of
+    # the server: streams were cut, and calls that may run once given up.
+    async def scenario():
+        async with _open_cut_fleet(monkeypatch) as (platform, nodes):
+            nodes[0]._attempt_client.close()
+            _choose_in_order(monkeypatch, nodes[0], nodes[1:])
+            for process in nodes[1 : 1 + refusing]:
+                process._attempt_server.set_nodes([])
+            answer = await helpers.send_request(
+                nodes[0], helpers.make_request(path, 'carried')
+            )
+            return answer, _count_runs(platform, 'carried')
+
+    answer, runs = asyncio.run(scenario())
+    assert answer.startswith(b'HTTP/1.1 ' + status)
+    assert runs == (status == b'200')
+
+
+@pytest.mark.parametrize(
+    ('path', 'runs'), [('/ask/x', 2), ('/once/x', 1), ('/balance/x', 1)]
+)
+@pytest.mark.parametrize('is_reset', [False, True])
+def test_attempt_whose_link_ends_after_it_was_accepted(
+    monkeypatch, path, runs, is_reset
+):
+    # What was accepted may have run, so that only a request that may run
+    # twice is sent again.
+    async def scenario():
+        async with _open_cut_fleet(monkeypatch) as (platform, nodes):
+            _slow_down(platform)
+            for server in platform.services.values():
+                server.processing_time = 0.3
+            sending = asyncio.ensure_future(
+                helpers.send_request(
+                    nodes[0], helpers.make_request(path, 'carried')
+                )
+            )
+            await helpers.wait_until(lambda: _count_runs(platform, 'carried'))
+            carrier = _find_carrier(nodes)
+            for connection in list(carrier._publisher.server._others):
+                if is_reset:
+                    connection.transport.abort()
+                else:
+                    await connection.close()
+            await sending
+            return _count_runs(platform, 'carried')
+
+    assert asyncio.run(scenario()) == runs
