Answer attempts of hosts that are not known yet

Callers of nodes of an older build still lose streams and calls while a node of this build restarts: such a node takes the close of the link for a fault of the server.

Cause: a node that has just started knows no nodes yet, and closed their links without a word. Now it answers the first message with AttemptFailed (no path) or an unknown reach, and then closes; all builds read that as "not carried", and leave the node out for a second. A host that says nothing is disconnected after a second.

Ruled out: a new cause, which older builds could not read; carrying for unknown hosts, as only nodes may send attempts.

--- a/balsamwind/node/_attempt_server.py
+++ b/balsamwind/node/_attempt_server.py
@@ -8,6 +8,9 @@
 from balsamwind.node import _frame_codec
 from balsamwind import relay
 
+REFUSAL_TIMEOUT = 1.0
+"""Longest wait for the message of a host that is no known node (seconds)."""
+
 
 class AttemptServer:
     """Carries attempts of other nodes, and answers their questions.
@@ -59,9 +62,11 @@
         host = connection.remote_address[0]
         if host not in self._hosts:
             self._log.warning('attempts_refused', host=host)
-            return
         try:
-            await self._handle_frames(connection)
+            if host in self._hosts:
+                await self._handle_frames(connection)
+            else:
+                await self._refuse_frame(connection)
         except exceptions.TransportError:
             # The other node has left; that needs no answer.
             if adapters.is_open(connection):
@@ -88,6 +93,30 @@
                         f'unexpected {type(other).__name__}'
                     )
 
+    async def _refuse_frame(self, connection):
+        """Answer one message of a host that is no known node.
+
+        A node that has just started knows none yet. The others then turn to
+        the next node, also those of builds that take the close alone for a
+        fault of the server.
+        """
+        try:
+            async with asyncio.timeout(REFUSAL_TIMEOUT):
+                frame = await adapters.receive_from(connection)
+        except TimeoutError:
+            return
+        match _attempt_frames.CODEC.decode(frame):
+            case relay.OutgoingAttempt():
+                reply = relay.AttemptFailed(
+                    relay.CarryFailure.NO_PATH,
+                    'this node does not know the sender',
+                )
+            case relay.ReachQuery():
+                reply = relay.ReachReply(relay.Reach.UNKNOWN)
+            case _:
+                return
+        await adapters.send_to(connection, _attempt_frames.CODEC.encode(reply))
+
     async def _carry(self, attempt, connection):
         """Carry an attempt while the other node is there.
 
