Wait for the final response after interim ones

Callers got status 100 or 103 with the body of the final answer, framed as whole, and a refusal behind a 103 ended as an empty 103 (MIXED).

Cause: tornado reports the head of an interim response like that of the final one, and the receiver kept the first head. Class: bytes that are not the answer are taken for it.

Change: the receiver skips heads with status 1xx, before and after copies of earlier answers. How many may come is bounded by tornado, and the wait for them by the timeout of the head.

--- a/balsamwind/adapters/_http_receiver.py
+++ b/balsamwind/adapters/_http_receiver.py
@@ -16,7 +16,7 @@
     Attributes
     ----------
     head : asyncio.Future
-        Resolves to the status code and the headers.
+        Resolves to the status code and the headers of the final response.
     chunks : collections.deque of bytes
         Body chunks that the consumer has not taken yet.
     finished : bool
@@ -43,7 +43,9 @@
         self._timer = None
 
     def headers_received(self, start_line, headers):
-        if not self.head.done():
+        # Interim responses come before the response, on its connection.
+        is_interim = 100 <= start_line.code < 200
+        if not is_interim and not self.head.done():
             self.head.set_result((start_line.code, headers))
 
     def data_received(self, chunk):
--- a/balsamwind/adapters/tests/test_http_client.py
+++ b/balsamwind/adapters/tests/test_http_client.py
@@ -285,3 +285,70 @@
         return [stream.closed() for stream in streams]
 
     assert asyncio.run(scenario()) == [True]
+
+
+INTERIM = {
+    'continue': b'HTTP/1.1 100 Continue\r\n\r\n',
+    'early hints': b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n',
+    'of another request': b'HTTP/1.1 103 X\r\nId: a\r\n\r\n',
+    'several': b'HTTP/1.1 102 X\r\n\r\n' * 3,
+}
+
+
+@pytest.mark.parametrize('interim', INTERIM.values(), ids=INTERIM)
+@pytest.mark.parametrize(
+    ('answer', 'expected'),
+    [
+        pytest.param(_make_response('b'), (200, b'ok'), id='answer'),
+        pytest.param(
+            _make_response('b').replace(b'200', b'503'),
+            (503, b'ok'),
+            id='refusal',
+        ),
+        pytest.param(
+            _make_response('a', b'old') + _make_response('b'),
+            (200, b'ok'),
+            id='copy of an earlier answer',
+        ),
+        pytest.param(b'', None, id='closed'),
+        pytest.param(_make_response('b')[:-5], None, id='cut head'),
+    ],
+)
+@pytest.mark.parametrize('is_kept', [False, True])
+def test_interim_response_was_taken_for_the_answer(
+    interim, answer, expected, is_kept
+):
+    # Callers got status 100 or 103 with the body of the final answer.
+    async def handle(reader, writer):
+        if is_kept:
+            await _read_request(reader)
+            writer.write(_make_response('a'))
+        await _read_request(reader)
+        writer.write(interim)
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        writer.write(answer)
+        writer.close()
+
+    async def open_response(client, url):
+        response = await client.open(
+            'GET',
+            url,
+            timeout=1.0,
+            is_own_response=lambda headers: (
+                headers['Id'] == 'b' if 'Id' in headers else None
+            ),
+        )
+        return response.status, await response.read_all(1.0)
+
+    async def scenario():
+        async with _open_server(handle) as (client, url):
+            if is_kept:
+                await _fetch(client, url, 'a')
+            if expected is not None:
+                return await open_response(client, url)
+            with pytest.raises(exceptions.TransportError) as caught:
+                await open_response(client, url)
+            assert caught.value.sent
+
+    assert asyncio.run(scenario()) == expected
