--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -238,7 +238,7 @@
         return None
 
 
-async def send_one(fake_relay, responder=None, max_attempts=3):
+async def send_one(fake_relay, responder=None, max_attempts=3, route=None):
     """Forward one request; return the error of its response, or None."""
     request = relay.IncomingRequest(
         'POST',
@@ -253,7 +253,7 @@
         request,
         relay.RequestMetadata('r1'),
         responder or Responder(),
-        make_route(max_attempts),
+        route or make_route(max_attempts),
         traffic.Service('llm', engine=fake_relay.placement and ENGINE),
         None,
         1.5,
