Send each plain call on a connection of its own

Older interface: callers got the answer to another request (MIXED), or were told "not run" for a call that ran, where a server wrote the second copy of an earlier answer or refusal before the next answer.

Cause: GET and HEAD calls reused kept connections, and answers of plain services name no request. Class: an answer is believed that may belong to another request.

Evidence: test_second_copy_of_a_response_was_taken_for_the_next failed for GET, answer and refusal, and passes now; POST had a connection of its own already and passed. Ruled out: a copy that is there before the next call; connections with unread bytes are not used again.

Change: every call opens a connection, as calls that may run once did. It costs a connection a call, with TLS a handshake.

--- a/balsamwind/adapters/_plain_service.py
+++ b/balsamwind/adapters/_plain_service.py
@@ -32,9 +32,9 @@
     ):
         """Send a call once, without retries.
 
-        A call whose method is not GET or HEAD gets a new connection: if the
-        server closed an idle connection at the same time, the outcome of the
-        call would be unknown.
+        Each call gets a new connection. On a kept one, nothing would show
+        that a response is not the second copy of an earlier one; and if the
+        server closed it at the same time, the outcome would be unknown.
 
         Parameters
         ----------
@@ -74,7 +74,7 @@
             headers=_make_headers(call),
             body=call.body,
             timeout=timeout + late_answer_time,
-            new_connection=call.method not in ('GET', 'HEAD'),
+            new_connection=True,
         )
         try:
             body = await _read_body(
--- a/balsamwind/adapters/tests/test_plain_service.py
+++ b/balsamwind/adapters/tests/test_plain_service.py
@@ -148,6 +148,52 @@
     assert not caught.value.sent
 
 
+OTHER_RESPONSE = make_response(200, b'{"circle": "other"}')
+REFUSAL = make_response(503, b'{"not_run": true}')
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize(
+    ('first', 'outcome'),
+    [
+        pytest.param(OTHER_RESPONSE, b'{"circle": "other"}', id='answer'),
+        pytest.param(REFUSAL, exceptions.NOT_RUN, id='refusal'),
+    ],
+)
+def test_second_copy_of_a_response_was_taken_for_the_next(
+    method, first, outcome
+):
+    # Callers got the answer to another request, or were told 'not run'.
+    responses = [first, OK_RESPONSE]
+
+    async def serve(reader, writer):
+        copy = b''
+        while await reader.read(65536):
+            response = responses.pop(0)
+            writer.write(copy + response)
+            copy = response
+
+    async def run():
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        address = '%s:%d' % server.sockets[0].getsockname()
+        client = adapters.HttpClient()
+        service = adapters.HttpPlainService(client)
+        outcomes = []
+        for _ in range(2):
+            try:
+                answer = await service.call(
+                    address, ports.ServiceCall(method, '/payouts'), 0.5
+                )
+                outcomes.append(base64.b64decode(answer.body))
+            except exceptions.BalsamwindError as error:
+                outcomes.append(error.run)
+        client.close()
+        server.close()
+        return outcomes
+
+    assert asyncio.run(run()) == [outcome, b'{}']
+
+
 def test_each_post_opens_a_new_connection():
     async def run():
         connections = []
