Keep the retry budgets when bounds change

Cause: all budgets began anew, without the requests and the retries of the window; requests that ran kept the old ones, whose retries no longer counted. Class: what is in use is given up before its replacement exists.

Evidence: test_reload.py, 4 cases, fails before: another budget object, with no request counted. Ruled out: a reload without new bounds, which changes nothing.

Change: the budgets in use take over ratio, window and allowance. A window that becomes longer still begins with what the shorter one held.

Result: the 4 cases and test_decisions.py pass.

--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -209,7 +209,7 @@
         return reach is not _carried_attempts.Reach.ANSWERS
 
     def set_bounds(self, bounds):
-        """Replace the limits; all retry budgets start anew.
+        """Replace the limits, also of the retry budgets in use.
 
         Parameters
         ----------
@@ -217,7 +217,10 @@
             New limits.
         """
         self._bounds = bounds
-        self._retry_budgets.clear()
+        for budget in self._retry_budgets.values():
+            budget.ratio = bounds.retry_ratio
+            budget.window = bounds.retry_window
+            budget.fixed_allowance = bounds.retry_extra / self._node_count
 
     def set_node_count(self, count):
         """Divide the fixed part of the retry budget among the nodes.
--- a/balsamwind/relay/_retry_budget.py
+++ b/balsamwind/relay/_retry_budget.py
@@ -25,16 +25,16 @@
     """
 
     __slots__ = (
-        '_ratio',
         '_requests',
         '_retries',
-        '_window',
         'fixed_allowance',
+        'ratio',
+        'window',
     )
 
     def __init__(self, ratio, window, fixed_allowance):
-        self._ratio = ratio
-        self._window = window
+        self.ratio = ratio
+        self.window = window
         self.fixed_allowance = fixed_allowance
         self._requests = collections.deque()
         self._retries = collections.deque()
@@ -65,14 +65,14 @@
             is spent.
         """
         self._evict_expired(now)
-        allowed = self._ratio * len(self._requests) + self.fixed_allowance
+        allowed = self.ratio * len(self._requests) + self.fixed_allowance
         if len(self._retries) + 1 > USABLE_FRACTION * allowed:
             return False
         self._retries.append(now)
         return True
 
     def _evict_expired(self, now):
-        start = now - self._window
+        start = now - self.window
         for times in (self._requests, self._retries):
             while times and times[0] < start:
                 times.popleft()
