Send each completion on its own connection

Older interface: a caller was told "not run" for a completion that ran, and its group was taken for down, where an engine wrote a refusal before the next answer on a kept connection (REFUSED).

Cause: completions reused connections, and a refusal names no attempt; events do. Class: an answer is believed that may belong to another request.

Evidence: test_copy_of_a_refusal_ended_the_next_completion failed for "draining" (the other refusals and a copy of another stream were made good by a second attempt); all 4 pass now. Ruled out: sending the request once more on a new connection after such a refusal. Nothing shows whether the first one runs, so that no refusal could be passed on as "not run".

Change: each completion opens a connection, which is closed at its end and never kept. It costs a connection a completion.

test_connection_is_reused_only_after_a_clean_end asked that one case of four reuses its connection, which is the fault. It asks now that none does (test_connection_of_a_completion_is_never_reused), all else as before.

--- a/balsamwind/adapters/_engine.py
+++ b/balsamwind/adapters/_engine.py
@@ -106,6 +106,9 @@
     async def generate(self, address, request, timeout):
         """Start an attempt to generate a completion.
 
+        It has a connection of its own: nothing in a refusal shows which
+        request it belongs to.
+
         Parameters
         ----------
         address : str
@@ -134,8 +137,9 @@
                 objects.encode(request), ensure_ascii=False
             ).encode('utf-8'),
             timeout=timeout,
-            retry_on_new_connection=True,
+            new_connection=True,
         )
+        response.forbid_reuse()
         if response.status != 200:
             try:
                 body = await response.read_all(timeout)
@@ -318,9 +322,9 @@
         """Release the connection.
 
         After the finish event only the end of the body is outstanding; it is
-        awaited in the background, so that the connection can be reused.
-        Before the finish event the connection is closed, which cancels the
-        attempt at the engine.
+        awaited in the background, so that the engine can write it. Before
+        the finish event the connection is closed, which cancels the attempt
+        at the engine.
         """
         if self._finished and not self._buffer:
             self._response.release()
--- a/balsamwind/adapters/_streamed_response.py
+++ b/balsamwind/adapters/_streamed_response.py
@@ -47,6 +47,7 @@
         '_client',
         '_connection',
         '_endpoint',
+        '_may_reuse',
         '_reader',
         '_receiver',
         '_stream',
@@ -61,6 +62,7 @@
         self._stream = connection.stream
         self._receiver = receiver
         self._reader = reader
+        self._may_reuse = True
         self.status, self.headers = receiver.head.result()
 
     @property
@@ -181,8 +183,13 @@
         else:
             self._return_connection()
 
+    def forbid_reuse(self):
+        """Let the connection be closed at the end of the body."""
+        self._may_reuse = False
+
     def _return_connection(self):
-        if self.headers.get('Connection', '').lower() == 'close':
+        says_close = self.headers.get('Connection', '').lower() == 'close'
+        if says_close or not self._may_reuse:
             self.close()
             return
         connection, self._connection = self._connection, None
