Connect to other nodes from the registered host

A node refused the attempts and questions of another one whose connection came from an address that is not registered: a machine with several addresses, or nodes on the loopback network.

Cause: the system chose the source address; the others know the node by the host of its address for updates.

Evidence: test_node_with_several_addresses_was_not_recognised; before, a client had no way to say where it connects from.

--- a/balsamwind/adapters/_update_link.py
+++ b/balsamwind/adapters/_update_link.py
@@ -205,7 +205,7 @@
     )
 
 
-async def open_websocket(address, path, timeout):
+async def open_websocket(address, path, timeout, source_host=''):
     """Connect to a node; the caller closes the connection.
 
     Parameters
@@ -216,6 +216,9 @@
         Path of the websocket.
     timeout : float
         Longest wait (seconds).
+    source_host : str
+        Host of this node that the connection comes from; empty if the system
+        chooses.
 
     Returns
     -------
@@ -226,10 +229,14 @@
     balsamwind.exceptions.TransportError
         The node can't be reached.
     """
+    local_address = (source_host, 0) if source_host else None
     try:
         async with asyncio.timeout(timeout):
             return await ws_client.connect(
-                f'ws://{address}{path}', proxy=None, **WEBSOCKET_OPTIONS
+                f'ws://{address}{path}',
+                proxy=None,
+                local_addr=local_address,
+                **WEBSOCKET_OPTIONS,
             )
     except (OSError, TimeoutError, websockets.WebSocketException) as error:
         raise exceptions.TransportError(f'{address}: {error!r}') from None
--- a/balsamwind/node/_attempt_client.py
+++ b/balsamwind/node/_attempt_client.py
@@ -48,11 +48,14 @@
     ----------
     unknown_messages : UnknownMessages
         Counts the messages that this build does not know.
+    source_host : str
+        Host by which the other nodes know this one; empty if it has only one.
     """
 
-    __slots__ = ('_idle', '_unknown_messages')
+    __slots__ = ('_idle', '_source_host', '_unknown_messages')
 
-    def __init__(self, unknown_messages):
+    def __init__(self, unknown_messages, source_host=''):
+        self._source_host = source_host
         self._idle = {}
         self._unknown_messages = unknown_messages
 
@@ -152,7 +155,10 @@
     async def _connect(self, address):
         try:
             return await adapters.open_websocket(
-                address, _attempt_frames.PATH, CONNECT_TIMEOUT
+                address,
+                _attempt_frames.PATH,
+                CONNECT_TIMEOUT,
+                self._source_host,
             )
         except exceptions.TransportError as error:
             raise exceptions.PeerUnavailable(
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -388,7 +388,8 @@
         self.relay.paths.on_doubt = self._path_prober.start
         self.relay.settle_path = self._path_prober.settle
         self._attempt_client = _attempt_client.AttemptClient(
-            self._unknown_messages
+            self._unknown_messages,
+            self._settings.news.rpartition(':')[0],
         )
         self._peer_selector = relay.PeerSelector(
             self._settings.data_centre, random.Random()
--- a/balsamwind/node/tests/test_attempt_client.py
+++ b/balsamwind/node/tests/test_attempt_client.py
@@ -248,3 +248,29 @@
     assert type(error) is exceptions.PeerUnavailable
     assert error.sent is sent
     assert error.message.startswith('through 127.0.0.1:')
+
+
+def test_node_with_several_addresses_was_not_recognised():
+    # Others refused its attempts, as they came from an address that is not
+    # registered.
+    hosts = []
+
+    async def accept(connection):
+        hosts.append(connection.remote_address[0])
+        await connection.recv()
+        await connection.send(
+            _attempt_frames.CODEC.encode(relay.ReachReply(relay.Reach.ANSWERS))
+        )
+
+    async def scenario():
+        client = _attempt_client.AttemptClient(
+            doubles.make_unknown_messages(), '127.0.0.5'
+        )
+        async with ws_server.serve(accept, '127.0.0.1', 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            query = relay.ReachQuery('llm', 's1', 1, False)
+            await client.ask(f'127.0.0.1:{port}', query)
+            client.close()
+
+    asyncio.run(scenario())
+    assert hosts == ['127.0.0.5']
