Close links between nodes in order at the exit

A call that may run once, sent over another node in the moment of that node's exit, was given up as one that may have run (LOST around planned work), although no server had got it.

Cause: the links were cut without a close frame, which tells the asking node nothing. Now they get a close frame before they are cut, and 0.1 s for the other ends to read it; a message that comes behind it is not handled, and the asking node tries another path without an attempt used.

Ruled out: an idle link that is known to have ended (not sent, before and now); links that carry something at the exit: after the acceptance the outcome stays open, and such a failure is blamed on the node.

test_attempt_sent_as_the_node_exits_was_certainly_not_run: failed in 4 of 6 cases before ("no close frame received or sent", sent=True), passes in all now. A link whose other end reads nothing holds the exit up by less than 0.25 s (test). Attempt client, stopping peers, peer attempts, updates and placement tests pass.

--- a/balsamwind/adapters/_update_link.py
+++ b/balsamwind/adapters/_update_link.py
@@ -20,6 +20,13 @@
 OPEN_TIMEOUT = 1.0
 """Timeout for opening and for closing a connection (seconds)."""
 
+GOING_AWAY = 1001
+"""Code with which a server that ends closes its connections."""
+
+CLOSE_TIMEOUT = 0.1
+"""Longest wait at the end of a server until the other ends have read that
+their connections are closed (seconds)."""
+
 WEBSOCKET_OPTIONS = {
     'compression': None,
     'max_size': MAX_FRAME,
@@ -79,9 +86,25 @@
             try:
                 yield self
             finally:
+                await self._close_others()
                 for connection in [*self._connections, *self._others]:
                     connection.transport.abort()
 
+    async def _close_others(self):
+        """Close connections in order, so that no message is left in doubt.
+
+        What the other end has sent meanwhile was not handled, and it learns
+        that.
+        """
+        tasks = [
+            asyncio.ensure_future(connection.close(GOING_AWAY))
+            for connection in self._others
+        ]
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT)
+        for task in tasks:
+            task.cancel()
+
     @property
     def subscriber_count(self):
         """Connected subscribers (count)."""
--- a/balsamwind/node/tests/test_attempt_client.py
+++ b/balsamwind/node/tests/test_attempt_client.py
@@ -1,17 +1,20 @@
 """What a node reads from one that carries its attempt."""
 
 import asyncio
+import contextlib
 import types
 
 import pytest
 import websockets
 from websockets.asyncio import server as ws_server
 
+from balsamwind import adapters
 from balsamwind import exceptions
 from balsamwind.node import _attempt_client
 from balsamwind.node import _attempt_frames
 from balsamwind.node.tests import doubles
 from balsamwind import relay
+from standins import ports
 
 ATTEMPT = relay.OutgoingAttempt(
     'r1', relay.BackendKey('llm', 'g', 1), 'GET', '/', 'a', (), b'', 0.5
@@ -248,3 +251,53 @@
     assert type(error) is exceptions.PeerUnavailable
     assert error.sent is sent
     assert error.message.startswith('through 127.0.0.1:')
+
+
+@pytest.mark.parametrize('turns', range(6))
+def test_attempt_sent_as_the_node_exits_was_certainly_not_run(turns):
+    # The links of a node that stopped were cut without a word, so that a call
+    # that may run once was given up, although no server had got it.
+    async def ignore(connection):
+        async for _ in connection:
+            continue
+
+    async def scenario():
+        client = _attempt_client.AttemptClient(doubles.make_unknown_messages())
+        server = adapters.UpdateServer(lambda: None, None, doubles.Log())
+        server.handlers[_attempt_frames.PATH] = ignore
+        address = f'127.0.0.1:{ports.find_free_port()}'
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(server.listen(address))
+            client.put_back(address, await client._connect(address))
+            closing = asyncio.ensure_future(stack.aclose())
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            with pytest.raises(exceptions.PeerUnavailable) as caught:
+                await client.open(address, ATTEMPT, lambda: None)
+            await closing
+            return caught.value
+
+    assert not asyncio.run(scenario()).sent
+
+
+def test_node_exits_in_time_although_a_link_is_silent():
+    # The close of a link waits for the other end, which may be gone.
+    async def be_busy(connection):
+        await connection.wait_closed()
+
+    async def scenario():
+        server = adapters.UpdateServer(lambda: None, None, doubles.Log())
+        server.handlers[_attempt_frames.PATH] = be_busy
+        address = f'127.0.0.1:{ports.find_free_port()}'
+        loop = asyncio.get_running_loop()
+        async with server.listen(address):
+            connection = await adapters.open_websocket(
+                address, _attempt_frames.PATH, 1.0
+            )
+            connection.transport.pause_reading()
+            started_at = loop.time()
+        lasted = loop.time() - started_at
+        connection.transport.abort()
+        return lasted
+
+    assert asyncio.run(scenario()) < 0.25
