Test requests whose placing node stops

Suspected: requests end or run twice with the node that chose their server. Refuted on today's code, nothing is changed: as the placing node (leader, too) drains and exits, 75 requests that ask it, four that wait at it and four whose streams it has placed are all served whole, and run once each.

--- a/balsamwind/node/tests/test_stopping_peers.py
+++ b/balsamwind/node/tests/test_stopping_peers.py
@@ -127,3 +127,68 @@
     answers, ids = asyncio.run(scenario())
     assert test_lost_paths.count_served(answers) == len(answers)
     assert len(set(ids)) == len(ids)
+
+
+@pytest.mark.parametrize('state', ['asks', 'waits', 'runs'])
+def test_request_whose_placing_node_stops_is_served(monkeypatch, state):
+    # Guards against requests that end with the node that chose their server.
+    monkeypatch.setattr(_drain, 'READINESS_PROPAGATION_TIME', 0.2)
+
+    async def scenario():
+        async with (
+            helpers.open_platform(4) as platform,
+            contextlib.AsyncExitStack() as stack,
+            contextlib.AsyncExitStack() as first_stack,
+        ):
+            first = await first_stack.enter_async_context(
+                helpers.open_node(platform, 'n1')
+            )
+            others = [
+                await stack.enter_async_context(
+                    helpers.open_node(platform, name)
+                )
+                for name in ('n2', 'n3')
+            ]
+            for process in (first, *others):
+                await helpers.wait_until(
+                    lambda node=process: (
+                        helpers.count_serving_groups(node) == 2
+                        and node.is_ready()
+                    )
+                )
+            sender = others[1]
+            await helpers.wait_until(sender.subscriber.has_fresh_servers)
+            if state == 'waits':
+                for backend in helpers.find_serving_backends(first):
+                    backend.in_flight += backend.slots + 1
+            elif state == 'runs':
+                for engine in platform.engines.values():
+                    engine.event_interval = 0.2
+            if state == 'asks':
+                sending = asyncio.ensure_future(
+                    test_lost_paths.send_series(sender, 1.5, 0.02, '/ask/x')
+                )
+            else:
+                sending = asyncio.gather(
+                    *(
+                        helpers.send_request(
+                            sender, helpers.make_request(request_id=f'r{i}')
+                        )
+                        for i in range(4)
+                    )
+                )
+            await asyncio.sleep(0.3)
+            was_waiting = len(first.relay.waiting_room)
+            await first.drain()
+            await first_stack.aclose()
+            answers = await sending
+            ids = [run.request_id for run in platform.trace.runs]
+            return was_waiting, answers, ids
+
+    was_waiting, answers, ids = asyncio.run(scenario())
+    assert was_waiting == (4 if state == 'waits' else 0)
+    for answer in answers:
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert answer.endswith(b'0\r\n\r\n')
+    assert sorted(ids) == sorted(set(ids))
+    assert len(ids) == len(answers)
