--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -238,20 +238,29 @@
         return None
 
 
-async def send_one(fake_relay, responder=None, max_attempts=3, route=None):
+async def send_one(
+    fake_relay,
+    responder=None,
+    max_attempts=3,
+    route=None,
+    request_id=None,
+    time_limit=2.0,
+):
     """Forward one request; return the error of its response, or None."""
     request = relay.IncomingRequest(
         'POST',
         '/x',
         'a',
-        httputil.HTTPHeaders(),
+        httputil.HTTPHeaders(
+            {'X-Balsamwind-Request-Id': request_id} if request_id else {}
+        ),
         b'hi',
         fake_relay.clock.monotonic(),
     )
     forwarder = _forwarder.RequestForwarder(
         fake_relay,
         request,
-        relay.RequestMetadata('r1'),
+        relay.RequestMetadata('r1' if request_id is None else request_id),
         responder or Responder(),
         route or make_route(max_attempts),
         traffic.Service('llm', engine=fake_relay.placement and ENGINE),
@@ -259,7 +268,7 @@
         1.5,
     )
     try:
-        async with asyncio.timeout(2.0):
+        async with asyncio.timeout(time_limit):
             await forwarder.run()
     except TimeoutError:
         return forwarder.make_timeout_error()
