Move KV caches on connections of their own

Older interface: the export of another request's KV cache was taken for the next one's, and would have been imported under its id, where an engine wrote the second copy of an earlier answer on a kept connection (MIXED). Likewise the answer to an import.

Evidence: test_export_of_another_request_was_taken_for_the_next failed (handles a, a in place of a, b) and passes now. The import has no test of its own: its answer is a status only.

Change: both open a connection. They are rare: at most one pair a resumed completion. Reports stay on kept connections: a copy is one exchange old at most, as a connection with unread bytes is not used again.

--- a/balsamwind/adapters/_engine.py
+++ b/balsamwind/adapters/_engine.py
@@ -177,6 +177,8 @@
             f'{self._scheme}://{address}/engine/kv/export',
             body=json.dumps({'request_id': request_id}).encode('utf-8'),
             timeout=timeout,
+            # Nothing in an answer shows which request it belongs to.
+            new_connection=True,
         )
         if response.status != 200:
             raise _make_error(address, response.status, response.body)
@@ -215,6 +217,7 @@
             f'{self._scheme}://{address}/engine/kv/import',
             body=json.dumps(value).encode('utf-8'),
             timeout=timeout,
+            new_connection=True,
         )
         if response.status != 200:
             raise _make_error(address, response.status, response.body)
--- a/balsamwind/adapters/tests/test_engine_contract.py
+++ b/balsamwind/adapters/tests/test_engine_contract.py
@@ -7,6 +7,7 @@
 
 from balsamwind import adapters
 from balsamwind import exceptions
+from balsamwind import objects
 from balsamwind import ports
 from standins import engines
 
@@ -195,3 +196,36 @@
         return bool(json.loads(body).get('not_run'))
     except (ValueError, AttributeError):
         return False
+
+
+def _make_export(handle):
+    value = objects.encode(ports.KvExport('h:1', handle, 'm', '1', 4, 9))
+    body = json.dumps(value).encode()
+    return b'HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s' % (
+        len(body),
+        body,
+    )
+
+
+def test_export_of_another_request_was_taken_for_the_next():
+    # The cache of another request was imported; engines write copies.
+    exports = [_make_export('a'), _make_export('b')]
+
+    async def respond(reader, writer):
+        copy = b''
+        while await reader.read(65536):
+            export = exports.pop(0)
+            writer.write(copy + export)
+            copy = export
+
+    async def check(engine, vm):
+        server = await asyncio.start_server(respond, '127.0.0.1', 0)
+        address = '%s:%d' % server.sockets[0].getsockname()
+        handles = [
+            (await engine.export_kv(address, name, TIMEOUT)).handle
+            for name in ('a', 'b')
+        ]
+        server.close()
+        assert handles == ['a', 'b']
+
+    run_check(check)
