Use no TLS connection that has unread bytes

Older interface over TLS: the second copy of an answer was taken for the next one on its connection, and each later one was an exchange old, for as long as the connection lasted. Reports are what these connections carry.

Cause: unread bytes were looked for on plain connections only.

Evidence: test_second_copy_over_tls_was_taken_for_the_next_response, both cases with a copy failed (0, 0, 1 in place of 0, 1, 2) and pass now; the two without a copy show that one connection still carries all.

Change: a TLS connection is used again only if nothing was read ahead, nothing is decrypted and its socket has nothing to read.

--- a/balsamwind/adapters/_connection_pool.py
+++ b/balsamwind/adapters/_connection_pool.py
@@ -1,6 +1,7 @@
 """Pool of idle connections of an HTTP client."""
 
 import collections
+import select
 import socket
 import struct
 import time
@@ -83,13 +84,22 @@
 
 
 def is_reusable(stream):
-    """Return whether a stream may carry another request.
-
-    Streams that use TLS are only checked for being open.
-    """
+    """Return whether a stream may carry another request."""
     if isinstance(stream, ClientStream):
         return stream.reusable
-    return not stream.closed()
+    return not stream.closed() and not _has_unread_tls_bytes(stream)
+
+
+def _has_unread_tls_bytes(stream):
+    """Tell whether bytes follow the last response on a TLS stream.
+
+    A record that is no data, such as a session ticket, counts as well.
+    """
+    if stream._read_buffer_size or stream.socket.pending():
+        return True
+    poll = select.poll()
+    poll.register(stream.socket, select.POLLIN)
+    return bool(poll.poll(0))
 
 
 class IdleConnectionPool:
--- a/balsamwind/adapters/tests/test_tls.py
+++ b/balsamwind/adapters/tests/test_tls.py
@@ -166,3 +166,45 @@
     files = settings.CertificateSettings(str(tmp_path / 'none.pem'), '', '')
     with pytest.raises(exceptions.BadRequest):
         adapters.make_tls_contexts(settings.TlsSettings(callers=files))
+
+
+@pytest.mark.parametrize('delay', [0.0, 0.02])
+@pytest.mark.parametrize('has_copy', [False, True])
+def test_second_copy_over_tls_was_taken_for_the_next_response(
+    tmp_path, has_copy, delay
+):
+    # Each later report was one exchange old, for as long as the connection.
+    files = make_files(tmp_path, trustme.CA(), 'a')
+    contexts = adapters.make_tls_contexts(settings.TlsSettings(peers=files))
+    numbers = iter(range(9))
+
+    async def respond(reader, writer):
+        while await reader.read(65536):
+            number = next(numbers)
+            response = (
+                b'HTTP/1.1 200 X\r\nContent-Length: 1\r\n\r\n%d' % number
+            )
+            writer.write(response)
+            if has_copy:
+                await asyncio.sleep(delay)
+                writer.write(response)
+
+    async def run():
+        server = await asyncio.start_server(
+            respond, '127.0.0.1', 0, ssl=contexts.peers_server
+        )
+        port = server.sockets[0].getsockname()[1]
+        client = adapters.HttpClient(contexts.peers_client)
+        bodies = []
+        for _ in range(3):
+            response = await client.fetch(
+                'GET', f'https://127.0.0.1:{port}/', timeout=1.0
+            )
+            bodies.append(response.body)
+            await asyncio.sleep(0.05)
+        client.close()
+        server.close()
+        return bodies, client.opened_connections
+
+    connections = 3 if has_copy else 1
+    assert asyncio.run(run()) == ([b'0', b'1', b'2'], connections)
