Send HEAD on a connection of its own

The answer to a HEAD request was read from the body of another request's answer: where the second copy of an answer came before it on a kept connection, its head was skipped, and its body, read as if there were none, was taken for the next head, such as a refusal (MIXED, REFUSED).

Cause: whether an answer has a body is told from the own method, also for answers to earlier requests.

Evidence: test_body_of_an_earlier_answer_was_read_as_the_answer_to_head got 503 from such a body, and gets its own 200 now. Found by reading; the harm needs a body that holds a head with the id of the request.

Change: HEAD opens a connection, which is not kept, as the copy of its answer announces a body that does not follow. The latter is reasoned, and has no test.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -271,7 +271,9 @@
             request_tag,
         )
         stream = None
-        if not new_connection:
+        # An answer to another method would be read without its body, which
+        # would look like the next answer.
+        if not new_connection and method != 'HEAD':
             stream = self._connection_pool.take(endpoint, request_tag)
         reused = stream is not None
         if reused:
@@ -289,7 +291,11 @@
         except exceptions.TransportError as error:
             error.sent = reused
             raise
-        return await self._send_and_receive(stream, False, *arguments)
+        response = await self._send_and_receive(stream, False, *arguments)
+        if method == 'HEAD':
+            # A second copy of it would be read with the body it announces.
+            response.forbid_reuse()
+        return response
 
     async def is_refused(self, endpoint, timeout):
         """Tell whether a server refuses new connections.
--- a/balsamwind/adapters/tests/test_http_client.py
+++ b/balsamwind/adapters/tests/test_http_client.py
@@ -352,3 +352,29 @@
             assert caught.value.sent
 
     assert asyncio.run(scenario()) == expected
+
+
+def test_body_of_an_earlier_answer_was_read_as_the_answer_to_head():
+    # What a body holds was believed, such as a refusal of the request.
+    hidden = _make_response('b').replace(b'200', b'503')
+
+    async def handle(reader, writer):
+        if b'HEAD' not in await _read_request(reader):
+            writer.write(_make_response('a', hidden))
+            await _read_request(reader)
+            writer.write(_make_response('a', hidden))
+        writer.write(_make_response('b', b''))
+        await reader.read()
+
+    async def scenario():
+        async with _open_server(handle) as (client, url):
+            await _fetch(client, url, 'a')
+            response = await client.open(
+                'HEAD',
+                url,
+                timeout=0.5,
+                is_own_response=lambda headers: headers.get('Id') == 'b',
+            )
+            return response.status
+
+    assert asyncio.run(scenario()) == 200
