Add planned work and silent engines to the soak

`--planned` makes none of them: all engines of a model, or 60 in 100, are silent for 1.0 to 1.4 s and go on, the configuration changes, one node after the other gets SIGTERM, others SIGHUP, in series that overlap.

Half of the bodies are chunked now. The stand-in echoes the id in its refusals, as engines do (without it a 502 followed on kept connections), ends a run whose caller left while it is silent, and no longer calls a run broken off by the engine when its connection was closed.

--- a/build_tools/pool_soak/__main__.py
+++ b/build_tools/pool_soak/__main__.py
@@ -21,6 +21,7 @@
 from build_tools.pool_soak import _checks
 from build_tools.pool_soak import _faults
 from build_tools.pool_soak import _fleet
+from build_tools.pool_soak import _planned
 from build_tools.pool_soak import _traffic
 
 REGRESSIONS = pathlib.Path(__file__).parent / 'regressions.json'
@@ -135,6 +136,15 @@
     )
 
 
+def _make_injectors(fleet, checker, arguments):
+    if arguments.planned:
+        return [_planned.PlannedWork(fleet, checker, 0, arguments.seed)]
+    return [
+        _faults.FaultInjector(fleet, checker, number, arguments.seed)
+        for number in range(arguments.at_once)
+    ]
+
+
 async def _run_soak(fleet, checker, arguments):
     duration = await _wait_until_serving(fleet, checker, START_TIMEOUT, 900)
     if duration is None:
@@ -160,10 +170,7 @@
         )
         for number in range(arguments.callers)
     ]
-    injectors = [
-        _faults.FaultInjector(fleet, checker, number, arguments.seed)
-        for number in range(arguments.at_once)
-    ]
+    injectors = _make_injectors(fleet, checker, arguments)
     faults = [injector.run(arguments.seconds) for injector in injectors]
     if arguments.restores:
         injector = _faults.FaultInjector(
@@ -207,10 +214,13 @@
 
 
 async def _run_fleet(arguments, folder, builds):
+    options = {'engines_per_zone': arguments.engines_per_zone}
+    if arguments.planned:
+        options['heartbeat'] = _planned.HEARTBEAT
     async with _fleet.open_fleet(
-        folder, arguments.nodes_per_zone, arguments.seed, builds
+        folder, arguments.nodes_per_zone, arguments.seed, builds, **options
     ) as fleet:
-        checker = _checks.Checker(fleet)
+        checker = _checks.Checker(fleet, arguments.planned)
         await _run_soak(fleet, checker, arguments)
         checker.print_results()
         if checker.violations and arguments.keep:
@@ -238,7 +248,15 @@
     parser.add_argument('--seconds', type=float, default=40.0)
     parser.add_argument('--at-once', type=int, default=2)
     parser.add_argument('--nodes-per-zone', type=int, default=2)
+    parser.add_argument(
+        '--engines-per-zone', type=int, default=_fleet.ENGINES_PER_ZONE
+    )
     parser.add_argument('--callers', type=int, default=24)
+    parser.add_argument(
+        '--planned',
+        action='store_true',
+        help='no faults but planned work and engines that are silent',
+    )
     parser.add_argument(
         '--restores',
         action='store_true',
@@ -268,9 +286,8 @@
         print(
             f'seed {regression["seed"]}: {regression.pop("cause")}', flush=True
         )
-        for name, value in regression.items():
-            setattr(arguments, name, value)
-        failure_count += _run_in_temporary_folder(arguments)
+        values = {**vars(arguments), **regression}
+        failure_count += _run_in_temporary_folder(argparse.Namespace(**values))
     return 1 if failure_count else 0
 
 
--- a/build_tools/pool_soak/_callers.py
+++ b/build_tools/pool_soak/_callers.py
@@ -84,13 +84,19 @@
             return 'whole' if self.whole else 'cut'
         return str(self.status) if self.status else self.error
 
+    @property
+    def is_chunked(self):
+        """Whether the body is sent in chunks; half of the bodies are."""
+        return random.Random(f'chunks/{self.request_id}').random() < 0.5
+
     def encode(self):
         """Encode the request as HTTP/1.1.
 
         Returns
         -------
-        bytes
-            Request line, headers and body.
+        list of bytes
+            Parts to be sent one after the other: the request line and the
+            headers with the first piece of the body, then its other pieces.
         """
         body = f'body {self.request_id}'
         model = random.Random(self.request_id).choice(_traffic.MODELS)
@@ -100,12 +106,24 @@
             f'X-Balsamwind-Request-Id: {self.request_id}',
             f'X-Balsamwind-Time-Budget-Ms: {int(self.limit * 1000)}',
             f'Authorization: Token {self.key}',
-            f'Content-Length: {len(body)}',
         ]
+        if self.is_chunked:
+            lines.append('Transfer-Encoding: chunked')
+        else:
+            lines.append(f'Content-Length: {len(body)}')
         if self.kind.stream:
             lines.append(f'X-Balsamwind-Model: {model["Name"]}')
             lines.append('X-Balsamwind-Token-Usage: 500,80')
-        return ('\r\n'.join(lines) + '\r\n\r\n' + body).encode('ascii')
+        head = '\r\n'.join(lines) + '\r\n\r\n'
+        if not self.is_chunked:
+            return [(head + body).encode('ascii')]
+        pieces = [
+            f'{len(text):x}\r\n{text}\r\n' for text in (body[:5], body[5:])
+        ]
+        return [
+            (head + pieces[0]).encode('ascii'),
+            (pieces[1] + '0\r\n\r\n').encode('ascii'),
+        ]
 
 
 class Caller:
@@ -250,7 +268,10 @@
                     call.node.host, 8227
                 )
         reader, writer = self._connection
-        writer.write(call.encode())
+        for part in call.encode():
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(0.0)
         header_block = await reader.readuntil(b'\r\n\r\n')
         lines = header_block.decode('latin-1').split('\r\n')
         call.status = int(lines[0].split(' ')[1])
--- a/build_tools/pool_soak/_checks.py
+++ b/build_tools/pool_soak/_checks.py
@@ -6,6 +6,7 @@
 
 from build_tools import logs
 from build_tools.pool_soak import _fleet
+from build_tools.pool_soak import _planned
 from build_tools.pool_soak import _traffic
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -46,6 +47,8 @@
     ----------
     fleet : Fleet
         Processes under test.
+    is_planned : bool, default=False
+        Whether there is only planned work, which must not cut a request.
 
     Attributes
     ----------
@@ -61,8 +64,9 @@
         API keys whose revocation has begun.
     """
 
-    def __init__(self, fleet):
+    def __init__(self, fleet, is_planned=False):
         self._fleet = fleet
+        self._is_planned = is_planned
         self.calls = {}
         self._runs = []
         self._arrivals = []
@@ -201,7 +205,10 @@
                 self.violate('UNASKED', f'{request_id}: {runs}')
                 continue
             self._check_runs(call, runs)
-        self._check_lost_answers(by_id)
+        if self._is_planned:
+            self._check_planned_work()
+        else:
+            self._check_lost_answers(by_id)
         self._check_cancellation(by_id)
         self._check_retry_budget()
         self._check_logs()
@@ -272,6 +279,16 @@
                 f'{len(lost)} executed requests without answer: {lost[:3]}',
             )
 
+    def _check_planned_work(self):
+        """Check that planned work and silent servers cut no request."""
+        cut = _planned.find_cut_requests(
+            self.calls.values(), self._arrivals, self._runs
+        )
+        for kind, calls in sorted(cut.items()):
+            print(f'{len(calls):6d}  cut at {kind}')
+            for call in calls:
+                self.violate('LOST', f'{kind}: {self._describe(call)}')
+
     def _check_cancellation(self, by_id):
         total = 0
         continued = []
@@ -366,5 +383,11 @@
             }
             for call in self.calls.values()
         ]
-        value = {'calls': rows, 'runs': self._runs, 'arrivals': self._arrivals}
+        value = {
+            'calls': rows,
+            'runs': self._runs,
+            'arrivals': self._arrivals,
+            'stops': {node.name: node.stops for node in self._fleet.nodes},
+            'clock_offset': time.time() - time.monotonic(),
+        }
         path.write_text(json.dumps(value), encoding='utf-8')
--- a/build_tools/pool_soak/_faults.py
+++ b/build_tools/pool_soak/_faults.py
@@ -147,10 +147,15 @@
             node.mark_disturbed(12.0)
             pause_count = node.pause_count
             node.process.send_signal(signal.SIGCONT)
-            node.process.send_signal(signal_number)
             started_at = time.monotonic()
+            node.process.send_signal(signal_number)
+            if signal_number == signal.SIGTERM:
+                node.stops.append([started_at, float('inf')])
             await node.wait_until_exited()
-            duration = time.monotonic() - started_at
+            exited_at = time.monotonic()
+            if signal_number == signal.SIGTERM:
+                node.stops[-1][1] = exited_at
+            duration = exited_at - started_at
             if duration > EXIT_TIMEOUT and node.pause_count == pause_count:
                 self._checker.violate(
                     'GRACE', f'{node.name} exited only after {duration:.1f} s'
--- a/build_tools/pool_soak/_fleet.py
+++ b/build_tools/pool_soak/_fleet.py
@@ -114,6 +114,9 @@
         Serialises restarts of the node.
     settings : dict
         Settings that change between starts.
+    stops : list of list of float
+        Monotonic times of each SIGTERM and of the exit that followed
+        (seconds).
     build : str
         Build of the latest process.
     next_build : str
@@ -135,6 +138,7 @@
         'restart_lock',
         'settings',
         'start_count',
+        'stops',
         'store_proxy',
         'zone',
     )
@@ -149,7 +153,12 @@
         self.pause_count = 0
         self.disturbed_until = float('-inf')
         self.restart_lock = asyncio.Lock()
-        self.settings = {'first_start': True, 'extra': 60}
+        self.settings = {
+            'first_start': True,
+            'extra': 60,
+            'heartbeat': STANDIN_TIMES['heartbeat'],
+        }
+        self.stops = []
         self._builds = builds
         self.build = self.next_build = next(iter(builds))
         self.start_count = 0
@@ -183,7 +192,7 @@
             f'Zone = "{self.zone}"',
             f'Ip = "{self.host}"',
             'PortRange = [7340, 7355]',
-            f'HeartbeatMs = {int(STANDIN_TIMES["heartbeat"] * 1000)}',
+            f'HeartbeatMs = {int(self.settings["heartbeat"] * 1000)}',
             f'Bootstrap = {str(self.settings["first_start"]).lower()}',
             '[Zones]',
             *(f'{zone} = "r"' for zone in ZONES),
@@ -256,6 +265,10 @@
         Seed of the stand-in's random numbers.
     builds : dict of str to pathlib.Path
         Directory of the program of each build; nodes start with the first.
+    engines_per_zone : int, default=10
+        Number of engines in each data centre.
+    heartbeat : float, default=0.6
+        Time between two heartbeats of a server (seconds).
 
     Attributes
     ----------
@@ -278,14 +291,24 @@
         Client account and API key of each revocation.
     are_routes_moved : bool
         Whether the routes of the ``ledger`` service lead to ``books``.
+    idle_timeout, route_timeout : float
+        Timeouts in the configuration (seconds).
     """
 
-    def __init__(self, folder, nodes_per_zone, seed, builds):
+    def __init__(
+        self,
+        folder,
+        nodes_per_zone,
+        seed,
+        builds,
+        engines_per_zone=ENGINES_PER_ZONE,
+        heartbeat=STANDIN_TIMES['heartbeat'],
+    ):
         self._folder = folder
         self._seed = seed
         self._platform = None
         network, self._network_lock = reserve_network()
-        engine_count = len(ZONES) * ENGINES_PER_ZONE
+        engine_count = len(ZONES) * engines_per_zone
         server_count = engine_count + 2 * len(ZONES)
         ports = iter(
             ports_module.find_free_ports(
@@ -299,7 +322,7 @@
         self.services = {}
         engine_entries = []
         for zone in ZONES:
-            for number in range(ENGINES_PER_ZONE):
+            for number in range(engines_per_zone):
                 name = f'{zone}-e{number}'
                 engine_entries.append(
                     self._add_server(name, 'llm', zone, ports)
@@ -325,6 +348,9 @@
             for index, zone in enumerate(ZONES)
             for number in range(nodes_per_zone)
         ]
+        self._heartbeat = heartbeat
+        for node in self.nodes:
+            node.settings['heartbeat'] = heartbeat
         self.version = 1
         # Callers start to use a key later than the configuration holds it.
         self.configured_keys = {'acme': ['key-a'], 'bolt': ['key-b', 'key-c']}
@@ -334,6 +360,8 @@
         }
         self.revoked_keys = []
         self.are_routes_moved = False
+        self.idle_timeout = _traffic.IDLE_TIMEOUT
+        self.route_timeout = _traffic.ROUTE_TIMEOUT
 
     def _add_server(self, name, service, zone, ports):
         port = next(ports)
@@ -363,7 +391,7 @@
         plan = {
             'store_port': self.store_port,
             'admin_port': self.admin_port,
-            'times': STANDIN_TIMES,
+            'times': {**STANDIN_TIMES, 'heartbeat': self._heartbeat},
             'configuration': self.make_configuration(),
             'engines': self._engine_entries,
             'services': self._service_entries,
@@ -469,7 +497,11 @@
             The configuration as the store holds it.
         """
         return _traffic.make_configuration(
-            self.version, self.configured_keys, self.are_routes_moved
+            self.version,
+            self.configured_keys,
+            self.are_routes_moved,
+            self.idle_timeout,
+            self.route_timeout,
         )
 
     async def write_configuration(self):
@@ -479,7 +511,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(folder, nodes_per_zone, seed, builds=None):
+async def open_fleet(folder, nodes_per_zone, seed, builds=None, **options):
     """Run a fleet for the duration of an ``async with`` block.
 
     Parameters
@@ -493,13 +525,17 @@
     builds : dict of str to pathlib.Path, optional
         Directory of the program of each build; nodes start with the first.
         Without it, all nodes run this one.
+    **options : dict
+        Further parameters of `Fleet`.
 
     Yields
     ------
     Fleet
         The fleet; its processes have been started.
     """
-    fleet = Fleet(folder, nodes_per_zone, seed, builds or {'new': ROOT})
+    fleet = Fleet(
+        folder, nodes_per_zone, seed, builds or {'new': ROOT}, **options
+    )
     try:
         await fleet.start()
         yield fleet
--- a/build_tools/pool_soak/_traffic.py
+++ b/build_tools/pool_soak/_traffic.py
@@ -10,6 +10,9 @@
 ROUTE_TIMEOUT = 5.0
 """Timeout of each route (seconds)."""
 
+IDLE_TIMEOUT = 10.0
+"""Timeout of idle connections of callers (seconds)."""
+
 MAX_REVOCATION_DELAY = 5.0
 """Longest time for which a revoked API key may still be accepted (seconds)."""
 
@@ -72,7 +75,13 @@
 )
 
 
-def make_configuration(version, keys, is_moved=False):
+def make_configuration(
+    version,
+    keys,
+    is_moved=False,
+    idle_timeout=IDLE_TIMEOUT,
+    route_timeout=ROUTE_TIMEOUT,
+):
     """Make the operator's configuration.
 
     Parameters
@@ -83,6 +92,10 @@
         API keys of each client account.
     is_moved : bool, default=False
         Whether the routes of the ``ledger`` service lead to ``books``.
+    idle_timeout : float, default=10.0
+        Timeout of idle connections of callers (seconds).
+    route_timeout : float, default=5.0
+        Timeout of each route (seconds).
 
     Returns
     -------
@@ -91,13 +104,19 @@
     """
     return {
         'Version': version,
-        'Routes': [_make_route(kind, is_moved) for kind in REQUEST_KINDS],
+        'Routes': [
+            _make_route(kind, is_moved, route_timeout)
+            for kind in REQUEST_KINDS
+        ],
         'Services': [
             {'Name': 'llm', 'Engine': ENGINE_SETTINGS},
             {'Name': 'ledger'},
             {'Name': 'books'},
         ],
-        'Limits': {'IdleTimeoutMs': 10000, 'HeaderTimeoutMs': 2000},
+        'Limits': {
+            'IdleTimeoutMs': int(idle_timeout * 1000),
+            'HeaderTimeoutMs': 2000,
+        },
         'Tenants': [
             {'Name': name, 'ApiKeys': list(account_keys)}
             for name, account_keys in keys.items()
@@ -105,7 +124,7 @@
     }
 
 
-def _make_route(kind, is_moved):
+def _make_route(kind, is_moved, timeout):
     service = kind.service
     if is_moved and service == 'ledger':
         service = 'books'
@@ -114,7 +133,7 @@
         'Host': HOST,
         'PathPrefix': f'/{kind.name}/',
         'Kind': kind.wire_kind,
-        'TimeoutMs': int(ROUTE_TIMEOUT * 1000),
+        'TimeoutMs': int(timeout * 1000),
         'SloMs': 400,
         'GapSloMs': 300,
         'Service': service,
--- a/build_tools/tests/test_pool_soak.py
+++ b/build_tools/tests/test_pool_soak.py
@@ -11,6 +11,7 @@
 from build_tools.pool_soak import _callers
 from build_tools.pool_soak import _checks
 from build_tools.pool_soak import _fleet
+from build_tools.pool_soak import _planned
 from build_tools.pool_soak import _traffic
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -44,6 +45,9 @@
     name = 'n1'
     disturbed_until = float('-inf')
 
+    def __init__(self, stops=()):
+        self.stops = stops
+
 
 class _FakeFleet:
     nodes = ()
@@ -174,3 +178,75 @@
     checker.revoked_at['key-a'] = 150.0
     checker._check_runs(call, runs)
     assert any(text.startswith(rule) for text in checker.violations)
+
+
+def _make_cut_call(sent_at, ended_at, *stops, **values):
+    values = {'status': 200, 'headers': STAMPED_HEADERS, **values}
+    return _make_call(
+        'ask',
+        sent_at=sent_at,
+        ended_at=ended_at,
+        node=_FakeNode(stops),
+        **values,
+    )
+
+
+CLOSED = {'status': 0, 'error': 'closed'}
+
+
+@pytest.mark.parametrize(
+    ('call', 'place'),
+    [
+        (_make_cut_call(100.0, 101.0), 'other node: ask cut'),
+        (_make_cut_call(100.0, 101.0, (90.0, 93.0)), 'other node: ask cut'),
+        (
+            _make_cut_call(100.0, 101.0, (100.5, 103.0)),
+            'stopped node: ask cut',
+        ),
+        (
+            _make_cut_call(104.0, 104.5, (100.5, 107.0)),
+            'sent late to a stopped node: ask cut',
+        ),
+        (_make_cut_call(100.0, 101.0, **CLOSED), 'other node: ask closed'),
+        (_make_cut_call(100.0, 101.0, status=502), 'other node: ask 502'),
+    ],
+)
+def test_request_without_complete_answer_is_cut(call, place):
+    assert list(_planned.find_cut_requests([call], [], [])) == [place]
+
+
+@pytest.mark.parametrize(
+    'call',
+    [
+        _make_cut_call(100.0, 100.1, (99.9, 103.0), **CLOSED),
+        _make_cut_call(100.0, 102.95),
+        _make_cut_call(100.0, 104.5, error='no end'),
+        _make_cut_call(104.0, 106.9, (101.5, 109.5), limit=4.0, status=503),
+        _make_cut_call(103.0, 106.9, (100.1, 108.1), limit=4.5),
+        _make_cut_call(100.0, 101.0, left_at=101.0),
+    ],
+)
+def test_allowed_end_is_no_cut(call):
+    assert not _planned.find_cut_requests([call], [], [])
+
+
+def test_closed_connection_of_passed_on_request_is_cut():
+    call = _make_cut_call(100.0, 100.1, **CLOSED)
+    arrivals = [(100.05, 'llm', call.request_id, 's1')]
+    assert _planned.find_cut_requests([call], arrivals, [])
+
+
+def test_run_that_its_server_broke_off_is_told_apart():
+    call = _make_cut_call(100.0, 101.0)
+    run = _make_run('ask', ending='cut')
+    (place,) = _planned.find_cut_requests([call], [], [run])
+    assert 'engine broke off' in place
+
+
+def test_half_of_the_bodies_are_chunked():
+    calls = [_make_call('pay', request_id=f'r{n}') for n in range(200)]
+    chunked = [call for call in calls if call.is_chunked]
+    assert 70 < len(chunked) < 130
+    assert all(
+        (b'chunked' in call.encode()[0]) == call.is_chunked for call in calls
+    )
--- a/standins/pool/__main__.py
+++ b/standins/pool/__main__.py
@@ -24,9 +24,10 @@
     """Sets faults, and returns what was recorded.
 
     ``POST`` takes one of ``store`` (faults of the store), ``forget_history``,
-    ``configuration``, ``server`` with ``set`` (attributes of a server),
-    ``restart`` and ``add_engine``. ``GET`` returns runs and arrivals from the
-    given indices on, all violations, and the group of each engine.
+    ``configuration``, ``server`` or ``servers`` with ``set`` (attributes of
+    one server or of several at once), ``restart`` and ``add_engine``. ``GET``
+    returns runs and arrivals from the given indices on, all violations, and
+    the group of each engine.
     """
 
     def initialize(self, platform):
@@ -68,6 +69,9 @@
                 platform.store.put('config', 'main', value)
             case {'server': name, 'set': values}:
                 self._set_attributes(name, values)
+            case {'servers': names, 'set': values}:
+                for name in names:
+                    self._set_attributes(name, values)
             case {'restart': name}:
                 engine = platform.engines[name]
                 engine.dark = engine.gone = False
--- a/standins/pool/_engine.py
+++ b/standins/pool/_engine.py
@@ -427,13 +427,16 @@
         )
         return group_key
 
-    async def wait_while_stalled(self, group_key):
+    async def wait_while_stalled(self, group_key, is_abandoned):
         """Wait while the group lacks a member or this engine hangs.
 
         Parameters
         ----------
         group_key : tuple
             Name and epoch of the group in which the request runs.
+        is_abandoned : callable
+            Returns whether the request has lost its connection, which ends
+            the wait.
 
         Raises
         ------
@@ -441,7 +444,7 @@
             It is broken, closed, or another one by now.
         """
         self._check_serving(group_key)
-        while self._is_stalled():
+        while self._is_stalled() and not is_abandoned():
             await asyncio.sleep(0.01)
             self._check_serving(group_key)
 
--- a/standins/pool/_engine_handlers.py
+++ b/standins/pool/_engine_handlers.py
@@ -121,6 +121,11 @@
 
     def _refuse(self):
         self.set_status(503)
+        headers = self.request.headers
+        self.set_header(
+            'X-Balsamwind-Request-Id',
+            headers.get('X-Balsamwind-Request-Id', ''),
+        )
         self.set_header('X-Balsamwind-Not-Executed', '1')
         self.set_header('At-Server', self._engine.server_id)
         return self.finish()
@@ -153,7 +158,9 @@
             raise web.Finish
         try:
             for number in range(first_event, engine.event_count + 1):
-                await engine.wait_while_stalled(group_key)
+                await engine.wait_while_stalled(
+                    group_key, lambda: self._disconnected
+                )
                 if self._disconnected:
                     ending = 'caller gone'
                     return None
@@ -171,7 +178,10 @@
                 await asyncio.sleep(engine.event_interval)
             ending = 'whole'
             return await self.finish()
-        except (_engine.GroupBroken, iostream.StreamClosedError):
+        except _engine.GroupBroken:
+            return self._reset()
+        except iostream.StreamClosedError:
+            ending = 'caller gone'
             return self._reset()
         finally:
             self._platform.trace.end_run(run, ending)
