Let the soak's streams last longer on request

A node that is stopped ended its streams of 0.5 s within 4 s, so that the last sixth of GraceS was never reached. The excuse for it now asks for an engine that is still at work.

--- a/build_tools/pool_soak/__main__.py
+++ b/build_tools/pool_soak/__main__.py
@@ -214,7 +214,10 @@
 
 
 async def _run_fleet(arguments, folder, builds):
-    options = {'engines_per_zone': arguments.engines_per_zone}
+    options = {
+        'engines_per_zone': arguments.engines_per_zone,
+        'event_interval': arguments.event_interval,
+    }
     if arguments.planned:
         options['heartbeat'] = _planned.HEARTBEAT
     async with _fleet.open_fleet(
@@ -251,6 +254,9 @@
     parser.add_argument(
         '--engines-per-zone', type=int, default=_fleet.ENGINES_PER_ZONE
     )
+    parser.add_argument(
+        '--event-interval', type=float, default=_fleet.EVENT_INTERVAL
+    )
     parser.add_argument('--callers', type=int, default=24)
     parser.add_argument(
         '--planned',
--- a/build_tools/pool_soak/_callers.py
+++ b/build_tools/pool_soak/_callers.py
@@ -186,7 +186,7 @@
             node=self._node,
             key=key,
             account=account,
-            limit=self._rng.uniform(2.5, 4.5),
+            limit=self._rng.uniform(2.5, 4.5) + self._fleet.extra_stream_time,
         )
 
     def _choose_key(self):
--- a/build_tools/pool_soak/_fleet.py
+++ b/build_tools/pool_soak/_fleet.py
@@ -269,6 +269,8 @@
         Number of engines in each data centre.
     heartbeat : float, default=0.6
         Time between two heartbeats of a server (seconds).
+    event_interval : float, default=0.03
+        Time between two events of a stream (seconds).
 
     Attributes
     ----------
@@ -303,6 +305,7 @@
         builds,
         engines_per_zone=ENGINES_PER_ZONE,
         heartbeat=STANDIN_TIMES['heartbeat'],
+        event_interval=EVENT_INTERVAL,
     ):
         self._folder = folder
         self._seed = seed
@@ -349,6 +352,7 @@
             for number in range(nodes_per_zone)
         ]
         self._heartbeat = heartbeat
+        self._event_interval = event_interval
         for node in self.nodes:
             node.settings['heartbeat'] = heartbeat
         self.version = 1
@@ -376,6 +380,11 @@
             'address': self.proxies[name].address,
         }
 
+    @property
+    def extra_stream_time(self):
+        """Time by which streams last longer than by default (seconds)."""
+        return EVENTS_PER_STREAM * (self._event_interval - EVENT_INTERVAL)
+
     @property
     def engine_names(self):
         """Ids of all engines, as a list."""
@@ -396,7 +405,7 @@
             'engines': self._engine_entries,
             'services': self._service_entries,
             'events': EVENTS_PER_STREAM,
-            'pause': EVENT_INTERVAL,
+            'pause': self._event_interval,
         }
         path = self._folder / 'plan.json'
         path.write_text(json.dumps(plan), encoding='utf-8')
--- a/build_tools/pool_soak/_planned.py
+++ b/build_tools/pool_soak/_planned.py
@@ -116,15 +116,18 @@
         Requests by where and how they were cut.
     """
     arrived = {request_id for _, _, request_id, _ in arrivals}
-    broken_off = {run['request_id'] for run in runs if run['ending'] == 'cut'}
+    runs_by_id = collections.defaultdict(list)
+    for run in runs:
+        runs_by_id[run['request_id']].append(run)
     cut = collections.defaultdict(list)
     for call in calls:
         if not _is_cut(call, arrived):
             continue
-        place = _find_place(call)
+        own_runs = runs_by_id[call.request_id]
+        place = _find_place(call, own_runs)
         if place is None:
             continue
-        if call.request_id in broken_off:
+        if any(run['ending'] == 'cut' for run in own_runs):
             place = f'{place}, engine broke off'
         cut[f'{place}: {call.kind.name} {call.outcome}'].append(call)
     return cut
@@ -143,7 +146,7 @@
     return False
 
 
-def _find_place(call):
+def _find_place(call, runs):
     """Name the state of the node; None if it was allowed to cut the call."""
     for stopped_at, exited_at in call.node.stops:
         if call.sent_at > exited_at or call.ended_at < stopped_at:
@@ -151,7 +154,11 @@
         if call.sent_at > stopped_at + LATE_AFTER_STOP:
             return 'sent late to a stopped node'
         grace = _fleet.NODE_BOUNDS['GraceS']
-        if call.ended_at > stopped_at + grace * (1 - LAST_PART_OF_GRACE):
+        last_part_at = stopped_at + grace * (1 - LAST_PART_OF_GRACE)
+        if call.ended_at > last_part_at and any(
+            run['ended_at'] is None or run['ended_at'] > last_part_at
+            for run in runs
+        ):
             return None
         return 'stopped node'
     return 'other node'
--- a/build_tools/pool_soak/_traffic.py
+++ b/build_tools/pool_soak/_traffic.py
@@ -7,7 +7,7 @@
 LARGE_MODEL = 'large'
 SMALL_MODEL = 'small'
 
-ROUTE_TIMEOUT = 5.0
+ROUTE_TIMEOUT = 10.0
 """Timeout of each route (seconds)."""
 
 IDLE_TIMEOUT = 10.0
--- a/build_tools/tests/test_pool_soak.py
+++ b/build_tools/tests/test_pool_soak.py
@@ -72,6 +72,7 @@
 
 def _make_run(kind, **values):
     run = {
+        'ending': 'whole',
         'request_id': 'r1',
         'service': KINDS[kind].service,
         'server_id': 's1',
@@ -222,7 +223,6 @@
         _make_cut_call(100.0, 102.95),
         _make_cut_call(100.0, 104.5, error='no end'),
         _make_cut_call(104.0, 106.9, (101.5, 109.5), limit=4.0, status=503),
-        _make_cut_call(103.0, 106.9, (100.1, 108.1), limit=4.5),
         _make_cut_call(100.0, 101.0, left_at=101.0),
     ],
 )
@@ -230,6 +230,15 @@
     assert not _planned.find_cut_requests([call], [], [])
 
 
+@pytest.mark.parametrize(
+    ('runs', 'is_cut'),
+    [([], True), ([_make_run('ask', ending='', ended_at=107.0)], False)],
+)
+def test_engine_at_work_at_the_end_of_grace_excuses(runs, is_cut):
+    call = _make_cut_call(103.0, 106.9, (100.1, 108.1), limit=4.5)
+    assert bool(_planned.find_cut_requests([call], [], runs)) == is_cut
+
+
 def test_closed_connection_of_passed_on_request_is_cut():
     call = _make_cut_call(100.0, 100.1, **CLOSED)
     arrivals = [(100.05, 'llm', call.request_id, 's1')]
