--- a/build_tools/pool_soak/__main__.py
+++ b/build_tools/pool_soak/__main__.py
@@ -77,6 +77,9 @@
     Returns the duration in seconds, or None after `timeout`.
     """
     started_at = time.monotonic()
+    stream_kinds = sum(kind.stream for kind in _traffic.REQUEST_KINDS)
+    # Each node is sent its streams one after the other.
+    timeout += REQUIRED_ANSWERS * stream_kinds * fleet.extra_stream_time
     results = await asyncio.gather(
         *(
             _wait_until_node_serves(
--- a/build_tools/tests/test_pool_soak.py
+++ b/build_tools/tests/test_pool_soak.py
@@ -21,6 +21,9 @@
 )
 
 
+PLANNED_RUN = '--planned --seconds 6 --callers 30 --seed 104'.split()
+
+
 def test_short_soak_has_no_violation():
     completed = subprocess.run(
         [sys.executable, '-m', 'build_tools.pool_soak', *SHORT_RUN],
@@ -35,6 +38,20 @@
     assert 'pay whole' in completed.stdout
 
 
+def test_planned_work_and_silent_engines_cut_no_request():
+    completed = subprocess.run(
+        [sys.executable, '-m', 'build_tools.pool_soak', *PLANNED_RUN],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+    assert completed.returncode == 0, (
+        completed.stdout[-3000:] + completed.stderr[-2000:]
+    )
+    assert 'was stopped and started again' in completed.stdout
+
+
 def test_regressions_state_their_cause():
     path = pathlib.Path(pool_soak.__file__).parent / 'regressions.json'
     regressions = json.loads(path.read_text(encoding='utf-8'))
