--- a/balsamwind/adapters/_update_link.py
+++ b/balsamwind/adapters/_update_link.py
@@ -20,6 +20,13 @@
 OPEN_TIMEOUT = 1.0
 """Timeout for opening and for closing a connection (seconds)."""
 
+GOING_AWAY = 1001
+"""Code with which a server that ends closes its connections."""
+
+CLOSE_TIMEOUT = 0.1
+"""Longest wait at the end of a server until the other ends have read that
+their connections are closed (seconds)."""
+
 WEBSOCKET_OPTIONS = {
     'compression': None,
     'max_size': MAX_FRAME,
@@ -79,9 +86,25 @@
             try:
                 yield self
             finally:
+                await self._close_others()
                 for connection in [*self._connections, *self._others]:
                     connection.transport.abort()
 
+    async def _close_others(self):
+        """Close connections in order, so that no message is left in doubt.
+
+        What the other end has sent meanwhile was not handled, and it learns
+        that.
+        """
+        tasks = [
+            asyncio.ensure_future(connection.close(GOING_AWAY))
+            for connection in self._others
+        ]
+        if tasks:
+            await asyncio.wait(tasks, timeout=CLOSE_TIMEOUT)
+        for task in tasks:
+            task.cancel()
+
     @property
     def subscriber_count(self):
         """Connected subscribers (count)."""
@@ -205,7 +228,7 @@
     )
 
 
-async def open_websocket(address, path, timeout):
+async def open_websocket(address, path, timeout, source_host=''):
     """Connect to a node; the caller closes the connection.
 
     Parameters
@@ -216,6 +239,9 @@
         Path of the websocket.
     timeout : float
         Longest wait (seconds).
+    source_host : str
+        Host of this node that the connection comes from; empty if the system
+        chooses.
 
     Returns
     -------
@@ -226,10 +252,14 @@
     balsamwind.exceptions.TransportError
         The node can't be reached.
     """
+    local_address = (source_host, 0) if source_host else None
     try:
         async with asyncio.timeout(timeout):
             return await ws_client.connect(
-                f'ws://{address}{path}', proxy=None, **WEBSOCKET_OPTIONS
+                f'ws://{address}{path}',
+                proxy=None,
+                local_addr=local_address,
+                **WEBSOCKET_OPTIONS,
             )
     except (OSError, TimeoutError, websockets.WebSocketException) as error:
         raise exceptions.TransportError(f'{address}: {error!r}') from None
