Count an accepted attempt as sent

Found by reading in the part on promises: after a node had accepted an attempt, a failure such as 'draining' from it still said 'not sent', so that the request could be sent again, or be answered with a promise. Today's nodes say nothing of the kind once they have accepted; that was all that it rested on.

Change: what was accepted may have been sent, whatever the node says later.

--- a/balsamwind/node/_attempt_client.py
+++ b/balsamwind/node/_attempt_client.py
@@ -32,12 +32,17 @@
 }
 
 
-def _make_error(address, failure):
-    """Make the error for an attempt that a node could not complete."""
+def _make_error(address, failure, is_accepted):
+    """Make the error for an attempt that a node could not complete.
+
+    What the node has accepted may have been sent, whatever it says later.
+    """
     message = f'through {address}: {failure.cause.value} {failure.message}'
     if failure.cause in relay.NOT_CARRIED:
-        return exceptions.PeerUnavailable(message, False, failure.cause)
-    is_sent = failure.cause is not relay.CarryFailure.UNREACHABLE
+        return exceptions.PeerUnavailable(message, is_accepted, failure.cause)
+    is_sent = (
+        is_accepted or failure.cause is not relay.CarryFailure.UNREACHABLE
+    )
     return _ERRORS[failure.cause](message, is_sent)
 
 
@@ -273,7 +278,7 @@
         match message:
             case relay.AttemptAccepted():
                 return
-        self._raise_failure(message)
+        self._raise_failure(message, is_accepted=False)
 
     async def receive_head(self, timeout):
         """Wait for the head of the answer.
@@ -301,11 +306,11 @@
                 return
         self._raise_failure(message)
 
-    def _raise_failure(self, message):
+    def _raise_failure(self, message, is_accepted=True):
         match message:
             case relay.AttemptFailed():
                 self._return_connection()
-                raise _make_error(self._address, message)
+                raise _make_error(self._address, message, is_accepted)
             case _frame_codec.UnknownMessage():
                 self._client.record_unknown(self._address, message)
         self.close()
--- a/balsamwind/node/tests/test_attempt_client.py
+++ b/balsamwind/node/tests/test_attempt_client.py
@@ -330,3 +330,32 @@
     assert (
         asyncio.run(scenario()) < _drain.EXIT_MARGIN - _drain.LAST_ANSWERS_TIME
     )
+
+
+@pytest.mark.parametrize('cause', list(relay.CarryFailure))
+@pytest.mark.parametrize('is_accepted', [False, True])
+def test_failure_of_an_accepted_attempt_promised_that_it_did_not_run(
+    cause, is_accepted
+):
+    # REFUSED: what a node has accepted may have been sent.
+    async def carry(connection):
+        await connection.recv()
+        messages = [relay.AttemptFailed(cause)]
+        if is_accepted:
+            messages.insert(0, relay.AttemptAccepted())
+        for message in messages:
+            await connection.send(_attempt_frames.CODEC.encode(message))
+
+    async def scenario():
+        client = _attempt_client.AttemptClient(doubles.make_unknown_messages())
+        async with ws_server.serve(carry, '127.0.0.1', 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            with pytest.raises(exceptions.TransportError) as caught:
+                await client.open(f'127.0.0.1:{port}', ATTEMPT, lambda: None)
+            client.close()
+            return caught.value.sent
+
+    is_not_carried = cause in relay.NOT_CARRIED
+    is_unreachable = cause is relay.CarryFailure.UNREACHABLE
+    expected = is_accepted or not (is_not_carried or is_unreachable)
+    assert asyncio.run(scenario()) is expected
