Await the send in tests of doubtful refusals

One of 12 cases failed once on the busy machine: the request of a caller that leaves hadn't reached the server within 50 ms, through another node, so that the case did not come about (runs b in place of x, b).

The test waits until the server has got it, in place of a pause. The test of ended bookings had the same weakness: its 60 ends lay within 18 ms. They grow by 7 in 100 now, until five requests have reached the server; what is asserted is the same.

--- a/balsamwind/node/tests/test_doubtful_refusals.py
+++ b/balsamwind/node/tests/test_doubtful_refusals.py
@@ -9,6 +9,7 @@
 from balsamwind.adapters import _http_client
 from balsamwind import exceptions
 from balsamwind.node.tests import carrying
+from balsamwind.node.tests import helpers
 from balsamwind.relay.tests import forwarding
 from balsamwind import traffic
 
@@ -19,11 +20,17 @@
 LATE = 0.2
 """Pause before an answer, longer than the doubt in these tests (seconds)."""
 
-END_STEP = 0.0003
-"""Step of the time at which a request is ended (seconds)."""
+FIRST_END = 0.0002
+"""Time at which the first request is ended (seconds)."""
 
-ENDS = 60
-"""Requests that are ended, each a step later (count)."""
+END_GROWTH = 1.07
+"""Factor from the time at which a request is ended to that of the next."""
+
+MAX_ENDS = 120
+"""Requests that are ended at most (count)."""
+
+SENT_ENDS = 5
+"""Requests that reach the server before no more are sent (count)."""
 
 ARRIVAL_TIME = 0.01
 """Time in which a request that was sent arrives (seconds)."""
@@ -199,7 +206,7 @@
         server = _Server((), b'', steps)
         async with _open(server, through_peer) as own:
             leaving = asyncio.ensure_future(_send(own, 'x'))
-            await asyncio.sleep(LATE / 4)
+            await helpers.wait_until(lambda: server.runs)
             leaving.cancel()
             outcome = await _send(own, 'b')
         return outcome, server.runs
@@ -212,15 +219,15 @@
     through_peer,
 ):
     # The end comes at any moment of opening the connection and sending.
-    async def play(own, number):
-        outcome = await _send(own, f'r{number}', number * END_STEP)
-        await asyncio.sleep(ARRIVAL_TIME)
-        return outcome
-
     async def scenario():
+        outcomes = []
         server = _Server((), b'', {})
         async with _open(server, through_peer) as own:
-            outcomes = [await play(own, number) for number in range(ENDS)]
+            while len(server.runs) < SENT_ENDS and len(outcomes) < MAX_ENDS:
+                number = len(outcomes)
+                time_limit = FIRST_END * END_GROWTH**number
+                outcomes.append(await _send(own, f'r{number}', time_limit))
+                await asyncio.sleep(ARRIVAL_TIME)
         return outcomes, set(server.runs)
 
     outcomes, runs = asyncio.run(scenario())
