Tell a host that is gone from a silent engine

Cause: two kinds of silence were one. The kernel of a paused process still opens connections; a host that is gone, or cut off, opens none.

Change: a member whose host has opened no connection for two probes is lost at once, as one that refuses them. Opinions of other nodes still decide whether it is down at all, also where only the leader's path is broken (test_engine_that_answers_other_nodes_was_lost_for_the_leader). The table of what counts as lost has the new cases; the first two failed before.

--- a/balsamwind/node/_engine_health.py
+++ b/balsamwind/node/_engine_health.py
@@ -48,6 +48,7 @@
         '_failures',
         '_pending',
         '_silent_since',
+        '_unopened',
         '_unwitnessed_since',
         'answered_at',
         'recovered_at',
@@ -59,6 +60,7 @@
         self._failures = {}
         self._pending = {}
         self._silent_since = {}
+        self._unopened = {}
         self._unwitnessed_since = None
         self.answered_at = {}
         self.recovered_at = {}
@@ -101,8 +103,15 @@
         return now - self._silent_since.get(server_id, now)
 
     def has_ended(self, server_id):
-        """Tell whether an engine refuses connections or has started again."""
-        return server_id in self._ended
+        """Tell whether an engine shows that it is more than silent.
+
+        It refuses connections, has started again, or its host does not even
+        open connections, as that of a paused process does.
+        """
+        return (
+            server_id in self._ended
+            or self._unopened.get(server_id, 0) >= FAILURE_THRESHOLD
+        )
 
     def record_answer(self, server_id, sent_at, now):
         """Record that an engine has answered.
@@ -135,7 +144,14 @@
         self._count_witnessed()
         return was_down
 
-    def record_failure(self, server_id, sent_at, is_listed, is_refused=False):
+    def record_failure(
+        self,
+        server_id,
+        sent_at,
+        is_listed,
+        is_refused=False,
+        is_unopened=False,
+    ):
         """Record that a probe has failed.
 
         Parameters
@@ -149,7 +165,13 @@
             needs no witness.
         is_refused : bool
             Whether nothing listens at the address of the engine.
+        is_unopened : bool
+            Whether no connection could be opened.
         """
+        if is_unopened:
+            self._unopened[server_id] = self._unopened.get(server_id, 0) + 1
+        else:
+            self._unopened.pop(server_id, None)
         if is_refused:
             self._ended.add(server_id)
         else:
@@ -171,9 +193,17 @@
 
     def _forget(self, server_id):
         self._ended.discard(server_id)
-        for known in (self._failures, self._pending, self._silent_since):
+        for known in self._list_known():
             known.pop(server_id, None)
 
+    def _list_known(self):
+        return (
+            self._failures,
+            self._pending,
+            self._silent_since,
+            self._unopened,
+        )
+
     def has_failed(self, server_id):
         """Tell whether a failure of an engine has been counted."""
         return server_id in self._failures
@@ -219,14 +249,13 @@
         What was seen before does not tell what has happened meanwhile.
         """
         self._ended.clear()
-        self._failures.clear()
-        self._pending.clear()
-        self._silent_since.clear()
+        for known in self._list_known():
+            known.clear()
 
     def keep_only(self, server_ids):
         """Forget the engines that are not among `server_ids`."""
         self._ended &= server_ids
-        for known in (self._failures, self._pending, self._silent_since):
+        for known in self._list_known():
             for server_id in [
                 item for item in known if item not in server_ids
             ]:
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -229,6 +229,7 @@
                 sent_at,
                 record.listed,
                 isinstance(error, exceptions.ConnectionRefused),
+                is_unopened=not error.sent,
             )
         self._ask_if_failed(record)
         # An immediate second probe tells a lost packet from a lost engine.
--- a/balsamwind/node/tests/test_silent_members.py
+++ b/balsamwind/node/tests/test_silent_members.py
@@ -9,6 +9,7 @@
 from balsamwind.node.tests import doubles
 from balsamwind.node.tests import helpers
 from balsamwind import pool
+from balsamwind import relay
 
 SILENCE = 1.3
 """Silence of a sound engine (seconds)."""
@@ -100,6 +101,7 @@
 
 SILENT = exceptions.AnswerTimeout('silent')
 REFUSED = exceptions.ConnectionRefused('refused', sent=False)
+UNOPENED = exceptions.TransportError('could not be opened', sent=False)
 OTHER = exceptions.BadAnswer('another server')
 
 
@@ -109,6 +111,13 @@
         pytest.param([SILENT] * 8, 2.0, id='silent for long'),
         pytest.param([SILENT] * 4 + [None] * 4, None, id='goes on'),
         pytest.param([REFUSED] * 8, 0.5, id='ended'),
+        pytest.param([UNOPENED] * 8, 0.5, id='its host is gone'),
+        pytest.param(
+            [SILENT] + [UNOPENED] * 7, 1.0, id='its host is gone now'
+        ),
+        pytest.param(
+            [UNOPENED, SILENT] * 4, 2.0, id='its host opens some connections'
+        ),
         pytest.param([OTHER] * 8, 0.0, id='its address has another'),
         pytest.param([REFUSED] + [SILENT] * 7, 2.0, id='silent again'),
     ],
@@ -116,27 +125,49 @@
 def test_engine_is_lost_once_it_has_ended_or_is_silent_for_long(
     reasons, lost_at
 ):
-    async def body():
-        clock = doubles.Clock()
-        registry = pool.ServerRegistry()
-        records = [
-            pool.ServerRecord(name, 'llm', 'x:1', 'z1')
-            for name in ('failing', 'other')
-        ]
-        for record in records:
-            registry.apply_entry(record, clock.now)
-        prober = _prober.Prober(
-            _Platform(reasons), registry, clock, doubles.Log()
-        )
-        started_at, found = clock.now, None
-        for _ in reasons:
-            prober.probe_due(records)
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
-            if found is None and 'failing' in prober.down:
-                if prober.is_lost('failing', 2.0, clock.now):
-                    found = clock.now - started_at
-            clock.now += 0.5
-        return found
-
-    assert asyncio.run(body()) == (lost_at and pytest.approx(lost_at))
+    found = asyncio.run(_find_when_lost(reasons))
+    assert found == (lost_at and pytest.approx(lost_at))
+
+
+@pytest.mark.parametrize('reason', [SILENT, REFUSED, UNOPENED])
+def test_engine_that_answers_other_nodes_was_lost_for_the_leader(reason):
+    # The path of the leader to this engine is what is broken.
+    assert asyncio.run(_find_when_lost([reason] * 8, _Opinions())) is None
+
+
+class _Opinions:
+    """Other nodes, which reach every engine."""
+
+    async def ask(self, record):
+        return relay.Reach.ANSWERS
+
+    def are_enough(self, record):
+        return True
+
+    def keep_only(self, ids):
+        pass
+
+
+async def _find_when_lost(reasons, opinions=None):
+    """Play probes half a second apart; when the failing engine is lost."""
+    clock = doubles.Clock()
+    registry = pool.ServerRegistry()
+    records = [
+        pool.ServerRecord(name, 'llm', 'x:1', 'z1')
+        for name in ('failing', 'other')
+    ]
+    for record in records:
+        registry.apply_entry(record, clock.now)
+    prober = _prober.Prober(
+        _Platform(reasons), registry, clock, doubles.Log(), opinions
+    )
+    started_at, found = clock.now, None
+    for _ in reasons:
+        prober.probe_due(records)
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        if found is None and 'failing' in prober.down:
+            if prober.is_lost('failing', 2.0, clock.now):
+                found = clock.now - started_at
+        clock.now += 0.5
+    return found
