--- a/balsamwind/relay/_forwarded_request.py
+++ b/balsamwind/relay/_forwarded_request.py
@@ -70,8 +70,8 @@
         service,
         account,
         timeout,
-        data_centres,
-        states_priority,
+        data_centres=None,
+        states_priority=False,
     ):
         self.relay = relay
         self.request = request
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -12,7 +12,6 @@
 from balsamwind.relay import _attempt_run
 from balsamwind.relay import _attempts
 from balsamwind.relay import _fingerprint
-from balsamwind.relay import _forwarded_request
 from balsamwind.relay import _response_relay
 
 MAX_UNRUN_ATTEMPTS = 4
@@ -41,7 +40,10 @@
 class RequestForwarder:
     """Sends one request to backends until a response has been relayed.
 
-    The parameters are those of `ForwardedRequest`.
+    Parameters
+    ----------
+    forwarded : ForwardedRequest
+        The request.
     """
 
     __slots__ = (
@@ -62,34 +64,13 @@
         '_unrun_attempts',
     )
 
-    def __init__(
-        self,
-        relay,
-        request,
-        metadata,
-        responder,
-        route,
-        service,
-        account,
-        timeout,
-        data_centres=None,
-        states_priority=False,
-    ):
-        self._relay = relay
-        self._forwarded = _forwarded_request.ForwardedRequest(
-            relay,
-            request,
-            metadata,
-            responder,
-            route,
-            service,
-            account,
-            timeout,
-            data_centres,
-            states_priority,
+    def __init__(self, forwarded):
+        relay = self._relay = forwarded.relay
+        self._forwarded = forwarded
+        self._response = _response_relay.ResponseRelay(
+            forwarded.responder, forwarded.route
         )
-        self._response = _response_relay.ResponseRelay(responder, route)
-        self._retry_budget = relay.get_retry_budget(service.name)
+        self._retry_budget = relay.get_retry_budget(forwarded.service.name)
         self._has_paid_retry = False
         self._possible_runs = 0
         self._unrun_attempts = 0
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -11,6 +11,7 @@
 from balsamwind.relay import _carried_attempts
 from balsamwind.relay import _crash_quarantine
 from balsamwind.relay import _crash_reporter
+from balsamwind.relay import _forwarded_request
 from balsamwind.relay import _forwarder
 from balsamwind.relay import _model_demand
 from balsamwind.relay import _paths
@@ -337,7 +338,7 @@
         timeout = route.timeout
         if metadata.time_budget is not None:
             timeout = min(timeout, metadata.time_budget)
-        forwarder = _forwarder.RequestForwarder(
+        forwarded = _forwarded_request.ForwardedRequest(
             self,
             request,
             metadata,
@@ -349,10 +350,10 @@
             self.homes.find(route, account),
             self.configuration.has_ranks(service.name),
         )
+        forwarder = _forwarder.RequestForwarder(forwarded)
         self._record_arrival(service, metadata)
-        time_left = request.received_at + timeout - self.clock.monotonic()
         try:
-            async with self._limit_time(time_left):
+            async with self._limit_time(forwarded.time_left):
                 await forwarder.run()
         except TimeoutError:
             raise forwarder.make_timeout_error(self._is_ending) from None
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -13,6 +13,7 @@
 from balsamwind import pool
 from balsamwind import relay
 from balsamwind.relay import _attempt_sender
+from balsamwind.relay import _forwarded_request
 from balsamwind.relay import _forwarder
 from balsamwind.relay import _server_statements
 from balsamwind import traffic
@@ -257,7 +258,7 @@
         b'hi',
         fake_relay.clock.monotonic(),
     )
-    forwarder = _forwarder.RequestForwarder(
+    forwarded = _forwarded_request.ForwardedRequest(
         fake_relay,
         request,
         relay.RequestMetadata('r1' if request_id is None else request_id),
@@ -267,6 +268,7 @@
         None,
         1.5,
     )
+    forwarder = _forwarder.RequestForwarder(forwarded)
     try:
         async with asyncio.timeout(time_limit):
             await forwarder.run()
