Show parts that crash engines late (fails)

Three nodes, 16 engines, a request with the deadly part every 0.5 s. The stand-in's engines can now end some time after their first event, after a silence, or only under answers that last long enough, also when the attempt was closed before.

--- a/balsamwind/node/tests/test_deadly_prompts.py
+++ b/balsamwind/node/tests/test_deadly_prompts.py
@@ -6,6 +6,7 @@
 
 from balsamwind.node import _evidence_records
 from balsamwind.node.tests import helpers
+from standins import pool as pool_standin
 
 DEADLY = 'dead01'
 """Id of the prompt part that crashes engines."""
@@ -132,3 +133,111 @@
                 return await helpers.send_request(process, request)
 
     assert _is_whole(asyncio.run(scenario()))
+
+
+NOTICE_TIME = 3.0
+"""Time after the fifth crash in which all nodes must know the part
+(seconds)."""
+
+MAX_LATE_TRIES = 3
+"""Tries with the part that may begin after that (count)."""
+
+
+async def _send_deadly(nodes, count, interval, own_parts):
+    tasks = []
+    for number in range(count):
+        own = [f'p{number}x{index}' for index in range(own_parts)]
+        request = _make_request(number, *own, DEADLY)
+        process = nodes[number % len(nodes)]
+        tasks.append(
+            asyncio.ensure_future(helpers.send_request(process, request))
+        )
+        await asyncio.sleep(interval)
+    await asyncio.gather(*tasks)
+
+
+async def _crash_others(fake_platform, interval):
+    """Let two engines crash for reasons of their own, again and again."""
+    while True:
+        await asyncio.sleep(interval)
+        heads = [
+            engine
+            for engine in fake_platform.engines.values()
+            if engine.group and engine.group['State'] == 'open'
+        ]
+        for engine in heads[:2]:
+            fake_platform.crash_server(engine)
+
+
+def _count_late_tries(fake_platform):
+    crashes = fake_platform.deadly_crashes
+    if len(crashes) < MAX_CRASHES:
+        return 0
+    noticed_at = crashes[MAX_CRASHES - 1] + NOTICE_TIME
+    return sum(at > noticed_at for at in fake_platform.deadly_arrivals)
+
+
+@pytest.mark.parametrize(
+    ('ending', 'event_count', 'own_parts', 'crash_interval'),
+    [
+        pytest.param(
+            pool_standin.DeadlyEnding((0.2, 0.6), random_state=1),
+            40,
+            0,
+            None,
+            id='some time after its first event',
+        ),
+        pytest.param(
+            pool_standin.DeadlyEnding((0.0, 0.1), (0.3, 0.9), random_state=1),
+            40,
+            0,
+            None,
+            id='after a silence',
+        ),
+        pytest.param(
+            pool_standin.DeadlyEnding((0.2, 0.6), random_state=1),
+            18,
+            0,
+            None,
+            id='unless the answer is short enough',
+        ),
+        pytest.param(
+            pool_standin.DeadlyEnding((0.2, 0.6), random_state=1),
+            40,
+            5,
+            2.0,
+            id='beside other crashes',
+        ),
+    ],
+)
+def test_part_that_crashes_engines_late_was_never_quarantined(
+    ending, event_count, own_parts, crash_interval
+):
+    """Each answer ends its engine, but not right at its beginning."""
+
+    async def scenario():
+        async with helpers.open_fleet(ONE_DATA_CENTRE, 16) as (
+            fake_platform,
+            nodes,
+        ):
+            for engine in fake_platform.engines.values():
+                engine.event_count = event_count
+                engine.event_interval = 0.02
+            fake_platform.deadly_parts.add(DEADLY)
+            fake_platform.deadly_ending = ending
+            async with asyncio.TaskGroup() as tasks:
+                if crash_interval is not None:
+                    others = tasks.create_task(
+                        _crash_others(fake_platform, crash_interval)
+                    )
+                await _send_deadly(nodes, 32, 0.5, own_parts)
+                if crash_interval is not None:
+                    others.cancel()
+            return fake_platform
+
+    fake_platform = asyncio.run(scenario())
+    print(
+        f'{len(fake_platform.deadly_crashes)} crashes,'
+        f' {len(fake_platform.deadly_arrivals)} tries'
+    )
+    assert _count_late_tries(fake_platform) <= MAX_LATE_TRIES
--- a/standins/pool/__init__.py
+++ b/standins/pool/__init__.py
@@ -4,6 +4,7 @@
 that the guarantees of the system can be checked.
 """
 
+from standins.pool._deadly import DeadlyEnding
 from standins.pool._engine import Engine
 from standins.pool._platform import FakePlatform
 from standins.pool._store import RawJson
@@ -13,6 +14,7 @@
 from standins.pool._trace import Trace
 
 __all__ = [
+    'DeadlyEnding',
     'Engine',
     'FakePlatform',
     'RawJson',
--- /dev/null
+++ b/standins/pool/_deadly.py
@@ -0,0 +1,37 @@
+"""How an engine ends under an answer to a deadly prompt."""
+
+import dataclasses
+import random
+
+
+@dataclasses.dataclass(slots=True)
+class DeadlyEnding:
+    """Times from the head of an answer to the end of its engine.
+
+    Parameters
+    ----------
+    event_time : (float, float)
+        Shortest and longest time in which events are sent (seconds). An
+        answer that is whole by then is completed.
+    silence : (float, float)
+        Shortest and longest silence that follows (seconds). The engine ends
+        after it, whether or not the connection is still open.
+    random_state : int or None
+        Seed of the times.
+    """
+
+    event_time: tuple[float, float] = (0.0, 0.0)
+    silence: tuple[float, float] = (0.01, 0.01)
+    random_state: dataclasses.InitVar[int | None] = None
+    _rng: random.Random = dataclasses.field(init=False)
+
+    def __post_init__(self, random_state):
+        self._rng = random.Random(random_state)
+
+    def draw_event_time(self):
+        """Draw how long events are sent (seconds)."""
+        return self._rng.uniform(*self.event_time)
+
+    def draw_silence(self):
+        """Draw the silence after them (seconds)."""
+        return self._rng.uniform(*self.silence)
--- a/standins/pool/_engine_handlers.py
+++ b/standins/pool/_engine_handlers.py
@@ -112,7 +112,7 @@
                 return self._refuse()
         try:
             if self._platform.has_deadly_body(self.request):
-                self._platform.crash_server(engine)
+                self._platform.crash_on_request(engine)
                 raise web.Finish
             return await self._stream_events(group_key)
         finally:
@@ -151,13 +151,21 @@
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('X-Balsamwind-Request-Id', run.request_id)
         self.set_header('X-Balsamwind-Response-Stamp', engine.server_id)
-        if self._platform.is_deadly(headers):
+        is_deadly = self._platform.is_deadly(headers)
+        incarnation = engine.incarnation
+        if is_deadly:
             await self.flush()
-            await asyncio.sleep(engine.event_interval)
-            self._platform.crash_server(engine)
-            raise web.Finish
+            self._platform.deadly_arrivals.append(time.monotonic())
+            event_time = self._platform.deadly_ending.draw_event_time()
+            ends_at = time.monotonic() + event_time
         try:
             for number in range(first_event, engine.event_count + 1):
+                if is_deadly and time.monotonic() >= ends_at:
+                    silence = self._platform.deadly_ending.draw_silence()
+                    await asyncio.sleep(silence)
+                    if engine.incarnation == incarnation:
+                        self._platform.crash_on_request(engine)
+                    raise web.Finish
                 await engine.wait_while_stalled(
                     group_key, lambda: self._disconnected
                 )
--- a/standins/pool/_platform.py
+++ b/standins/pool/_platform.py
@@ -7,6 +7,7 @@
 from tornado import httpserver
 from tornado import web
 
+from standins.pool import _deadly
 from standins.pool import _engine
 from standins.pool import _engine_handlers
 from standins.pool import _services
@@ -52,12 +53,15 @@
     services : dict of str to PlainServer
         Servers of plain services by their ids.
     deadly_parts : set of str
-        Ids of prompt parts on which each engine crashes as soon as it begins
-        to answer.
+        Ids of prompt parts on which each engine crashes that answers them.
+    deadly_ending : DeadlyEnding
+        When it does; by default as soon as it begins.
     deadly_bodies : set of bytes
         Bodies of requests under which each server crashes that runs them.
     crashes : list of str
         Ids of the servers that crashed, in order.
+    deadly_crashes : list of float
+        When servers crashed on deadly requests (seconds, monotonic clock).
     deadly_arrivals : list of float
         When deadly requests began to run (seconds, monotonic clock).
     """
@@ -74,9 +78,11 @@
         self.engines = {}
         self.services = {}
         self.deadly_parts = set()
+        self.deadly_ending = _deadly.DeadlyEnding()
         self.deadly_bodies = set()
         self.deadly_arrivals = []
         self.crashes = []
+        self.deadly_crashes = []
         self._listeners = {}
         self._routes = {}
         self._tasks = set()
@@ -310,6 +316,18 @@
         ids = {part.partition(':')[0] for part in parts}
         return not self.deadly_parts.isdisjoint(ids)
 
+    def crash_on_request(self, server):
+        """End the process of a server that runs a deadly request.
+
+        Parameters
+        ----------
+        server : Engine or PlainServer
+            Server that crashes.
+        """
+        if not server.gone:
+            self.deadly_crashes.append(time.monotonic())
+        self.crash_server(server)
+
     def crash_server(self, server):
         """End the process of a server; it starts again after `CRASH_TIME`.
 
--- a/standins/pool/_services.py
+++ b/standins/pool/_services.py
@@ -132,7 +132,7 @@
         try:
             await asyncio.sleep(server.processing_time)
             if self._platform.has_deadly_body(self.request):
-                self._platform.crash_server(server)
+                self._platform.crash_on_request(server)
                 raise web.Finish
         finally:
             server.running -= 1
