Log when a part is held and what lifts it

The record shows how many parts are held, not which, by which crashes, for how long, and whether an answer lifted it. Needed to tell apart an end that is not put down to its part from evidence that is given up.

--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -245,6 +245,30 @@
                 obstacle=obstacle,
             )
 
+    def record_quarantine(self, change):
+        """Log that a prompt part or request is quarantined or cleared.
+
+        Parameters
+        ----------
+        change : balsamwind.relay.QuarantineBegun or PartCleared
+            The change.
+        """
+        match change:
+            case relay.QuarantineBegun(service, part, crashes, time_left):
+                event = 'part_quarantined'
+                values = {'seconds': round(time_left, 1)}
+            case relay.PartCleared(service, part, crashes, by_answer):
+                event = 'part_cleared'
+                values = {'by_answer': by_answer}
+        if self._take_token():
+            self.log.warning(
+                event,
+                service=service,
+                part=part,
+                crashes=list(crashes),
+                **values,
+            )
+
     def record_stream_end(
         self, request_id, backend, framing, unfinished_bytes
     ):
--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -19,6 +19,8 @@
 from balsamwind.relay._carried_attempts import ReachReply
 from balsamwind.relay._crash_evidence import CrashEvidence
 from balsamwind.relay._crash_evidence import CrashReport
+from balsamwind.relay._crash_evidence import PartCleared
+from balsamwind.relay._crash_evidence import QuarantineBegun
 from balsamwind.relay._crash_evidence import SoundPart
 from balsamwind.relay._crash_quarantine import CrashQuarantine
 from balsamwind.relay._direct_path import READ_MARGIN
@@ -79,6 +81,7 @@
     'NoPlacementService',
     'Outcome',
     'OutgoingAttempt',
+    'PartCleared',
     'PathProber',
     'PathState',
     'PathTable',
@@ -88,6 +91,7 @@
     'READ_MARGIN',
     'Placement',
     'PlacementSession',
+    'QuarantineBegun',
     'QuietServer',
     'QuietServers',
     'Reach',
--- a/balsamwind/relay/_crash_evidence.py
+++ b/balsamwind/relay/_crash_evidence.py
@@ -73,6 +73,50 @@
         return bool(self.reports or self.sound)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class QuarantineBegun:
+    """A part is quarantined from now on, or for longer than before.
+
+    Parameters
+    ----------
+    service : str
+        Service of the engines that crashed.
+    part : str
+        Id of the part.
+    crashes : tuple of str
+        Crashes on record.
+    time_left : float
+        Time until requests with the part are sent again (seconds).
+    """
+
+    service: str
+    part: str
+    crashes: tuple[str, ...]
+    time_left: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PartCleared:
+    """A part that was quarantined is cleared of crashes.
+
+    Parameters
+    ----------
+    service : str
+        Service of the engines that crashed.
+    part : str
+        Id of the part.
+    crashes : tuple of str
+        Crashes that it is cleared of.
+    by_answer : bool
+        Whether an answer of this node shows it; else another node says so.
+    """
+
+    service: str
+    part: str
+    crashes: tuple[str, ...]
+    by_answer: bool
+
+
 def is_beginning(progress, now):
     """Tell whether an answer had just begun, so that it may be to blame.
 
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -114,12 +114,24 @@
     ----------
     data_centre : str
         Data centre of the node, for its reports.
+
+    Attributes
+    ----------
+    on_change : callable
+        Called with each `QuarantineBegun` and `PartCleared`.
     """
 
-    __slots__ = ('_cleared', '_data_centre', '_sound', '_suspects')
+    __slots__ = (
+        '_cleared',
+        '_data_centre',
+        '_sound',
+        '_suspects',
+        'on_change',
+    )
 
     def __init__(self, data_centre):
         self._data_centre = data_centre
+        self.on_change = _ignore
         self._suspects = collections.OrderedDict()
         self._cleared = collections.OrderedDict()
         self._sound = collections.OrderedDict()
@@ -276,7 +288,7 @@
             self._sound[key] = now
             self._sound.move_to_end(key)
             if key in self._suspects:
-                sound.append(self._clear_all(key))
+                sound.append(self._clear_all(key, now))
         while len(self._sound) > MAX_SOUND_PARTS:
             self._sound.popitem(last=False)
         return _crash_evidence.CrashEvidence(sound=tuple(sound))
@@ -297,7 +309,7 @@
             What of it was new here, and what this node knows against it.
         """
         self._drop_expired(now)
-        sound = [item for item in evidence.sound if self._clear(item)]
+        sound = [item for item in evidence.sound if self._clear(item, now)]
         reports = []
         for report in evidence.reports:
             new_parts = tuple(
@@ -305,8 +317,9 @@
             )
             if new_parts:
                 reports.append(dataclasses.replace(report, parts=new_parts))
+                self._report_begun(report.service, new_parts, now)
             sound += [
-                self._clear_all((report.service, part))
+                self._clear_all((report.service, part), now)
                 for part in new_parts
                 if self._is_sound(report.service, part, now)
             ]
@@ -374,16 +387,31 @@
             )
         return known is None
 
-    def _clear_all(self, key):
+    def _report_begun(self, service, parts, now):
+        for part in parts:
+            found = self.find(service, (part,), now)
+            if found is not None:
+                crashes = tuple(self._suspects[service, part].crashes)
+                self.on_change(
+                    _crash_evidence.QuarantineBegun(
+                        service, part, crashes, found.time_left
+                    )
+                )
+
+    def _clear_all(self, key, now):
         crashes = tuple(sorted(self._suspects[key].crashes))
         item = _crash_evidence.SoundPart(*key, crashes)
-        self._clear(item)
+        self._clear(item, now, by_answer=True)
         return item
 
-    def _clear(self, item):
+    def _clear(self, item, now, by_answer=False):
         """Clear a part of crashes; False if it was cleared of all before."""
         key = (item.service, item.part)
         suspect = self._suspects.get(key)
+        if self.find(item.service, (item.part,), now) is not None:
+            self.on_change(
+                _crash_evidence.PartCleared(*key, item.crashes, by_answer)
+            )
         is_new = False
         for crash in item.crashes:
             is_new |= (*key, crash) not in self._cleared
@@ -406,6 +434,10 @@
                 del self._suspects[key]
 
 
+def _ignore(change):
+    """Stand in until changes are logged."""
+
+
 def _are_requests(part, other):
     return all(map(_fingerprint.is_fingerprint, (part, other)))
 
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -172,6 +172,7 @@
         self.peers = _attempt_sender.NoPeerService()
         self.settle_path = self._find_path
         self.crash_quarantine = _crash_quarantine.CrashQuarantine(data_centre)
+        self.crash_quarantine.on_change = request_log.record_quarantine
         self.crash_reporter = _crash_reporter.CrashReporter(
             self.crash_quarantine,
             client,
--- a/balsamwind/relay/tests/test_crash_quarantine.py
+++ b/balsamwind/relay/tests/test_crash_quarantine.py
@@ -365,3 +365,20 @@
     assert quarantine.find_news_for_others(news)
     assert len(quarantine.make_snapshot(11.0, 'z1').reports) == 2
     assert quarantine.concerns_others
+
+
+def test_changes_name_what_decided_them():
+    """What is held and what lifts it can be told apart in the log."""
+    quarantine = relay.CrashQuarantine('z1')
+    changes = []
+    quarantine.on_change = changes.append
+    for event in TWO_CRASHES:
+        _apply(quarantine, event)
+    (begun,) = changes
+    assert (begun.part, begun.crashes) == ('dead', ('c1', 'c2'))
+    assert begun.time_left == _crash_quarantine.BASE_QUARANTINE_TIME
+    item = _crash_evidence.SoundPart(SERVICE, 'dead', ('c1', 'c2'))
+    quarantine.merge(_crash_evidence.CrashEvidence(sound=(item,)), 11.0)
+    assert changes[1:] == [
+        relay.PartCleared(SERVICE, 'dead', ('c1', 'c2'), False)
+    ]
