Count engine crashes long after an answer began

Cause: only answers whose first event was less than 0.25 s old by the node's clock were suspected, and a crash counted only if its answer had begun after the crash before, so that overlapping answers never added up.

Change: all answers under way at a crash are suspected. One that had begun over a second before weighs less: two early crashes hold a part, or three of any kind. Crashes count apart if half a second lies between them, by the time of the break, not of its confirmation.

Checks changed: that an answer of 0.6 s is no suspect was the fault itself; instead, that it is suspected with its time, and what that weighs.

--- a/balsamwind/relay/_crash_evidence.py
+++ b/balsamwind/relay/_crash_evidence.py
@@ -1,15 +1,11 @@
-"""Evidence of crashes that nodes share, and what counts as such."""
+"""Evidence of crashes that nodes share."""
 
 import dataclasses
 
-BEGINNING_TIME = 0.25
-"""Time since the first event of an answer after which a crash of the engine is
-not put down to that answer (seconds)."""
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CrashReport:
-    """An engine crashed soon after it had begun an answer.
+    """An engine crashed as it gave an answer.
 
     Parameters
     ----------
@@ -115,37 +111,3 @@
     part: str
     crashes: tuple[str, ...]
     by_answer: bool
-
-
-def is_beginning(progress, now):
-    """Tell whether an answer had just begun, so that it may be to blame.
-
-    Parameters
-    ----------
-    progress : AttemptProgress
-        How far the attempt had come.
-    now : float
-        Time at which the engine was lost (seconds, boot clock).
-
-    Returns
-    -------
-    bool
-    """
-    return progress.began_at is not None and may_have_begun(progress, now)
-
-
-def may_have_begun(progress, now):
-    """Tell whether a request may just have begun to run.
-
-    Parameters
-    ----------
-    progress, now
-        As for `is_beginning`.
-
-    Returns
-    -------
-    bool
-        Also if the head of its answer has not come.
-    """
-    first_event_at = progress.first_event_at
-    return first_event_at is None or now - first_event_at <= BEGINNING_TIME
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -1,37 +1,29 @@
 """Quarantine of what crashes the servers that run it.
 
 Load pattern: requests that share one part of their prompt crash each engine
-that begins to answer them. They come at any node, a few at each, among sound
+that answers them. They come at any node, a few at each, among sound
 requests that share their other parts and their caller. Or one request crashes
 each server that runs it, and its caller repeats it at any node. Sent again
 and again, they take down one server after the other.
 
-The nodes share the evidence: which prompt parts an engine had just begun to
-answer when it crashed, and which requests ran there, by their fingerprints.
-Below, a part is either of them. A part is quarantined after crashes that
-followed each other, unless another part explains all of them, or an answer to
-a request with that part was completed since.
+The engine need not end at once: it may have sent events for a while, or
+nothing for a while, and sound answers run beside the deadly one.
+
+The nodes share the evidence: which prompt parts an engine was answering when
+it crashed, and which requests ran there, by their fingerprints. Below, a part
+is either of them. A part is quarantined after crashes that followed each
+other, unless another part explains all of them, or an answer to a request with
+that part was completed since.
 """
 
 import collections
 import dataclasses
 
 from balsamwind.relay import _crash_evidence
+from balsamwind.relay import _crash_suspects
 from balsamwind.relay import _fingerprint
 
-MIN_CRASHES = 2
-"""Crashes, one after the other, that put a part into quarantine (count)."""
-
-BASE_QUARANTINE_TIME = 60.0
-"""Duration of the first quarantine of a part (seconds)."""
-
-QUARANTINE_FACTOR = 4.0
-"""Factor by which each further crash prolongs the quarantine."""
-
-MAX_QUARANTINE_TIME = 3600.0
-"""Longest quarantine (seconds)."""
-
-RETENTION_TIME = 2.0 * MAX_QUARANTINE_TIME
+RETENTION_TIME = 2.0 * _crash_suspects.MAX_QUARANTINE_TIME
 """Time for which a crash is remembered (seconds)."""
 
 MAX_SUSPECTS = 1024
@@ -67,46 +59,6 @@
     time_left: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Crash:
-    """A crash as one part has it on record; times by this node's clock."""
-
-    began_at: float
-    crashed_at: float
-    data_centre: str
-
-
-class _Suspect:
-    """Crashes on record for one part."""
-
-    __slots__ = ('crashes',)
-
-    def __init__(self):
-        self.crashes = {}
-
-    def count_episodes(self):
-        """Count the crashes that followed each other.
-
-        Engines that crash at the same moment have a common cause, and so
-        count once: a later crash counts only if its answer was begun after
-        the one before.
-
-        Returns
-        -------
-        (int, float)
-            Count, and time of the last one that counts (seconds).
-        """
-        count = 0
-        last_at = float('-inf')
-        for crash in sorted(
-            self.crashes.values(), key=lambda crash: crash.crashed_at
-        ):
-            if crash.began_at >= last_at:
-                count += 1
-                last_at = crash.crashed_at
-        return count, last_at
-
-
 class CrashQuarantine:
     """Evidence of crashes, and the parts that are quarantined by it.
 
@@ -157,7 +109,7 @@
             return False
         if not _fingerprint.is_fingerprint(key[1]):
             return True
-        return suspect.count_episodes()[0] >= MIN_CRASHES
+        return suspect.find_series().count >= _crash_suspects.MIN_EARLY_CRASHES
 
     def find_news_for_others(self, evidence):
         """Find what other data centres must know of new evidence.
@@ -222,12 +174,12 @@
             suspect = self._suspects.get((service, part))
             if suspect is None:
                 continue
-            crashes, last_at = suspect.count_episodes()
-            time_left = last_at + _find_quarantine_time(crashes) - now
+            series = suspect.find_series()
+            time_left = series.last_at + series.quarantine_time - now
             if time_left > 0.0 and not self._is_explained(
                 service, part, parts
             ):
-                return Quarantine(part, crashes, time_left)
+                return Quarantine(part, series.count, time_left)
         return None
 
     def _is_explained(self, service, suspected, parts):
@@ -242,12 +194,12 @@
             if other_service == service and part not in parts
         )
 
-    def record_crash(self, crash, service, parts, duration, now):
-        """Record that an engine crashed as it began an answer.
+    def record_crash(self, crash, service, parts, duration, now, age=0.0):
+        """Record that an engine crashed as it gave an answer.
 
         Parameters
         ----------
-        crash, service, parts, duration
+        crash, service, parts, duration, age
             As for `CrashReport`.
         now : float
             Current time (seconds, boot clock).
@@ -261,7 +213,7 @@
             part for part in parts if not self._is_sound(service, part, now)
         )
         report = _crash_evidence.CrashReport(
-            crash, service, suspected, duration, 0.0, self._data_centre
+            crash, service, suspected, duration, age, self._data_centre
         )
         return self.merge(_crash_evidence.CrashEvidence((report,)), now)
 
@@ -346,7 +298,7 @@
                 crash,
                 service,
                 (part,),
-                record.crashed_at - record.began_at,
+                record.duration,
                 now - record.crashed_at,
                 record.data_centre,
             )
@@ -378,14 +330,14 @@
             return False
         suspect = self._suspects.get(key)
         if suspect is None:
-            suspect = self._suspects[key] = _Suspect()
+            suspect = self._suspects[key] = _crash_suspects.Suspect()
             _trim(self._suspects, MAX_SUSPECTS)
-        known = suspect.crashes.get(report.crash)
-        if known is None or crashed_at < known.crashed_at:
-            suspect.crashes[report.crash] = _Crash(
-                crashed_at - report.duration, crashed_at, report.data_centre
-            )
-        return known is None
+        return suspect.add(
+            report.crash,
+            _crash_suspects.Crash(
+                crashed_at, report.duration, report.data_centre
+            ),
+        )
 
     def _report_begun(self, service, parts, now):
         for part in parts:
@@ -442,16 +394,6 @@
     return all(map(_fingerprint.is_fingerprint, (part, other)))
 
 
-def _find_quarantine_time(crashes):
-    """Return how long a part is quarantined after its last crash (seconds)."""
-    if crashes < MIN_CRASHES:
-        return float('-inf')
-    further = min(crashes - MIN_CRASHES, 8)
-    return min(
-        BASE_QUARANTINE_TIME * QUARANTINE_FACTOR**further, MAX_QUARANTINE_TIME
-    )
-
-
 def _trim(table, size):
     while len(table) > size:
         table.popitem(last=False)
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _fingerprint
 
 CONFIRMATION_TIMEOUT = 0.35
@@ -10,7 +9,7 @@
 
 
 class CrashReporter:
-    """Reports crashes of engines that had just begun an answer.
+    """Reports crashes of engines that were giving an answer.
 
     A broken connection alone proves no crash: links are reset, and engines
     break off single answers. The port of an engine that has crashed refuses
@@ -78,23 +77,20 @@
         """
         now = self._clock.monotonic()
         suspected = []
-        if parts and _crash_evidence.is_beginning(progress, now):
+        if parts and progress.began_at is not None:
             suspected.append((parts, now - progress.began_at))
-        if _crash_evidence.may_have_begun(progress, now):
-            suspected.append(((fingerprint,), now - progress.sent_at))
-        if not suspected:
-            return
+        suspected.append(((fingerprint,), now - progress.sent_at))
         task = asyncio.ensure_future(
-            self._confirm(backend.record, service, suspected)
+            self._confirm(backend.record, service, suspected, now)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _confirm(self, record, service, suspected):
+    async def _confirm(self, record, service, suspected, broken_at):
         if not await self._has_crashed(record):
             return
         for parts, duration in suspected:
-            self._record(record, service, parts, duration)
+            self._record(record, service, parts, duration, broken_at)
 
     async def _has_crashed(self, record):
         """Find out once for all answers that one server has broken off."""
@@ -116,11 +112,11 @@
         self._log.info('crash_not_shown', engine=record.server_id)
         return False
 
-    def _record(self, record, service, parts, duration):
+    def _record(self, record, service, parts, duration, broken_at):
         crash = f'{record.server_id}:{record.born}'
         now = self._clock.monotonic()
         evidence = self._quarantine.record_crash(
-            crash, service, parts, duration, now
+            crash, service, parts, duration, now, now - broken_at
         )
         self._log.info(
             'engine_crashed_on_request'
--- /dev/null
+++ b/balsamwind/relay/_crash_suspects.py
@@ -0,0 +1,165 @@
+"""Crashes on record for one prompt part or request, and what they weigh."""
+
+import dataclasses
+
+BEGINNING_TIME = 1.0
+"""Time from the beginning of an answer to a crash that counts in full
+(seconds). An engine that runs a deadly prompt need not end at once, and its
+end is seen later over a slow path."""
+
+SAME_MOMENT = 0.5
+"""Time within which crashes may have a common cause (seconds)."""
+
+MIN_EARLY_CRASHES = 2
+"""Crashes soon after the beginning, one after the other, that put a part into
+quarantine (count)."""
+
+MIN_CRASHES = 3
+"""Crashes at any time, one after the other, that do so (count)."""
+
+BASE_QUARANTINE_TIME = 60.0
+"""Duration of the first quarantine of a part (seconds)."""
+
+QUARANTINE_FACTOR = 4.0
+"""Factor by which each further crash prolongs the quarantine."""
+
+MAX_QUARANTINE_TIME = 3600.0
+"""Longest quarantine (seconds)."""
+
+MAX_FURTHER_CRASHES = 8
+"""Further crashes that are counted (count)."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Crash:
+    """A crash as one part has it on record; times by this node's clock.
+
+    Parameters
+    ----------
+    crashed_at : float
+        When the engine was lost (seconds, boot clock).
+    duration : float
+        Shortest time for which an answer with the part had run (seconds).
+    data_centre : str
+        Data centre of the node that saw it.
+    """
+
+    crashed_at: float
+    duration: float
+    data_centre: str
+
+    @property
+    def began_at(self):
+        """When the answer began (seconds, boot clock)."""
+        return self.crashed_at - self.duration
+
+    @property
+    def is_early(self):
+        """Whether the answer had just begun."""
+        return self.duration <= BEGINNING_TIME
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CrashSeries:
+    """Crashes that followed each other.
+
+    Parameters
+    ----------
+    early, late : int
+        Crashes soon after the beginning of an answer, and later ones (count).
+    last_at : float
+        When the last one came (seconds, boot clock).
+    """
+
+    early: int = 0
+    late: int = 0
+    last_at: float = float('-inf')
+
+    @property
+    def count(self):
+        """All crashes of the series (count)."""
+        return self.early + self.late
+
+    @property
+    def quarantine_time(self):
+        """Duration of the quarantine after the last one (seconds)."""
+        needed = (
+            MIN_EARLY_CRASHES
+            if self.early >= MIN_EARLY_CRASHES
+            else MIN_CRASHES
+        )
+        further = min(self.count - needed, MAX_FURTHER_CRASHES)
+        if further < 0:
+            return 0.0
+        return min(
+            BASE_QUARANTINE_TIME * QUARANTINE_FACTOR**further,
+            MAX_QUARANTINE_TIME,
+        )
+
+
+class Suspect:
+    """Crashes on record for one part.
+
+    Attributes
+    ----------
+    crashes : dict of str to Crash
+        Crashes by their ids.
+    """
+
+    __slots__ = ('crashes',)
+
+    def __init__(self):
+        self.crashes = {}
+
+    def add(self, crash_id, crash):
+        """Put a crash on record.
+
+        Parameters
+        ----------
+        crash_id : str
+            Identifies the crash.
+        crash : Crash
+            The crash, as one node saw it.
+
+        Returns
+        -------
+        bool
+            Whether it is new, or an answer with the part began later than
+            was known.
+        """
+        known = self.crashes.get(crash_id)
+        if known is None:
+            self.crashes[crash_id] = crash
+            return True
+        self.crashes[crash_id] = dataclasses.replace(
+            known,
+            crashed_at=min(known.crashed_at, crash.crashed_at),
+            duration=min(known.duration, crash.duration),
+        )
+        return crash.duration < known.duration
+
+    def find_series(self):
+        """Find the crashes that followed each other.
+
+        Engines that crash at the same moment may have a common cause, and so
+        count once: a later crash counts if its answer was begun after the one
+        before, or some time has passed.
+
+        Returns
+        -------
+        CrashSeries
+        """
+        series = CrashSeries()
+        for crash in sorted(
+            self.crashes.values(), key=lambda crash: crash.crashed_at
+        ):
+            if (
+                crash.began_at >= series.last_at
+                or crash.crashed_at > series.last_at + SAME_MOMENT
+            ):
+                series = CrashSeries(
+                    series.early + crash.is_early,
+                    series.late + (not crash.is_early),
+                    crash.crashed_at,
+                )
+        return series
--- a/balsamwind/relay/tests/test_crash_quarantine.py
+++ b/balsamwind/relay/tests/test_crash_quarantine.py
@@ -9,6 +9,7 @@
 from balsamwind import relay
 from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _crash_quarantine
+from balsamwind.relay import _crash_suspects
 
 SERVICE = 'llm'
 
@@ -138,14 +139,14 @@
     (
         'the quarantine has ended',
         TWO_CRASHES,
-        10.5 + _crash_quarantine.BASE_QUARANTINE_TIME,
+        10.5 + _crash_suspects.BASE_QUARANTINE_TIME,
         [],
         [('a', 'dead')],
     ),
     (
         'a further crash prolongs the quarantine',
         [*TWO_CRASHES, _Crash(80.0, 'c3', (('c', 'dead'),))],
-        80.0 + _crash_quarantine.BASE_QUARANTINE_TIME + 1.0,
+        80.0 + _crash_suspects.BASE_QUARANTINE_TIME + 1.0,
         [('a', 'dead')],
         [('a',)],
     ),
@@ -169,7 +170,7 @@
 def test_time_left_is_that_of_the_last_crash():
     found = _replay(TWO_CRASHES).find(SERVICE, ('dead',), 20.5)
     assert found.crashes == 2
-    assert found.time_left == _crash_quarantine.BASE_QUARANTINE_TIME - 10.0
+    assert found.time_left == _crash_suspects.BASE_QUARANTINE_TIME - 10.0
 
 
 def test_evidence_is_bounded():
@@ -254,20 +255,46 @@
     assert other.find(SERVICE, ('a',), 11.1) is None
 
 
+def _make_late_crashes(count, interval, duration=4.0):
+    return [
+        _Crash(10.0 + number * interval, f'c{number}', (('dead',),), duration)
+        for number in range(count)
+    ]
+
+
 @pytest.mark.parametrize(
-    ('began_at', 'first_event_at', 'expected'),
+    ('events', 'is_held'),
     [
-        pytest.param(None, None, False, id='no head yet'),
-        pytest.param(8.0, None, True, id='head, no event'),
-        pytest.param(8.0, 9.9, True, id='first event just relayed'),
-        pytest.param(8.0, 9.0, False, id='written for a while'),
+        pytest.param(_make_late_crashes(2, 5.0), False, id='two late ones'),
+        pytest.param(_make_late_crashes(3, 5.0), True, id='three late ones'),
+        pytest.param(
+            _make_late_crashes(3, 1.0), True, id='under answers that overlap'
+        ),
+        pytest.param(
+            _make_late_crashes(3, 0.01), False, id='at the same moment'
+        ),
+        pytest.param(
+            [
+                *_make_late_crashes(1, 5.0),
+                *TWO_CRASHES[1:],
+            ],
+            False,
+            id='a late and an early one',
+        ),
+        pytest.param(
+            [
+                _Crash(10.0, 'c1', (('dead',),), 4.0),
+                _Crash(10.0, 'c1', (('dead',),), 0.2),
+                _Crash(11.0, 'c2', (('dead',),), 0.6),
+            ],
+            True,
+            id='the answer that began last counts',
+        ),
     ],
 )
-def test_only_an_answer_that_had_just_begun_is_suspected(
-    began_at, first_event_at, expected
-):
-    progress = relay.AttemptProgress(began_at, first_event_at)
-    assert _crash_evidence.is_beginning(progress, 10.0) is expected
+def test_crashes_long_after_the_beginning_never_counted(events, is_held):
+    found = _replay(events).find(SERVICE, ('dead',), 25.0)
+    assert (found is not None) is is_held
 
 
 REQUEST = 'request:1'
@@ -376,7 +403,7 @@
         _apply(quarantine, event)
     (begun,) = changes
     assert (begun.part, begun.crashes) == ('dead', ('c1', 'c2'))
-    assert begun.time_left == _crash_quarantine.BASE_QUARANTINE_TIME
+    assert begun.time_left == _crash_suspects.BASE_QUARANTINE_TIME
     item = _crash_evidence.SoundPart(SERVICE, 'dead', ('c1', 'c2'))
     quarantine.merge(_crash_evidence.CrashEvidence(sound=(item,)), 11.0)
     assert changes[1:] == [
--- a/balsamwind/relay/tests/test_crash_reporter.py
+++ b/balsamwind/relay/tests/test_crash_reporter.py
@@ -59,6 +59,7 @@
             if began:
                 progress.began_at = now - 0.2
             if writing:
+                progress.began_at = now - writing - 0.2
                 progress.first_event_at = now - writing
             reporter.report_broken_answer(
                 backend, 'llm', parts, FINGERPRINT, progress
@@ -95,15 +96,17 @@
     assert report.parts == (FINGERPRINT,)
 
 
-@pytest.mark.parametrize(
-    ('open_port', 'writing'),
-    [
-        pytest.param(_open_server, 0.0, id='server still accepts'),
-        pytest.param(_close_port, 0.6, id='answer well under way'),
-    ],
-)
-def test_broken_answer_alone_is_no_evidence(open_port, writing):
-    assert _report(open_port, writing=writing) == []
+def test_broken_answer_alone_is_no_evidence():
+    assert _report(_open_server) == []
+
+
+@pytest.mark.parametrize('writing', [0.0, 0.1, 0.6, 8.0])
+def test_answer_under_way_at_a_crash_is_suspected_however_long(writing):
+    """How long it had run tells how much the crash weighs."""
+    news = _report(_close_port, writing=writing)
+    reports = [report for item in news for report in item.reports]
+    assert [report.parts for report in reports] == [PARTS, (FINGERPRINT,)]
+    assert reports[0].duration == pytest.approx(writing + 0.2, abs=0.1)
 
 
 def test_refusal_that_only_this_node_sees_is_no_evidence():
