Weigh whole answers against crashes

Callers saw: a part of prompts went on ending engines as soon as some of the answers with it were whole: short ones, or the rest of a resumed one.

Cause: one whole answer cleared its parts of all crashes, and for 30 s of all crashes to come, whatever had ended under it.

Change: three answers of one node, each as long as the answer at the crash, clear a part of one crash; a shorter answer weighs a tenth. Answers of up to 30 s before a crash count. An answer for which more than one server may have worked shows nothing.

Checks changed: cases in which a single answer lifted everything have the three (or six) answers that are needed now; that is the fault itself.

--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -12,8 +12,8 @@
 The nodes share the evidence: which prompt parts an engine was answering when
 it crashed, and which requests ran there, by their fingerprints. Below, a part
 is either of them. A part is quarantined after crashes that followed each
-other, unless another part explains all of them, or an answer to a request with
-that part was completed since.
+other, unless another part explains all of them, or enough whole answers to
+requests with that part speak for it.
 """
 
 import collections
@@ -22,6 +22,7 @@
 from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _crash_suspects
 from balsamwind.relay import _fingerprint
+from balsamwind.relay import _sound_answers
 
 RETENTION_TIME = 2.0 * _crash_suspects.MAX_QUARANTINE_TIME
 """Time for which a crash is remembered (seconds)."""
@@ -32,13 +33,6 @@
 MAX_CLEARED = 256
 """Crashes that parts were cleared of and that are remembered (count)."""
 
-SOUND_TIME = 30.0
-"""Time for which a completed answer shows that its parts are sound
-(seconds)."""
-
-MAX_SOUND_PARTS = 4096
-"""Parts of completed answers that are remembered (count)."""
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Quarantine:
@@ -74,9 +68,9 @@
     """
 
     __slots__ = (
+        '_answers',
         '_cleared',
         '_data_centre',
-        '_sound',
         '_suspects',
         'on_change',
     )
@@ -86,7 +80,7 @@
         self.on_change = _ignore
         self._suspects = collections.OrderedDict()
         self._cleared = collections.OrderedDict()
-        self._sound = collections.OrderedDict()
+        self._answers = _sound_answers.SoundAnswers()
 
     @property
     def has_suspects(self):
@@ -209,16 +203,13 @@
         CrashEvidence
             What the other nodes must know; empty if nothing is new.
         """
-        suspected = tuple(
-            part for part in parts if not self._is_sound(service, part, now)
-        )
         report = _crash_evidence.CrashReport(
-            crash, service, suspected, duration, age, self._data_centre
+            crash, service, parts, duration, age, self._data_centre
         )
         return self.merge(_crash_evidence.CrashEvidence((report,)), now)
 
-    def record_answer(self, service, parts, now):
-        """Record that an answer to a prompt was completed.
+    def record_answer(self, service, parts, duration, now):
+        """Record that one server gave a whole answer to a prompt.
 
         Parameters
         ----------
@@ -226,23 +217,21 @@
             Service that answered.
         parts : tuple of str
             Parts of the prompt.
+        duration : float
+            Time that the answer took (seconds).
         now : float
             Current time (seconds, boot clock).
 
         Returns
         -------
         CrashEvidence
-            What the other nodes must know; empty if no part was suspected.
+            What the other nodes must know; empty if it clears nothing.
         """
         sound = []
         for part in parts:
             key = (service, part)
-            self._sound[key] = now
-            self._sound.move_to_end(key)
-            if key in self._suspects:
-                sound.append(self._clear_all(key, now))
-        while len(self._sound) > MAX_SOUND_PARTS:
-            self._sound.popitem(last=False)
+            self._answers.record(key, duration, now)
+            sound += self._clear_by_answers(key, now)
         return _crash_evidence.CrashEvidence(sound=tuple(sound))
 
     def merge(self, evidence, now):
@@ -269,12 +258,9 @@
             )
             if new_parts:
                 reports.append(dataclasses.replace(report, parts=new_parts))
-                self._report_begun(report.service, new_parts, now)
-            sound += [
-                self._clear_all((report.service, part), now)
-                for part in new_parts
-                if self._is_sound(report.service, part, now)
-            ]
+            for part in new_parts:
+                sound += self._clear_by_answers((report.service, part), now)
+            self._report_begun(report.service, new_parts, now)
         return _crash_evidence.CrashEvidence(tuple(reports), tuple(sound))
 
     def make_snapshot(self, now, data_centre=None):
@@ -316,10 +302,6 @@
         ]
         return _crash_evidence.CrashEvidence(tuple(reports), tuple(sound))
 
-    def _is_sound(self, service, part, now):
-        answered_at = self._sound.get((service, part), float('-inf'))
-        return now - answered_at < SOUND_TIME
-
     def _add(self, report, part, now):
         """Put a crash on record for one part; False if nothing is new."""
         key = (report.service, part)
@@ -350,11 +332,23 @@
                     )
                 )
 
-    def _clear_all(self, key, now):
-        crashes = tuple(sorted(self._suspects[key].crashes))
+    def _clear_by_answers(self, key, now):
+        """Clear a part of the crashes that answers of this node outweigh.
+
+        Returns
+        -------
+        list of SoundPart
+            None or one.
+        """
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return []
+        crashes = self._answers.find_cleared(key, suspect)
+        if not crashes:
+            return []
         item = _crash_evidence.SoundPart(*key, crashes)
         self._clear(item, now, by_answer=True)
-        return item
+        return [item]
 
     def _clear(self, item, now, by_answer=False):
         """Clear a part of crashes; False if it was cleared of all before."""
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -124,26 +124,37 @@
             else 'engine_crashed_on_prompt',
             engine=record.server_id,
             parts=list(parts),
-            suspected=[
-                part for report in evidence.reports for part in report.parts
-            ],
+            suspected=_find_suspected(evidence),
         )
         if evidence:
             self.on_evidence(evidence)
 
-    def record_answer(self, service, parts):
-        """Record that an answer was completed.
+    def record_answer(self, service, parts, fingerprint, progress):
+        """Record that one server gave a whole answer to a request.
 
         Parameters
         ----------
         service : str
             Name of the service that answered.
         parts : tuple of str
-            Parts of the prompt that other requests may share, and the
-            fingerprint of the request.
+            Parts of the prompt that other requests may share; empty if the
+            answer has no events.
+        fingerprint : str or None
+            Fingerprint of the request; None if nothing is suspected.
+        progress : AttemptProgress
+            Times of the attempt.
         """
+        now = self._clock.monotonic()
+        if parts and progress.began_at is not None:
+            self._share_answer(service, parts, now - progress.began_at, now)
+        if fingerprint is not None:
+            self._share_answer(
+                service, (fingerprint,), now - progress.sent_at, now
+            )
+
+    def _share_answer(self, service, parts, duration, now):
         evidence = self._quarantine.record_answer(
-            service, parts, self._clock.monotonic()
+            service, parts, duration, now
         )
         if evidence:
             self.on_evidence(evidence)
@@ -154,5 +165,16 @@
             task.cancel()
 
 
+def _find_suspected(evidence):
+    """Return the parts of new reports that no answer clears (list of str)."""
+    cleared = {item.part for item in evidence.sound}
+    return [
+        part
+        for report in evidence.reports
+        for part in report.parts
+        if part not in cleared
+    ]
+
+
 def _ignore(evidence):
     """Stand in until the evidence is shared."""
--- a/balsamwind/relay/_crash_suspects.py
+++ b/balsamwind/relay/_crash_suspects.py
@@ -104,12 +104,16 @@
     ----------
     crashes : dict of str to Crash
         Crashes by their ids.
+    answer_weight : int
+        Weight of the answers of this node since one cleared the part of a
+        crash.
     """
 
-    __slots__ = ('crashes',)
+    __slots__ = ('answer_weight', 'crashes')
 
     def __init__(self):
         self.crashes = {}
+        self.answer_weight = 0
 
     def add(self, crash_id, crash):
         """Put a crash on record.
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -338,15 +338,24 @@
         )
 
     def _record_answer(self, attempt):
-        """Record that a server gave a whole answer to the request."""
-        parts = ()
+        """Record that a server gave a whole answer to the request.
+
+        The last one of several that may have run it shows nothing: it may
+        have had little left to do.
+        """
+        if self._possible_runs:
+            return
+        parts, fingerprint = (), None
         if attempt.progress.first_event_at is not None:
             parts = self._forwarded.metadata.shared_parts
         if self._relay.crash_quarantine.has_suspects:
-            parts = (*parts, self._forwarded.make_fingerprint())
-        if parts:
+            fingerprint = self._forwarded.make_fingerprint()
+        if parts or fingerprint:
             self._relay.crash_reporter.record_answer(
-                self._forwarded.service.name, parts
+                self._forwarded.service.name,
+                parts,
+                fingerprint,
+                attempt.progress,
             )
 
     def _record_failure(self, attempt, failure):
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -169,7 +169,7 @@
     ):
         pass
 
-    def record_answer(self, service, parts):
+    def record_answer(self, service, parts, fingerprint, progress):
         pass
 
 
--- a/balsamwind/relay/tests/test_crash_quarantine.py
+++ b/balsamwind/relay/tests/test_crash_quarantine.py
@@ -26,10 +26,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Answer:
-    """A prompt was answered completely."""
+    """A prompt was answered completely, several times at once."""
 
     at: float
     parts: tuple[str, ...]
+    count: int = 3
+    duration: float = 0.5
 
 
 def _apply(quarantine, event):
@@ -37,8 +39,9 @@
         case _Crash(at, crash, prompts, duration):
             for parts in prompts:
                 quarantine.record_crash(crash, SERVICE, parts, duration, at)
-        case _Answer(at, parts):
-            quarantine.record_answer(SERVICE, parts, at)
+        case _Answer(at, parts, count, duration):
+            for _ in range(count):
+                quarantine.record_answer(SERVICE, parts, duration, at)
 
 
 def _replay(events):
@@ -117,7 +120,7 @@
     (
         'a part that was answered shortly before',
         [
-            _Answer(9.0, ('a',)),
+            _Answer(9.0, ('a',), 6),
             _Crash(10.0, 'c1', (('a',),)),
             _Crash(11.0, 'c2', (('a',),)),
         ],
@@ -178,7 +181,7 @@
     for number in range(3 * _crash_quarantine.MAX_SUSPECTS):
         parts = (f'p{number}',)
         quarantine.record_crash(f'c{number}', SERVICE, parts, 0.3, 10.0)
-        quarantine.record_answer(SERVICE, (f's{number}',), 10.0)
+        quarantine.record_answer(SERVICE, (f's{number}',), 0.5, 10.0)
     snapshot = quarantine.make_snapshot(10.0)
     assert len(snapshot.reports) == _crash_quarantine.MAX_SUSPECTS
     assert len(snapshot.sound) <= _crash_quarantine.MAX_CLEARED
@@ -247,7 +250,8 @@
 def test_node_that_knows_a_part_as_sound_says_so():
     node = relay.CrashQuarantine('z1')
     other = relay.CrashQuarantine('z1')
-    node.record_answer(SERVICE, ('a',), 9.0)
+    for _ in range(3):
+        node.record_answer(SERVICE, ('a',), 0.5, 9.0)
     news = other.record_crash('c1', SERVICE, ('a', 'dead'), 0.3, 10.0)
     reply = node.merge(news, 10.1)
     other.merge(reply, 10.2)
@@ -394,6 +398,49 @@
     assert quarantine.concerns_others
 
 
+def _crash_and_answer(answers, duration=0.5, rounds=6):
+    events = []
+    for number in range(rounds):
+        at = 10.0 + number
+        events.append(_Crash(at, f'c{number}', (('part',),)))
+        if answers:
+            events.append(_Answer(at + 0.5, ('part',), answers, duration))
+    return events
+
+
+@pytest.mark.parametrize(
+    ('events', 'is_held'),
+    [
+        pytest.param(_crash_and_answer(1), True, id='one answer a crash'),
+        pytest.param(_crash_and_answer(3), False, id='three answers a crash'),
+        pytest.param(
+            _crash_and_answer(10, 0.1), True, id='ten that were too short'
+        ),
+        pytest.param(
+            _crash_and_answer(30, 0.1), False, id='thirty short ones'
+        ),
+        pytest.param(
+            [*_crash_and_answer(0), _Answer(17.0, ('part',), 1)],
+            True,
+            id='one answer after six crashes',
+        ),
+        pytest.param(
+            [_Answer(9.0, ('part',), 40), *_crash_and_answer(0)],
+            False,
+            id='popular part beside six crashes',
+        ),
+        pytest.param(
+            [_Answer(-31.0, ('part',), 40), *_crash_and_answer(0)],
+            True,
+            id='answers of long ago',
+        ),
+    ],
+)
+def test_one_whole_answer_outweighed_all_crashes(events, is_held):
+    found = _replay(events).find(SERVICE, ('part',), 18.0)
+    assert (found is not None) is is_held
+
+
 def test_changes_name_what_decided_them():
     """What is held and what lifts it can be told apart in the log."""
     quarantine = relay.CrashQuarantine('z1')
--- a/balsamwind/relay/tests/test_reload.py
+++ b/balsamwind/relay/tests/test_reload.py
@@ -17,7 +17,9 @@
 
 
 async def _make_relay():
-    log = types.SimpleNamespace(log=None, record_rejection=None)
+    log = types.SimpleNamespace(
+        log=None, record_rejection=None, record_quarantine=None
+    )
     clock = forwarding.Clock()
     made = relay.Relay('z1', BOUNDS, None, None, None, None, clock, log)
     budget = made.get_retry_budget('llm')
