Keep what is quarantined in a full table

Callers saw: quarantined parts reached engines again after many others had been suspected beside them (the record shows 34 and 86 quarantined parts).

Cause: the table of 1,024 suspects dropped the oldest part, whatever it had done.

Change: the parts that the least is known against are dropped first, an eighth of the table at a time, so that a storm of crashes is not a sort each.

--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -312,8 +312,8 @@
             return False
         suspect = self._suspects.get(key)
         if suspect is None:
+            self._make_room()
             suspect = self._suspects[key] = _crash_suspects.Suspect()
-            _trim(self._suspects, MAX_SUSPECTS)
         return suspect.add(
             report.crash,
             _crash_suspects.Crash(
@@ -321,6 +321,20 @@
             ),
         )
 
+    def _make_room(self):
+        """Drop the parts that the least is known against, if there are many.
+
+        Quarantined ones stay longest.
+        """
+        if len(self._suspects) < MAX_SUSPECTS:
+            return
+        ranked = sorted(
+            self._suspects,
+            key=lambda key: self._suspects[key].find_series().severity,
+        )
+        for key in ranked[: MAX_SUSPECTS // 8]:
+            del self._suspects[key]
+
     def _report_begun(self, service, parts, now):
         for part in parts:
             found = self.find(service, (part,), now)
--- a/balsamwind/relay/_crash_suspects.py
+++ b/balsamwind/relay/_crash_suspects.py
@@ -96,6 +96,11 @@
             MAX_QUARANTINE_TIME,
         )
 
+    @property
+    def severity(self):
+        """Key for sorting: what the least is known against comes first."""
+        return self.quarantine_time, self.count, self.last_at
+
 
 class Suspect:
     """Crashes on record for one part.
