Check the quarantine before each attempt is sent

Cause: the quarantine was asked when a request was admitted and before a retry. What lay between (a wait for room, for a connection, for a path, or a hop to a node that knows more) was not covered.

Change: the check right before the send asks, at the own node and at the one that carries; a request that waits unsent is answered as soon as something is quarantined that concerns it. What quarantine means for one request moves from the forwarder to a module of its own.

--- a/balsamwind/node/tests/carrying.py
+++ b/balsamwind/node/tests/carrying.py
@@ -59,6 +59,7 @@
     Yields
     ------
     FakeRelay
+        That of the other node, if any, is its ``carrying_relay``.
     """
     async with contextlib.AsyncExitStack() as stack:
         own = _make_relay(stack, addresses, _PeerPaths())
@@ -74,6 +75,7 @@
         own.peers = _peer_service.PeerService(
             _Selector(address), client, own.clock
         )
+        own.carrying_relay = other
         yield own
 
 
--- a/balsamwind/relay/_attempt_carrier.py
+++ b/balsamwind/relay/_attempt_carrier.py
@@ -138,6 +138,7 @@
                 raise exceptions.ChoiceExpired(
                     'the cold backend was chosen too long ago'
                 )
+            self._check_quarantine(attempt, now)
             check_before_send()
 
         try:
@@ -168,6 +169,22 @@
             if response is not None:
                 response.close()
 
+    def _check_quarantine(self, attempt, now):
+        """Check that this node knows nothing against the request.
+
+        Raises
+        ------
+        balsamwind.exceptions.SendForbidden
+            It is quarantined, which the other node may not know yet.
+        """
+        quarantine = self._relay.crash_quarantine
+        if not quarantine.has_suspects:
+            return
+        fingerprint = _fingerprint.make_fingerprint(attempt, attempt.account)
+        parts = (*attempt.shared_parts, fingerprint)
+        if quarantine.find(attempt.backend.service, parts, now) is not None:
+            raise exceptions.SendForbidden('the request is quarantined')
+
     async def _pass_head(self, backend, response, progress, send):
         relay = self._relay
         now = relay.clock.monotonic()
--- a/balsamwind/relay/_attempt_run.py
+++ b/balsamwind/relay/_attempt_run.py
@@ -52,7 +52,8 @@
         Decides on attempts: its ``handle_silence()`` is called after each
         check that finds the backend silent for long, ``claim(attempt)``
         before anything is written to the caller, which ends all others.
-        ``may_follow()`` and ``is_alone()`` tell of other attempts.
+        ``may_follow()`` and ``is_alone()`` tell of other attempts, and
+        ``check_before_send()`` raises if the request may not be sent.
 
     Attributes
     ----------
@@ -335,8 +336,9 @@
         """Check that somebody still waits, and that the server may be used.
 
         On a slow node, the caller may have left, its deadline may have
-        passed, or the server may have left or its data centre be evacuated,
-        while the request waited for the event loop or a connection.
+        passed, the server may have left or its data centre be evacuated, or
+        the request be quarantined, while it waited for the event loop or a
+        connection.
 
         Raises
         ------
@@ -360,6 +362,7 @@
             raise exceptions.SendForbidden(
                 f'the request may not run in {backend.record.data_centre}'
             )
+        self._forwarder.check_before_send()
         self._relay.server_statements.check_rules(
             backend.record, self._relay.clock.monotonic()
         )
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -17,6 +17,7 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 
 from balsamwind.relay import _crash_evidence
@@ -71,12 +72,14 @@
         '_answers',
         '_cleared',
         '_data_centre',
+        '_listeners',
         '_suspects',
         'on_change',
     )
 
     def __init__(self, data_centre):
         self._data_centre = data_centre
+        self._listeners = set()
         self.on_change = _ignore
         self._suspects = collections.OrderedDict()
         self._cleared = collections.OrderedDict()
@@ -92,6 +95,21 @@
         """Whether crashes are on record that other data centres must know."""
         return any(map(self._concerns_others, self._suspects))
 
+    @contextlib.contextmanager
+    def watch(self, listener):
+        """Tell a request of parts that are quarantined during the block.
+
+        Parameters
+        ----------
+        listener : callable
+            Called without arguments each time; it must not ask at once.
+        """
+        self._listeners.add(listener)
+        try:
+            yield
+        finally:
+            self._listeners.discard(listener)
+
     def _concerns_others(self, key):
         """Tell whether other data centres must know the crashes of a part.
 
@@ -345,6 +363,8 @@
                         service, part, crashes, found.time_left
                     )
                 )
+                for listener in self._listeners:
+                    listener()
 
     def _clear_by_answers(self, key, now):
         """Clear a part of the crashes that answers of this node outweigh.
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -11,7 +11,7 @@
 from balsamwind import exceptions
 from balsamwind.relay import _attempt_run
 from balsamwind.relay import _attempts
-from balsamwind.relay import _fingerprint
+from balsamwind.relay import _quarantine_gate
 from balsamwind.relay import _response_relay
 
 MAX_UNRUN_ATTEMPTS = 4
@@ -23,20 +23,6 @@
 (seconds)."""
 
 
-def _make_quarantine_error(quarantine):
-    if _fingerprint.is_fingerprint(quarantine.part):
-        return exceptions.RequestQuarantined(
-            f'{quarantine.crashes} servers crashed as they ran the same'
-            ' request',
-            quarantine.time_left,
-        )
-    return exceptions.PromptQuarantined(
-        f'{quarantine.crashes} engines crashed as they began to answer'
-        f' prompts with the part {quarantine.part}',
-        quarantine.time_left,
-    )
-
-
 class RequestForwarder:
     """Sends one request to backends until a response has been relayed.
 
@@ -51,6 +37,7 @@
         '_changed',
         '_ending',
         '_forwarded',
+        '_gate',
         '_has_paid_retry',
         '_is_first',
         '_logged_silences',
@@ -70,6 +57,7 @@
         self._response = _response_relay.ResponseRelay(
             forwarded.responder, forwarded.route
         )
+        self._gate = _quarantine_gate.QuarantineGate(forwarded)
         self._retry_budget = relay.get_retry_budget(forwarded.service.name)
         self._has_paid_retry = False
         self._possible_runs = 0
@@ -127,15 +115,16 @@
         balsamwind.exceptions.BalsamwindError
             No backend was available, or no further attempt is allowed.
         """
-        quarantine = self._find_quarantine()
-        if quarantine is not None:
-            raise _make_quarantine_error(quarantine)
+        error = self._gate.find_error()
+        if error is not None:
+            raise error
         self._start_attempt()
-        try:
-            while not await self._advance():
-                continue
-        finally:
-            await self._end_attempts()
+        with self._gate.watch(self._changed.set):
+            try:
+                while not await self._advance():
+                    continue
+            finally:
+                await self._end_attempts()
 
     async def _advance(self):
         """Wait for a change of an attempt, and do what it calls for.
@@ -150,6 +139,7 @@
         for attempt, task in list(self._running.items()):
             if task.done() and self._handle_end(attempt, task):
                 return True
+        self._check_waiting()
         if all(attempt.is_silent for attempt in self._running):
             self._succeed_silent_attempts()
         return False
@@ -255,7 +245,7 @@
             return 'not_resumable'
         if self._unrun_attempts >= MAX_UNRUN_ATTEMPTS:
             return 'refused_too_often'
-        if self._find_quarantine() is not None:
+        if self._gate.find_error() is not None:
             return 'quarantined'
         return ''
 
@@ -324,18 +314,19 @@
             and self._forwarded.time_left > route.latency_objective / 2
         )
 
-    def _find_quarantine(self):
-        quarantine = self._relay.crash_quarantine
-        if not quarantine.has_suspects:
-            return None
-        return quarantine.find(
-            self._forwarded.service.name,
-            (
-                *self._forwarded.metadata.shared_parts,
-                self._forwarded.make_fingerprint(),
-            ),
-            self._relay.clock.monotonic(),
-        )
+    def check_before_send(self):
+        """Check that the request may still be sent, as `QuarantineGate`."""
+        self._gate.check_before_send()
+
+    def _check_waiting(self):
+        """End a request that waits to be sent, and would not be."""
+        if self._ambiguous_failure is not None or any(
+            attempt.may_be_sent for attempt in self._running
+        ):
+            return
+        error = self._gate.find_error()
+        if error is not None:
+            raise error
 
     def _record_answer(self, attempt):
         """Record that a server gave a whole answer to the request.
@@ -345,18 +336,7 @@
         """
         if self._possible_runs:
             return
-        parts, fingerprint = (), None
-        if attempt.progress.first_event_at is not None:
-            parts = self._forwarded.metadata.shared_parts
-        if self._relay.crash_quarantine.has_suspects:
-            fingerprint = self._forwarded.make_fingerprint()
-        if parts or fingerprint:
-            self._relay.crash_reporter.record_answer(
-                self._forwarded.service.name,
-                parts,
-                fingerprint,
-                attempt.progress,
-            )
+        self._gate.record_answer(attempt.progress)
 
     def _record_failure(self, attempt, failure):
         if failure.error.run == exceptions.NOT_RUN:
@@ -381,13 +361,7 @@
             backend.record_failure(now)
         # A node that carried the attempt reports what it saw itself.
         if failure.broken_off and not attempt.through_peer:
-            self._relay.crash_reporter.report_broken_answer(
-                backend,
-                self._forwarded.service.name,
-                self._forwarded.metadata.shared_parts,
-                self._forwarded.make_fingerprint(),
-                attempt.progress,
-            )
+            self._gate.report_broken_answer(backend, attempt.progress)
 
     def _log_failed_attempt(self, attempt, failure):
         self._relay.request_log.record_failed_attempt(
@@ -414,6 +388,9 @@
         if self._ambiguous_failure is not None:
             return self._ambiguous_failure.error
         if not failure.sent:
+            quarantine_error = self._gate.find_error()
+            if quarantine_error is not None:
+                return quarantine_error
             # The caller may send the request again, whatever its kind.
             return exceptions.NoCapacity(failure.error.message)
         return failure.error
