Let one node try a part again, then others

Cause: the end of a quarantine is known to all nodes at the same moment, and each let all its requests with the part through from then on.

Evidence: test_all_nodes_tried_a_part_again_at_the_same_moment (six nodes that share the evidence): before, find() lets a request of each of the six through at the same moment; it is now one in the 2 s in which its crash becomes known.

Change: as long as crashes are on record against a part, the nodes follow each other in an order that they all draw alike, and that is another one after each crash, 3 s to the second and 3 s for each doubling; each lets one attempt through at a time, until answers have cleared the part.

--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -424,6 +424,10 @@
         that few nodes load the store.
         """
         self.relay.set_node_count(sum(len(names) for names in nodes.values()))
+        self.relay.crash_quarantine.trials.set_nodes(
+            self._settings.name,
+            (node.name for names in nodes.values() for node in names),
+        )
         self._limit_shares.set_nodes(nodes)
         self._attempt_server.set_nodes(
             node for registered in nodes.values() for node in registered
--- a/balsamwind/relay/_attempt_run.py
+++ b/balsamwind/relay/_attempt_run.py
@@ -53,7 +53,7 @@
         check that finds the backend silent for long, ``claim(attempt)``
         before anything is written to the caller, which ends all others.
         ``may_follow()`` and ``is_alone()`` tell of other attempts, and
-        ``check_before_send()`` raises if the request may not be sent.
+        ``check_before_send(attempt)`` raises if the request may not be sent.
 
     Attributes
     ----------
@@ -362,7 +362,7 @@
             raise exceptions.SendForbidden(
                 f'the request may not run in {backend.record.data_centre}'
             )
-        self._forwarder.check_before_send()
+        self._forwarder.check_before_send(self)
         self._relay.server_statements.check_rules(
             backend.record, self._relay.clock.monotonic()
         )
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -22,6 +22,7 @@
 
 from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _crash_suspects
+from balsamwind.relay import _crash_trials
 from balsamwind.relay import _fingerprint
 from balsamwind.relay import _sound_answers
 
@@ -66,6 +67,8 @@
     ----------
     on_change : callable
         Called with each `QuarantineBegun` and `PartCleared`.
+    trials : TrialOrder
+        Order in which the nodes try parts again.
     """
 
     __slots__ = (
@@ -75,12 +78,14 @@
         '_listeners',
         '_suspects',
         'on_change',
+        'trials',
     )
 
     def __init__(self, data_centre):
         self._data_centre = data_centre
         self._listeners = set()
         self.on_change = _ignore
+        self.trials = _crash_trials.TrialOrder()
         self._suspects = collections.OrderedDict()
         self._cleared = collections.OrderedDict()
         self._answers = _sound_answers.SoundAnswers()
@@ -194,6 +199,75 @@
                 return Quarantine(part, series.count, time_left)
         return None
 
+    def find_obstacle(self, service, parts, now, trial=None):
+        """Find why a request may not be sent, or not yet again.
+
+        Once a quarantine is over, the nodes follow each other, see
+        `TrialOrder`, and each lets one request through at a time until enough
+        answers speak for the part.
+
+        Parameters
+        ----------
+        service, parts, now
+            As for `find`.
+        trial : object or None
+            The attempt, as given to `begin_trial`.
+
+        Returns
+        -------
+        Quarantine or None
+        """
+        found = self.find(service, parts, now)
+        if found is not None:
+            return found
+        for part, suspect, series in self._find_tried_again(
+            service, parts, now
+        ):
+            begins_at = (
+                series.last_at
+                + series.quarantine_time
+                + self.trials.find_delay(part, series.count)
+            )
+            if suspect.trial is not trial:
+                begins_at = max(begins_at, suspect.trial_ends_at)
+            if begins_at > now:
+                return Quarantine(part, series.count, begins_at - now)
+        return None
+
+    def begin_trial(self, service, parts, trial, now):
+        """Record that a request is sent whose parts were quarantined.
+
+        Parameters
+        ----------
+        service, parts, trial, now
+            As for `find_obstacle`.
+        """
+        for _, suspect, _ in self._find_tried_again(service, parts, now):
+            suspect.trial = trial
+            suspect.trial_ends_at = now + _crash_trials.MAX_TRIAL_TIME
+
+    def _find_tried_again(self, service, parts, now):
+        """Find parts whose quarantine is over, but nothing speaks for them.
+
+        Returns
+        -------
+        list of (str, Suspect, CrashSeries)
+        """
+        found = []
+        for part in parts:
+            suspect = self._suspects.get((service, part))
+            if suspect is None:
+                continue
+            series = suspect.find_series()
+            ended_at = series.last_at + series.quarantine_time
+            if (
+                series.quarantine_time > 0.0
+                and ended_at <= now
+                and not self._is_explained(service, part, parts)
+            ):
+                found.append((part, suspect, series))
+        return found
+
     def _is_explained(self, service, suspected, parts):
         crashes = self._suspects[service, suspected].crashes.keys()
         return any(
@@ -249,6 +323,8 @@
         for part in parts:
             key = (service, part)
             self._answers.record(key, duration, now)
+            if key in self._suspects:
+                self._suspects[key].trial_ends_at = now
             sound += self._clear_by_answers(key, now)
         return _crash_evidence.CrashEvidence(sound=tuple(sound))
 
--- a/balsamwind/relay/_crash_suspects.py
+++ b/balsamwind/relay/_crash_suspects.py
@@ -112,13 +112,19 @@
     answer_weight : int
         Weight of the answers of this node since one cleared the part of a
         crash.
+    trial : object or None
+        Attempt by which this node last tried the part again.
+    trial_ends_at : float
+        Time up to which no other one is sent (seconds, boot clock).
     """
 
-    __slots__ = ('answer_weight', 'crashes')
+    __slots__ = ('answer_weight', 'crashes', 'trial', 'trial_ends_at')
 
     def __init__(self):
         self.crashes = {}
         self.answer_weight = 0
+        self.trial = None
+        self.trial_ends_at = float('-inf')
 
     def add(self, crash_id, crash):
         """Put a crash on record.
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -314,9 +314,9 @@
             and self._forwarded.time_left > route.latency_objective / 2
         )
 
-    def check_before_send(self):
-        """Check that the request may still be sent, as `QuarantineGate`."""
-        self._gate.check_before_send()
+    def check_before_send(self, attempt):
+        """Check that an attempt may still be sent, as `QuarantineGate`."""
+        self._gate.check_before_send(attempt)
 
     def _check_waiting(self):
         """End a request that waits to be sent, and would not be."""
--- a/balsamwind/relay/_quarantine_gate.py
+++ b/balsamwind/relay/_quarantine_gate.py
@@ -34,22 +34,25 @@
         self._quarantine = forwarded.relay.crash_quarantine
         self._reporter = forwarded.relay.crash_reporter
 
-    def find_error(self):
+    def find_error(self, attempt=None):
         """Find why the request may not be sent.
 
+        Parameters
+        ----------
+        attempt : AttemptRun or None
+            The attempt; None before it is made.
+
         Returns
         -------
         balsamwind.exceptions.RequestNotRun or None
         """
         if not self._quarantine.has_suspects:
             return None
-        quarantine = self._quarantine.find(
+        quarantine = self._quarantine.find_obstacle(
             self._forwarded.service.name,
-            (
-                *self._forwarded.metadata.shared_parts,
-                self._forwarded.make_fingerprint(),
-            ),
+            self._make_parts(),
             self._forwarded.relay.clock.monotonic(),
+            attempt,
         )
         return None if quarantine is None else _make_error(quarantine)
 
@@ -57,19 +60,38 @@
         """Call a function when anything is quarantined, see `watch` there."""
         return self._quarantine.watch(listener)
 
-    def check_before_send(self):
+    def _make_parts(self):
+        return (
+            *self._forwarded.metadata.shared_parts,
+            self._forwarded.make_fingerprint(),
+        )
+
+    def check_before_send(self, attempt):
         """Check that the request may still be sent.
 
         It may have waited for room or for a connection since it was admitted.
 
+        Parameters
+        ----------
+        attempt : AttemptRun
+            The attempt.
+
         Raises
         ------
         balsamwind.exceptions.SendForbidden
             It may not; nothing was sent.
         """
-        error = self.find_error()
+        if not self._quarantine.has_suspects:
+            return
+        error = self.find_error(attempt)
         if error is not None:
             raise exceptions.SendForbidden(error.message)
+        self._quarantine.begin_trial(
+            self._forwarded.service.name,
+            self._make_parts(),
+            attempt,
+            self._forwarded.relay.clock.monotonic(),
+        )
 
     def record_answer(self, progress):
         """Record that one server gave a whole answer to the request.
--- a/balsamwind/relay/tests/test_crash_quarantine.py
+++ b/balsamwind/relay/tests/test_crash_quarantine.py
@@ -451,6 +451,53 @@
     assert (found is not None) is is_held
 
 
+NODES = [f'n{number}' for number in range(6)]
+
+
+def _open_fleet(names):
+    fleet = []
+    for name in names:
+        quarantine = _replay(TWO_CRASHES)
+        quarantine.trials.set_nodes(name, names)
+        fleet.append(quarantine)
+    return fleet
+
+
+def test_all_nodes_tried_a_part_again_at_the_same_moment():
+    """Callers send at every node; the next crash is known 2 s later."""
+    fleet = _open_fleet(NODES)
+    now = 10.5 + _crash_suspects.BASE_QUARANTINE_TIME
+    parts = ('x', 'dead')
+    tries = []
+    while now < 80.0 and (not tries or now < tries[0] + 2.0):
+        for number, quarantine in enumerate(fleet):
+            attempt = object()
+            if quarantine.find_obstacle(SERVICE, parts, now, attempt) is None:
+                quarantine.begin_trial(SERVICE, parts, attempt, now)
+                tries.append(now)
+        now += 0.1
+    assert len(tries) == 1
+
+
+def test_part_that_only_one_node_is_asked_for_is_tried_in_the_end():
+    now = 10.5 + _crash_suspects.BASE_QUARANTINE_TIME + 10.0
+    for quarantine in _open_fleet(NODES):
+        assert quarantine.find_obstacle(SERVICE, ('dead',), now) is None
+
+
+def test_trial_lets_one_attempt_through_until_it_is_over():
+    quarantine = _replay(TWO_CRASHES)
+    now = 10.5 + _crash_suspects.BASE_QUARANTINE_TIME
+    parts, attempt = ('dead',), object()
+    quarantine.begin_trial(SERVICE, parts, attempt, now)
+    find = quarantine.find_obstacle
+    assert find(SERVICE, parts, now, attempt) is None
+    assert find(SERVICE, parts, now + 1.0, object()).time_left > 0.0
+    assert find(SERVICE, ('a',), now + 1.0, object()) is None
+    quarantine.record_answer(SERVICE, parts, 0.1, now + 1.0)
+    assert find(SERVICE, parts, now + 1.0, object()) is None
+
+
 def test_changes_name_what_decided_them():
     """What is held and what lifts it can be told apart in the log."""
     quarantine = relay.CrashQuarantine('z1')
