Blame silent attempts that were given up

Callers saw: a part whose engine falls silent and then ends went on ending engines (BUDGET).

Cause: a silent attempt is overtaken after some 0.5 s, which closes its connection. When its engine ended then, nothing at this node noticed, and the requests beside it at other nodes were suspected alone.

Change: 0.6 s after a silent attempt is given up its server is asked for a connection, once for all attempts given up there meanwhile; a refusal is confirmed as before.

--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -7,6 +7,11 @@
 CONFIRMATION_TIMEOUT = 0.35
 """Longest wait for the refusal of a connection (seconds)."""
 
+ABANDONED_CHECK_DELAY = 0.6
+"""Time after an attempt at a silent server was given up at which its server is
+asked for a connection (seconds). One that crashes under a request falls silent
+before."""
+
 
 class CrashReporter:
     """Reports crashes of engines that were giving an answer.
@@ -37,6 +42,7 @@
     """
 
     __slots__ = (
+        '_abandoned',
         '_checks',
         '_client',
         '_clock',
@@ -55,6 +61,7 @@
         self._confirm_refusal = confirm_refusal
         self._tasks = set()
         self._checks = {}
+        self._abandoned = {}
         self.on_evidence = _ignore
 
     def report_broken_answer(
@@ -76,21 +83,48 @@
             How far the attempt had come.
         """
         now = self._clock.monotonic()
-        suspected = []
-        if parts and progress.began_at is not None:
-            suspected.append((parts, now - progress.began_at))
-        suspected.append(((fingerprint,), now - progress.sent_at))
-        task = asyncio.ensure_future(
-            self._confirm(backend.record, service, suspected, now)
+        suspected = _find_suspected_names(parts, fingerprint, progress, now)
+        self._start(self._confirm(backend.record, service, suspected, now))
+
+    def watch_abandoned(self, backend, service, parts, fingerprint, progress):
+        """Report if a server crashes soon after an attempt was given up.
+
+        The connection is closed by then, so its end shows nothing. Attempts
+        at one server that are given up together cost one connection.
+
+        Parameters
+        ----------
+        backend, service, parts, fingerprint, progress
+            As for `report_broken_answer`.
+        """
+        now = self._clock.monotonic()
+        suspected = _find_suspected_names(parts, fingerprint, progress, now)
+        key = (backend.record.server_id, backend.record.born)
+        if key in self._abandoned:
+            self._abandoned[key] += suspected
+            return
+        self._abandoned[key] = suspected
+        self._start(self._check_later(backend.record, service, key))
+
+    async def _check_later(self, record, service, key):
+        try:
+            await asyncio.sleep(ABANDONED_CHECK_DELAY)
+        finally:
+            suspected = self._abandoned.pop(key)
+        await self._confirm(
+            record, service, suspected, self._clock.monotonic()
         )
+
+    def _start(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _confirm(self, record, service, suspected, broken_at):
         if not await self._has_crashed(record):
             return
-        for parts, duration in suspected:
-            self._record(record, service, parts, duration, broken_at)
+        for names, duration in suspected:
+            self._record(record, service, names, duration, broken_at)
 
     async def _has_crashed(self, record):
         """Find out once for all answers that one server has broken off."""
@@ -165,6 +199,15 @@
             task.cancel()
 
 
+def _find_suspected_names(parts, fingerprint, progress, now):
+    """Return prompt parts, the fingerprint, and how long each had run."""
+    suspected = []
+    if parts and progress.began_at is not None:
+        suspected.append((parts, now - progress.began_at))
+    suspected.append(((fingerprint,), now - progress.sent_at))
+    return suspected
+
+
 def _find_suspected(evidence):
     """Return the parts of new reports that no answer clears (list of str)."""
     cleared = {item.part for item in evidence.sound}
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -290,12 +290,20 @@
             self._ending.add(task)
             task.add_done_callback(self._ending.discard)
             task.cancel()
+            self._watch_abandoned(attempt)
             if attempt.is_silent:
                 self._record_failure(attempt, attempt.make_silence_failure())
             elif attempt.may_be_sent:
                 self._possible_runs += 1
 
+    def _watch_abandoned(self, attempt):
+        """Find out whether the silence of a server was the end of it."""
+        if attempt.is_silent and attempt.may_be_sent:
+            self._gate.watch_abandoned(attempt.backend, attempt.progress)
+
     async def _end_attempts(self):
+        for attempt in self._running:
+            self._watch_abandoned(attempt)
         tasks = {*self._running.values(), *self._ending}
         for task in tasks:
             task.cancel()
--- a/balsamwind/relay/_quarantine_gate.py
+++ b/balsamwind/relay/_quarantine_gate.py
@@ -128,3 +128,19 @@
             self._forwarded.make_fingerprint(),
             progress,
         )
+
+    def watch_abandoned(self, backend, progress):
+        """Report if a server crashes soon after an attempt was given up.
+
+        Parameters
+        ----------
+        backend, progress
+            As for `report_broken_answer`.
+        """
+        self._reporter.watch_abandoned(
+            backend,
+            self._forwarded.service.name,
+            self._forwarded.metadata.shared_parts,
+            self._forwarded.make_fingerprint(),
+            progress,
+        )
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -164,6 +164,9 @@
 
 
 class _CrashReporter:
+    def watch_abandoned(self, backend, service, parts, fingerprint, progress):
+        pass
+
     def report_broken_answer(
         self, backend, service, parts, fingerprint, progress
     ):
--- a/balsamwind/relay/tests/test_crash_reporter.py
+++ b/balsamwind/relay/tests/test_crash_reporter.py
@@ -111,3 +111,41 @@
 
 def test_refusal_that_only_this_node_sees_is_no_evidence():
     assert _report(_close_port, is_confirmed=False) == []
+
+
+@pytest.mark.parametrize('crashes', [False, True])
+def test_crash_after_its_attempt_was_given_up_blamed_nothing(
+    monkeypatch, crashes
+):
+    monkeypatch.setattr(_crash_reporter, 'ABANDONED_CHECK_DELAY', 0.1)
+
+    async def confirm_refusal(record):
+        return True
+
+    async def scenario():
+        client = adapters.HttpClient()
+        clock = forwarding.Clock()
+        reporter = _crash_reporter.CrashReporter(
+            relay.CrashQuarantine('z1'), client, clock, _Log(), confirm_refusal
+        )
+        news = []
+        reporter.on_evidence = news.append
+        async with _open_server() as port:
+            record = pool.ServerRecord('e1', 'llm', f'127.0.0.1:{port}', 'z1')
+            backend = relay.Backend(('llm', 'g', 1), record, 4)
+            now = clock.monotonic()
+            progress = relay.AttemptProgress(
+                began_at=now - 0.6, sent_at=now - 0.7
+            )
+            reporter.watch_abandoned(
+                backend, 'llm', PARTS, FINGERPRINT, progress
+            )
+            if not crashes:
+                await asyncio.sleep(0.3)
+        await asyncio.sleep(0.3)
+        reporter.close()
+        client.close()
+        return [report.parts for item in news for report in item.reports]
+
+    expected = [PARTS, (FINGERPRINT,)] if crashes else []
+    assert asyncio.run(scenario()) == expected
--- a/balsamwind/relay/tests/test_two_attempts.py
+++ b/balsamwind/relay/tests/test_two_attempts.py
@@ -247,3 +247,22 @@
     responder, engine, error, _ = _forward([SOUND, REST], 3)
     assert engine.requests == 1
     assert responder.body == ALL_EVENTS
+
+
+def test_server_of_an_attempt_that_was_overtaken_is_watched():
+    """Its silence may be the beginning of its crash."""
+    watched = []
+
+    def set_up(fake_relay):
+        fake_relay.crash_reporter.watch_abandoned = lambda backend, *rest: (
+            watched.append(backend.key[1])
+        )
+
+    responder, _, error = asyncio.run(
+        forwarding.forward(
+            [GONE, REST], placement=_Placement(), on_relay=set_up
+        )
+    )
+    assert error is None
+    assert responder.body == ALL_EVENTS
+    assert watched == ['e0']
