Wait at the start for what is quarantined

Callers saw: a node that had just started sent requests with a quarantined part to engines (BUDGET).

Cause: requests waited for a configuration and for servers only; the evidence came a moment later over the same link, or from the store.

Ruled out: a node that reads the store at once knows in time, which is why the test lets both ways be late.

Change: what was known as the node started counts as part of the start.

--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -53,6 +53,13 @@
         Monotonic clock.
     log : structlog logger
         Logger of the node.
+
+    Attributes
+    ----------
+    is_known : bool
+        Whether this node has been told all that others knew as it started.
+    on_known : callable
+        Called once it has.
     """
 
     def __init__(
@@ -76,6 +83,8 @@
         self._log = log
         self._stored_pairs = set()
         self._write_due = asyncio.Event()
+        self.is_known = False
+        self.on_known = _ignore
 
     def start(self):
         """Exchange all evidence with the publisher of a new connection."""
@@ -97,6 +106,22 @@
         self.receive(request.evidence)
         return self._make_snapshot()
 
+    def receive_from_publisher(self, evidence):
+        """Take evidence of the publisher, which answers `start` with all.
+
+        Parameters
+        ----------
+        evidence : balsamwind.relay.CrashEvidence
+            Evidence, which may be known already.
+        """
+        self.receive(evidence)
+        self._note_known()
+
+    def _note_known(self):
+        if not self.is_known:
+            self.is_known = True
+            self.on_known()
+
     def receive(self, evidence):
         """Take evidence of another node, and pass on what is new.
 
@@ -162,6 +187,7 @@
         while True:
             for evidence in items:
                 self._receive_stored(evidence)
+            self._note_known()
             if self._has_publisher():
                 return
             wait = (
@@ -210,6 +236,10 @@
         self._stored_pairs |= _find_pairs(evidence)
 
 
+def _ignore():
+    """Stand in until the node waits for the evidence."""
+
+
 def _find_pairs(evidence):
     """Return the crashes on record with their parts, as a set of tuples."""
     return {
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -268,6 +268,7 @@
         self._publisher.evidence = self._evidence
         self.subscriber.evidence = self._evidence
         self.relay.crash_reporter.on_evidence = self._evidence.share
+        self._evidence.on_known = self._end_start_wait
         self._configuration_watcher = (
             _configuration_watcher.ConfigurationWatcher(
                 platform, updater, self._clock, self._log, self.subscriber
@@ -478,8 +479,10 @@
 
     def _is_starting(self):
         """Whether this node knows too little to serve a request."""
-        return self.configuration_cache.configuration is None or not any(
-            True for _ in self.registry
+        return (
+            self.configuration_cache.configuration is None
+            or not any(True for _ in self.registry)
+            or not self._evidence.is_known
         )
 
     def _end_start_wait(self):
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -373,7 +373,7 @@
             case _updates.PlacementWaiting():
                 self._placement.handle_waiting(message)
             case relay.CrashEvidence():
-                self.evidence.receive(message)
+                self.evidence.receive_from_publisher(message)
             case _updates.ServerLimits():
                 self.limit_exchange.receive(message)
             case _frame_codec.UnknownMessage():
--- a/balsamwind/node/tests/test_deadly_prompts.py
+++ b/balsamwind/node/tests/test_deadly_prompts.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from balsamwind import exceptions
+from balsamwind.node import _evidence_exchange
 from balsamwind.node import _evidence_records
 from balsamwind.node.tests import helpers
 from standins import pool as pool_standin
@@ -119,6 +121,45 @@
     assert b'Retry-After' in answer
 
 
+def test_node_that_had_just_started_did_not_know_the_part_yet(monkeypatch):
+    """It has servers and a configuration before it is told what is held."""
+    start = _evidence_exchange.EvidenceExchange.start
+
+    def start_late(exchange):
+        asyncio.get_running_loop().call_later(0.5, start, exchange)
+
+    async def find_nothing(records, timeout):
+        raise exceptions.StoreError('no answer')
+
+    async def scenario():
+        async with helpers.open_fleet(ONE_DATA_CENTRE, 16) as (
+            fake_platform,
+            nodes,
+        ):
+            fake_platform.deadly_parts.add(DEADLY)
+            await _send_deadly(nodes, 8, 0.1, 0)
+            crashes = len(fake_platform.crashes)
+            await asyncio.sleep(1.5)
+            monkeypatch.setattr(
+                _evidence_exchange.EvidenceExchange, 'start', start_late
+            )
+            monkeypatch.setattr(
+                _evidence_records.EvidenceRecords, 'list', find_nothing
+            )
+            async with helpers.open_node(fake_platform, 'n9') as process:
+                await helpers.wait_until(
+                    lambda: helpers.count_serving_groups(process) > 0
+                )
+                answer = await helpers.send_request(
+                    process, _make_request(99, 'a99', DEADLY)
+                )
+            return crashes, len(fake_platform.crashes), answer
+
+    before, after, answer = asyncio.run(scenario())
+    assert after == before
+    assert answer.startswith(b'HTTP/1.1 503')
+
+
 def test_malformed_evidence_in_the_store_is_read_as_empty():
     async def scenario():
         async with helpers.open_platform(2) as fake_platform:
