--- a/balsamwind/node/tests/test_peer_attempts.py
+++ b/balsamwind/node/tests/test_peer_attempts.py
@@ -434,3 +434,61 @@
             return _count_runs(platform, 'carried')
 
     assert asyncio.run(scenario()) == runs
+
+
+def _choose_first(monkeypatch, address):
+    """Let nodes turn to one carrier first, as long as it seems usable."""
+
+    def choose(self, service, tried, now, data_centres=None):
+        usable = list(self._find_usable(service, tried, now))
+        usable.sort(key=lambda peer: peer.address != address)
+        return usable[0] if usable else None
+
+    monkeypatch.setattr(relay.PeerSelector, 'choose', choose)
+
+
+async def _abort(server, attempt, connection):
+    connection.transport.abort()
+    return False
+
+
+async def _stand_still(server, attempt, connection):
+    await connection.wait_closed()
+    return False
+
+
+@pytest.mark.parametrize('how', [_abort, _stand_still])
+@pytest.mark.parametrize(
+    ('path', 'is_whole'),
+    [('/ask/x', True), ('/once/x', False), ('/balance/x', False)],
+)
+def test_request_whose_carrier_is_gone_got_no_final_answer(
+    monkeypatch, how, path, is_whole
+):
+    """The first carrier is gone before it accepts; the others are sound."""
+
+    async def scenario():
+        async with _open_cut_fleet(monkeypatch) as (platform, nodes):
+            _choose_first(monkeypatch, nodes[1].settings.news)
+            gone = nodes[1]._attempt_server
+            carry = _attempt_server.AttemptServer._carry
+
+            async def carry_or_not(server, attempt, connection):
+                chosen = how if server is gone else carry
+                return await chosen(server, attempt, connection)
+
+            monkeypatch.setattr(
+                _attempt_server.AttemptServer, '_carry', carry_or_not
+            )
+            async with asyncio.timeout(FINAL_ANSWER_TIME + 1.0):
+                answer = await helpers.send_request(
+                    nodes[0], helpers.make_request(path, 'carried')
+                )
+            return answer, _count_runs(platform, 'carried')
+
+    answer, runs = asyncio.run(scenario())
+    print(answer, runs)
+    assert answer.startswith(b'HTTP/1.1 ')
+    if is_whole:
+        assert answer.startswith(b'HTTP/1.1 200')
+        assert answer.endswith(b'0\r\n\r\n')
