--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -425,7 +425,7 @@
         that few nodes load the store.
         """
         self.relay.set_node_count(sum(len(names) for names in nodes.values()))
-        self.relay.crash_quarantine.trials.set_nodes(
+        self.relay.crash_quarantine.node_order.set_nodes(
             self._settings.name,
             (node.name for names in nodes.values() for node in names),
         )
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -22,8 +22,8 @@
 
 from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _crash_suspects
-from balsamwind.relay import _crash_trials
 from balsamwind.relay import _fingerprint
+from balsamwind.relay import _node_order
 from balsamwind.relay import _sound_answers
 
 RETENTION_TIME = 2.0 * _crash_suspects.MAX_QUARANTINE_TIME
@@ -67,8 +67,8 @@
     ----------
     on_change : callable
         Called with each `QuarantineBegun` and `PartCleared`.
-    trials : TrialOrder
-        Order in which the nodes try parts again.
+    node_order : NodeOrder
+        Place of this node among all nodes.
     """
 
     __slots__ = (
@@ -77,15 +77,15 @@
         '_data_centre',
         '_listeners',
         '_suspects',
+        'node_order',
         'on_change',
-        'trials',
     )
 
     def __init__(self, data_centre):
         self._data_centre = data_centre
         self._listeners = set()
         self.on_change = _ignore
-        self.trials = _crash_trials.TrialOrder()
+        self.node_order = _node_order.NodeOrder()
         self._suspects = collections.OrderedDict()
         self._cleared = collections.OrderedDict()
         self._answers = _sound_answers.SoundAnswers()
@@ -203,7 +203,7 @@
         """Find why a request may not be sent, or not yet again.
 
         Once a quarantine is over, the nodes follow each other, see
-        `TrialOrder`, and each lets one request through at a time until enough
+        `NodeOrder`, and each lets one request through at a time until enough
         answers speak for the part.
 
         Parameters
@@ -226,7 +226,7 @@
             begins_at = (
                 series.last_at
                 + series.quarantine_time
-                + self.trials.find_delay(part, series.count)
+                + self.node_order.find_trial_delay(part, series.count)
             )
             if suspect.trial is not trial:
                 begins_at = max(begins_at, suspect.trial_ends_at)
@@ -244,7 +244,7 @@
         """
         for _, suspect, _ in self._find_tried_again(service, parts, now):
             suspect.trial = trial
-            suspect.trial_ends_at = now + _crash_trials.MAX_TRIAL_TIME
+            suspect.trial_ends_at = now + _crash_suspects.MAX_TRIAL_TIME
 
     def _find_tried_again(self, service, parts, now):
         """Find parts whose quarantine is over, but nothing speaks for them.
--- a/balsamwind/relay/_crash_suspects.py
+++ b/balsamwind/relay/_crash_suspects.py
@@ -29,6 +29,10 @@
 MAX_FURTHER_CRASHES = 8
 """Further crashes that are counted (count)."""
 
+MAX_TRIAL_TIME = 5.0
+"""Time after which a node tries a part again if it has not learnt how the
+request before ended (seconds)."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Crash:
--- a/balsamwind/relay/tests/test_crash_quarantine.py
+++ b/balsamwind/relay/tests/test_crash_quarantine.py
@@ -458,7 +458,7 @@
     fleet = []
     for name in names:
         quarantine = _replay(TWO_CRASHES)
-        quarantine.trials.set_nodes(name, names)
+        quarantine.node_order.set_nodes(name, names)
         fleet.append(quarantine)
     return fleet
 
