--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -268,6 +268,7 @@
         self._publisher.evidence = self._evidence
         self.subscriber.evidence = self._evidence
         self.relay.crash_reporter.on_evidence = self._evidence.share
+        self._evidence.on_known = self._end_start_wait
         self._configuration_watcher = (
             _configuration_watcher.ConfigurationWatcher(
                 platform, updater, self._clock, self._log, self.subscriber
@@ -424,6 +425,10 @@
         that few nodes load the store.
         """
         self.relay.set_node_count(sum(len(names) for names in nodes.values()))
+        self.relay.crash_quarantine.node_order.set_nodes(
+            self._settings.name,
+            (node.name for names in nodes.values() for node in names),
+        )
         self._limit_shares.set_nodes(nodes)
         self._attempt_server.set_nodes(
             node for registered in nodes.values() for node in registered
@@ -474,8 +479,10 @@
 
     def _is_starting(self):
         """Whether this node knows too little to serve a request."""
-        return self.configuration_cache.configuration is None or not any(
-            True for _ in self.registry
+        return (
+            self.configuration_cache.configuration is None
+            or not any(True for _ in self.registry)
+            or not self._evidence.is_known
         )
 
     def _end_start_wait(self):
--- a/balsamwind/relay/_crash_evidence.py
+++ b/balsamwind/relay/_crash_evidence.py
@@ -1,15 +1,11 @@
-"""Evidence of crashes that nodes share, and what counts as such."""
+"""Evidence of crashes that nodes share."""
 
 import dataclasses
 
-BEGINNING_TIME = 0.25
-"""Time since the first event of an answer after which a crash of the engine is
-not put down to that answer (seconds)."""
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CrashReport:
-    """An engine crashed soon after it had begun an answer.
+    """An engine crashed as it gave an answer.
 
     Parameters
     ----------
@@ -73,35 +69,45 @@
         return bool(self.reports or self.sound)
 
 
-def is_beginning(progress, now):
-    """Tell whether an answer had just begun, so that it may be to blame.
+@dataclasses.dataclass(slots=True, frozen=True)
+class QuarantineBegun:
+    """A part is quarantined from now on, or for longer than before.
 
     Parameters
     ----------
-    progress : AttemptProgress
-        How far the attempt had come.
-    now : float
-        Time at which the engine was lost (seconds, boot clock).
-
-    Returns
-    -------
-    bool
+    service : str
+        Service of the engines that crashed.
+    part : str
+        Id of the part.
+    crashes : tuple of str
+        Crashes on record.
+    time_left : float
+        Time until requests with the part are sent again (seconds).
     """
-    return progress.began_at is not None and may_have_begun(progress, now)
 
+    service: str
+    part: str
+    crashes: tuple[str, ...]
+    time_left: float
 
-def may_have_begun(progress, now):
-    """Tell whether a request may just have begun to run.
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PartCleared:
+    """A part that was quarantined is cleared of crashes.
 
     Parameters
     ----------
-    progress, now
-        As for `is_beginning`.
-
-    Returns
-    -------
-    bool
-        Also if the head of its answer has not come.
+    service : str
+        Service of the engines that crashed.
+    part : str
+        Id of the part.
+    crashes : tuple of str
+        Crashes that it is cleared of.
+    by_answer : bool
+        Whether an answer of this node shows it; else another node says so.
     """
-    first_event_at = progress.first_event_at
-    return first_event_at is None or now - first_event_at <= BEGINNING_TIME
+
+    service: str
+    part: str
+    crashes: tuple[str, ...]
+    by_answer: bool
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -1,37 +1,32 @@
 """Quarantine of what crashes the servers that run it.
 
 Load pattern: requests that share one part of their prompt crash each engine
-that begins to answer them. They come at any node, a few at each, among sound
+that answers them. They come at any node, a few at each, among sound
 requests that share their other parts and their caller. Or one request crashes
 each server that runs it, and its caller repeats it at any node. Sent again
 and again, they take down one server after the other.
 
-The nodes share the evidence: which prompt parts an engine had just begun to
-answer when it crashed, and which requests ran there, by their fingerprints.
-Below, a part is either of them. A part is quarantined after crashes that
-followed each other, unless another part explains all of them, or an answer to
-a request with that part was completed since.
+The engine need not end at once: it may have sent events for a while, or
+nothing for a while, and sound answers run beside the deadly one.
+
+The nodes share the evidence: which prompt parts an engine was answering when
+it crashed, and which requests ran there, by their fingerprints. Below, a part
+is either of them. A part is quarantined after crashes that followed each
+other, unless another part explains all of them, or enough whole answers to
+requests with that part speak for it.
 """
 
 import collections
+import contextlib
 import dataclasses
 
 from balsamwind.relay import _crash_evidence
+from balsamwind.relay import _crash_suspects
 from balsamwind.relay import _fingerprint
+from balsamwind.relay import _node_order
+from balsamwind.relay import _sound_answers
 
-MIN_CRASHES = 2
-"""Crashes, one after the other, that put a part into quarantine (count)."""
-
-BASE_QUARANTINE_TIME = 60.0
-"""Duration of the first quarantine of a part (seconds)."""
-
-QUARANTINE_FACTOR = 4.0
-"""Factor by which each further crash prolongs the quarantine."""
-
-MAX_QUARANTINE_TIME = 3600.0
-"""Longest quarantine (seconds)."""
-
-RETENTION_TIME = 2.0 * MAX_QUARANTINE_TIME
+RETENTION_TIME = 2.0 * _crash_suspects.MAX_QUARANTINE_TIME
 """Time for which a crash is remembered (seconds)."""
 
 MAX_SUSPECTS = 1024
@@ -40,13 +35,6 @@
 MAX_CLEARED = 256
 """Crashes that parts were cleared of and that are remembered (count)."""
 
-SOUND_TIME = 30.0
-"""Time for which a completed answer shows that its parts are sound
-(seconds)."""
-
-MAX_SOUND_PARTS = 4096
-"""Parts of completed answers that are remembered (count)."""
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Quarantine:
@@ -67,46 +55,6 @@
     time_left: float
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Crash:
-    """A crash as one part has it on record; times by this node's clock."""
-
-    began_at: float
-    crashed_at: float
-    data_centre: str
-
-
-class _Suspect:
-    """Crashes on record for one part."""
-
-    __slots__ = ('crashes',)
-
-    def __init__(self):
-        self.crashes = {}
-
-    def count_episodes(self):
-        """Count the crashes that followed each other.
-
-        Engines that crash at the same moment have a common cause, and so
-        count once: a later crash counts only if its answer was begun after
-        the one before.
-
-        Returns
-        -------
-        (int, float)
-            Count, and time of the last one that counts (seconds).
-        """
-        count = 0
-        last_at = float('-inf')
-        for crash in sorted(
-            self.crashes.values(), key=lambda crash: crash.crashed_at
-        ):
-            if crash.began_at >= last_at:
-                count += 1
-                last_at = crash.crashed_at
-        return count, last_at
-
-
 class CrashQuarantine:
     """Evidence of crashes, and the parts that are quarantined by it.
 
@@ -114,15 +62,33 @@
     ----------
     data_centre : str
         Data centre of the node, for its reports.
+
+    Attributes
+    ----------
+    on_change : callable
+        Called with each `QuarantineBegun` and `PartCleared`.
+    node_order : NodeOrder
+        Place of this node among all nodes.
     """
 
-    __slots__ = ('_cleared', '_data_centre', '_sound', '_suspects')
+    __slots__ = (
+        '_answers',
+        '_cleared',
+        '_data_centre',
+        '_listeners',
+        '_suspects',
+        'node_order',
+        'on_change',
+    )
 
     def __init__(self, data_centre):
         self._data_centre = data_centre
+        self._listeners = set()
+        self.on_change = _ignore
+        self.node_order = _node_order.NodeOrder()
         self._suspects = collections.OrderedDict()
         self._cleared = collections.OrderedDict()
-        self._sound = collections.OrderedDict()
+        self._answers = _sound_answers.SoundAnswers()
 
     @property
     def has_suspects(self):
@@ -134,6 +100,21 @@
         """Whether crashes are on record that other data centres must know."""
         return any(map(self._concerns_others, self._suspects))
 
+    @contextlib.contextmanager
+    def watch(self, listener):
+        """Tell a request of parts that are quarantined during the block.
+
+        Parameters
+        ----------
+        listener : callable
+            Called without arguments each time; it must not ask at once.
+        """
+        self._listeners.add(listener)
+        try:
+            yield
+        finally:
+            self._listeners.discard(listener)
+
     def _concerns_others(self, key):
         """Tell whether other data centres must know the crashes of a part.
 
@@ -145,7 +126,7 @@
             return False
         if not _fingerprint.is_fingerprint(key[1]):
             return True
-        return suspect.count_episodes()[0] >= MIN_CRASHES
+        return suspect.find_series().count >= _crash_suspects.MIN_EARLY_CRASHES
 
     def find_news_for_others(self, evidence):
         """Find what other data centres must know of new evidence.
@@ -210,14 +191,83 @@
             suspect = self._suspects.get((service, part))
             if suspect is None:
                 continue
-            crashes, last_at = suspect.count_episodes()
-            time_left = last_at + _find_quarantine_time(crashes) - now
+            series = suspect.find_series()
+            time_left = series.last_at + series.quarantine_time - now
             if time_left > 0.0 and not self._is_explained(
                 service, part, parts
             ):
-                return Quarantine(part, crashes, time_left)
+                return Quarantine(part, series.count, time_left)
+        return None
+
+    def find_obstacle(self, service, parts, now, trial=None):
+        """Find why a request may not be sent, or not yet again.
+
+        Once a quarantine is over, the nodes follow each other, see
+        `NodeOrder`, and each lets one request through at a time until enough
+        answers speak for the part.
+
+        Parameters
+        ----------
+        service, parts, now
+            As for `find`.
+        trial : object or None
+            The attempt, as given to `begin_trial`.
+
+        Returns
+        -------
+        Quarantine or None
+        """
+        found = self.find(service, parts, now)
+        if found is not None:
+            return found
+        for part, suspect, series in self._find_tried_again(
+            service, parts, now
+        ):
+            begins_at = (
+                series.last_at
+                + series.quarantine_time
+                + self.node_order.find_trial_delay(part, series.count)
+            )
+            if suspect.trial is not trial:
+                begins_at = max(begins_at, suspect.trial_ends_at)
+            if begins_at > now:
+                return Quarantine(part, series.count, begins_at - now)
         return None
 
+    def begin_trial(self, service, parts, trial, now):
+        """Record that a request is sent whose parts were quarantined.
+
+        Parameters
+        ----------
+        service, parts, trial, now
+            As for `find_obstacle`.
+        """
+        for _, suspect, _ in self._find_tried_again(service, parts, now):
+            suspect.trial = trial
+            suspect.trial_ends_at = now + _crash_suspects.MAX_TRIAL_TIME
+
+    def _find_tried_again(self, service, parts, now):
+        """Find parts whose quarantine is over, but nothing speaks for them.
+
+        Returns
+        -------
+        list of (str, Suspect, CrashSeries)
+        """
+        found = []
+        for part in parts:
+            suspect = self._suspects.get((service, part))
+            if suspect is None:
+                continue
+            series = suspect.find_series()
+            ended_at = series.last_at + series.quarantine_time
+            if (
+                series.quarantine_time > 0.0
+                and ended_at <= now
+                and not self._is_explained(service, part, parts)
+            ):
+                found.append((part, suspect, series))
+        return found
+
     def _is_explained(self, service, suspected, parts):
         crashes = self._suspects[service, suspected].crashes.keys()
         return any(
@@ -230,12 +280,12 @@
             if other_service == service and part not in parts
         )
 
-    def record_crash(self, crash, service, parts, duration, now):
-        """Record that an engine crashed as it began an answer.
+    def record_crash(self, crash, service, parts, duration, now, age=0.0):
+        """Record that an engine crashed as it gave an answer.
 
         Parameters
         ----------
-        crash, service, parts, duration
+        crash, service, parts, duration, age
             As for `CrashReport`.
         now : float
             Current time (seconds, boot clock).
@@ -245,16 +295,13 @@
         CrashEvidence
             What the other nodes must know; empty if nothing is new.
         """
-        suspected = tuple(
-            part for part in parts if not self._is_sound(service, part, now)
-        )
         report = _crash_evidence.CrashReport(
-            crash, service, suspected, duration, 0.0, self._data_centre
+            crash, service, parts, duration, age, self._data_centre
         )
         return self.merge(_crash_evidence.CrashEvidence((report,)), now)
 
-    def record_answer(self, service, parts, now):
-        """Record that an answer to a prompt was completed.
+    def record_answer(self, service, parts, duration, now):
+        """Record that one server gave a whole answer to a prompt.
 
         Parameters
         ----------
@@ -262,23 +309,23 @@
             Service that answered.
         parts : tuple of str
             Parts of the prompt.
+        duration : float
+            Time that the answer took (seconds).
         now : float
             Current time (seconds, boot clock).
 
         Returns
         -------
         CrashEvidence
-            What the other nodes must know; empty if no part was suspected.
+            What the other nodes must know; empty if it clears nothing.
         """
         sound = []
         for part in parts:
             key = (service, part)
-            self._sound[key] = now
-            self._sound.move_to_end(key)
+            self._answers.record(key, duration, now)
             if key in self._suspects:
-                sound.append(self._clear_all(key))
-        while len(self._sound) > MAX_SOUND_PARTS:
-            self._sound.popitem(last=False)
+                self._suspects[key].trial_ends_at = now
+            sound += self._clear_by_answers(key, now)
         return _crash_evidence.CrashEvidence(sound=tuple(sound))
 
     def merge(self, evidence, now):
@@ -297,7 +344,7 @@
             What of it was new here, and what this node knows against it.
         """
         self._drop_expired(now)
-        sound = [item for item in evidence.sound if self._clear(item)]
+        sound = [item for item in evidence.sound if self._clear(item, now)]
         reports = []
         for report in evidence.reports:
             new_parts = tuple(
@@ -305,11 +352,9 @@
             )
             if new_parts:
                 reports.append(dataclasses.replace(report, parts=new_parts))
-            sound += [
-                self._clear_all((report.service, part))
-                for part in new_parts
-                if self._is_sound(report.service, part, now)
-            ]
+            for part in new_parts:
+                sound += self._clear_by_answers((report.service, part), now)
+            self._report_begun(report.service, new_parts, now)
         return _crash_evidence.CrashEvidence(tuple(reports), tuple(sound))
 
     def make_snapshot(self, now, data_centre=None):
@@ -333,7 +378,7 @@
                 crash,
                 service,
                 (part,),
-                record.crashed_at - record.began_at,
+                record.duration,
                 now - record.crashed_at,
                 record.data_centre,
             )
@@ -351,10 +396,6 @@
         ]
         return _crash_evidence.CrashEvidence(tuple(reports), tuple(sound))
 
-    def _is_sound(self, service, part, now):
-        answered_at = self._sound.get((service, part), float('-inf'))
-        return now - answered_at < SOUND_TIME
-
     def _add(self, report, part, now):
         """Put a crash on record for one part; False if nothing is new."""
         key = (report.service, part)
@@ -365,25 +406,68 @@
             return False
         suspect = self._suspects.get(key)
         if suspect is None:
-            suspect = self._suspects[key] = _Suspect()
-            _trim(self._suspects, MAX_SUSPECTS)
-        known = suspect.crashes.get(report.crash)
-        if known is None or crashed_at < known.crashed_at:
-            suspect.crashes[report.crash] = _Crash(
-                crashed_at - report.duration, crashed_at, report.data_centre
-            )
-        return known is None
+            self._make_room()
+            suspect = self._suspects[key] = _crash_suspects.Suspect()
+        return suspect.add(
+            report.crash,
+            _crash_suspects.Crash(
+                crashed_at, report.duration, report.data_centre
+            ),
+        )
+
+    def _make_room(self):
+        """Drop the parts that the least is known against, if there are many.
+
+        Quarantined ones stay longest.
+        """
+        if len(self._suspects) < MAX_SUSPECTS:
+            return
+        ranked = sorted(
+            self._suspects,
+            key=lambda key: self._suspects[key].find_series().severity,
+        )
+        for key in ranked[: MAX_SUSPECTS // 8]:
+            del self._suspects[key]
 
-    def _clear_all(self, key):
-        crashes = tuple(sorted(self._suspects[key].crashes))
+    def _report_begun(self, service, parts, now):
+        for part in parts:
+            found = self.find(service, (part,), now)
+            if found is not None:
+                crashes = tuple(self._suspects[service, part].crashes)
+                self.on_change(
+                    _crash_evidence.QuarantineBegun(
+                        service, part, crashes, found.time_left
+                    )
+                )
+                for listener in self._listeners:
+                    listener()
+
+    def _clear_by_answers(self, key, now):
+        """Clear a part of the crashes that answers of this node outweigh.
+
+        Returns
+        -------
+        list of SoundPart
+            None or one.
+        """
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return []
+        crashes = self._answers.find_cleared(key, suspect)
+        if not crashes:
+            return []
         item = _crash_evidence.SoundPart(*key, crashes)
-        self._clear(item)
-        return item
+        self._clear(item, now, by_answer=True)
+        return [item]
 
-    def _clear(self, item):
+    def _clear(self, item, now, by_answer=False):
         """Clear a part of crashes; False if it was cleared of all before."""
         key = (item.service, item.part)
         suspect = self._suspects.get(key)
+        if self.find(item.service, (item.part,), now) is not None:
+            self.on_change(
+                _crash_evidence.PartCleared(*key, item.crashes, by_answer)
+            )
         is_new = False
         for crash in item.crashes:
             is_new |= (*key, crash) not in self._cleared
@@ -406,18 +490,12 @@
                 del self._suspects[key]
 
 
-def _are_requests(part, other):
-    return all(map(_fingerprint.is_fingerprint, (part, other)))
+def _ignore(change):
+    """Stand in until changes are logged."""
 
 
-def _find_quarantine_time(crashes):
-    """Return how long a part is quarantined after its last crash (seconds)."""
-    if crashes < MIN_CRASHES:
-        return float('-inf')
-    further = min(crashes - MIN_CRASHES, 8)
-    return min(
-        BASE_QUARANTINE_TIME * QUARANTINE_FACTOR**further, MAX_QUARANTINE_TIME
-    )
+def _are_requests(part, other):
+    return all(map(_fingerprint.is_fingerprint, (part, other)))
 
 
 def _trim(table, size):
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -2,15 +2,19 @@
 
 import asyncio
 
-from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _fingerprint
 
 CONFIRMATION_TIMEOUT = 0.35
 """Longest wait for the refusal of a connection (seconds)."""
 
+ABANDONED_CHECK_DELAY = 0.6
+"""Time after an attempt at a silent server was given up at which its server is
+asked for a connection (seconds). One that crashes under a request falls silent
+before."""
+
 
 class CrashReporter:
-    """Reports crashes of engines that had just begun an answer.
+    """Reports crashes of engines that were giving an answer.
 
     A broken connection alone proves no crash: links are reset, and engines
     break off single answers. The port of an engine that has crashed refuses
@@ -38,6 +42,7 @@
     """
 
     __slots__ = (
+        '_abandoned',
         '_checks',
         '_client',
         '_clock',
@@ -56,6 +61,7 @@
         self._confirm_refusal = confirm_refusal
         self._tasks = set()
         self._checks = {}
+        self._abandoned = {}
         self.on_evidence = _ignore
 
     def report_broken_answer(
@@ -77,24 +83,48 @@
             How far the attempt had come.
         """
         now = self._clock.monotonic()
-        suspected = []
-        if parts and _crash_evidence.is_beginning(progress, now):
-            suspected.append((parts, now - progress.began_at))
-        if _crash_evidence.may_have_begun(progress, now):
-            suspected.append(((fingerprint,), now - progress.sent_at))
-        if not suspected:
+        suspected = _find_suspected_names(parts, fingerprint, progress, now)
+        self._start(self._confirm(backend.record, service, suspected, now))
+
+    def watch_abandoned(self, backend, service, parts, fingerprint, progress):
+        """Report if a server crashes soon after an attempt was given up.
+
+        The connection is closed by then, so its end shows nothing. Attempts
+        at one server that are given up together cost one connection.
+
+        Parameters
+        ----------
+        backend, service, parts, fingerprint, progress
+            As for `report_broken_answer`.
+        """
+        now = self._clock.monotonic()
+        suspected = _find_suspected_names(parts, fingerprint, progress, now)
+        key = (backend.record.server_id, backend.record.born)
+        if key in self._abandoned:
+            self._abandoned[key] += suspected
             return
-        task = asyncio.ensure_future(
-            self._confirm(backend.record, service, suspected)
+        self._abandoned[key] = suspected
+        self._start(self._check_later(backend.record, service, key))
+
+    async def _check_later(self, record, service, key):
+        try:
+            await asyncio.sleep(ABANDONED_CHECK_DELAY)
+        finally:
+            suspected = self._abandoned.pop(key)
+        await self._confirm(
+            record, service, suspected, self._clock.monotonic()
         )
+
+    def _start(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _confirm(self, record, service, suspected):
+    async def _confirm(self, record, service, suspected, broken_at):
         if not await self._has_crashed(record):
             return
-        for parts, duration in suspected:
-            self._record(record, service, parts, duration)
+        for names, duration in suspected:
+            self._record(record, service, names, duration, broken_at)
 
     async def _has_crashed(self, record):
         """Find out once for all answers that one server has broken off."""
@@ -116,11 +146,11 @@
         self._log.info('crash_not_shown', engine=record.server_id)
         return False
 
-    def _record(self, record, service, parts, duration):
+    def _record(self, record, service, parts, duration, broken_at):
         crash = f'{record.server_id}:{record.born}'
         now = self._clock.monotonic()
         evidence = self._quarantine.record_crash(
-            crash, service, parts, duration, now
+            crash, service, parts, duration, now, now - broken_at
         )
         self._log.info(
             'engine_crashed_on_request'
@@ -128,26 +158,37 @@
             else 'engine_crashed_on_prompt',
             engine=record.server_id,
             parts=list(parts),
-            suspected=[
-                part for report in evidence.reports for part in report.parts
-            ],
+            suspected=_find_suspected(evidence),
         )
         if evidence:
             self.on_evidence(evidence)
 
-    def record_answer(self, service, parts):
-        """Record that an answer was completed.
+    def record_answer(self, service, parts, fingerprint, progress):
+        """Record that one server gave a whole answer to a request.
 
         Parameters
         ----------
         service : str
             Name of the service that answered.
         parts : tuple of str
-            Parts of the prompt that other requests may share, and the
-            fingerprint of the request.
+            Parts of the prompt that other requests may share; empty if the
+            answer has no events.
+        fingerprint : str or None
+            Fingerprint of the request; None if nothing is suspected.
+        progress : AttemptProgress
+            Times of the attempt.
         """
+        now = self._clock.monotonic()
+        if parts and progress.began_at is not None:
+            self._share_answer(service, parts, now - progress.began_at, now)
+        if fingerprint is not None:
+            self._share_answer(
+                service, (fingerprint,), now - progress.sent_at, now
+            )
+
+    def _share_answer(self, service, parts, duration, now):
         evidence = self._quarantine.record_answer(
-            service, parts, self._clock.monotonic()
+            service, parts, duration, now
         )
         if evidence:
             self.on_evidence(evidence)
@@ -158,5 +199,25 @@
             task.cancel()
 
 
+def _find_suspected_names(parts, fingerprint, progress, now):
+    """Return prompt parts, the fingerprint, and how long each had run."""
+    suspected = []
+    if parts and progress.began_at is not None:
+        suspected.append((parts, now - progress.began_at))
+    suspected.append(((fingerprint,), now - progress.sent_at))
+    return suspected
+
+
+def _find_suspected(evidence):
+    """Return the parts of new reports that no answer clears (list of str)."""
+    cleared = {item.part for item in evidence.sound}
+    return [
+        part
+        for report in evidence.reports
+        for part in report.parts
+        if part not in cleared
+    ]
+
+
 def _ignore(evidence):
     """Stand in until the evidence is shared."""
