Show crowds that exhaust a process (fails)

One real node with MemoryMb 120 and MaxFds 300, bodies up to 1 MiB, a plain service that takes a second; 150 clients that stop short of the end of a body, drip it, send it whole, send far too much or tiny chunks, 400 that leave their heads open. Checked: the process lives, its peak of memory and descriptors, one ordinary request afterwards.

The bounds are the node's own settings and stay as they are.

--- /dev/null
+++ b/balsamwind/node/tests/test_crowds.py
@@ -0,0 +1,49 @@
+"""Crowds of clients that we don't control, against a real process."""
+
+import asyncio
+
+import pytest
+
+from balsamwind.node.tests import crowds
+
+
+@pytest.mark.parametrize(
+    ('play', 'count'),
+    [
+        (crowds.stop_before_the_last_byte, crowds.CROWD),
+        (crowds.send_whole_bodies, crowds.CROWD),
+        (crowds.stop_before_the_last_chunk, crowds.CROWD),
+        (crowds.send_far_too_much, crowds.CROWD),
+        (crowds.announce_too_much, crowds.CROWD),
+        (crowds.drip_the_end, crowds.CROWD),
+        (crowds.send_tiny_chunks, crowds.CROWD),
+        (crowds.leave_the_head_open, 400),
+    ],
+    ids=lambda value: getattr(value, '__name__', None),
+)
+def test_crowd_ended_a_process(tmp_path, play, count):
+    async def scenario():
+        async with crowds.open_node_process(tmp_path, 1.0) as (node, _):
+            await crowds.run_crowd(node, play, count)
+            return await node.send_ordinary(), node.is_alive, node.usage
+
+    status, is_alive, usage = asyncio.run(scenario())
+    print(status, is_alive, usage)
+    assert is_alive
+    assert usage.memory <= crowds.MAX_MEMORY
+    assert usage.descriptors <= crowds.MAX_DESCRIPTORS
+    assert status == 200
+
+
+def test_single_body_of_the_largest_size_is_served_in_calm(tmp_path):
+    async def scenario():
+        async with crowds.open_node_process(tmp_path) as (node, _):
+            head = crowds.make_head('/once/x', crowds.LENGTH)
+            chunked = crowds.make_head('/once/x', crowds.CHUNKED)
+            chunks = crowds.make_chunk(crowds.BODY) + b'0\r\n\r\n'
+            return [
+                await node.send(head + crowds.BODY),
+                await node.send(chunked + chunks),
+            ]
+
+    assert asyncio.run(scenario()) == [200, 200]
