Keep one account of the bodies a process holds

Operators saw: clients within the limits of a single request ended a process; it ran out of memory, and the requests of all others with it.

Cause: each body was bounded, their sum was not; a whole body stood twice (parts and joined) until its request ended; nothing ended a body that did not come on. MemoryMb of the settings was read nowhere.

Change: admission/_held_bytes.py, an account of a quarter of MemoryMb. Room is reserved as the head is read, or step by step for chunks; who gets none is told at once (503, not run). A sender below 64 KiB/s loses its room to one that needs it, and keeps it while nobody does. Large bodies leave a quarter to small ones; a single body always fits. A body that does not come on for IdleTimeoutMs ends with 408. The parts go as they are joined.

--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import socket
 import weakref
 
@@ -10,6 +11,7 @@
 from tornado import iostream
 
 from balsamwind.adapters import _connection_pool
+from balsamwind import admission
 from balsamwind import exceptions
 from balsamwind import relay
 
@@ -25,6 +27,17 @@
 module checks the limit of the settings itself."""
 
 
+RESERVATION_STEP = 1 << 16
+"""Room that is reserved beyond what has arrived of a body of unknown size
+(bytes)."""
+
+MEMORY_RETRY_AFTER = 1.0
+"""Retry delay of a caller whose body found no room (seconds)."""
+
+SWEEP_INTERVAL = 1.0
+"""Interval of the search for bodies that do not come on (seconds)."""
+
+
 class _Shutdown:
     """How far a server is on its way to the end.
 
@@ -239,6 +252,87 @@
         return None
 
 
+class _BodyReceiver:
+    """Collects the body of one request, within the limits of the process.
+
+    Parameters
+    ----------
+    held_bytes : balsamwind.admission.HeldBytes
+        Account of the bodies that the process holds.
+    max_size : int
+        Largest body (bytes).
+    fail : callable
+        Called with the error if the body must be dropped.
+    now : float
+        Current time (seconds, monotonic clock).
+
+    Attributes
+    ----------
+    received_at : float
+        When the last bytes arrived (seconds, monotonic clock).
+    """
+
+    __slots__ = (
+        '_chunks',
+        '_fail',
+        '_held_bytes',
+        '_holding',
+        '_max_size',
+        '_size',
+        'received_at',
+    )
+
+    def __init__(self, held_bytes, max_size, fail, now):
+        self._held_bytes = held_bytes
+        self._holding = held_bytes.open(self._handle_eviction, now)
+        self._max_size = max_size
+        self._fail = fail
+        self._chunks = []
+        self._size = 0
+        self.received_at = now
+
+    def reserve(self, size, now):
+        """Reserve room for a body of known size; report if there is none."""
+        if not self._held_bytes.reserve(self._holding, size, now):
+            self._fail(_make_memory_error())
+
+    def add(self, chunk, now):
+        """Add bytes that have arrived."""
+        self.received_at = now
+        self._chunks.append(chunk)
+        self._size += len(chunk)
+        self._holding.record_received(self._size, now)
+        if self._size > self._max_size:
+            self._fail(
+                exceptions.BodyTooLarge(f'body of at least {self._size} bytes')
+            )
+        elif self._size > self._holding.size:
+            size = self._size + RESERVATION_STEP
+            self.reserve(min(size, self._max_size), now)
+
+    def take(self):
+        """Return the whole body, whose room stays taken until `close`."""
+        self._held_bytes.complete(self._holding)
+        body = b''.join(self._chunks)
+        self._chunks.clear()
+        return body
+
+    def close(self):
+        """Drop what has arrived, and give up its room."""
+        self._chunks.clear()
+        self._held_bytes.close(self._holding)
+
+    def _handle_eviction(self):
+        self._fail(_make_memory_error())
+
+
+def _make_memory_error():
+    return exceptions.NoMemory(
+        'this node holds too many bodies at the moment',
+        retry_after=MEMORY_RETRY_AFTER,
+    )
+
+
 class _RequestReceiver(httputil.HTTPMessageDelegate):
     """Reads one request, checks its limits and passes it to the relay."""
 
@@ -247,8 +341,7 @@
         self._connection = connection
         self._responder = Responder(connection, server.shutdown)
         self._task = None
-        self._chunks = []
-        self._size = 0
+        self._body = None
         self._start_line = None
         self._target = None
         self._headers = None
@@ -302,31 +395,49 @@
             self._reject(
                 exceptions.BodyTooLarge('Content-Length is over the limit')
             )
+        else:
+            self._begin_body(limits.max_body_bytes)
+
+    def _begin_body(self, max_size):
+        now = self._received_at
+        self._body = _BodyReceiver(
+            self._server.held_bytes, max_size, self._reject, now
+        )
+        self._server.watch_body(self)
+        size = int(self._headers.get('Content-Length', '0'))
+        if size:
+            self._body.reserve(size, now)
+
+    def end_if_idle(self, now):
+        """Reject the request if its body has not come on for too long."""
+        if now - self._body.received_at > self._server.limits.idle_timeout:
+            self._reject(exceptions.BodyTimeout('the body does not come on'))
 
     def _reject(self, error):
+        self._close_body()
         self._responder.fail(error)
         self._connection.close()
 
+    def _close_body(self):
+        self._server.unwatch_body(self)
+        if self._body is not None:
+            self._body.close()
+
     def data_received(self, chunk):
         if self._responder.done:
             return
-        self._chunks.append(chunk)
-        self._size += len(chunk)
-        if self._size > self._server.limits.max_body_bytes:
-            self._chunks.clear()
-            self._reject(
-                exceptions.BodyTooLarge(f'body of at least {self._size} bytes')
-            )
+        self._body.add(chunk, self._server.clock.monotonic())
 
     def finish(self):
         if self._responder.done:
             return
+        self._server.unwatch_body(self)
         request = relay.IncomingRequest(
             method=self._start_line.method,
             target=self._target,
             host=self._headers['Host'],
             headers=self._headers,
-            body=b''.join(self._chunks),
+            body=self._body.take(),
             received_at=self._received_at,
         )
         self._connection.set_close_callback(self.on_connection_close)
@@ -337,11 +448,13 @@
 
     def on_connection_close(self):
         self._server.discard_idle_receiver(self)
-        self._chunks.clear()
         if self._task is not None:
             self._task.cancel()
+        else:
+            self._close_body()
 
     def _handle_task_done(self, task):
+        self._close_body()
         if not task.cancelled() and task.exception() is not None:
             self._server.log.error(
                 'relay_failed', error=repr(task.exception())
@@ -363,15 +476,21 @@
         Limits on header blocks, bodies and idle connections.
     log : structlog.BoundLogger
         Logger of requests that failed unexpectedly.
+    held_bytes : balsamwind.admission.HeldBytes or None
+        Account of the bodies that the process holds; None for one without a
+        limit of its own.
     """
 
-    def __init__(self, request_relay, clock, limits, log):
+    def __init__(self, request_relay, clock, limits, log, held_bytes=None):
+        self.held_bytes = held_bytes or admission.HeldBytes(math.inf)
         self.shutdown = _Shutdown()
         self.relay = request_relay
         self.clock = clock
         self.limits = limits
         self.log = log
         self._idle_receivers = set()
+        self._body_receivers = set()
+        self._sweep_timer = None
         self._server = httpserver.HTTPServer(
             self, max_body_size=LIBRARY_MAX_BODY_SIZE
         )
@@ -434,6 +553,26 @@
             receiver.close_idle()
         return receiver
 
+    def watch_body(self, receiver):
+        """Watch whether the body of a request comes on."""
+        self._body_receivers.add(receiver)
+        if self._sweep_timer is None:
+            self._sweep_timer = asyncio.get_running_loop().call_later(
+                SWEEP_INTERVAL, self._sweep
+            )
+
+    def unwatch_body(self, receiver):
+        """Stop to watch the body of a request."""
+        self._body_receivers.discard(receiver)
+
+    def _sweep(self):
+        self._sweep_timer = None
+        now = self.clock.monotonic()
+        for receiver in list(self._body_receivers):
+            receiver.end_if_idle(now)
+        if self._body_receivers:
+            self.watch_body(next(iter(self._body_receivers)))
+
     def discard_idle_receiver(self, receiver):
         """Remove a receiver from those that wait for a request.
 
--- a/balsamwind/admission/__init__.py
+++ b/balsamwind/admission/__init__.py
@@ -1,5 +1,7 @@
 """Admission control: contract limits, request queue, retry budgets."""
 
+from balsamwind.admission._held_bytes import HeldBytes
+from balsamwind.admission._held_bytes import Holding
 from balsamwind.admission._limits import ContractLimiter
 from balsamwind.admission._queue import Enqueue
 from balsamwind.admission._queue import QueuedRequest
@@ -18,6 +20,8 @@
 __all__ = [
     'ContractLimiter',
     'Enqueue',
+    'HeldBytes',
+    'Holding',
     'PeerUsage',
     'QueuedRequest',
     'RequestQueue',
--- a/balsamwind/exceptions.py
+++ b/balsamwind/exceptions.py
@@ -75,6 +75,20 @@
     status = 413
 
 
+class BodyTimeout(RequestNotRun):
+    """The body of a request does not come on."""
+
+    code = 'body_timeout'
+    status = 408
+
+
+class NoMemory(RequestNotRun):
+    """The process has no room for the body of a request."""
+
+    code = 'no_memory'
+    status = 503
+
+
 class InvalidApiKey(RequestNotRun):
     """The API key does not belong to any contract."""
 
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -188,8 +188,14 @@
             link, self._clock, self._log
         )
         self._set_up_peers()
+        if settings.held_bytes is not None:
+            self.relay.held_bytes.capacity = settings.held_bytes
         self._caller_server = adapters.RelayServer(
-            self.relay, self._clock, traffic.RequestLimits(), self._log
+            self.relay,
+            self._clock,
+            traffic.RequestLimits(),
+            self._log,
+            self.relay.held_bytes,
         )
         self._readiness_server = adapters.make_readiness_server(
             platform.readiness_path, self.is_ready
--- a/balsamwind/node/_settings.py
+++ b/balsamwind/node/_settings.py
@@ -68,6 +68,10 @@
     cold_slack: float = 0.0
 
 
+BODY_SHARE_OF_MEMORY = 0.25
+"""Share of the memory that the bodies of requests may take."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeSettings:
     """Identity of a node, and the addresses that it uses.
@@ -96,6 +100,10 @@
         Processor time of the node (cores).
     link_rate : float
         Rate of the network link (Mbit/s).
+    memory : float
+        Memory of the process (MB); 0 if not stated.
+    descriptors : int
+        Descriptors that it may open (count); 0 if not stated.
     bounds : Bounds
         Bounds and timing of the deployment.
     regions : dict of str to str
@@ -113,9 +121,22 @@
     first_start: bool = False
     cores: float = 1.0
     link_rate: float = 100.0
+    memory: float = 0.0
+    descriptors: int = 0
     bounds: Bounds = Bounds()
     regions: dict = dataclasses.field(default_factory=dict)
 
+    @property
+    def held_bytes(self):
+        """Bytes of bodies that the process may hold; None if not limited.
+
+        A body that is passed on takes up to twice its size, and the process
+        itself and its connections need the rest.
+        """
+        if not self.memory:
+            return None
+        return int(self.memory * BODY_SHARE_OF_MEMORY * (1 << 20))
+
     @property
     def capacity(self):
         """Capacity for work that a node does for others of its data centre.
--- a/balsamwind/platform/_settings.py
+++ b/balsamwind/platform/_settings.py
@@ -45,34 +45,29 @@
         )
         settings_package.raise_findings([finding])
     reader = settings_package.TableReader(path, data, findings)
-    name = reader.read_string('NodeName')
     data_centre = reader.read_string('Zone')
     ip_address = reader.read_string('Ip')
-    callers_address = reader.read_address('Listen', 'Front')
-    readiness_address = reader.read_address('Listen', 'Ready')
-    store_address = reader.read_address('Platform', 'Address')
-    update_port = reader.read_first_port('PortRange')
-    bounds = _read_bounds(reader)
-    cores = reader.read_number_in('Limits', 'CpuShare', 1)
-    cores *= reader.read_number_in('Limits', 'CpuCores', 1)
-    link_rate = reader.read_number_in('Limits', 'LinkMbps', 100)
-    settings_package.raise_findings(findings)
     zones = data.get('Zones')
-    return node.NodeSettings(
-        name=name,
+    cores = reader.read_number_in('Limits', 'CpuShare', 1)
+    node_settings = node.NodeSettings(
+        name=reader.read_string('NodeName'),
         data_centre=data_centre,
         data_centres=tuple(sorted(zones)) if zones else (data_centre,),
-        callers=callers_address,
-        readiness=readiness_address,
+        callers=reader.read_address('Listen', 'Front'),
+        readiness=reader.read_address('Listen', 'Ready'),
         metrics=f'{ip_address}:{METRICS_PORT}',
-        news=f'{ip_address}:{update_port}',
-        store=store_address,
+        news=f'{ip_address}:{reader.read_first_port("PortRange")}',
+        store=reader.read_address('Platform', 'Address'),
         first_start=data.get('Bootstrap') is True,
-        cores=cores,
-        link_rate=link_rate,
-        bounds=bounds,
+        cores=cores * reader.read_number_in('Limits', 'CpuCores', 1),
+        link_rate=reader.read_number_in('Limits', 'LinkMbps', 100),
+        memory=reader.read_number_in('Limits', 'MemoryMb', 0),
+        descriptors=reader.read_number_in('Limits', 'MaxFds', 0),
+        bounds=_read_bounds(reader),
         regions=_find_regions(zones or {data_centre: data.get('Region')}),
     )
+    settings_package.raise_findings(findings)
+    return node_settings
 
 
 def _find_regions(zones):
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -5,6 +5,7 @@
 import dataclasses
 import random
 
+from balsamwind import admission
 from balsamwind import exceptions
 from balsamwind.relay import _attempt_sender
 from balsamwind.relay import _backend_selection
@@ -34,6 +35,9 @@
 """Nodes that may start before the number of nodes is updated again
 (count)."""
 
+DEFAULT_HELD_BYTES = 256 << 20
+"""Bytes of bodies that a process holds unless its memory is stated."""
+
 DEFAULT_RETRY_AFTER = 0.1
 """Retry delay for callers after a rejection that states none (seconds)."""
 
@@ -123,6 +127,8 @@
         Returns whether this node does not know it yet.
     homes : balsamwind.traffic.Homes
         Data centres in which requests may run.
+    held_bytes : balsamwind.admission.HeldBytes
+        Account of the bodies that this process holds.
     refuses_new : bool
         Whether requests that arrive are refused, as this node stops.
     open_requests : int
@@ -183,6 +189,7 @@
         self.start_wait = _start_wait.StartWait(clock, request_log.log)
         self.is_starting = self._lacks_configuration
         self.homes = traffic.Homes({})
+        self.held_bytes = admission.HeldBytes(DEFAULT_HELD_BYTES)
         self.refuses_new = False
         self.open_requests = 0
         self.requests_received = 0
