Bound the connections of callers

Operators saw: clients that leave their heads open use up the descriptors of a process, and no ordinary request is answered until they go.

Cause: nothing bounded the connections of callers; MaxFds of the settings was read nowhere.

Change: half of MaxFds, less 200 for the process itself, may be connections of callers. Above that, the one that has waited longest without a whole head is closed. tornado tells only its own server of closed connections, so that a subclass passes it on (without it, connections that had been rejected counted for ever: announce_too_much, found by its guard).

--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -463,6 +463,14 @@
             self._responder.close()
 
 
+class _HttpServer(httpserver.HTTPServer):
+    """Server that tells its `RelayServer` of closed connections, too."""
+
+    def on_close(self, server_conn):
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
+
+
 class RelayServer(httputil.HTTPServerConnectionDelegate):
     """HTTP server that accepts the connections of callers.
 
@@ -479,21 +487,27 @@
     held_bytes : balsamwind.admission.HeldBytes or None
         Account of the bodies that the process holds; None for one without a
         limit of its own.
+
+    Attributes
+    ----------
+    max_connections : float
+        Connections of callers that are open at the same time (count).
     """
 
     def __init__(self, request_relay, clock, limits, log, held_bytes=None):
         self.held_bytes = held_bytes or admission.HeldBytes(math.inf)
+        self.max_connections = math.inf
+        self._connections = set()
         self.shutdown = _Shutdown()
         self.relay = request_relay
         self.clock = clock
         self.limits = limits
         self.log = log
-        self._idle_receivers = set()
+        # In the order in which they began to wait.
+        self._idle_receivers = {}
         self._body_receivers = set()
         self._sweep_timer = None
-        self._server = httpserver.HTTPServer(
-            self, max_body_size=LIBRARY_MAX_BODY_SIZE
-        )
+        self._server = _HttpServer(self, max_body_size=LIBRARY_MAX_BODY_SIZE)
         self.set_limits(limits)
 
     def set_limits(self, limits):
@@ -546,7 +560,11 @@
 
     def start_request(self, server_conn, request_conn):
         receiver = _RequestReceiver(self, request_conn)
-        self._idle_receivers.add(receiver)
+        self._connections.add(server_conn)
+        self._idle_receivers[receiver] = None
+        if len(self._connections) > self.max_connections:
+            # Who has waited longest without a whole head may come again.
+            next(iter(self._idle_receivers)).close()
         if request_conn.stream in self.shutdown.streams:
             receiver.close()
         elif self.shutdown.is_closing:
@@ -581,4 +599,7 @@
         receiver : _RequestReceiver
             Receiver whose request has begun or whose connection has closed.
         """
-        self._idle_receivers.discard(receiver)
+        self._idle_receivers.pop(receiver, None)
+
+    def on_close(self, server_conn):
+        self._connections.discard(server_conn)
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -197,6 +197,8 @@
             self._log,
             self.relay.held_bytes,
         )
+        if settings.max_connections is not None:
+            self._caller_server.max_connections = settings.max_connections
         self._readiness_server = adapters.make_readiness_server(
             platform.readiness_path, self.is_ready
         )
--- a/balsamwind/node/_settings.py
+++ b/balsamwind/node/_settings.py
@@ -68,6 +68,13 @@
     cold_slack: float = 0.0
 
 
+OWN_DESCRIPTORS = 200
+"""Descriptors for files and for connections to the store and other nodes
+(count)."""
+
+MIN_CONNECTIONS = 16
+"""Connections of callers that are allowed in any case (count)."""
+
 BODY_SHARE_OF_MEMORY = 0.25
 """Share of the memory that the bodies of requests may take."""
 
@@ -137,6 +144,18 @@
             return None
         return int(self.memory * BODY_SHARE_OF_MEMORY * (1 << 20))
 
+    @property
+    def max_connections(self):
+        """Connections of callers (count); None if not limited.
+
+        Each of their requests may need one to a backend server.
+        """
+        if not self.descriptors:
+            return None
+        return max(
+            int((self.descriptors - OWN_DESCRIPTORS) / 2), MIN_CONNECTIONS
+        )
+
     @property
     def capacity(self):
         """Capacity for work that a node does for others of its data centre.
