--- a/balsamwind/node/_settings.py
+++ b/balsamwind/node/_settings.py
@@ -68,6 +68,17 @@
     cold_slack: float = 0.0
 
 
+OWN_DESCRIPTORS = 200
+"""Descriptors for files and for connections to the store and other nodes
+(count)."""
+
+MIN_CONNECTIONS = 16
+"""Connections of callers that are allowed in any case (count)."""
+
+BODY_SHARE_OF_MEMORY = 0.25
+"""Share of the memory that the bodies of requests may take."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NodeSettings:
     """Identity of a node, and the addresses that it uses.
@@ -96,6 +107,10 @@
         Processor time of the node (cores).
     link_rate : float
         Rate of the network link (Mbit/s).
+    memory : float
+        Memory of the process (MB); 0 if not stated.
+    descriptors : int
+        Descriptors that it may open (count); 0 if not stated.
     bounds : Bounds
         Bounds and timing of the deployment.
     regions : dict of str to str
@@ -113,9 +128,34 @@
     first_start: bool = False
     cores: float = 1.0
     link_rate: float = 100.0
+    memory: float = 0.0
+    descriptors: int = 0
     bounds: Bounds = Bounds()
     regions: dict = dataclasses.field(default_factory=dict)
 
+    @property
+    def held_bytes(self):
+        """Bytes of bodies that the process may hold; None if not limited.
+
+        A body that is passed on takes up to twice its size, and the process
+        itself and its connections need the rest.
+        """
+        if not self.memory:
+            return None
+        return int(self.memory * BODY_SHARE_OF_MEMORY * (1 << 20))
+
+    @property
+    def max_connections(self):
+        """Connections of callers (count); None if not limited.
+
+        Each of their requests may need one to a backend server.
+        """
+        if not self.descriptors:
+            return None
+        return max(
+            int((self.descriptors - OWN_DESCRIPTORS) / 2), MIN_CONNECTIONS
+        )
+
     @property
     def capacity(self):
         """Capacity for work that a node does for others of its data centre.
