Keep nothing of an answer that is not relayed

Operators reported (systems like ours): an engine sends bytes that are no answer without end; the machine that called it keeps them all and runs out of memory.

Cause here: an answer that is not relayed (no stamp, a refusal) was read to its end so that its connection could be reused, and all its parts kept, up to 32 MiB for each request.

Change: such an answer is read for 64 KiB or a quarter of a second at most, and nothing of it is kept; then its connection is closed.

--- a/balsamwind/node/tests/crowds.py
+++ b/balsamwind/node/tests/crowds.py
@@ -179,7 +179,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_node_process(folder, processing_time=0.0):
+async def open_node_process(folder, processing_time=0.0, address=None):
     """Run a node in a process of its own, and the platform in this one.
 
     Parameters
@@ -188,6 +188,8 @@
         Directory for the settings file and the log.
     processing_time : float, default=0.0
         Time that the plain server takes for a request (seconds).
+    address : str or None
+        Address of another server that takes its place, ``host:port``.
 
     Yields
     ------
@@ -196,7 +198,9 @@
     host = f'127.{os.getpid() % 200 + 30}.{os.getpid() // 200 % 250}.1'
     async with helpers.open_platform(0) as fake_platform:
         fake_platform.store.put('config', 'main', CONFIGURATION)
-        server = fake_platform.add_service('s0', 'ledger', 'z1')
+        server = fake_platform.add_service(
+            's0', 'ledger', 'z1', address=address
+        )
         server.processing_time = processing_time
         path = _write_settings(folder, host, fake_platform.store_port)
         with open(folder / 'n1.log', 'wb') as log:
@@ -324,3 +328,78 @@
     head = make_head('/balance/x', LENGTH)[:-4]
     await _write(writer, head + b'\r\nX-A: ' + b'x' * 12000)
     await _stay(reader)
+
+
+HEAD = b'HTTP/1.1 200 OK\r\n'
+STAMP = b'X-Balsamwind-Response-Stamp: s0\r\n'
+CHUNKED_ANSWER = b'Transfer-Encoding: chunked\r\n\r\n'
+LONG_ANSWER = b'Content-Length: 1099511627776\r\n\r\n'
+
+ENDLESS_ANSWERS = {
+    'status line': (b'HTTP/1.1 200 ', PIECE),
+    'head lines': (HEAD, b'X-A: b\r\n' * 4096),
+    'value of a head line': (HEAD + b'X-A: ', PIECE),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 2000),
+    'size of a chunk': (HEAD + STAMP + CHUNKED_ANSWER, b'0' * (1 << 16)),
+    'chunks without a stamp': (HEAD + CHUNKED_ANSWER, make_chunk(PIECE)),
+    'body without a stamp': (HEAD + LONG_ANSWER, PIECE),
+    'body until the close': (HEAD + b'\r\n', PIECE),
+    'failure': (b'HTTP/1.1 500 X\r\n' + STAMP + LONG_ANSWER, PIECE),
+    'refusal': (
+        b'HTTP/1.1 503 X\r\nX-Balsamwind-Not-Executed: 1\r\n' + CHUNKED_ANSWER,
+        make_chunk(PIECE),
+    ),
+    'body that nobody reads': (
+        HEAD + STAMP + CHUNKED_ANSWER,
+        make_chunk(PIECE),
+    ),
+}
+"""What a faulty server sends first, and then without end."""
+
+
+@contextlib.asynccontextmanager
+async def open_endless_server(begin, rest):
+    """Run a server that answers requests below ``/once/`` without end.
+
+    Yields
+    ------
+    str
+        Its address.
+    """
+
+    async def handle(reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                await reader.readexactly(2)
+                if b'/once/' in head:
+                    await _write_without_end(writer, begin, rest)
+                writer.write(_make_answer(head))
+        writer.close()
+
+    server = await asyncio.start_server(handle, '127.0.0.1', 0)
+    async with server:
+        yield '{}:{}'.format(*server.sockets[0].getsockname())
+
+
+async def _write_without_end(writer, begin, rest):
+    writer.write(begin)
+    while True:
+        writer.write(rest)
+        await writer.drain()
+
+
+def _make_answer(head):
+    (own_id,) = (
+        line
+        for line in head.split(b'\r\n')
+        if line.lower().startswith(b'x-balsamwind-request-id:')
+    )
+    return HEAD + STAMP + own_id + b'\r\nContent-Length: 2\r\n\r\nok'
+
+
+async def ask_without_reading(reader, writer):
+    """Send a request that the faulty server answers, and read little of it."""
+    writer.transport.pause_reading()
+    await _write(writer, make_head('/once/x', 'Content-Length: 2') + b'hi')
+    await asyncio.sleep(STAY_TIME)
--- a/balsamwind/node/tests/test_crowds.py
+++ b/balsamwind/node/tests/test_crowds.py
@@ -47,3 +47,28 @@
             ]
 
     assert asyncio.run(scenario()) == [200, 200]
+
+
+SERVER_CROWD = 40
+"""Requests at a faulty server at the same time (count)."""
+
+
+@pytest.mark.parametrize('name', crowds.ENDLESS_ANSWERS)
+def test_answer_without_end_ended_a_process(tmp_path, name):
+    async def scenario():
+        answer = crowds.ENDLESS_ANSWERS[name]
+        async with (
+            crowds.open_endless_server(*answer) as address,
+            crowds.open_node_process(tmp_path, 0.0, address) as (node, _),
+        ):
+            await crowds.run_crowd(
+                node, crowds.ask_without_reading, SERVER_CROWD
+            )
+            return await node.send_ordinary(), node.is_alive, node.usage
+
+    status, is_alive, usage = asyncio.run(scenario())
+    print(name, status, is_alive, usage)
+    assert is_alive
+    assert usage.memory <= crowds.MAX_MEMORY
+    assert usage.descriptors <= crowds.MAX_DESCRIPTORS
+    assert status == 200
--- a/balsamwind/relay/_attempt_run.py
+++ b/balsamwind/relay/_attempt_run.py
@@ -1,6 +1,7 @@
 """One attempt of a request: its backend, and the answer that it gives."""
 
 import asyncio
+import contextlib
 
 from balsamwind import exceptions
 from balsamwind.relay import _attempt_sender
@@ -13,16 +14,28 @@
 from balsamwind.relay import _progress_watch
 
 DISCARD_TIMEOUT = 0.05
-"""Longest wait for the rest of a response that is not relayed (seconds)."""
+"""Longest wait for more of a response that is not relayed (seconds)."""
+
+MAX_DISCARD_TIME = 0.25
+"""Longest time in which such a response is read (seconds)."""
+
+MAX_DISCARDED_BYTES = 1 << 16
+"""Size up to which it is read (bytes)."""
 
 
 async def _discard_body(response):
-    """Read a short response to its end, so that its connection is reused."""
-    try:
-        await response.read_all(DISCARD_TIMEOUT)
-    except exceptions.TransportError:
-        # The connection is not reusable; `_send` closes it.
-        return
+    """Read a short response to its end, so that its connection is reused.
+
+    A longer one is not kept: its server may never end it. `_send` closes the
+    connection that can't be reused.
+    """
+    size = 0
+    with contextlib.suppress(exceptions.TransportError, TimeoutError):
+        async with asyncio.timeout(MAX_DISCARD_TIME):
+            while chunk := await response.read(DISCARD_TIMEOUT):
+                size += len(chunk)
+                if size > MAX_DISCARDED_BYTES:
+                    return
 
 
 def _close_response(task):
