Bound the reports and answers of engines

An engine whose report, or answer to an order, never ends was read up to 32 MiB, the bound of the store's lists, by each probe of each node: some faulty engines are enough to end a process.

Change: a call says how much it expects, 1 MiB for engines. The test of the client states its bound as a caller does, in place of a patched constant.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -17,6 +17,7 @@
 
 from balsamwind.adapters import _connection_pool
 from balsamwind.adapters import _http_receiver
+from balsamwind.adapters import _read_body
 from balsamwind.adapters import _streamed_response
 from balsamwind import exceptions
 
@@ -146,6 +147,7 @@
         timeout,
         new_connection=False,
         retry_on_new_connection=False,
+        max_body_size=_read_body.MAX_BODY_SIZE,
     ):
         """Send a request and read the complete response.
 
@@ -168,6 +170,8 @@
         retry_on_new_connection : bool
             Whether the request may be sent again, on a new connection, if
             an idle connection fails before the response begins.
+        max_body_size : int
+            Largest body of the response (bytes).
 
         Returns
         -------
@@ -189,7 +193,7 @@
             retry_on_new_connection=retry_on_new_connection,
         )
         try:
-            content = await response.read_all(timeout)
+            content = await response.read_all(timeout, max_body_size)
         finally:
             response.close()
         return Response(response.status, response.headers, content)
--- a/balsamwind/adapters/_streamed_response.py
+++ b/balsamwind/adapters/_streamed_response.py
@@ -153,9 +153,9 @@
                 f'{self._endpoint}: connection reset, body without length'
             )
 
-    async def read_all(self, timeout):
+    async def read_all(self, timeout, max_size=_read_body.MAX_BODY_SIZE):
         """Read the body to its end, see `read_body`."""
-        return await _read_body.read_body(self, timeout)
+        return await _read_body.read_body(self, timeout, max_size)
 
     def release(self):
         """Reuse the connection if the body ends soon and without more data.
--- a/balsamwind/adapters/tests/test_http_client.py
+++ b/balsamwind/adapters/tests/test_http_client.py
@@ -9,7 +9,6 @@
 
 from balsamwind.adapters import _connection_pool
 from balsamwind.adapters import _http_client
-from balsamwind.adapters import _read_body
 from balsamwind import exceptions
 
 
@@ -231,9 +230,8 @@
 
 
 @pytest.mark.parametrize(('head', 'filler', 'interval'), ENDLESS_ANSWERS)
-def test_answer_without_end_is_given_up(head, filler, interval, monkeypatch):
+def test_answer_without_end_is_given_up(head, filler, interval):
     """Time and memory are bounded, and the connection is not used again."""
-    monkeypatch.setattr(_read_body, 'MAX_BODY_SIZE', 1 << 20)
     closed = []
 
     async def handle(reader, writer):
@@ -248,7 +246,9 @@
         async with _open_server(handle) as (client, url):
             started_at = asyncio.get_running_loop().time()
             with pytest.raises(exceptions.TransportError):
-                await client.fetch('GET', url, timeout=0.2)
+                await client.fetch(
+                    'GET', url, timeout=0.2, max_body_size=1 << 20
+                )
             duration = asyncio.get_running_loop().time() - started_at
             for _ in range(100):
                 if closed:
--- a/balsamwind/platform/_client.py
+++ b/balsamwind/platform/_client.py
@@ -15,6 +15,9 @@
 OWN_KIND_PREFIX = 'balsamwind-'
 """Prefix of the kinds of objects that the nodes themselves write."""
 
+MAX_ENGINE_ANSWER = 1 << 20
+"""Largest report or answer to an order that is read (bytes)."""
+
 
 def make_platform_client(settings, client):
     """Make the platform client of a node; a `PlatformClient`.
@@ -156,6 +159,7 @@
             headers=self._make_server_headers(record),
             timeout=timeout,
             retry_on_new_connection=True,
+            max_body_size=MAX_ENGINE_ANSWER,
         )
         self._check_leaving(record, response)
         if response.status != 200:
@@ -196,6 +200,7 @@
                 timeout=timeout,
                 # Nothing in an answer shows which order it belongs to.
                 new_connection=True,
+                max_body_size=MAX_ENGINE_ANSWER,
             )
             self._check_leaving(record, response)
             return _servers.decode_order_result(response.status)
