Bound requests to the pages for operators

The readiness and metrics ports took bodies of up to 100 MB, tornado's default, from anybody, each kept whole.

Change: 4 KiB of body, 16 KiB of header, 60 s of idleness or for a body. A page needs no body, so that no client inside the pages' limits meets them.

--- a/balsamwind/adapters/_node_pages.py
+++ b/balsamwind/adapters/_node_pages.py
@@ -4,6 +4,16 @@
 from tornado import httpserver
 from tornado import web
 
+MAX_BODY_SIZE = 1 << 12
+"""Largest body of a request, which needs none (bytes)."""
+
+MAX_HEADER_SIZE = 1 << 14
+"""Largest header block (bytes)."""
+
+IDLE_TIMEOUT = 60.0
+"""Longest time for which a connection may be idle, or a body take
+(seconds)."""
+
 
 class _ReadyHandler(web.RequestHandler):
     def initialize(self, is_ready):
@@ -63,4 +73,10 @@
 
 def _make_server(handlers):
     application = web.Application(handlers, log_function=lambda handler: None)
-    return httpserver.HTTPServer(application)
+    return httpserver.HTTPServer(
+        application,
+        max_body_size=MAX_BODY_SIZE,
+        max_header_size=MAX_HEADER_SIZE,
+        idle_connection_timeout=IDLE_TIMEOUT,
+        body_timeout=IDLE_TIMEOUT,
+    )
--- a/balsamwind/node/tests/crowds.py
+++ b/balsamwind/node/tests/crowds.py
@@ -14,6 +14,12 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
 
+CALLERS_PORT = 8227
+"""Port for the requests of callers."""
+
+PAGE_PORTS = {'readiness': 8220, 'metrics': 9464}
+"""Ports of the pages for operators, by their names."""
+
 MAX_MEMORY = 120
 """Memory of the node's machine, as its settings state it (MB)."""
 
@@ -118,9 +124,9 @@
         count = len(os.listdir(folder / 'fd'))
         self.usage.descriptors = max(self.usage.descriptors, count)
 
-    async def connect(self):
+    async def connect(self, port=CALLERS_PORT):
         """Open a connection of a client."""
-        return await asyncio.open_connection(self.host, 8227)
+        return await asyncio.open_connection(self.host, port)
 
     async def send(self, data):
         """Send bytes on a new connection; return the answer's status, or 0."""
@@ -163,7 +169,7 @@
         '[Zones]',
         'z1 = "r"',
         '[Listen]',
-        f'Front = "{host}:8227"',
+        f'Front = "{host}:{CALLERS_PORT}"',
         f'Ready = "{host}:8220"',
         '[Limits]',
         f'MemoryMb = {MAX_MEMORY}',
@@ -243,17 +249,17 @@
             await reader.read()
 
 
-async def _run_client(node, play):
+async def _run_client(node, play, port):
     """Play one client; what becomes of it does not matter."""
     with contextlib.suppress(OSError):
-        reader, writer = await node.connect()
+        reader, writer = await node.connect(port)
         try:
             await play(reader, writer)
         finally:
             writer.close()
 
 
-async def run_crowd(node, play, count=CROWD):
+async def run_crowd(node, play, count=CROWD, port=CALLERS_PORT):
     """Play clients at the same time.
 
     Parameters
@@ -265,8 +271,12 @@
         stream writer.
     count : int, default=CROWD
         Clients (count).
+    port : int
+        Port of the node that they turn to.
     """
-    await asyncio.gather(*(_run_client(node, play) for _ in range(count)))
+    await asyncio.gather(
+        *(_run_client(node, play, port) for _ in range(count))
+    )
 
 
 def make_chunk(data):
--- a/balsamwind/node/tests/test_crowds.py
+++ b/balsamwind/node/tests/test_crowds.py
@@ -35,6 +35,25 @@
     assert status == 200
 
 
+@pytest.mark.parametrize('page', crowds.PAGE_PORTS)
+def test_crowd_at_a_page_for_operators_ended_a_process(tmp_path, page):
+    async def scenario():
+        async with crowds.open_node_process(tmp_path) as (node, _):
+            await crowds.run_crowd(
+                node,
+                crowds.stop_before_the_last_byte,
+                port=crowds.PAGE_PORTS[page],
+            )
+            return await node.send_ordinary(), node.is_alive, node.usage
+
+    status, is_alive, usage = asyncio.run(scenario())
+    print(page, status, is_alive, usage)
+    assert is_alive
+    assert usage.memory <= crowds.MAX_MEMORY
+    assert usage.descriptors <= crowds.MAX_DESCRIPTORS
+    assert status == 200
+
+
 def test_single_body_of_the_largest_size_is_served_in_calm(tmp_path):
     async def scenario():
         async with crowds.open_node_process(tmp_path) as (node, _):
