Count the bodies carried for other nodes

A node carries up to 150 attempts a core for others, with bodies of up to 2 MiB: 300 MB a core, beside those of its own callers.

Evidence: test_body_of_an_attempt_found_no_room_and_was_carried fails without the change: all other nodes are full, and one carries the attempt.

Change: their bodies go into the same account. A node without room answers as one without a place does, and the sender turns to the next one; the request was not run.

--- a/balsamwind/admission/_held_bytes.py
+++ b/balsamwind/admission/_held_bytes.py
@@ -6,6 +6,7 @@
 other requests end with it.
 """
 
+import contextlib
 import dataclasses
 
 SMALL_BODY = 1 << 16
@@ -143,6 +144,29 @@
         holding.size = size
         return True
 
+    @contextlib.contextmanager
+    def hold(self, size, now):
+        """Hold a body that has arrived, until the block ends.
+
+        Parameters
+        ----------
+        size : int
+            Size of the body (bytes).
+        now : float
+            Current time (seconds, monotonic clock).
+
+        Yields
+        ------
+        bool
+            Whether there is room for it.
+        """
+        holding = self.open(None, now)
+        self.complete(holding)
+        try:
+            yield self.reserve(holding, size, now)
+        finally:
+            self.close(holding)
+
     def complete(self, holding):
         """Record that a body is complete: it keeps its room until `close`."""
         self._arriving.pop(holding, None)
--- a/balsamwind/node/tests/test_peer_attempts.py
+++ b/balsamwind/node/tests/test_peer_attempts.py
@@ -492,3 +492,22 @@
     if is_whole:
         assert answer.startswith(b'HTTP/1.1 200')
         assert answer.endswith(b'0\r\n\r\n')
+
+
+def test_body_of_an_attempt_found_no_room_and_was_carried(monkeypatch):
+    """All nodes but the first are full; none runs out of memory."""
+
+    async def scenario():
+        async with _open_cut_fleet(monkeypatch) as (platform, nodes):
+            for process in nodes[1:]:
+                process.relay.held_bytes.capacity = 0
+                holding = process.relay.held_bytes.open(None, 0.0)
+                process.relay.held_bytes.reserve(holding, 1 << 20, 0.0)
+            answer = await helpers.send_request(
+                nodes[0], helpers.make_request('/once/x', 'carried')
+            )
+            return answer, _count_runs(platform, 'carried')
+
+    answer, runs = asyncio.run(scenario())
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert runs == 0
--- a/balsamwind/relay/_attempt_carrier.py
+++ b/balsamwind/relay/_attempt_carrier.py
@@ -94,10 +94,17 @@
             Called without arguments immediately before the attempt is sent;
             raises if the other node is gone.
         """
+        now = self._relay.clock.monotonic()
+        with self._relay.held_bytes.hold(len(attempt.body), now) as has_room:
+            await self._carry(attempt, send, check_before_send, has_room)
+
+    async def _carry(self, attempt, send, check_before_send, has_room):
         backend = self._find_backend(attempt.backend)
+        # A node without room for the body is as full as one without a place.
+        open_attempts = self.open_attempts if has_room else self._max_attempts
         refusal = plan_refusal(
             self.is_draining,
-            self.open_attempts,
+            open_attempts,
             self._max_attempts,
             self._relay.paths.is_open(attempt.backend.service),
             backend is not None,
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 
 from balsamwind import adapters
+from balsamwind import admission
 from balsamwind import exceptions
 from balsamwind.platform import _headers
 from balsamwind import pool
@@ -188,6 +189,7 @@
         self.placement = None
         self.crash_quarantine = relay.CrashQuarantine('a')
         self.crash_reporter = _CrashReporter()
+        self.held_bytes = admission.HeldBytes(1 << 30)
         self.paths = relay.PathTable()
         self.peers = _attempt_sender.NoPeerService()
         self.server_statements = _server_statements.ServerStatements(
