Log requests that are not read, and their room

What is rejected before its body is read was neither logged nor counted, and nothing showed how much room bodies take.

--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -414,6 +414,7 @@
             self._reject(exceptions.BodyTimeout('the body does not come on'))
 
     def _reject(self, error):
+        self._server.on_unread_request(error)
         self._close_body()
         self._responder.fail(error)
         self._connection.close()
@@ -463,6 +464,10 @@
             self._responder.close()
 
 
+def _ignore(error):
+    """Stand in until such requests are logged."""
+
+
 class _HttpServer(httpserver.HTTPServer):
     """Server that tells its `RelayServer` of closed connections, too."""
 
@@ -492,11 +497,15 @@
     ----------
     max_connections : float
         Connections of callers that are open at the same time (count).
+    on_unread_request : callable
+        Called with the error of each request that is rejected before its
+        body was read.
     """
 
     def __init__(self, request_relay, clock, limits, log, held_bytes=None):
         self.held_bytes = held_bytes or admission.HeldBytes(math.inf)
         self.max_connections = math.inf
+        self.on_unread_request = _ignore
         self._connections = set()
         self.shutdown = _Shutdown()
         self.relay = request_relay
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -197,6 +197,9 @@
             self._log,
             self.relay.held_bytes,
         )
+        self._caller_server.on_unread_request = (
+            self._request_log.record_unread_request
+        )
         if settings.max_connections is not None:
             self._caller_server.max_connections = settings.max_connections
         self._readiness_server = adapters.make_readiness_server(
--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -122,6 +122,20 @@
             registry=self.metrics_registry,
         )
 
+    def record_unread_request(self, error):
+        """Record a request that was rejected before its body was read.
+
+        Parameters
+        ----------
+        error : balsamwind.exceptions.BalsamwindError
+            Why it was rejected.
+        """
+        self._answers.labels(error.code).inc()
+        if self._take_token():
+            self.log.info(
+                'request_not_read', outcome=error.code, reason=error.message
+            )
+
     def record_rejection(self, reason):
         """Count a request that the queue of this node rejected.
 
--- a/balsamwind/node/_state.py
+++ b/balsamwind/node/_state.py
@@ -152,6 +152,11 @@
             'Requests without their final answer.',
             value=self._relay.open_requests,
         )
+        yield core.GaugeMetricFamily(
+            'balsamwind_held_body_bytes',
+            'Bytes of bodies that are held or promised room.',
+            value=self._relay.held_bytes.held,
+        )
         yield core.GaugeMetricFamily(
             'balsamwind_quarantined_prompt_parts',
             'Prompt parts and requests that are not sent to servers.',
--- a/balsamwind/node/tests/test_request_log.py
+++ b/balsamwind/node/tests/test_request_log.py
@@ -167,3 +167,16 @@
             'outcome': 'started',
         },
     )
+
+
+def test_requests_that_are_not_read_are_counted_and_logged():
+    log = _RecordingLog()
+    request_log = _request_log.RequestLog(log, doubles.Clock())
+    request_log.record_unread_request(exceptions.NoMemory('full'))
+    assert log.rows == [
+        ('request_not_read', {'outcome': 'no_memory', 'reason': 'full'})
+    ]
+    count = request_log.metrics_registry.get_sample_value(
+        'balsamwind_answers_total', {'outcome': 'no_memory'}
+    )
+    assert count == 1.0
