Add up the answers of all nodes

Sound requests beside engines that crash for reasons of their own were refused, as each node weighed only its own answers against the crashes of all.

Change: a node tells the others of its data centre how much its answers weigh at a crash, a number that only grows; the sum counts. Nothing more goes to the store.

--- a/balsamwind/relay/_crash_evidence.py
+++ b/balsamwind/relay/_crash_evidence.py
@@ -50,6 +50,31 @@
     crashes: tuple[str, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerWeight:
+    """How much the answers of one node speak for a part at one crash.
+
+    Parameters
+    ----------
+    service : str
+        Service of the engines that answered.
+    part : str
+        Id of the part.
+    crash : str
+        The crash.
+    node : str
+        Name of the node.
+    weight : int
+        Weight of all its answers so far, see `SoundAnswers`.
+    """
+
+    service: str
+    part: str
+    crash: str
+    node: str
+    weight: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CrashEvidence:
     """What nodes tell each other of crashes.
@@ -60,13 +85,16 @@
         Crashes, with the parts that may have caused them.
     sound : tuple of SoundPart
         Parts that are cleared.
+    answers : tuple of AnswerWeight
+        What speaks for parts that are not cleared, within a data centre.
     """
 
     reports: tuple[CrashReport, ...] = ()
     sound: tuple[SoundPart, ...] = ()
+    answers: tuple[AnswerWeight, ...] = ()
 
     def __bool__(self):
-        return bool(self.reports or self.sound)
+        return bool(self.reports or self.sound or self.answers)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -319,14 +319,17 @@
         CrashEvidence
             What the other nodes must know; empty if it clears nothing.
         """
-        sound = []
+        sound, answers = [], []
         for part in parts:
             key = (service, part)
             self._answers.record(key, duration, now)
             if key in self._suspects:
                 self._suspects[key].trial_ends_at = now
-            sound += self._clear_by_answers(key, now)
-        return _crash_evidence.CrashEvidence(sound=tuple(sound))
+                answers += self._weigh_answers(key)
+                sound += self._clear_outweighed(key, now)
+        return _crash_evidence.CrashEvidence(
+            sound=tuple(sound), answers=tuple(answers)
+        )
 
     def merge(self, evidence, now):
         """Add the evidence of another node.
@@ -345,6 +348,11 @@
         """
         self._drop_expired(now)
         sound = [item for item in evidence.sound if self._clear(item, now)]
+        answers = [
+            item for item in evidence.answers if self._add_answers(item)
+        ]
+        for item in answers:
+            sound += self._clear_outweighed((item.service, item.part), now)
         reports = []
         for report in evidence.reports:
             new_parts = tuple(
@@ -353,9 +361,13 @@
             if new_parts:
                 reports.append(dataclasses.replace(report, parts=new_parts))
             for part in new_parts:
-                sound += self._clear_by_answers((report.service, part), now)
+                key = (report.service, part)
+                answers += self._weigh_answers(key)
+                sound += self._clear_outweighed(key, now)
             self._report_begun(report.service, new_parts, now)
-        return _crash_evidence.CrashEvidence(tuple(reports), tuple(sound))
+        return _crash_evidence.CrashEvidence(
+            tuple(reports), tuple(sound), tuple(answers)
+        )
 
     def make_snapshot(self, now, data_centre=None):
         """Make the evidence that a node without any must be told.
@@ -442,8 +454,30 @@
                 for listener in self._listeners:
                     listener()
 
-    def _clear_by_answers(self, key, now):
-        """Clear a part of the crashes that answers of this node outweigh.
+    def _weigh_answers(self, key):
+        """Let answers of this node speak for a part; list of AnswerWeight."""
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return []
+        found = []
+        own = self.node_order.name
+        for crash, weight in self._answers.weigh(key, suspect).items():
+            weight += suspect.answer_weights.get(crash, {}).get(own, 0)
+            suspect.add_answers(crash, own, weight)
+            found.append(
+                _crash_evidence.AnswerWeight(*key, crash, own, weight)
+            )
+        return found
+
+    def _add_answers(self, item):
+        """Let answers of another node speak; False if that was known."""
+        suspect = self._suspects.get((item.service, item.part))
+        if suspect is None or item.crash not in suspect.crashes:
+            return False
+        return suspect.add_answers(item.crash, item.node, item.weight)
+
+    def _clear_outweighed(self, key, now):
+        """Clear a part of the crashes that answers outweigh.
 
         Returns
         -------
@@ -451,9 +485,7 @@
             None or one.
         """
         suspect = self._suspects.get(key)
-        if suspect is None:
-            return []
-        crashes = self._answers.find_cleared(key, suspect)
+        crashes = () if suspect is None else suspect.find_outweighed()
         if not crashes:
             return []
         item = _crash_evidence.SoundPart(*key, crashes)
@@ -473,7 +505,7 @@
             is_new |= (*key, crash) not in self._cleared
             self._cleared[*key, crash] = None
             if suspect is not None:
-                suspect.crashes.pop(crash, None)
+                suspect.drop(crash)
         _trim(self._cleared, MAX_CLEARED)
         if suspect is not None and not suspect.crashes:
             del self._suspects[key]
@@ -481,11 +513,9 @@
 
     def _drop_expired(self, now):
         for key, suspect in list(self._suspects.items()):
-            suspect.crashes = {
-                crash: record
-                for crash, record in suspect.crashes.items()
-                if now - record.crashed_at <= RETENTION_TIME
-            }
+            for crash, record in list(suspect.crashes.items()):
+                if now - record.crashed_at > RETENTION_TIME:
+                    suspect.drop(crash)
             if not suspect.crashes:
                 del self._suspects[key]
 
--- a/balsamwind/relay/_crash_suspects.py
+++ b/balsamwind/relay/_crash_suspects.py
@@ -29,6 +29,15 @@
 MAX_FURTHER_CRASHES = 8
 """Further crashes that are counted (count)."""
 
+ANSWER_WEIGHT = 10
+"""Weight of an answer that lasted as long as the one at a crash."""
+
+SHORT_ANSWER_WEIGHT = 1
+"""Weight of a shorter answer."""
+
+CRASH_WEIGHT = 3 * ANSWER_WEIGHT
+"""Weight of the answers that clear a part of one crash."""
+
 MAX_TRIAL_TIME = 5.0
 """Time after which a node tries a part again if it has not learnt how the
 request before ended (seconds)."""
@@ -113,20 +122,19 @@
     ----------
     crashes : dict of str to Crash
         Crashes by their ids.
-    answer_weight : int
-        Weight of the answers of this node since one cleared the part of a
-        crash.
+    answer_weights : dict of str to dict of str to int
+        By crash and node, the weight of the answers that speak for the part.
     trial : object or None
         Attempt by which this node last tried the part again.
     trial_ends_at : float
         Time up to which no other one is sent (seconds, boot clock).
     """
 
-    __slots__ = ('answer_weight', 'crashes', 'trial', 'trial_ends_at')
+    __slots__ = ('answer_weights', 'crashes', 'trial', 'trial_ends_at')
 
     def __init__(self):
         self.crashes = {}
-        self.answer_weight = 0
+        self.answer_weights = {}
         self.trial = None
         self.trial_ends_at = float('-inf')
 
@@ -157,6 +165,34 @@
         )
         return crash.duration < known.duration
 
+    def add_answers(self, crash_id, node, weight):
+        """Take over how much the answers of a node weigh at a crash.
+
+        Returns
+        -------
+        bool
+            Whether that is more than was known.
+        """
+        weights = self.answer_weights.setdefault(crash_id, {})
+        is_more = weight > weights.get(node, 0)
+        if is_more:
+            weights[node] = weight
+        return is_more
+
+    def find_outweighed(self):
+        """Return the crashes that the answers outweigh (tuple of str)."""
+        return tuple(
+            crash_id
+            for crash_id in self.crashes
+            if sum(self.answer_weights.get(crash_id, {}).values())
+            >= CRASH_WEIGHT
+        )
+
+    def drop(self, crash_id):
+        """Remove a crash, with what speaks against it."""
+        self.crashes.pop(crash_id, None)
+        self.answer_weights.pop(crash_id, None)
+
     def find_series(self):
         """Find the crashes that followed each other.
 
--- a/balsamwind/relay/_node_order.py
+++ b/balsamwind/relay/_node_order.py
@@ -10,12 +10,18 @@
 
 
 class NodeOrder:
-    """Place of this node among all nodes, another one for each matter."""
+    """Place of this node among all nodes, another one for each matter.
 
-    __slots__ = ('_name', '_names')
+    Attributes
+    ----------
+    name : str
+        Name of this node; empty until it is set.
+    """
+
+    __slots__ = ('_names', 'name')
 
     def __init__(self):
-        self._name = ''
+        self.name = ''
         self._names = ()
 
     def set_nodes(self, name, names):
@@ -28,7 +34,7 @@
         names : iterable of str
             Names of all nodes.
         """
-        self._name = name
+        self.name = name
         self._names = tuple(names)
 
     def find_trial_delay(self, part, crashes):
@@ -52,7 +58,7 @@
             Time (seconds).
         """
         matter = f'{part}\n{crashes}'
-        own = _draw(self._name, matter)
+        own = _draw(self.name, matter)
         rank = sum(_draw(name, matter) < own for name in self._names)
         return FOLLOW_TIME * math.log2(1 + rank)
 
--- a/balsamwind/relay/_sound_answers.py
+++ b/balsamwind/relay/_sound_answers.py
@@ -8,14 +8,7 @@
 import collections
 import dataclasses
 
-ANSWER_WEIGHT = 10
-"""Weight of an answer that lasted as long as the one at a crash."""
-
-SHORT_ANSWER_WEIGHT = 1
-"""Weight of a shorter answer."""
-
-CRASH_WEIGHT = 3 * ANSWER_WEIGHT
-"""Weight of the answers that clear a part of one crash."""
+from balsamwind.relay import _crash_suspects
 
 MAX_AGE = 30.0
 """Time before a crash from which on answers speak for a part (seconds)."""
@@ -62,8 +55,8 @@
         if len(self._answers) > MAX_PARTS:
             self._answers.popitem(last=False)
 
-    def find_cleared(self, key, suspect):
-        """Find the crashes that a part is cleared of, and use up answers.
+    def weigh(self, key, suspect):
+        """Use up answers for the crashes of a part.
 
         The crash that an answer outlasts most easily comes first.
 
@@ -76,25 +69,30 @@
 
         Returns
         -------
-        tuple of str
-            Ids of crashes.
+        dict of str to int
+            Weight by crash, up to what clears the part of it.
         """
         answers = self._answers.get(key)
         crashes = sorted(
             suspect.crashes.items(), key=lambda item: item[1].duration
         )
-        cleared = []
-        while answers and len(cleared) < len(crashes):
-            crash_id, crash = crashes[len(cleared)]
-            answer = answers.popleft()
-            if answer.completed_at < crash.crashed_at - MAX_AGE:
-                continue
-            suspect.answer_weight += (
-                ANSWER_WEIGHT
-                if answer.duration >= crash.duration
-                else SHORT_ANSWER_WEIGHT
-            )
-            if suspect.answer_weight >= CRASH_WEIGHT:
-                suspect.answer_weight = 0
-                cleared.append(crash_id)
-        return tuple(cleared)
+        weights = {}
+        for crash_id, crash in crashes:
+            known = sum(suspect.answer_weights.get(crash_id, {}).values())
+            while (
+                answers
+                and known + weights.get(crash_id, 0)
+                < _crash_suspects.CRASH_WEIGHT
+            ):
+                weight = _find_weight(answers.popleft(), crash)
+                if weight:
+                    weights[crash_id] = weights.get(crash_id, 0) + weight
+        return weights
+
+
+def _find_weight(answer, crash):
+    if answer.completed_at < crash.crashed_at - MAX_AGE:
+        return 0
+    if answer.duration >= crash.duration:
+        return _crash_suspects.ANSWER_WEIGHT
+    return _crash_suspects.SHORT_ANSWER_WEIGHT
--- a/balsamwind/relay/tests/test_crash_quarantine.py
+++ b/balsamwind/relay/tests/test_crash_quarantine.py
@@ -451,6 +451,25 @@
     assert (found is not None) is is_held
 
 
+def test_answers_of_all_nodes_add_up():
+    nodes = []
+    for name in ('n1', 'n2', 'n3'):
+        quarantine = _replay(TWO_CRASHES)
+        quarantine.node_order.set_nodes(name, ('n1', 'n2', 'n3'))
+        nodes.append(quarantine)
+    news = [
+        quarantine.record_answer(SERVICE, ('dead',), 0.5, 11.0)
+        for quarantine in nodes
+    ]
+    for quarantine in nodes:
+        assert quarantine.find(SERVICE, ('dead',), 12.0) is not None
+    for quarantine in nodes:
+        for item in [*news, *news]:
+            quarantine.merge(item, 11.1)
+    for quarantine in nodes:
+        assert quarantine.find(SERVICE, ('dead',), 12.0) is None
+
+
 NODES = [f'n{number}' for number in range(6)]
 
 
