--- a/balsamwind/relay/tests/test_rules.py
+++ b/balsamwind/relay/tests/test_rules.py
@@ -147,15 +147,16 @@
         self.configuration = self
         self.backends = self
         self.paths = relay.PathTable()
-        self.server_statements = forwarding.FakeRelay(
-            [], None, None
-        ).server_statements
+        fake_relay = forwarding.FakeRelay([], None, None)
+        self.crash_quarantine = fake_relay.crash_quarantine
+        self.held_bytes = fake_relay.held_bytes
+        self.server_statements = fake_relay.server_statements
         self.server_statements.rules.append(evacuations)
         self.backend = relay.Backend(
             ('llm', 'g', 1), pool.ServerRecord('e1', 'llm', 'x:1', 'z1'), 4
         )
         self.client = self
-        self.header_codec = forwarding.FakeRelay([], None, None).header_codec
+        self.header_codec = fake_relay.header_codec
         self.on_connect = lambda: None
         self.sent = False
 
