Find the blamed parts of a request once

find, find_obstacle and begin_trial each walked the parts of a request, found the series of their crashes and asked what explains them; before a send all three did. One method lists the parts that crashes blame, and the end of a quarantine is a property of the series.

--- a/balsamwind/relay/_crash_quarantine.py
+++ b/balsamwind/relay/_crash_quarantine.py
@@ -187,17 +187,8 @@
         -------
         Quarantine or None
         """
-        for part in parts:
-            suspect = self._suspects.get((service, part))
-            if suspect is None:
-                continue
-            series = suspect.find_series()
-            time_left = series.last_at + series.quarantine_time - now
-            if time_left > 0.0 and not self._is_explained(
-                service, part, parts
-            ):
-                return Quarantine(part, series.count, time_left)
-        return None
+        blamed = self._find_blamed(service, parts)
+        return _find_held(blamed, now)
 
     def find_obstacle(self, service, parts, now, trial=None):
         """Find why a request may not be sent, or not yet again.
@@ -217,17 +208,13 @@
         -------
         Quarantine or None
         """
-        found = self.find(service, parts, now)
-        if found is not None:
-            return found
-        for part, suspect, series in self._find_tried_again(
-            service, parts, now
-        ):
-            begins_at = (
-                series.last_at
-                + series.quarantine_time
-                + self.node_order.find_trial_delay(part, series.count)
-            )
+        blamed = self._find_blamed(service, parts)
+        held = _find_held(blamed, now)
+        if held is not None:
+            return held
+        for part, suspect, series in blamed:
+            begins_at = series.quarantine_ends_at
+            begins_at += self.node_order.find_trial_delay(part, series.count)
             if suspect.trial is not trial:
                 begins_at = max(begins_at, suspect.trial_ends_at)
             if begins_at > now:
@@ -242,31 +229,29 @@
         service, parts, trial, now
             As for `find_obstacle`.
         """
-        for _, suspect, _ in self._find_tried_again(service, parts, now):
-            suspect.trial = trial
-            suspect.trial_ends_at = now + _crash_suspects.MAX_TRIAL_TIME
+        for _, suspect, series in self._find_blamed(service, parts):
+            if series.quarantine_ends_at <= now:
+                suspect.trial = trial
+                suspect.trial_ends_at = now + _crash_suspects.MAX_TRIAL_TIME
 
-    def _find_tried_again(self, service, parts, now):
-        """Find parts whose quarantine is over, but nothing speaks for them.
+    def _find_blamed(self, service, parts):
+        """Find parts that are, or were, quarantined, and not cleared since.
 
         Returns
         -------
         list of (str, Suspect, CrashSeries)
         """
-        found = []
+        blamed = []
         for part in parts:
             suspect = self._suspects.get((service, part))
             if suspect is None:
                 continue
             series = suspect.find_series()
-            ended_at = series.last_at + series.quarantine_time
-            if (
-                series.quarantine_time > 0.0
-                and ended_at <= now
-                and not self._is_explained(service, part, parts)
+            if series.quarantine_time and not self._is_explained(
+                service, part, parts
             ):
-                found.append((part, suspect, series))
-        return found
+                blamed.append((part, suspect, series))
+        return blamed
 
     def _is_explained(self, service, suspected, parts):
         crashes = self._suspects[service, suspected].crashes.keys()
@@ -520,6 +505,15 @@
                 del self._suspects[key]
 
 
+def _find_held(blamed, now):
+    """Find the first part whose quarantine is not over; None if all are."""
+    for part, _, series in blamed:
+        time_left = series.quarantine_ends_at - now
+        if time_left > 0.0:
+            return Quarantine(part, series.count, time_left)
+    return None
+
+
 def _ignore(change):
     """Stand in until changes are logged."""
 
--- a/balsamwind/relay/_crash_suspects.py
+++ b/balsamwind/relay/_crash_suspects.py
@@ -109,6 +109,11 @@
             MAX_QUARANTINE_TIME,
         )
 
+    @property
+    def quarantine_ends_at(self):
+        """When the quarantine is over (seconds, boot clock)."""
+        return self.last_at + self.quarantine_time
+
     @property
     def severity(self):
         """Key for sorting: what the least is known against comes first."""
