--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -509,9 +509,12 @@
         """Watch whether the body of a request comes on."""
         self._body_receivers.add(receiver)
         if self._sweep_timer is None:
-            self._sweep_timer = asyncio.get_running_loop().call_later(
-                SWEEP_INTERVAL, self._sweep
-            )
+            self._start_sweep_timer()
+
+    def _start_sweep_timer(self):
+        self._sweep_timer = asyncio.get_running_loop().call_later(
+            SWEEP_INTERVAL, self._sweep
+        )
 
     def unwatch_body(self, receiver):
         """Stop to watch the body of a request."""
@@ -523,7 +526,7 @@
         for receiver in list(self._body_receivers):
             receiver.end_if_idle(now)
         if self._body_receivers:
-            self.watch_body(next(iter(self._body_receivers)))
+            self._start_sweep_timer()
 
     def discard_idle_receiver(self, receiver):
         """Remove a receiver from those that wait for a request.
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import functools
+import itertools
 import random
 import signal
 
@@ -435,15 +436,13 @@
         determines whom it subscribes to and how often it reads the leases, so
         that few nodes load the store.
         """
-        self.relay.set_node_count(sum(len(names) for names in nodes.values()))
+        all_nodes = list(itertools.chain.from_iterable(nodes.values()))
+        self.relay.set_node_count(len(all_nodes))
         self.relay.crash_quarantine.node_order.set_nodes(
-            self._settings.name,
-            (node.name for names in nodes.values() for node in names),
+            self._settings.name, (node.name for node in all_nodes)
         )
         self._limit_shares.set_nodes(nodes)
-        self._attempt_server.set_nodes(
-            node for registered in nodes.values() for node in registered
-        )
+        self._attempt_server.set_nodes(all_nodes)
         self._peer_selector.set_peers(
             relay.Peer(node.address, data_centre)
             for data_centre, registered in nodes.items()
--- a/balsamwind/relay/_crash_evidence.py
+++ b/balsamwind/relay/_crash_evidence.py
@@ -132,7 +132,8 @@
     crashes : tuple of str
         Crashes that it is cleared of.
     by_answer : bool
-        Whether an answer of this node shows it; else another node says so.
+        Whether answers that this node knows of show it; else another node
+        says so.
     """
 
     service: str
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -83,7 +83,7 @@
             How far the attempt had come.
         """
         now = self._clock.monotonic()
-        suspected = _find_suspected_names(parts, fingerprint, progress, now)
+        suspected = _list_suspected(parts, fingerprint, progress, now)
         self._start(self._confirm(backend.record, service, suspected, now))
 
     def watch_abandoned(self, backend, service, parts, fingerprint, progress):
@@ -98,7 +98,7 @@
             As for `report_broken_answer`.
         """
         now = self._clock.monotonic()
-        suspected = _find_suspected_names(parts, fingerprint, progress, now)
+        suspected = _list_suspected(parts, fingerprint, progress, now)
         key = (backend.record.server_id, backend.record.born)
         if key in self._abandoned:
             self._abandoned[key] += suspected
@@ -158,7 +158,7 @@
             else 'engine_crashed_on_prompt',
             engine=record.server_id,
             parts=list(parts),
-            suspected=_find_suspected(evidence),
+            suspected=_find_uncleared(evidence),
         )
         if evidence:
             self.on_evidence(evidence)
@@ -199,7 +199,7 @@
             task.cancel()
 
 
-def _find_suspected_names(parts, fingerprint, progress, now):
+def _list_suspected(parts, fingerprint, progress, now):
     """Return prompt parts, the fingerprint, and how long each had run."""
     suspected = []
     if parts and progress.began_at is not None:
@@ -208,7 +208,7 @@
     return suspected
 
 
-def _find_suspected(evidence):
+def _find_uncleared(evidence):
     """Return the parts of new reports that no answer clears (list of str)."""
     cleared = {item.part for item in evidence.sound}
     return [
