--- a/standins/pool/__init__.py
+++ b/standins/pool/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from standins.pool._deadly import DeadlyEnding
+from standins.pool._deadly import DeadlyRun
 from standins.pool._engine import Engine
 from standins.pool._platform import FakePlatform
 from standins.pool._store import RawJson
@@ -15,6 +16,7 @@
 
 __all__ = [
     'DeadlyEnding',
+    'DeadlyRun',
     'Engine',
     'FakePlatform',
     'RawJson',
--- a/standins/pool/_platform.py
+++ b/standins/pool/_platform.py
@@ -16,7 +16,7 @@
 from standins.pool import _trace
 
 CRASH_TIME = 1.0
-"""Time until a crashed engine has started again (seconds)."""
+"""Time until a crashed server has started again, by default (seconds)."""
 
 TICK_INTERVAL = 0.05
 """Interval at which heartbeats and groups are checked (seconds)."""
@@ -58,6 +58,10 @@
         When it does; by default as soon as it begins.
     deadly_bodies : set of bytes
         Bodies of requests under which each server crashes that runs them.
+    deadly_run : DeadlyRun
+        How a plain server does; by default without an answer.
+    crash_time : float
+        Time until a crashed server has started again (seconds).
     crashes : list of str
         Ids of the servers that crashed, in order.
     deadly_crashes : list of float
@@ -80,6 +84,8 @@
         self.deadly_parts = set()
         self.deadly_ending = _deadly.DeadlyEnding()
         self.deadly_bodies = set()
+        self.deadly_run = _deadly.DeadlyRun()
+        self.crash_time = CRASH_TIME
         self.deadly_arrivals = []
         self.crashes = []
         self.deadly_crashes = []
@@ -329,7 +335,7 @@
         self.crash_server(server)
 
     def crash_server(self, server):
-        """End the process of a server; it starts again after `CRASH_TIME`.
+        """End the process of a server; it starts again after `crash_time`.
 
         Meanwhile its port refuses connections.
 
@@ -350,7 +356,7 @@
 
     async def _restart_server(self, server):
         await self._listeners[server.server_id].close_all_connections()
-        await asyncio.sleep(CRASH_TIME)
+        await asyncio.sleep(self.crash_time)
         server.gone = False
         self._listen(server)
         server.restart()
--- a/standins/pool/_services.py
+++ b/standins/pool/_services.py
@@ -130,10 +130,10 @@
         )
         server.running += 1
         try:
-            await asyncio.sleep(server.processing_time)
             if self._platform.has_deadly_body(self.request):
-                self._platform.crash_on_request(server)
+                await self._end_server(server)
                 raise web.Finish
+            await asyncio.sleep(server.processing_time)
         finally:
             server.running -= 1
             self._platform.trace.end_run(run, 'whole')
@@ -143,4 +143,14 @@
         self.set_header('X-Balsamwind-Response-Stamp', server.server_id)
         return self.finish(f'{server.service} ran {request_id}')
 
+    async def _end_server(self, server):
+        """End the server under its request, however little it has sent."""
+        run = self._platform.deadly_run
+        await asyncio.sleep(run.draw_work_time())
+        stream = self.request.connection.stream
+        if run.head and not stream.closed():
+            stream.write(run.head)
+        await asyncio.sleep(run.draw_pause())
+        self._platform.crash_on_request(server)
+
     get = post
