Say why an end of a server is not counted

What callers saw: nothing by itself. On call could not tell, from logs and metrics, why nine of seventeen ends of servers were not put down to the request that caused them, nor whether repeats were paid for.

Cause: a failure blamed on the path led to no line at all, crash_not_shown did not say which of two things it meant, and lines about quarantined parts shared their rate limit with those of failed requests, of which hundreds were left out.

Change: end_not_counted names the reason and the request, with a rate limit of its own that the lines of parts share; balsamwind_server_ends_total counts unfinished answers by what their servers were found to do, and balsamwind_repeats_total and balsamwind_excess_runs_total count the sends of requests beyond the first by who paid. crash_not_shown is gone: its two cases are the reasons reached and own_path. No decision is changed.

--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -2,6 +2,7 @@
 
 import prometheus_client
 
+from balsamwind.node import _line_limit
 from balsamwind import relay
 
 MAX_LINES_PER_SECOND = 30.0
@@ -10,6 +11,13 @@
 MAX_BURST = 60.0
 """Capacity of the token bucket that limits these lines (count)."""
 
+MAX_EVIDENCE_LINES_PER_SECOND = 10.0
+"""Rate of the lines about ended servers and what is put down to requests
+(lines per second)."""
+
+MAX_EVIDENCE_BURST = 200.0
+"""Capacity of their token bucket (count)."""
+
 MAX_NAMED_SERVERS = 100
 """Servers whose unreadable headers are logged (count)."""
 
@@ -40,14 +48,16 @@
         '_clock',
         '_dropped_responses',
         '_durations',
+        '_evidence_lines',
+        '_excess_runs',
         '_failed_attempts',
-        '_refilled_at',
+        '_lines',
         '_rejections',
+        '_repeats',
         '_requested_pauses',
+        '_server_ends',
         '_silences',
         '_stream_ends',
-        '_suppressed_lines',
-        '_tokens',
         '_unreadable_from',
         '_waits',
         'log',
@@ -57,9 +67,17 @@
     def __init__(self, log, clock):
         self.log = log
         self._clock = clock
-        self._tokens = MAX_BURST
-        self._suppressed_lines = 0
-        self._refilled_at = clock.monotonic()
+        self._lines = _line_limit.LineLimit(
+            log, clock, MAX_LINES_PER_SECOND, MAX_BURST
+        )
+        # A crowd of failing requests must not hide what is known of its cause.
+        self._evidence_lines = _line_limit.LineLimit(
+            log,
+            clock,
+            MAX_EVIDENCE_LINES_PER_SECOND,
+            MAX_EVIDENCE_BURST,
+            'evidence_lines_left_out',
+        )
         self.metrics_registry = prometheus_client.CollectorRegistry()
         self._answers = prometheus_client.Counter(
             'balsamwind_answers',
@@ -121,6 +139,24 @@
             ('reason',),
             registry=self.metrics_registry,
         )
+        self._server_ends = prometheus_client.Counter(
+            'balsamwind_server_ends',
+            'Unfinished answers, by what their servers were found to do then.',
+            ('service', 'verdict'),
+            registry=self.metrics_registry,
+        )
+        self._repeats = prometheus_client.Counter(
+            'balsamwind_repeats',
+            'Sends of requests beyond the first, and refusals of such sends.',
+            ('service', 'payment'),
+            registry=self.metrics_registry,
+        )
+        self._excess_runs = prometheus_client.Counter(
+            'balsamwind_excess_runs',
+            'Requests that may have run more often than their route allows.',
+            ('service',),
+            registry=self.metrics_registry,
+        )
 
     def record_unread_request(self, error):
         """Record a request that was rejected before its body was read.
@@ -131,7 +167,7 @@
             Why it was rejected.
         """
         self._answers.labels(error.code).inc()
-        if self._take_token():
+        if self._lines.take():
             self.log.info(
                 'request_not_read', outcome=error.code, reason=error.message
             )
@@ -163,7 +199,7 @@
             'started', 'rejected' or 'caller_gone'.
         """
         self._waits.labels(rank).observe(wait)
-        if self._take_token():
+        if self._lines.take():
             self.log.info(
                 'request_waited',
                 id=request_id,
@@ -190,7 +226,7 @@
         duration = self._clock.monotonic() - request.received_at
         self._answers.labels(outcome).inc()
         self._durations.labels(outcome).observe(duration)
-        if outcome == 'ok' or not self._take_token():
+        if outcome == 'ok' or not self._lines.take():
             return
         self.log.info(
             'request_ended',
@@ -221,7 +257,7 @@
             off.
         """
         self._failed_attempts.labels(failure.error.code).inc()
-        if not self._take_token():
+        if not self._lines.take():
             return
         self.log.info(
             'attempt_failed',
@@ -250,7 +286,7 @@
             Why no other attempt is made beside it; empty if one is.
         """
         self._silences.labels(obstacle or 'none').inc()
-        if self._take_token():
+        if self._lines.take():
             self.log.info(
                 'attempt_silent',
                 id=metadata.request_id,
@@ -274,7 +310,7 @@
             case relay.PartCleared(service, part, crashes, by_answer):
                 event = 'part_cleared'
                 values = {'by_answer': by_answer}
-        if self._take_token():
+        if self._evidence_lines.take():
             self.log.warning(
                 event,
                 service=service,
@@ -283,6 +319,47 @@
                 **values,
             )
 
+    def record_server_end(self, record, verdict, parts):
+        """Record what a server was found to do after an unfinished answer.
+
+        Parameters
+        ----------
+        record : balsamwind.pool.ServerRecord
+            Entry of the server.
+        verdict : balsamwind.relay.EndVerdict
+            What was found.
+        parts : tuple of str
+            Prompt parts, or the fingerprint, of the request.
+        """
+        self._server_ends.labels(record.service, verdict.value).inc()
+        if verdict.is_shown:
+            return
+        lines = self._evidence_lines if verdict.is_doubtful else self._lines
+        if lines.take():
+            self.log.info(
+                'end_not_counted',
+                engine=record.server_id,
+                service=record.service,
+                reason=verdict.value,
+                parts=list(parts),
+            )
+
+    def record_repeats(self, service, repeats):
+        """Count the sends of one request beyond the first.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        repeats : balsamwind.relay.Repeats
+            How often it was sent, and who paid.
+        """
+        for payment, count in repeats.by_payment.items():
+            if count:
+                self._repeats.labels(service, payment).inc(count)
+        if repeats.is_excess:
+            self._excess_runs.labels(service).inc()
+
     def record_stream_end(
         self, request_id, backend, framing, unfinished_bytes
     ):
@@ -301,7 +378,7 @@
         """
         inside_event = 'yes' if unfinished_bytes else 'no'
         self._stream_ends.labels(framing, inside_event).inc()
-        if not unfinished_bytes or not self._take_token():
+        if not unfinished_bytes or not self._lines.take():
             return
         self.log.info(
             'stream_ended_inside_event',
@@ -324,7 +401,7 @@
         """
         reason = 'no_id' if is_doubtful else 'other_request'
         self._dropped_responses.labels(reason).inc()
-        if self._take_token():
+        if self._lines.take():
             self.log.info('response_dropped', server=endpoint, reason=reason)
 
     def record_requested_pause(self, backend, pause):
@@ -338,7 +415,7 @@
             Time that it asked for (seconds).
         """
         self._requested_pauses.inc()
-        if self._take_token():
+        if self._lines.take():
             self.log.info(
                 'pause_requested',
                 server=backend.record.server_id,
@@ -358,7 +435,7 @@
         seconds : float
             Time for which it counts as cold (seconds).
         """
-        if self._take_token():
+        if self._lines.take():
             self.log.info(
                 'server_cold',
                 server=record.server_id,
@@ -377,7 +454,7 @@
         seconds : float
             Time since it started or recovered (seconds).
         """
-        if self._take_token():
+        if self._lines.take():
             self.log.info(
                 'server_ramp_ended',
                 place=':'.join(str(part) for part in backend.key),
@@ -404,22 +481,6 @@
                 'headers_unreadable', server=server_id, names=list(names)
             )
 
-    def _take_token(self):
-        now = self._clock.monotonic()
-        self._tokens = min(
-            MAX_BURST,
-            self._tokens + (now - self._refilled_at) * MAX_LINES_PER_SECOND,
-        )
-        self._refilled_at = now
-        if self._tokens < 1.0:
-            self._suppressed_lines += 1
-            return False
-        self._tokens -= 1.0
-        if self._suppressed_lines:
-            self.log.info('lines_left_out', count=self._suppressed_lines)
-            self._suppressed_lines = 0
-        return True
-
 
 def _describe_progress(metadata, progress, now):
     """Make the log fields that tell which of several requests was at fault."""
--- a/balsamwind/node/tests/test_request_log.py
+++ b/balsamwind/node/tests/test_request_log.py
@@ -7,6 +7,7 @@
 from balsamwind import exceptions
 from balsamwind.node import _request_log
 from balsamwind.node.tests import doubles
+from balsamwind import pool
 from balsamwind import relay
 from balsamwind.relay import _attempts
 
@@ -180,3 +181,71 @@
         'balsamwind_answers_total', {'outcome': 'no_memory'}
     )
     assert count == 1.0
+
+
+def test_crowd_of_failed_requests_hid_an_end_that_was_not_counted():
+    request_log, rows = _run_requests(4 * USUAL_RATE, 30.0)
+    request_log.record_server_end(
+        pool.ServerRecord('e1', 'llm', '127.0.0.1:1', 'z1'),
+        relay.EndVerdict.OWN_PATH,
+        ('request:1',),
+    )
+    event, fields = rows[-1]
+    assert event == 'end_not_counted'
+    assert fields['reason'] == 'own_path'
+    assert fields['parts'] == ['request:1']
+
+
+def _read_metric(request_log, name, **labels):
+    return request_log.metrics_registry.get_sample_value(name, labels)
+
+
+@pytest.mark.parametrize('verdict', list(relay.EndVerdict))
+def test_unfinished_answers_are_counted_by_what_their_servers_did(verdict):
+    request_log, _ = _run_requests(1.0, 0.0)
+    record = pool.ServerRecord('e1', 'llm', '127.0.0.1:1', 'z1')
+    request_log.record_server_end(record, verdict, ('request:1',))
+    assert (
+        _read_metric(
+            request_log,
+            'balsamwind_server_ends_total',
+            service='llm',
+            verdict=verdict.value,
+        )
+        == 1.0
+    )
+
+
+@pytest.mark.parametrize(
+    ('repeats', 'expected', 'excess'),
+    [
+        pytest.param(relay.Repeats(), {}, None, id='not sent'),
+        pytest.param(relay.Repeats(1, runs=1), {}, None, id='once'),
+        pytest.param(
+            relay.Repeats(3, 1, runs=2, max_runs=2),
+            {'paid': 1, 'unpaid': 1},
+            None,
+            id='one was not paid for',
+        ),
+        pytest.param(
+            relay.Repeats(2, 1, 1, runs=2),
+            {'paid': 1, 'refused': 1},
+            1.0,
+            id='more runs than allowed',
+        ),
+    ],
+)
+def test_repeats_are_counted_by_who_paid(repeats, expected, excess):
+    request_log, _ = _run_requests(1.0, 0.0)
+    request_log.record_repeats('llm', repeats)
+    for payment in ('paid', 'unpaid', 'refused'):
+        value = _read_metric(
+            request_log,
+            'balsamwind_repeats_total',
+            service='llm',
+            payment=payment,
+        )
+        assert value == expected.get(payment)
+    assert excess == _read_metric(
+        request_log, 'balsamwind_excess_runs_total', service='llm'
+    )
--- a/balsamwind/relay/__init__.py
+++ b/balsamwind/relay/__init__.py
@@ -19,6 +19,7 @@
 from balsamwind.relay._carried_attempts import ReachReply
 from balsamwind.relay._crash_evidence import CrashEvidence
 from balsamwind.relay._crash_evidence import CrashReport
+from balsamwind.relay._crash_evidence import EndVerdict
 from balsamwind.relay._crash_evidence import PartCleared
 from balsamwind.relay._crash_evidence import QuarantineBegun
 from balsamwind.relay._crash_evidence import SoundPart
@@ -51,6 +52,7 @@
 from balsamwind.relay._quiet_servers import QuietServers
 from balsamwind.relay._relay import IncomingRequest
 from balsamwind.relay._relay import Relay
+from balsamwind.relay._repeats import Repeats
 from balsamwind.relay._retry_budget import RetryBudget
 from balsamwind.relay._server_limits import ServerLimits
 from balsamwind.relay._server_limits import StatedLimit
@@ -73,6 +75,7 @@
     'CrashQuarantine',
     'CrashReport',
     'DemandMeter',
+    'EndVerdict',
     'ForwardedMetadata',
     'IncomingRequest',
     'MAX_PAUSE',
@@ -100,6 +103,7 @@
     'Relay',
     'ReportedLoad',
     'RequestMetadata',
+    'Repeats',
     'RequestRequirements',
     'ResponseMetadata',
     'RetryBudget',
--- a/balsamwind/relay/_crash_evidence.py
+++ b/balsamwind/relay/_crash_evidence.py
@@ -1,6 +1,42 @@
 """Evidence of crashes that nodes share."""
 
 import dataclasses
+import enum
+
+
+class EndVerdict(enum.Enum):
+    """What a server was found to do after an answer that was not finished.
+
+    Attributes
+    ----------
+    ENDED
+        It has ended, which is evidence.
+    LISTENS
+        It accepts connections.
+    SILENT
+        It neither accepts nor refuses them.
+    REACHED
+        It refuses connections of this node, but not those of others.
+    OWN_PATH
+        It refuses connections of this node, which reaches no other server of
+        the service.
+    """
+
+    ENDED = 'ended'
+    LISTENS = 'listens'
+    SILENT = 'silent'
+    REACHED = 'reached'
+    OWN_PATH = 'own_path'
+
+    @property
+    def is_shown(self):
+        """Whether it is shown that the server has ended."""
+        return self is EndVerdict.ENDED
+
+    @property
+    def is_doubtful(self):
+        """Whether the server may have ended although it is not shown."""
+        return self in (EndVerdict.REACHED, EndVerdict.OWN_PATH)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from balsamwind import exceptions
+from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _fingerprint
 
 CONFIRMATION_TIMEOUT = 0.35
@@ -31,14 +33,17 @@
         Monotonic clock.
     log : structlog logger
         Logger of the node.
-    confirm_refusal : callable
+    judge_refusal : callable
         Coroutine function that takes the entry of a server that refuses
-        connections, and returns whether that is the server's doing.
+        connections of this node, and returns the `EndVerdict`.
 
     Attributes
     ----------
     on_evidence : callable
         Called with the `CrashEvidence` that other nodes must know.
+    on_verdict : callable
+        Called with the entry of a server that did not finish an answer, the
+        `EndVerdict`, and the parts or fingerprint of the request.
     """
 
     __slots__ = (
@@ -46,23 +51,25 @@
         '_checks',
         '_client',
         '_clock',
-        '_confirm_refusal',
+        '_judge_refusal',
         '_log',
         '_quarantine',
         '_tasks',
         'on_evidence',
+        'on_verdict',
     )
 
-    def __init__(self, quarantine, client, clock, log, confirm_refusal):
+    def __init__(self, quarantine, client, clock, log, judge_refusal):
         self._quarantine = quarantine
         self._client = client
         self._clock = clock
         self._log = log
-        self._confirm_refusal = confirm_refusal
+        self._judge_refusal = judge_refusal
         self._tasks = set()
         self._checks = {}
         self._abandoned = {}
         self.on_evidence = _ignore
+        self.on_verdict = _ignore
 
     def report_broken_answer(
         self, backend, service, parts, fingerprint, progress
@@ -121,12 +128,13 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _confirm(self, record, service, suspected, broken_at):
-        if not await self._has_crashed(record):
-            return
+        verdict = await self._find_verdict(record)
         for names, duration in suspected:
-            self._record(record, service, names, duration, broken_at)
+            self.on_verdict(record, verdict, names)
+            if verdict.is_shown:
+                self._record(record, service, names, duration, broken_at)
 
-    async def _has_crashed(self, record):
+    async def _find_verdict(self, record):
         """Find out once for all answers that one server has broken off."""
         key = (record.server_id, record.born)
         check = self._checks.get(key)
@@ -137,14 +145,15 @@
         return await asyncio.shield(check)
 
     async def _check(self, record):
-        if not await self._client.is_refused(
+        error = await self._client.try_connecting(
             record.address, CONFIRMATION_TIMEOUT
-        ):
-            return False
-        if await self._confirm_refusal(record):
-            return True
-        self._log.info('crash_not_shown', engine=record.server_id)
-        return False
+        )
+        match error:
+            case None:
+                return _crash_evidence.EndVerdict.LISTENS
+            case exceptions.ConnectionRefused():
+                return await self._judge_refusal(record)
+        return _crash_evidence.EndVerdict.SILENT
 
     def _record(self, record, service, parts, duration, broken_at):
         crash = f'{record.server_id}:{record.born}'
@@ -219,5 +228,5 @@
     ]
 
 
-def _ignore(evidence):
-    """Stand in until the evidence is shared."""
+def _ignore(*values):
+    """Stand in until the evidence is shared and logged."""
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -12,6 +12,7 @@
 from balsamwind.relay import _attempt_run
 from balsamwind.relay import _attempts
 from balsamwind.relay import _quarantine_gate
+from balsamwind.relay import _repeats
 from balsamwind.relay import _response_relay
 
 MAX_UNRUN_ATTEMPTS = 4
@@ -44,6 +45,7 @@
         '_next_succession_at',
         '_possible_runs',
         '_relay',
+        '_repeats',
         '_response',
         '_retry_budget',
         '_running',
@@ -60,6 +62,7 @@
         self._gate = _quarantine_gate.QuarantineGate(forwarded)
         self._retry_budget = relay.get_retry_budget(forwarded.service.name)
         self._has_paid_retry = False
+        self._repeats = _repeats.Repeats()
         self._possible_runs = 0
         self._unrun_attempts = 0
         self._ambiguous_failure = None
@@ -125,6 +128,7 @@
                     continue
             finally:
                 await self._end_attempts()
+                self._record_repeats()
 
     async def _advance(self):
         """Wait for a change of an attempt, and do what it calls for.
@@ -167,7 +171,7 @@
     def _handle_end(self, attempt, task):
         """Take over the outcome of an attempt; tell whether it was relayed."""
         del self._running[attempt]
-        self._keep_payment(attempt)
+        self._settle_attempt(attempt)
         try:
             failure = task.result()
         except exceptions.NoCapacity as error:
@@ -175,6 +179,7 @@
             return False
         if failure is None:
             self._record_answer(attempt)
+            self._possible_runs += 1
             return True
         self._record_failure(attempt, failure)
         if self._running:
@@ -185,8 +190,16 @@
         self._start_attempt(is_paid=failure.sent)
         return False
 
-    def _keep_payment(self, attempt):
-        """Keep what was paid for an attempt that has reached no server."""
+    def _record_repeats(self):
+        self._repeats.runs = self._possible_runs
+        self._repeats.max_runs = self._forwarded.route.max_attempts
+        self._relay.request_log.record_repeats(
+            self._forwarded.service.name, self._repeats
+        )
+
+    def _settle_attempt(self, attempt):
+        """Count an ended attempt; keep the payment if it reached no server."""
+        self._repeats.record_attempt(attempt.may_be_sent, attempt.is_paid)
         if attempt.is_paid and not attempt.may_be_sent:
             self._has_paid_retry = True
 
@@ -253,7 +266,10 @@
         if self._has_paid_retry:
             self._has_paid_retry = False
             return True
-        return self._retry_budget.try_consume(self._relay.clock.monotonic())
+        if self._retry_budget.try_consume(self._relay.clock.monotonic()):
+            return True
+        self._repeats.refused = 1
+        return False
 
     def _log_silence(self, obstacle):
         for attempt in self._running:
@@ -286,7 +302,7 @@
             if attempt is winner:
                 continue
             del self._running[attempt]
-            self._keep_payment(attempt)
+            self._settle_attempt(attempt)
             self._ending.add(task)
             task.add_done_callback(self._ending.discard)
             task.cancel()
@@ -304,6 +320,8 @@
     async def _end_attempts(self):
         for attempt in self._running:
             self._watch_abandoned(attempt)
+            self._settle_attempt(attempt)
+            self._possible_runs += attempt.may_be_sent
         tasks = {*self._running.values(), *self._ending}
         for task in tasks:
             task.cancel()
@@ -354,6 +372,8 @@
             self._ambiguous_failure = failure
         if failure.fault is _attempts.Fault.SERVER:
             self._blame_server(attempt, failure)
+        elif failure.fault is _attempts.Fault.PATH and failure.broken_off:
+            self._gate.pass_over_broken_answer(attempt.backend)
         self._log_failed_attempt(attempt, failure)
 
     def _blame_server(self, attempt, failure):
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -10,6 +10,7 @@
 from balsamwind.relay import _attempt_sender
 from balsamwind.relay import _backend_selection
 from balsamwind.relay import _carried_attempts
+from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _crash_quarantine
 from balsamwind.relay import _crash_reporter
 from balsamwind.relay import _forwarded_request
@@ -184,8 +185,9 @@
             client,
             clock,
             request_log.log,
-            self._confirm_refusal,
+            self._judge_refusal,
         )
+        self.crash_reporter.on_verdict = request_log.record_server_end
         self.start_wait = _start_wait.StartWait(clock, request_log.log)
         self.is_starting = self._lacks_configuration
         self.homes = traffic.Homes({})
@@ -204,18 +206,19 @@
         """Stand in where no path is probed."""
         return self.paths.is_open(service)
 
-    async def _confirm_refusal(self, record):
+    async def _judge_refusal(self, record):
         """Find whether a server refuses connections of all nodes.
 
         Returns
         -------
-        bool
-            Whether this node reaches others, and no other node reaches it.
+        EndVerdict
         """
         if not await self.settle_path(record.service):
-            return False
+            return _crash_evidence.EndVerdict.OWN_PATH
         reach = await self.peers.ask(record, wants_report=False)
-        return reach is not _carried_attempts.Reach.ANSWERS
+        if reach is _carried_attempts.Reach.ANSWERS:
+            return _crash_evidence.EndVerdict.REACHED
+        return _crash_evidence.EndVerdict.ENDED
 
     def set_bounds(self, bounds):
         """Replace the limits, also of the retry budgets in use.
--- a/balsamwind/relay/tests/forwarding.py
+++ b/balsamwind/relay/tests/forwarding.py
@@ -121,6 +121,12 @@
 
 
 class _Log:
+    def record_server_end(self, record, verdict, parts):
+        pass
+
+    def record_repeats(self, service, repeats):
+        pass
+
     def record_failed_attempt(
         self, metadata, backend, failure, progress, fingerprint
     ):
--- a/balsamwind/relay/tests/test_crash_reporter.py
+++ b/balsamwind/relay/tests/test_crash_reporter.py
@@ -39,15 +39,19 @@
 def _report(
     open_port, began=True, parts=PARTS, writing=0.0, is_confirmed=True
 ):
-    async def confirm_refusal(record):
-        return is_confirmed
+    async def judge_refusal(record):
+        return (
+            relay.EndVerdict.ENDED
+            if is_confirmed
+            else relay.EndVerdict.REACHED
+        )
 
     async def scenario():
         client = adapters.HttpClient()
         quarantine = relay.CrashQuarantine('z1')
         clock = forwarding.Clock()
         reporter = _crash_reporter.CrashReporter(
-            quarantine, client, clock, _Log(), confirm_refusal
+            quarantine, client, clock, _Log(), judge_refusal
         )
         news = []
         reporter.on_evidence = news.append
@@ -119,14 +123,14 @@
 ):
     monkeypatch.setattr(_crash_reporter, 'ABANDONED_CHECK_DELAY', 0.1)
 
-    async def confirm_refusal(record):
-        return True
+    async def judge_refusal(record):
+        return relay.EndVerdict.ENDED
 
     async def scenario():
         client = adapters.HttpClient()
         clock = forwarding.Clock()
         reporter = _crash_reporter.CrashReporter(
-            relay.CrashQuarantine('z1'), client, clock, _Log(), confirm_refusal
+            relay.CrashQuarantine('z1'), client, clock, _Log(), judge_refusal
         )
         news = []
         reporter.on_evidence = news.append
--- a/balsamwind/relay/tests/test_reload.py
+++ b/balsamwind/relay/tests/test_reload.py
@@ -18,7 +18,10 @@
 
 async def _make_relay():
     log = types.SimpleNamespace(
-        log=None, record_rejection=None, record_quarantine=None
+        log=None,
+        record_rejection=None,
+        record_quarantine=None,
+        record_server_end=None,
     )
     clock = forwarding.Clock()
     made = relay.Relay('z1', BOUNDS, None, None, None, None, clock, log)
--- a/build_tools/tests/ended_servers.py
+++ b/build_tools/tests/ended_servers.py
@@ -8,7 +8,6 @@
 import contextlib
 import dataclasses
 import json
-import os
 import random
 import signal
 import time
