Judge a refusal by what other nodes find

What callers saw: one request, repeated with new ids, ended server after server of a small service; with it went the payouts and balances of everybody else.

Cause: servers that have ended refuse connections. Probes of the path found no other server that accepts one, so the node took its own path for lost, a failed attempt was blamed on the path, and its end led to no evidence: the more servers a request ended, the less it was blamed. The witnesses that could have told the two apart were not asked, gave no opinion where they saw the same, or were left out as they had carried nothing. Class: evidence is thrown away by a state that the fault itself brings about.

Evidence: test_ended_servers.py, real nodes before one and three servers.

Ruled out: a longer check or more retries of the probes, as the servers stay away for seconds. Blaming each refusal: a path may be cut by refusals, too.

Change: the state of the own path no longer decides. A broken-off answer is always looked into. Where this node reaches no other server, up to eight nodes are asked, also such that reach none either: one that reaches the server refutes, half of them that are refused confirm, else the end is not counted and end_not_counted says no_witness.

--- a/balsamwind/node/_reach_witness.py
+++ b/balsamwind/node/_reach_witness.py
@@ -10,7 +10,8 @@
 class ReachWitness:
     """Answers the questions of other nodes.
 
-    A node that reaches no server at all is no witness.
+    A node that reaches no server at all is no witness, unless it is asked
+    for refusals on any path.
 
     Parameters
     ----------
@@ -45,6 +46,8 @@
         record = self._registry.get(query.server_id)
         if record is None or record.born != query.born:
             return relay.Reach.UNKNOWN
+        if query.on_any_path:
+            return await self._try_connecting(record)
         paths = self._relay.paths
         if not paths.is_open(query.service):
             return relay.Reach.UNKNOWN
@@ -60,6 +63,9 @@
     async def _try(self, record, wants_report):
         if wants_report:
             return await self._try_report(record)
+        return await self._try_connecting(record)
+
+    async def _try_connecting(self, record):
         error = await self._relay.client.try_connecting(
             record.address, TIMEOUT
         )
--- a/balsamwind/node/tests/test_request_log.py
+++ b/balsamwind/node/tests/test_request_log.py
@@ -187,12 +187,12 @@
     request_log, rows = _run_requests(4 * USUAL_RATE, 30.0)
     request_log.record_server_end(
         pool.ServerRecord('e1', 'llm', '127.0.0.1:1', 'z1'),
-        relay.EndVerdict.OWN_PATH,
+        relay.EndVerdict.NO_WITNESS,
         ('request:1',),
     )
     event, fields = rows[-1]
     assert event == 'end_not_counted'
-    assert fields['reason'] == 'own_path'
+    assert fields['reason'] == 'no_witness'
     assert fields['parts'] == ['request:1']
 
 
--- a/balsamwind/relay/_attempt_sender.py
+++ b/balsamwind/relay/_attempt_sender.py
@@ -25,6 +25,10 @@
         """Return no opinions: there is no node to ask."""
         return {}
 
+    async def find_refusals(self, record, count):
+        """Return no opinions: there is no node to ask."""
+        return []
+
     def count_witnesses(self, service):
         """Return 0: there is no node to ask."""
         return 0
--- a/balsamwind/relay/_carried_attempts.py
+++ b/balsamwind/relay/_carried_attempts.py
@@ -175,7 +175,8 @@
     ANSWERS
         The server answers it.
     REFUSES
-        The server refuses connections, while others accept them.
+        The server refuses connections, while others accept them, unless the
+        query asks for a refusal on any path.
     SILENT
         The server does not answer, while others do.
     UNKNOWN
@@ -223,12 +224,15 @@
     wants_report : bool
         Whether the engine must report on itself; otherwise it is enough that
         it accepts a connection.
+    on_any_path : bool
+        Whether a refusal counts although the node reaches no other server.
     """
 
     service: str
     server_id: str
     born: int
     wants_report: bool = False
+    on_any_path: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/relay/_crash_evidence.py
+++ b/balsamwind/relay/_crash_evidence.py
@@ -17,16 +17,16 @@
         It neither accepts nor refuses them.
     REACHED
         It refuses connections of this node, but not those of others.
-    OWN_PATH
+    NO_WITNESS
         It refuses connections of this node, which reaches no other server of
-        the service.
+        the service, and too few other nodes could say more.
     """
 
     ENDED = 'ended'
     LISTENS = 'listens'
     SILENT = 'silent'
     REACHED = 'reached'
-    OWN_PATH = 'own_path'
+    NO_WITNESS = 'no_witness'
 
     @property
     def is_shown(self):
@@ -36,7 +36,7 @@
     @property
     def is_doubtful(self):
         """Whether the server may have ended although it is not shown."""
-        return self in (EndVerdict.REACHED, EndVerdict.OWN_PATH)
+        return self in (EndVerdict.REACHED, EndVerdict.NO_WITNESS)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -20,8 +20,7 @@
 
     A broken connection alone proves no crash: links are reset, and engines
     break off single answers. The port of an engine that has crashed refuses
-    connections. So do all ports where this node has lost its path, which says
-    nothing of any engine.
+    connections, of all nodes.
 
     Parameters
     ----------
@@ -166,6 +165,7 @@
             if _fingerprint.is_fingerprint(parts[0])
             else 'engine_crashed_on_prompt',
             engine=record.server_id,
+            crash=crash,
             parts=list(parts),
             suspected=_find_uncleared(evidence),
         )
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -372,8 +372,10 @@
             self._ambiguous_failure = failure
         if failure.fault is _attempts.Fault.SERVER:
             self._blame_server(attempt, failure)
-        elif failure.fault is _attempts.Fault.PATH and failure.broken_off:
-            self._gate.pass_over_broken_answer(attempt.backend)
+        # Ended servers may look like a lost path; the report tells them apart.
+        # A node that carried the attempt reports what it saw itself.
+        if failure.broken_off and not attempt.through_peer:
+            self._gate.report_broken_answer(attempt.backend, attempt.progress)
         self._log_failed_attempt(attempt, failure)
 
     def _blame_server(self, attempt, failure):
@@ -387,9 +389,6 @@
             backend.record_stall(now)
         elif failure.counts_for_ejection:
             backend.record_failure(now)
-        # A node that carried the attempt reports what it saw itself.
-        if failure.broken_off and not attempt.through_peer:
-            self._gate.report_broken_answer(backend, attempt.progress)
 
     def _log_failed_attempt(self, attempt, failure):
         self._relay.request_log.record_failed_attempt(
--- a/balsamwind/relay/_peer_selection.py
+++ b/balsamwind/relay/_peer_selection.py
@@ -163,6 +163,20 @@
         chosen.sort(key=lambda peer: peer.address in asked)
         return chosen[:count]
 
+    def choose_any(self, count):
+        """Choose nodes, also those that lately did not reach a service.
+
+        Parameters
+        ----------
+        count : int
+            Nodes at most (count).
+
+        Returns
+        -------
+        list of Peer
+        """
+        return self._rng.sample(self._peers, min(count, len(self._peers)))
+
     def count_usable(self, service, now):
         """Count the nodes that are not passed over for a service.
 
--- a/balsamwind/relay/_peer_service.py
+++ b/balsamwind/relay/_peer_service.py
@@ -148,6 +148,47 @@
                 break
         return opinions
 
+    async def find_refusals(self, record, count):
+        """Ask other nodes whether a server refuses their connections, too.
+
+        Nodes that reach no server of the service are asked as well, as the
+        servers may all have ended.
+
+        Parameters
+        ----------
+        record : balsamwind.pool.ServerRecord
+            Entry of the server.
+        count : int
+            Nodes at most (count).
+
+        Returns
+        -------
+        list of Reach
+            One for each node that was asked, UNKNOWN if it gave no reply; a
+            node that reaches the server comes last, and ends the search.
+        """
+        query = _carried_attempts.ReachQuery(
+            record.service, record.server_id, record.born, on_any_path=True
+        )
+        witnesses = self._selector.choose_any(count)
+        opinions = []
+        for first in range(0, len(witnesses), WITNESS_COUNT):
+            opinions += await asyncio.gather(
+                *(
+                    self._find_refusal(peer.address, query)
+                    for peer in witnesses[first : first + WITNESS_COUNT]
+                )
+            )
+            if _carried_attempts.Reach.ANSWERS in opinions:
+                break
+        return opinions
+
+    async def _find_refusal(self, address, query):
+        try:
+            return await self._client.ask(address, query)
+        except exceptions.PeerUnavailable:
+            return _carried_attempts.Reach.UNKNOWN
+
     def count_witnesses(self, service):
         """Count the nodes that may be asked about servers of a service."""
         return self._selector.count_usable(service, self._clock.monotonic())
--- a/balsamwind/relay/_quarantine_gate.py
+++ b/balsamwind/relay/_quarantine_gate.py
@@ -1,7 +1,6 @@
 """What the quarantine of parts means for one request."""
 
 from balsamwind import exceptions
-from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _fingerprint
 
 
@@ -130,20 +129,6 @@
             progress,
         )
 
-    def pass_over_broken_answer(self, backend):
-        """Log that a broken-off answer is not put down to its server.
-
-        Parameters
-        ----------
-        backend : Backend
-            Backend that the request was sent to.
-        """
-        self._reporter.on_verdict(
-            backend.record,
-            _crash_evidence.EndVerdict.OWN_PATH,
-            (self._forwarded.make_fingerprint(),),
-        )
-
     def watch_abandoned(self, backend, progress):
         """Report if a server crashes soon after an attempt was given up.
 
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -9,8 +9,6 @@
 from balsamwind import exceptions
 from balsamwind.relay import _attempt_sender
 from balsamwind.relay import _backend_selection
-from balsamwind.relay import _carried_attempts
-from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _crash_quarantine
 from balsamwind.relay import _crash_reporter
 from balsamwind.relay import _forwarded_request
@@ -18,6 +16,7 @@
 from balsamwind.relay import _model_demand
 from balsamwind.relay import _paths
 from balsamwind.relay import _placement
+from balsamwind.relay import _refusals
 from balsamwind.relay import _retry_budget
 from balsamwind.relay import _server_statements
 from balsamwind.relay import _start_wait
@@ -213,12 +212,14 @@
         -------
         EndVerdict
         """
-        if not await self.settle_path(record.service):
-            return _crash_evidence.EndVerdict.OWN_PATH
-        reach = await self.peers.ask(record, wants_report=False)
-        if reach is _carried_attempts.Reach.ANSWERS:
-            return _crash_evidence.EndVerdict.REACHED
-        return _crash_evidence.EndVerdict.ENDED
+        is_path_open = await self.settle_path(record.service)
+        if is_path_open:
+            opinions = [await self.peers.ask(record, wants_report=False)]
+        else:
+            opinions = await self.peers.find_refusals(
+                record, _refusals.MAX_WITNESSES
+            )
+        return _refusals.judge_refusal(is_path_open, opinions)
 
     def set_bounds(self, bounds):
         """Replace the limits, also of the retry budgets in use.
--- a/build_tools/tests/ended_servers.py
+++ b/build_tools/tests/ended_servers.py
@@ -12,6 +12,8 @@
 import signal
 import time
 
+from balsamwind import relay
+from balsamwind.relay import _fingerprint
 from build_tools.pool_soak import _fleet
 from build_tools.pool_soak import _traffic
 from standins import pool as pool_standin
@@ -27,6 +29,8 @@
 
 SERVICE = 'ledger'
 
+ACCOUNT = 'acme'
+
 REPLACEMENT_TIME = 2.5
 """Time from the end of a server until another takes its place (seconds)."""
 
@@ -41,6 +45,10 @@
 
 UNSIGNED_HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 9000\r\n\r\n'
 
+SETTLING_TIME = 2.0
+"""Time after the last deadly request in which its end becomes known
+(seconds)."""
+
 START_TIMEOUT = 20.0
 """Time within which all nodes must serve after the start (seconds)."""
 
@@ -91,6 +99,8 @@
 
     Parameters
     ----------
+    path : str
+        Path of the deadly request.
     arrivals : list of float
         When deadly requests began to run (seconds, monotonic clock).
     ends : list of float
@@ -103,6 +113,7 @@
         Metrics of each node that lives at the end, by its name.
     """
 
+    path: str
     arrivals: list[float]
     ends: list[float]
     sound: dict[str, int]
@@ -117,6 +128,22 @@
         noticed_at = self.ends[2] + NOTICE_TIME
         return sum(at > noticed_at for at in self.arrivals)
 
+    @property
+    def known_ends(self):
+        """Ends that any node has put down to the deadly request (count)."""
+        request = relay.IncomingRequest(
+            'POST', self.path, _traffic.HOST, None, DEADLY, 0.0
+        )
+        fingerprint = _fingerprint.make_fingerprint(request, ACCOUNT)
+        return len(
+            {
+                line['crash']
+                for line in self.lines
+                if line.get('event') == 'engine_crashed_on_request'
+                and fingerprint in line['parts']
+            }
+        )
+
     def count_lines(self):
         """Count the log lines by their events (dict of str to int)."""
         counts = {}
@@ -176,6 +203,8 @@
         if self._scenario.store_cut:
             tasks.append(asyncio.ensure_future(self._cut_store()))
         await asyncio.sleep(self._scenario.seconds)
+        tasks[0].cancel()
+        await asyncio.sleep(SETTLING_TIME)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -228,7 +257,7 @@
 
 def _make_configuration():
     return _traffic.make_configuration(
-        1, {'acme': ['key-a']}, route_timeout=ROUTE_TIMEOUT
+        1, {ACCOUNT: ['key-a']}, route_timeout=ROUTE_TIMEOUT
     )
 
 
@@ -330,6 +359,7 @@
         await run.run()
         metrics = {node.name: await _fetch_metrics(node) for node in nodes}
         return Outcome(
+            scenario.path,
             list(platform.deadly_arrivals),
             list(platform.deadly_crashes),
             run.sound,
