Look for the end of each unfinished attempt

What callers saw: a request whose answer the node itself ended (a head that is not signed, a deadline) went on ending servers; so did one whose server was silent for a moment before it ended.

Cause: only an answer that the server had broken off was looked into, and only at once. Of attempts that the node ends itself only silent ones were. A server that ends a moment later left no evidence.

Ruled out: a watch on the entry of each server. It costs no connection, but a server that comes back under another id would be missed.

Change: each attempt that may have run and has no whole answer is looked into, whoever ended it: at once if the server broke it off, and 0.6 s later if the server had not ended by then. The later look opens no connection where an idle one is still open, as a process that has ended keeps none.

--- a/balsamwind/adapters/_connection_pool.py
+++ b/balsamwind/adapters/_connection_pool.py
@@ -160,6 +160,23 @@
             stream.close()
         return None
 
+    def has_open(self, endpoint):
+        """Tell whether an idle connection to an endpoint is open.
+
+        Parameters
+        ----------
+        endpoint : str
+            ``host:port`` of the server.
+
+        Returns
+        -------
+        bool
+        """
+        return any(
+            is_reusable(stream)
+            for stream, _ in self._streams.get(endpoint, ())
+        )
+
     def close_endpoint(self, endpoint):
         """Close all idle connections to one endpoint.
 
--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -333,6 +333,22 @@
         """
         return await self.try_connecting(endpoint, timeout) is None
 
+    def has_idle_connection(self, endpoint):
+        """Tell whether a server keeps an idle connection of this client open.
+
+        A process that has ended keeps none.
+
+        Parameters
+        ----------
+        endpoint : str
+            ``host:port`` of the server.
+
+        Returns
+        -------
+        bool
+        """
+        return self._connection_pool.has_open(endpoint)
+
     async def try_connecting(self, endpoint, timeout):
         """Open a connection and close it again.
 
--- a/balsamwind/relay/_crash_evidence.py
+++ b/balsamwind/relay/_crash_evidence.py
@@ -33,6 +33,11 @@
         """Whether it is shown that the server has ended."""
         return self is EndVerdict.ENDED
 
+    @property
+    def is_preliminary(self):
+        """Whether the server may still end of what it was sent."""
+        return self in (EndVerdict.LISTENS, EndVerdict.SILENT)
+
     @property
     def is_doubtful(self):
         """Whether the server may have ended although it is not shown."""
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -9,10 +9,9 @@
 CONFIRMATION_TIMEOUT = 0.35
 """Longest wait for the refusal of a connection (seconds)."""
 
-ABANDONED_CHECK_DELAY = 0.6
-"""Time after an attempt at a silent server was given up at which its server is
-asked for a connection (seconds). One that crashes under a request falls silent
-before."""
+LATER_CHECK_DELAY = 0.6
+"""Time after an unfinished answer at which its server is looked at if it had
+not ended by then, or the node itself ended the attempt (seconds)."""
 
 
 class CrashReporter:
@@ -92,11 +91,19 @@
         suspected = _list_suspected(parts, fingerprint, progress, now)
         self._start(self._confirm(backend.record, service, suspected, now))
 
+    async def _confirm(self, record, service, suspected, broken_at):
+        verdict = await self._find_verdict(record)
+        if verdict.is_preliminary:
+            self._watch(record, service, suspected)
+            return
+        self._settle(record, service, suspected, verdict, broken_at)
+
     def watch_abandoned(self, backend, service, parts, fingerprint, progress):
-        """Report if a server crashes soon after an attempt was given up.
+        """Report if a server crashes soon after an attempt was ended.
 
-        The connection is closed by then, so its end shows nothing. Attempts
-        at one server that are given up together cost one connection.
+        Whoever ended the attempt, its server may still work on it, and its
+        connection shows nothing any more. Attempts at one server that end
+        together cost one connection at most.
 
         Parameters
         ----------
@@ -105,29 +112,33 @@
         """
         now = self._clock.monotonic()
         suspected = _list_suspected(parts, fingerprint, progress, now)
-        key = (backend.record.server_id, backend.record.born)
+        self._watch(backend.record, service, suspected)
+
+    def _watch(self, record, service, suspected):
+        key = (record.server_id, record.born)
         if key in self._abandoned:
             self._abandoned[key] += suspected
             return
         self._abandoned[key] = suspected
-        self._start(self._check_later(backend.record, service, key))
+        self._start(self._check_later(record, service, key))
 
     async def _check_later(self, record, service, key):
         try:
-            await asyncio.sleep(ABANDONED_CHECK_DELAY)
+            await asyncio.sleep(LATER_CHECK_DELAY)
         finally:
             suspected = self._abandoned.pop(key)
-        await self._confirm(
-            record, service, suspected, self._clock.monotonic()
-        )
+        checked_at = self._clock.monotonic()
+        verdict = _crash_evidence.EndVerdict.LISTENS
+        if not self._client.has_idle_connection(record.address):
+            verdict = await self._find_verdict(record)
+        self._settle(record, service, suspected, verdict, checked_at)
 
     def _start(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _confirm(self, record, service, suspected, broken_at):
-        verdict = await self._find_verdict(record)
+    def _settle(self, record, service, suspected, verdict, broken_at):
         for names, duration in suspected:
             self.on_verdict(record, verdict, names)
             if verdict.is_shown:
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -306,15 +306,15 @@
             self._ending.add(task)
             task.add_done_callback(self._ending.discard)
             task.cancel()
-            self._watch_abandoned(attempt)
             if attempt.is_silent:
                 self._record_failure(attempt, attempt.make_silence_failure())
             elif attempt.may_be_sent:
                 self._possible_runs += 1
+                self._watch_abandoned(attempt)
 
     def _watch_abandoned(self, attempt):
-        """Find out whether the silence of a server was the end of it."""
-        if attempt.is_silent and attempt.may_be_sent:
+        """Find out whether a server ends of an attempt that is ended here."""
+        if attempt.may_be_sent:
             self._gate.watch_abandoned(attempt.backend, attempt.progress)
 
     async def _end_attempts(self):
@@ -372,11 +372,21 @@
             self._ambiguous_failure = failure
         if failure.fault is _attempts.Fault.SERVER:
             self._blame_server(attempt, failure)
-        # Ended servers may look like a lost path; the report tells them apart.
+        self._look_for_end(attempt, failure)
+        self._log_failed_attempt(attempt, failure)
+
+    def _look_for_end(self, attempt, failure):
+        """Find out whether an unfinished answer was the end of its server.
+
+        Ended servers may look like a lost path, so the fault does not matter.
+        """
+        if failure.error.run == exceptions.NOT_RUN or not failure.sent:
+            return
         # A node that carried the attempt reports what it saw itself.
         if failure.broken_off and not attempt.through_peer:
             self._gate.report_broken_answer(attempt.backend, attempt.progress)
-        self._log_failed_attempt(attempt, failure)
+        else:
+            self._gate.watch_abandoned(attempt.backend, attempt.progress)
 
     def _blame_server(self, attempt, failure):
         now = self._relay.clock.monotonic()
--- a/balsamwind/relay/tests/test_crash_reporter.py
+++ b/balsamwind/relay/tests/test_crash_reporter.py
@@ -121,7 +121,7 @@
 def test_crash_after_its_attempt_was_given_up_blamed_nothing(
     monkeypatch, crashes
 ):
-    monkeypatch.setattr(_crash_reporter, 'ABANDONED_CHECK_DELAY', 0.1)
+    monkeypatch.setattr(_crash_reporter, 'LATER_CHECK_DELAY', 0.1)
 
     async def judge_refusal(record):
         return relay.EndVerdict.ENDED
--- a/build_tools/tests/test_ended_servers.py
+++ b/build_tools/tests/test_ended_servers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from build_tools.tests import ended_servers
+from standins import pool as pool_standin
 
 MAX_LATE_TRIES = 3
 """Tries that may reach servers long after the third end (count)."""
@@ -24,6 +25,14 @@
     [
         pytest.param({'servers': 1}, id='one server'),
         pytest.param({'other_ends': 0.5}, id='others end all the time'),
+        pytest.param(
+            {
+                'path': '/read/x',
+                'run': pool_standin.DeadlyRun((0.3, 0.9), random_state=2),
+                'seed': 2,
+            },
+            id='after a silence',
+        ),
     ],
 )
 def test_ended_servers_that_refuse_connections_hid_an_end(tmp_path, values):
@@ -41,3 +50,30 @@
     )
     assert outcome.ends
     assert outcome.late_tries <= MAX_LATE_TRIES
+
+
+@pytest.mark.parametrize(
+    'values',
+    [
+        pytest.param(
+            {
+                'path': '/read/x',
+                'run': pool_standin.DeadlyRun(
+                    head=ended_servers.UNSIGNED_HEAD, pause=(0.15, 0.5)
+                ),
+                'servers': 6,
+                'seed': 2,
+            },
+            id='head is not signed',
+        ),
+        pytest.param(
+            {'run': pool_standin.DeadlyRun((1.15, 1.5)), 'seed': 2},
+            id='deadline has passed',
+        ),
+    ],
+)
+def test_attempt_that_the_node_had_ended_hid_an_end(tmp_path, values):
+    outcome = _play(tmp_path, **values)
+    assert outcome.ends
+    assert outcome.known_ends == len(outcome.ends)
+    assert outcome.late_tries <= MAX_LATE_TRIES
