Begin the ends of a test before its send

Cause: the first request is ended after 0.2 ms, which on a fast machine is later than the send. Of ten plays of the direct case here, five ended none of the requests before the send (0, 0, 0, 0, 0, 1, 1, 1, 2, 2).

Ruled out: a fault of the product; with earlier ends the promise holds.

Change: the ends begin at 0.02 ms and grow as before, up to a later last one, so that the test covers all moments of before and earlier ones. All checks stay.

--- a/balsamwind/node/tests/test_doubtful_refusals.py
+++ b/balsamwind/node/tests/test_doubtful_refusals.py
@@ -20,13 +20,13 @@
 LATE = 0.2
 """Pause before an answer, longer than the doubt in these tests (seconds)."""
 
-FIRST_END = 0.0002
+FIRST_END = 0.00002
 """Time at which the first request is ended (seconds)."""
 
 END_GROWTH = 1.07
 """Factor from the time at which a request is ended to that of the next."""
 
-MAX_ENDS = 120
+MAX_ENDS = 160
 """Requests that are ended at most (count)."""
 
 SENT_ENDS = 5
