Tell others of an end before a node stops

What callers saw: a request could end a server more, if the node that had sent it there last was stopped by SIGTERM a moment later.

Cause: a node left as soon as its last request was answered, and cancelled the checks of servers that were under way, and the write of evidence to the store.

Change: a drain counts both as open work, within the grace period as before.

--- a/balsamwind/node/_drain.py
+++ b/balsamwind/node/_drain.py
@@ -41,6 +41,9 @@
         Connections of the callers.
     leases : list of ShardLease
         Leases that are released.
+    has_untold : callable
+        Returns whether this node knows of ends of servers what it has not
+        told to others yet.
     clock : balsamwind.ports.Clock
         Monotonic clock.
     log : structlog logger
@@ -52,26 +55,39 @@
         '_caller_server',
         '_clock',
         '_exit_time',
+        '_has_untold',
         '_leases',
         '_log',
         '_relay',
     )
 
     def __init__(
-        self, grace, relay, attempt_carrier, caller_server, leases, clock, log
+        self,
+        grace,
+        relay,
+        attempt_carrier,
+        caller_server,
+        leases,
+        has_untold,
+        clock,
+        log,
     ):
         self._exit_time = grace - EXIT_MARGIN
         self._relay = relay
         self._attempt_carrier = attempt_carrier
         self._caller_server = caller_server
         self._leases = leases
+        self._has_untold = has_untold
         self._clock = clock
         self._log = log
 
     @property
     def _has_open_work(self):
         return bool(
-            self._relay.open_requests or self._attempt_carrier.open_attempts
+            self._relay.open_requests
+            or self._attempt_carrier.open_attempts
+            or self._relay.crash_reporter.has_open_checks
+            or self._has_untold()
         )
 
     async def run(self):
--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -83,9 +83,17 @@
         self._log = log
         self._stored_pairs = set()
         self._write_due = asyncio.Event()
+        self._is_writing = False
         self.is_known = False
         self.on_known = _ignore
 
+    @property
+    def has_unwritten(self):
+        """Whether other data centres are still to be told of evidence."""
+        return not self._has_publisher() and (
+            self._write_due.is_set() or self._is_writing
+        )
+
     def start(self):
         """Exchange all evidence with the publisher of a new connection."""
         self._link.send(_updates.EvidenceRequest(self._make_snapshot()))
@@ -210,12 +218,15 @@
             self._write_due.clear()
             if self._has_publisher():
                 continue
+            self._is_writing = True
             try:
                 await self._write()
             except (exceptions.Conflict, exceptions.StoreError) as error:
                 self._log.debug('evidence_not_written', reason=str(error))
                 self._write_due.set()
                 await asyncio.sleep(RETRY_INTERVAL)
+            finally:
+                self._is_writing = False
 
     async def _write(self):
         """Write the evidence of this data centre, if it has changed."""
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -614,6 +614,7 @@
             self._attempt_carrier,
             self._caller_server,
             [leader.lease for leader in self._leaders],
+            lambda: self._evidence.has_unwritten,
             self._clock,
             self._log,
         ).run()
--- a/balsamwind/node/tests/test_deadly_requests.py
+++ b/balsamwind/node/tests/test_deadly_requests.py
@@ -40,7 +40,7 @@
     return configuration
 
 
-def _make_request(path, number, body=b'hi'):
+def make_request(path, number, body=b'hi'):
     head = helpers.make_request(path, f'{number}').split(b'Content-Length')[0]
     return head + b'Content-Length: %d\r\n\r\n%s' % (len(body), body)
 
@@ -50,7 +50,7 @@
     ends_at = time.monotonic() + seconds
     number = 0
     while time.monotonic() < ends_at:
-        request = _make_request(path, f'd{number}', DEADLY)
+        request = make_request(path, f'd{number}', DEADLY)
         await helpers.send_request(nodes[number % len(nodes)], request)
         number += 1
         await asyncio.sleep(interval)
@@ -62,7 +62,7 @@
     tasks = []
     while time.monotonic() < ends_at:
         number = len(tasks)
-        request = _make_request(path, f's{number}', b'sound%d' % number)
+        request = make_request(path, f's{number}', b'sound%d' % number)
         tasks.append(
             asyncio.ensure_future(
                 helpers.send_request(nodes[number % len(nodes)], request)
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -69,6 +69,11 @@
         self.on_evidence = _ignore
         self.on_verdict = _ignore
 
+    @property
+    def has_open_checks(self):
+        """Whether it is still to be found out what a server has done."""
+        return bool(self._tasks)
+
     def report_broken_answer(
         self, backend, service, parts, fingerprint, progress
     ):
