Pay for a repeat as it is sent

What callers saw: nothing at once; a service could get more repeats than its budget allows, as two attempts of one request were sent and none was paid for.

Cause: an attempt beside a silent one is not paid for while nothing of the silent one was sent, as it is then the first that reaches a server. The silent one went on, its connection opened later, and it was sent, too.

Change: right before a send, an attempt that nobody has paid for pays if another one of the request has been sent; without budget it is not sent, and the other goes on.

--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -341,8 +341,34 @@
         )
 
     def check_before_send(self, attempt):
-        """Check that an attempt may still be sent, as `QuarantineGate`."""
+        """Check that an attempt may still be sent, and is paid for.
+
+        Of two attempts that were made while none had been sent, the second to
+        be sent is a repeat.
+
+        Parameters
+        ----------
+        attempt : AttemptRun
+            The attempt.
+
+        Raises
+        ------
+        balsamwind.exceptions.SendForbidden
+            It may not be sent; nothing was sent.
+        """
         self._gate.check_before_send(attempt)
+        if attempt.is_paid or not self._is_other_sent(attempt):
+            return
+        if not self._pay_retry():
+            raise exceptions.SendForbidden('no retry is left for the repeat')
+        attempt.is_paid = True
+
+    def _is_other_sent(self, attempt):
+        return self._repeats.sent > 0 or any(
+            other.may_be_sent
+            for other in self._running
+            if other is not attempt
+        )
 
     def _check_waiting(self):
         """End a request that waits to be sent, and would not be."""
--- a/balsamwind/relay/tests/test_two_attempts.py
+++ b/balsamwind/relay/tests/test_two_attempts.py
@@ -33,7 +33,7 @@
 SOUND = [*_make_stream(0, 2), 0.8, *REST[1:]]
 
 
-class _Placement:
+class Placement:
     """Places attempts at one backend after the other, up to a number."""
 
     def __init__(self, count=4):
@@ -59,8 +59,7 @@
         self.ends.append((number, outcome))
 
 
-@pytest.fixture(autouse=True)
-def _expect_first_events_soon(monkeypatch):
+def expect_first_events_soon(monkeypatch):
     """Let the first event be awaited no longer than the others."""
     monkeypatch.setattr(_backends, 'FIRST_EVENT_STALL_MARGIN', 0.45)
     monkeypatch.setattr(
@@ -68,6 +67,11 @@
     )
 
 
+@pytest.fixture(autouse=True)
+def _expect_first_events_soon(monkeypatch):
+    expect_first_events_soon(monkeypatch)
+
+
 class _Engine:
     """Plays one script a connection, and counts those that are open."""
 
@@ -123,7 +127,7 @@
 
 
 def _forward(scripts, max_attempts=2, on_relay=None, placement=None):
-    placement = placement or _Placement()
+    placement = placement or Placement()
     responder, engine, error = asyncio.run(
         forwarding.forward(
             scripts, max_attempts, placement=placement, on_relay=on_relay
@@ -152,7 +156,7 @@
 
 def test_sound_server_was_ejected_as_its_caller_left_after_a_silence():
     async def run():
-        placement = _Placement()
+        placement = Placement()
         script = [*_make_stream(0, 2), 0.7, *REST[1:2], forwarding.SILENCE]
         async with _run_engine([script], placement) as (_, fake_relay):
             fake_relay.try_consume = lambda now: False
@@ -180,7 +184,7 @@
 def test_caller_that_left_a_silent_attempt_kept_none_running():
     # GONE: all attempts end with the caller, and give back their places.
     async def run():
-        placement = _Placement()
+        placement = Placement()
         scripts = [GONE, [forwarding.SILENCE]]
         async with _run_engine(scripts, placement) as (engine, fake_relay):
             task = asyncio.ensure_future(
@@ -230,7 +234,7 @@
 
 def test_groups_that_were_full_for_a_moment_were_never_asked_again():
     # The stream of a server that was gone waited for its deadline.
-    placement = _Placement(0)
+    placement = Placement(0)
     scripts = [GONE, *[[REFUSED]] * 3, REST]
     responder, engine, error, _ = _forward(scripts, placement=placement)
     assert error is None
@@ -260,7 +264,7 @@
 
     responder, _, error = asyncio.run(
         forwarding.forward(
-            [GONE, REST], placement=_Placement(), on_relay=set_up
+            [GONE, REST], placement=Placement(), on_relay=set_up
         )
     )
     assert error is None
