--- a/balsamwind/relay/_crash_evidence.py
+++ b/balsamwind/relay/_crash_evidence.py
@@ -1,6 +1,47 @@
 """Evidence of crashes that nodes share."""
 
 import dataclasses
+import enum
+
+
+class EndVerdict(enum.Enum):
+    """What a server was found to do after an answer that was not finished.
+
+    Attributes
+    ----------
+    ENDED
+        It has ended, which is evidence.
+    LISTENS
+        It accepts connections.
+    SILENT
+        It neither accepts nor refuses them.
+    REACHED
+        It refuses connections of this node, but not those of others.
+    NO_WITNESS
+        It refuses connections of this node, which reaches no other server of
+        the service, and too few other nodes could say more.
+    """
+
+    ENDED = 'ended'
+    LISTENS = 'listens'
+    SILENT = 'silent'
+    REACHED = 'reached'
+    NO_WITNESS = 'no_witness'
+
+    @property
+    def is_shown(self):
+        """Whether it is shown that the server has ended."""
+        return self is EndVerdict.ENDED
+
+    @property
+    def is_preliminary(self):
+        """Whether the server may still end of what it was sent."""
+        return self in (EndVerdict.LISTENS, EndVerdict.SILENT)
+
+    @property
+    def is_doubtful(self):
+        """Whether the server may have ended although it is not shown."""
+        return self in (EndVerdict.REACHED, EndVerdict.NO_WITNESS)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/relay/_crash_reporter.py
+++ b/balsamwind/relay/_crash_reporter.py
@@ -2,15 +2,16 @@
 
 import asyncio
 
+from balsamwind import exceptions
+from balsamwind.relay import _crash_evidence
 from balsamwind.relay import _fingerprint
 
 CONFIRMATION_TIMEOUT = 0.35
 """Longest wait for the refusal of a connection (seconds)."""
 
-ABANDONED_CHECK_DELAY = 0.6
-"""Time after an attempt at a silent server was given up at which its server is
-asked for a connection (seconds). One that crashes under a request falls silent
-before."""
+LATER_CHECK_DELAY = 0.6
+"""Time after an unfinished answer at which its server is looked at if it had
+not ended by then, or the node itself ended the attempt (seconds)."""
 
 
 class CrashReporter:
@@ -18,8 +19,7 @@
 
     A broken connection alone proves no crash: links are reset, and engines
     break off single answers. The port of an engine that has crashed refuses
-    connections. So do all ports where this node has lost its path, which says
-    nothing of any engine.
+    connections, of all nodes.
 
     Parameters
     ----------
@@ -31,14 +31,17 @@
         Monotonic clock.
     log : structlog logger
         Logger of the node.
-    confirm_refusal : callable
+    judge_refusal : callable
         Coroutine function that takes the entry of a server that refuses
-        connections, and returns whether that is the server's doing.
+        connections of this node, and returns the `EndVerdict`.
 
     Attributes
     ----------
     on_evidence : callable
         Called with the `CrashEvidence` that other nodes must know.
+    on_verdict : callable
+        Called with the entry of a server that did not finish an answer, the
+        `EndVerdict`, and the parts or fingerprint of the request.
     """
 
     __slots__ = (
@@ -46,23 +49,30 @@
         '_checks',
         '_client',
         '_clock',
-        '_confirm_refusal',
+        '_judge_refusal',
         '_log',
         '_quarantine',
         '_tasks',
         'on_evidence',
+        'on_verdict',
     )
 
-    def __init__(self, quarantine, client, clock, log, confirm_refusal):
+    def __init__(self, quarantine, client, clock, log, judge_refusal):
         self._quarantine = quarantine
         self._client = client
         self._clock = clock
         self._log = log
-        self._confirm_refusal = confirm_refusal
+        self._judge_refusal = judge_refusal
         self._tasks = set()
         self._checks = {}
         self._abandoned = {}
         self.on_evidence = _ignore
+        self.on_verdict = _ignore
+
+    @property
+    def has_open_checks(self):
+        """Whether it is still to be found out what a server has done."""
+        return bool(self._tasks)
 
     def report_broken_answer(
         self, backend, service, parts, fingerprint, progress
@@ -86,11 +96,19 @@
         suspected = _list_suspected(parts, fingerprint, progress, now)
         self._start(self._confirm(backend.record, service, suspected, now))
 
+    async def _confirm(self, record, service, suspected, broken_at):
+        verdict = await self._find_verdict(record)
+        if verdict.is_preliminary:
+            self._watch(record, service, suspected)
+            return
+        self._settle(record, service, suspected, verdict, broken_at)
+
     def watch_abandoned(self, backend, service, parts, fingerprint, progress):
-        """Report if a server crashes soon after an attempt was given up.
+        """Report if a server crashes soon after an attempt was ended.
 
-        The connection is closed by then, so its end shows nothing. Attempts
-        at one server that are given up together cost one connection.
+        Whoever ended the attempt, its server may still work on it, and its
+        connection shows nothing any more. Attempts at one server that end
+        together cost one connection at most.
 
         Parameters
         ----------
@@ -99,34 +117,39 @@
         """
         now = self._clock.monotonic()
         suspected = _list_suspected(parts, fingerprint, progress, now)
-        key = (backend.record.server_id, backend.record.born)
+        self._watch(backend.record, service, suspected)
+
+    def _watch(self, record, service, suspected):
+        key = (record.server_id, record.born)
         if key in self._abandoned:
             self._abandoned[key] += suspected
             return
         self._abandoned[key] = suspected
-        self._start(self._check_later(backend.record, service, key))
+        self._start(self._check_later(record, service, key))
 
     async def _check_later(self, record, service, key):
         try:
-            await asyncio.sleep(ABANDONED_CHECK_DELAY)
+            await asyncio.sleep(LATER_CHECK_DELAY)
         finally:
             suspected = self._abandoned.pop(key)
-        await self._confirm(
-            record, service, suspected, self._clock.monotonic()
-        )
+        checked_at = self._clock.monotonic()
+        verdict = _crash_evidence.EndVerdict.LISTENS
+        if not self._client.has_idle_connection(record.address):
+            verdict = await self._find_verdict(record)
+        self._settle(record, service, suspected, verdict, checked_at)
 
     def _start(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _confirm(self, record, service, suspected, broken_at):
-        if not await self._has_crashed(record):
-            return
+    def _settle(self, record, service, suspected, verdict, broken_at):
         for names, duration in suspected:
-            self._record(record, service, names, duration, broken_at)
+            self.on_verdict(record, verdict, names)
+            if verdict.is_shown:
+                self._record(record, service, names, duration, broken_at)
 
-    async def _has_crashed(self, record):
+    async def _find_verdict(self, record):
         """Find out once for all answers that one server has broken off."""
         key = (record.server_id, record.born)
         check = self._checks.get(key)
@@ -137,14 +160,15 @@
         return await asyncio.shield(check)
 
     async def _check(self, record):
-        if not await self._client.is_refused(
+        error = await self._client.try_connecting(
             record.address, CONFIRMATION_TIMEOUT
-        ):
-            return False
-        if await self._confirm_refusal(record):
-            return True
-        self._log.info('crash_not_shown', engine=record.server_id)
-        return False
+        )
+        match error:
+            case None:
+                return _crash_evidence.EndVerdict.LISTENS
+            case exceptions.ConnectionRefused():
+                return await self._judge_refusal(record)
+        return _crash_evidence.EndVerdict.SILENT
 
     def _record(self, record, service, parts, duration, broken_at):
         crash = f'{record.server_id}:{record.born}'
@@ -157,6 +181,7 @@
             if _fingerprint.is_fingerprint(parts[0])
             else 'engine_crashed_on_prompt',
             engine=record.server_id,
+            crash=crash,
             parts=list(parts),
             suspected=_find_uncleared(evidence),
         )
@@ -219,5 +244,5 @@
     ]
 
 
-def _ignore(evidence):
-    """Stand in until the evidence is shared."""
+def _ignore(*values):
+    """Stand in until the evidence is shared and logged."""
--- a/balsamwind/relay/_forwarder.py
+++ b/balsamwind/relay/_forwarder.py
@@ -12,6 +12,7 @@
 from balsamwind.relay import _attempt_run
 from balsamwind.relay import _attempts
 from balsamwind.relay import _quarantine_gate
+from balsamwind.relay import _repeats
 from balsamwind.relay import _response_relay
 
 MAX_UNRUN_ATTEMPTS = 4
@@ -44,6 +45,7 @@
         '_next_succession_at',
         '_possible_runs',
         '_relay',
+        '_repeats',
         '_response',
         '_retry_budget',
         '_running',
@@ -60,6 +62,7 @@
         self._gate = _quarantine_gate.QuarantineGate(forwarded)
         self._retry_budget = relay.get_retry_budget(forwarded.service.name)
         self._has_paid_retry = False
+        self._repeats = _repeats.Repeats()
         self._possible_runs = 0
         self._unrun_attempts = 0
         self._ambiguous_failure = None
@@ -125,6 +128,7 @@
                     continue
             finally:
                 await self._end_attempts()
+                self._record_repeats()
 
     async def _advance(self):
         """Wait for a change of an attempt, and do what it calls for.
@@ -167,7 +171,7 @@
     def _handle_end(self, attempt, task):
         """Take over the outcome of an attempt; tell whether it was relayed."""
         del self._running[attempt]
-        self._keep_payment(attempt)
+        self._settle_attempt(attempt)
         try:
             failure = task.result()
         except exceptions.NoCapacity as error:
@@ -175,6 +179,7 @@
             return False
         if failure is None:
             self._record_answer(attempt)
+            self._possible_runs += 1
             return True
         self._record_failure(attempt, failure)
         if self._running:
@@ -185,8 +190,16 @@
         self._start_attempt(is_paid=failure.sent)
         return False
 
-    def _keep_payment(self, attempt):
-        """Keep what was paid for an attempt that has reached no server."""
+    def _record_repeats(self):
+        self._repeats.runs = self._possible_runs
+        self._repeats.max_runs = self._forwarded.route.max_attempts
+        self._relay.request_log.record_repeats(
+            self._forwarded.service.name, self._repeats
+        )
+
+    def _settle_attempt(self, attempt):
+        """Count an ended attempt; keep the payment if it reached no server."""
+        self._repeats.record_attempt(attempt.may_be_sent, attempt.is_paid)
         if attempt.is_paid and not attempt.may_be_sent:
             self._has_paid_retry = True
 
@@ -253,7 +266,10 @@
         if self._has_paid_retry:
             self._has_paid_retry = False
             return True
-        return self._retry_budget.try_consume(self._relay.clock.monotonic())
+        if self._retry_budget.try_consume(self._relay.clock.monotonic()):
+            return True
+        self._repeats.refused = 1
+        return False
 
     def _log_silence(self, obstacle):
         for attempt in self._running:
@@ -286,24 +302,26 @@
             if attempt is winner:
                 continue
             del self._running[attempt]
-            self._keep_payment(attempt)
+            self._settle_attempt(attempt)
             self._ending.add(task)
             task.add_done_callback(self._ending.discard)
             task.cancel()
-            self._watch_abandoned(attempt)
             if attempt.is_silent:
                 self._record_failure(attempt, attempt.make_silence_failure())
             elif attempt.may_be_sent:
                 self._possible_runs += 1
+                self._watch_abandoned(attempt)
 
     def _watch_abandoned(self, attempt):
-        """Find out whether the silence of a server was the end of it."""
-        if attempt.is_silent and attempt.may_be_sent:
+        """Find out whether a server ends of an attempt that is ended here."""
+        if attempt.may_be_sent:
             self._gate.watch_abandoned(attempt.backend, attempt.progress)
 
     async def _end_attempts(self):
         for attempt in self._running:
             self._watch_abandoned(attempt)
+            self._settle_attempt(attempt)
+            self._possible_runs += attempt.may_be_sent
         tasks = {*self._running.values(), *self._ending}
         for task in tasks:
             task.cancel()
@@ -323,8 +341,34 @@
         )
 
     def check_before_send(self, attempt):
-        """Check that an attempt may still be sent, as `QuarantineGate`."""
+        """Check that an attempt may still be sent, and is paid for.
+
+        Of two attempts that were made while none had been sent, the second to
+        be sent is a repeat.
+
+        Parameters
+        ----------
+        attempt : AttemptRun
+            The attempt.
+
+        Raises
+        ------
+        balsamwind.exceptions.SendForbidden
+            It may not be sent; nothing was sent.
+        """
         self._gate.check_before_send(attempt)
+        if attempt.is_paid or not self._is_other_sent(attempt):
+            return
+        if not self._pay_retry():
+            raise exceptions.SendForbidden('no retry is left for the repeat')
+        attempt.is_paid = True
+
+    def _is_other_sent(self, attempt):
+        return self._repeats.sent > 0 or any(
+            other.may_be_sent
+            for other in self._running
+            if other is not attempt
+        )
 
     def _check_waiting(self):
         """End a request that waits to be sent, and would not be."""
@@ -354,8 +398,22 @@
             self._ambiguous_failure = failure
         if failure.fault is _attempts.Fault.SERVER:
             self._blame_server(attempt, failure)
+        self._look_for_end(attempt, failure)
         self._log_failed_attempt(attempt, failure)
 
+    def _look_for_end(self, attempt, failure):
+        """Find out whether an unfinished answer was the end of its server.
+
+        Ended servers may look like a lost path, so the fault does not matter.
+        """
+        if failure.error.run == exceptions.NOT_RUN or not failure.sent:
+            return
+        # A node that carried the attempt reports what it saw itself.
+        if failure.broken_off and not attempt.through_peer:
+            self._gate.report_broken_answer(attempt.backend, attempt.progress)
+        else:
+            self._gate.watch_abandoned(attempt.backend, attempt.progress)
+
     def _blame_server(self, attempt, failure):
         now = self._relay.clock.monotonic()
         backend = attempt.backend
@@ -367,9 +425,6 @@
             backend.record_stall(now)
         elif failure.counts_for_ejection:
             backend.record_failure(now)
-        # A node that carried the attempt reports what it saw itself.
-        if failure.broken_off and not attempt.through_peer:
-            self._gate.report_broken_answer(backend, attempt.progress)
 
     def _log_failed_attempt(self, attempt, failure):
         self._relay.request_log.record_failed_attempt(
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -9,7 +9,6 @@
 from balsamwind import exceptions
 from balsamwind.relay import _attempt_sender
 from balsamwind.relay import _backend_selection
-from balsamwind.relay import _carried_attempts
 from balsamwind.relay import _crash_quarantine
 from balsamwind.relay import _crash_reporter
 from balsamwind.relay import _forwarded_request
@@ -17,6 +16,7 @@
 from balsamwind.relay import _model_demand
 from balsamwind.relay import _paths
 from balsamwind.relay import _placement
+from balsamwind.relay import _refusals
 from balsamwind.relay import _retry_budget
 from balsamwind.relay import _server_statements
 from balsamwind.relay import _start_wait
@@ -184,8 +184,9 @@
             client,
             clock,
             request_log.log,
-            self._confirm_refusal,
+            self._judge_refusal,
         )
+        self.crash_reporter.on_verdict = request_log.record_server_end
         self.start_wait = _start_wait.StartWait(clock, request_log.log)
         self.is_starting = self._lacks_configuration
         self.homes = traffic.Homes({})
@@ -204,18 +205,21 @@
         """Stand in where no path is probed."""
         return self.paths.is_open(service)
 
-    async def _confirm_refusal(self, record):
+    async def _judge_refusal(self, record):
         """Find whether a server refuses connections of all nodes.
 
         Returns
         -------
-        bool
-            Whether this node reaches others, and no other node reaches it.
+        EndVerdict
         """
-        if not await self.settle_path(record.service):
-            return False
-        reach = await self.peers.ask(record, wants_report=False)
-        return reach is not _carried_attempts.Reach.ANSWERS
+        is_path_open = await self.settle_path(record.service)
+        if is_path_open:
+            opinions = [await self.peers.ask(record, wants_report=False)]
+        else:
+            opinions = await self.peers.find_refusals(
+                record, _refusals.MAX_WITNESSES
+            )
+        return _refusals.judge_refusal(is_path_open, opinions)
 
     def set_bounds(self, bounds):
         """Replace the limits, also of the retry budgets in use.
