Remove a probe that nobody calls

HttpClient.is_refused lost its only caller when refusals came to be judged by what other nodes find. Two descriptions are put right: what a drain waits for, and in which order opinions come. No decision is changed.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -301,8 +301,8 @@
             response.forbid_reuse()
         return response
 
-    async def is_refused(self, endpoint, timeout):
-        """Tell whether a server refuses new connections.
+    async def is_reachable(self, endpoint, timeout):
+        """Tell whether a server accepts a new connection.
 
         Parameters
         ----------
@@ -311,22 +311,6 @@
         timeout : float
             Longest wait for the connection (seconds).
 
-        Returns
-        -------
-        bool
-            False also if there is no answer: a silent server may be alive.
-        """
-        error = await self.try_connecting(endpoint, timeout)
-        return isinstance(error, exceptions.ConnectionRefused)
-
-    async def is_reachable(self, endpoint, timeout):
-        """Tell whether a server accepts a new connection.
-
-        Parameters
-        ----------
-        endpoint, timeout
-            As for `is_refused`.
-
         Returns
         -------
         bool
@@ -355,7 +339,7 @@
         Parameters
         ----------
         endpoint, timeout
-            As for `is_refused`.
+            As for `is_reachable`.
 
         Returns
         -------
--- a/balsamwind/node/_drain.py
+++ b/balsamwind/node/_drain.py
@@ -42,8 +42,8 @@
     leases : list of ShardLease
         Leases that are released.
     has_untold : callable
-        Returns whether this node knows of ends of servers what it has not
-        told to others yet.
+        Returns whether this node knows of ends of servers that it has not
+        told others yet.
     clock : balsamwind.ports.Clock
         Monotonic clock.
     log : structlog logger
--- a/balsamwind/relay/_peer_service.py
+++ b/balsamwind/relay/_peer_service.py
@@ -164,8 +164,8 @@
         Returns
         -------
         list of Reach
-            One for each node that was asked, UNKNOWN if it gave no reply; a
-            node that reaches the server comes last, and ends the search.
+            One for each node that was asked, UNKNOWN if it gave no reply.
+            After a round in which one reaches the server no more are asked.
         """
         query = _carried_attempts.ReachQuery(
             record.service, record.server_id, record.born, on_any_path=True
