Wait for what is held after a late start

Cause: requests wait 1.2 s after the start of a process, whatever it waits for. Where the list of nodes is read late, the connection to the publisher opens late, and the wait ends before the node is told what is held.

Change: once the node has a configuration and servers, requests wait for the evidence for the time of one call to the store, 0.8 s, even past 1.2 s. Half of the time of the caller stays the bound.

--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -489,15 +489,21 @@
 
     def _is_starting(self):
         """Whether this node knows too little to serve a request."""
-        return (
-            self.configuration_cache.configuration is None
-            or not any(True for _ in self.registry)
-            or not self._evidence.is_known
+        return self._lacks_servers() or not self._evidence.is_known
+
+    def _lacks_servers(self):
+        return self.configuration_cache.configuration is None or not any(
+            True for _ in self.registry
         )
 
     def _end_start_wait(self):
-        if not self.relay.start_wait.is_over and not self._is_starting():
-            self.relay.start_wait.end()
+        wait = self.relay.start_wait
+        if wait.is_over or self._lacks_servers():
+            return
+        if self._evidence.is_known:
+            wait.end()
+        else:
+            wait.await_evidence()
 
     def reload(self, load_settings, signalled):
         """Read the settings again, and apply the bounds if they have changed.
--- a/balsamwind/node/tests/test_deadly_prompts.py
+++ b/balsamwind/node/tests/test_deadly_prompts.py
@@ -7,6 +7,7 @@
 from balsamwind import exceptions
 from balsamwind.node import _evidence_exchange
 from balsamwind.node import _evidence_records
+from balsamwind.node import _node_records
 from balsamwind.node.tests import helpers
 from standins import pool as pool_standin
 
@@ -121,9 +122,20 @@
     assert b'Retry-After' in answer
 
 
-def test_node_that_had_just_started_did_not_know_the_part_yet(monkeypatch):
+@pytest.mark.parametrize(
+    'failed_reads',
+    [
+        pytest.param(0, id='the list of nodes is read at once'),
+        pytest.param(2, id='the list of nodes is read at the third try'),
+    ],
+)
+def test_node_that_had_just_started_did_not_know_the_part_yet(
+    monkeypatch, failed_reads
+):
     """It has servers and a configuration before it is told what is held."""
     start = _evidence_exchange.EvidenceExchange.start
+    list_nodes = _node_records.NodeRecords.list
+    failures = iter(range(failed_reads))
 
     def start_late(exchange):
         asyncio.get_running_loop().call_later(0.5, start, exchange)
@@ -131,6 +143,11 @@
     async def find_nothing(records, timeout):
         raise exceptions.StoreError('no answer')
 
+    async def list_nodes_late(records, *args, **options):
+        if next(failures, None) is not None:
+            raise exceptions.StoreError('no answer')
+        return await list_nodes(records, *args, **options)
+
     async def scenario():
         async with helpers.open_fleet(ONE_DATA_CENTRE, 16) as (
             fake_platform,
@@ -146,6 +163,9 @@
             monkeypatch.setattr(
                 _evidence_records.EvidenceRecords, 'list', find_nothing
             )
+            monkeypatch.setattr(
+                _node_records.NodeRecords, 'list', list_nodes_late
+            )
             async with helpers.open_node(fake_platform, 'n9') as process:
                 await helpers.wait_until(
                     lambda: helpers.count_serving_groups(process) > 0
--- a/balsamwind/relay/_start_wait.py
+++ b/balsamwind/relay/_start_wait.py
@@ -8,12 +8,17 @@
 
 import asyncio
 import contextlib
+import math
 
 MAX_START_WAIT = 1.2
 """Time after the start of a node in which requests wait for its first
 configuration and entries of servers (seconds). A node that has a publisher or
 the store has them by then."""
 
+EVIDENCE_TIME = 0.8
+"""Time for which requests wait, once the node has a configuration and servers,
+to be told what is quarantined (seconds): that of one call to the store."""
+
 MAX_WAITING = 256
 """Requests that wait at the same time (count), so that a node with little
 memory does not run out of it."""
@@ -34,7 +39,14 @@
         Logger of the node.
     """
 
-    __slots__ = ('_clock', '_event', '_log', '_until', '_waiting')
+    __slots__ = (
+        '_awaits_evidence',
+        '_clock',
+        '_event',
+        '_log',
+        '_until',
+        '_waiting',
+    )
 
     def __init__(self, clock, log):
         self._clock = clock
@@ -42,6 +54,7 @@
         self._event = asyncio.Event()
         self._until = clock.monotonic() + MAX_START_WAIT
         self._waiting = 0
+        self._awaits_evidence = False
 
     @property
     def is_over(self):
@@ -55,6 +68,18 @@
         self._event.set()
         self._log.info('start_wait_ended', requests=self._waiting)
 
+    def await_evidence(self):
+        """Wait for evidence from now on, as nothing else is missing.
+
+        What is quarantined may be told late where the rest came late; without
+        it the node would send what others know to crash servers.
+        """
+        if self._awaits_evidence:
+            return
+        self._awaits_evidence = True
+        until = self._clock.monotonic() + EVIDENCE_TIME
+        self._until = max(self._until, until)
+
     async def wait(self, time_budget):
         """Wait until the node can serve requests, or it is late for that.
 
@@ -66,14 +91,18 @@
         """
         if self._event.is_set() or self._waiting >= MAX_WAITING:
             return
-        time_left = self._until - self._clock.monotonic()
+        latest = math.inf
         if time_budget is not None:
-            time_left = min(time_left, MAX_SHARE_OF_TIME * time_budget)
-        if time_left <= 0.0:
-            return
+            latest = self._clock.monotonic() + MAX_SHARE_OF_TIME * time_budget
         self._waiting += 1
         try:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._event.wait(), time_left)
+            until = None
+            while until != self._until:
+                until = self._until
+                time_left = min(until, latest) - self._clock.monotonic()
+                if time_left <= 0.0:
+                    return
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._event.wait(), time_left)
         finally:
             self._waiting -= 1
--- a/balsamwind/relay/tests/test_start_wait.py
+++ b/balsamwind/relay/tests/test_start_wait.py
@@ -61,6 +61,52 @@
     assert not events
 
 
+@pytest.mark.parametrize(
+    ('awaited_at', 'later', 'waits'),
+    [
+        pytest.param(1.1, 0.05, True, id='all else was known just in time'),
+        pytest.param(1.7, 0.05, True, id='all else was known late'),
+        pytest.param(0.1, 1.05, True, id='all else was known at once'),
+        pytest.param(1.1, 0.85, False, id='nobody tells it for too long'),
+    ],
+)
+def test_node_sent_requests_before_it_was_told_what_is_held(
+    awaited_at, later, waits
+):
+    async def run():
+        clock = doubles.Clock()
+        gate = _start_wait.StartWait(clock, Log())
+        clock.now += awaited_at
+        gate.await_evidence()
+        clock.now += later
+        gate.await_evidence()
+        task = asyncio.ensure_future(gate.wait(6.0))
+        await asyncio.sleep(0.01)
+        was_waiting = not task.done()
+        gate.end()
+        await task
+        return was_waiting
+
+    assert asyncio.run(run()) is waits
+
+
+def test_waiting_request_went_on_as_the_wait_was_prolonged(monkeypatch):
+    monkeypatch.setattr(_start_wait, 'MAX_START_WAIT', 0.05)
+
+    async def run():
+        gate = _start_wait.StartWait(doubles.Clock(), Log())
+        task = asyncio.ensure_future(gate.wait(6.0))
+        await asyncio.sleep(0.01)
+        gate.await_evidence()
+        await asyncio.sleep(0.2)
+        was_waiting = not task.done()
+        gate.end()
+        await task
+        return was_waiting
+
+    assert asyncio.run(run())
+
+
 def test_number_of_waiting_requests_is_bounded(monkeypatch):
     # A node with little memory would hold the bodies of all callers.
     monkeypatch.setattr(_start_wait, 'MAX_WAITING', 2)
