Spend no fixed repeats just after a restart

Cause: a new process knows nothing of what the one before has spent, and spent the node's share of the fixed part anew.

Weighed: a share that grows with the age of the process still lets a node spend two in a window (eight nodes: 64 of 60, by arithmetic); to tell a new process what was spent needs another one that knows it, which a killed publisher doesn't leave. So the fixed part counts from one window after the start; the ratio of the requests that the process itself receives counts at once. Where the whole system starts for the first time there was no predecessor, and nothing is withheld.

--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -177,6 +177,8 @@
             self._clock,
             self._request_log,
         )
+        if not settings.first_start:
+            self.relay.predecessor_until = self._clock.monotonic()
         self.relay.homes = traffic.Homes(settings.regions)
         self._evacuations = servers.Evacuations(settings.bounds.evacuation)
         self.relay.server_statements.rules.append(self._evacuations)
--- a/balsamwind/node/tests/helpers.py
+++ b/balsamwind/node/tests/helpers.py
@@ -71,6 +71,7 @@
     data_centre='z1',
     data_centres=('z1',),
     evacuation=None,
+    first_start=True,
     **values,
 ):
     """Make the settings of a node that listens on free ports."""
@@ -83,7 +84,7 @@
         metrics=f'127.0.0.1:{ports.find_free_port()}',
         news=f'127.0.0.1:{ports.find_free_port()}',
         store=f'127.0.0.1:{store_port}',
-        first_start=True,
+        first_start=first_start,
         bounds=node.Bounds(
             key_revocation=5.0,
             retry_extra=100.0,
--- a/balsamwind/relay/_relay.py
+++ b/balsamwind/relay/_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 import random
 
 from balsamwind import admission
@@ -102,6 +103,9 @@
 
     Attributes
     ----------
+    predecessor_until : float
+        Time until which another process may have been this node (seconds,
+        boot clock), see `RetryBudget`.
     demand_meter : DemandMeter
         Work that callers request of each model.
     placement : object
@@ -160,6 +164,7 @@
         self._bounds = bounds
         self._retry_budgets = {}
         self._node_count = DEFAULT_NODE_COUNT
+        self.predecessor_until = -math.inf
         self.demand_meter = _model_demand.DemandMeter()
         self.placement = _placement.NoPlacementService()
         self.server_statements = _server_statements.ServerStatements(
@@ -267,6 +272,7 @@
                 self._bounds.retry_ratio,
                 self._bounds.retry_window,
                 self._bounds.retry_extra / self._node_count,
+                self.predecessor_until,
             )
         return budget
 
--- a/balsamwind/relay/_retry_budget.py
+++ b/balsamwind/relay/_retry_budget.py
@@ -1,6 +1,7 @@
 """Retry budget of a service, split over all nodes."""
 
 import collections
+import math
 
 USABLE_FRACTION = 0.85
 """Fraction of the budget that is spent; the rest is a safety margin."""
@@ -22,9 +23,14 @@
     fixed_allowance : float
         Share of this node in the retries that are allowed in each window
         beyond the ratio (count).
+    predecessor_until : float
+        Time until which another process may have spent that share (seconds,
+        boot clock). It is not spent again within a window of then, as nothing
+        tells this process what is left of it.
     """
 
     __slots__ = (
+        '_predecessor_until',
         '_requests',
         '_retries',
         'fixed_allowance',
@@ -32,10 +38,13 @@
         'window',
     )
 
-    def __init__(self, ratio, window, fixed_allowance):
+    def __init__(
+        self, ratio, window, fixed_allowance, predecessor_until=-math.inf
+    ):
         self.ratio = ratio
         self.window = window
         self.fixed_allowance = fixed_allowance
+        self._predecessor_until = predecessor_until
         self._requests = collections.deque()
         self._retries = collections.deque()
 
@@ -65,7 +74,9 @@
             is spent.
         """
         self._evict_expired(now)
-        allowed = self.ratio * len(self._requests) + self.fixed_allowance
+        allowed = self.ratio * len(self._requests)
+        if now > self._predecessor_until + self.window:
+            allowed += self.fixed_allowance
         if len(self._retries) + 1 > USABLE_FRACTION * allowed:
             return False
         self._retries.append(now)
