--- a/balsamwind/relay/_quarantine_gate.py
+++ b/balsamwind/relay/_quarantine_gate.py
@@ -121,13 +121,7 @@
         progress : AttemptProgress
             How far the attempt had come.
         """
-        self._reporter.report_broken_answer(
-            backend,
-            self._forwarded.service.name,
-            self._forwarded.metadata.shared_parts,
-            self._forwarded.make_fingerprint(),
-            progress,
-        )
+        self._report(self._reporter.report_broken_answer, backend, progress)
 
     def watch_abandoned(self, backend, progress):
         """Report if a server crashes soon after an attempt was given up.
@@ -137,7 +131,10 @@
         backend, progress
             As for `report_broken_answer`.
         """
-        self._reporter.watch_abandoned(
+        self._report(self._reporter.watch_abandoned, backend, progress)
+
+    def _report(self, report, backend, progress):
+        report(
             backend,
             self._forwarded.service.name,
             self._forwarded.metadata.shared_parts,
