--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -177,6 +177,8 @@
             self._clock,
             self._request_log,
         )
+        if not settings.first_start:
+            self.relay.predecessor_until = self._clock.monotonic()
         self.relay.homes = traffic.Homes(settings.regions)
         self._evacuations = servers.Evacuations(settings.bounds.evacuation)
         self.relay.server_statements.rules.append(self._evacuations)
@@ -489,15 +491,21 @@
 
     def _is_starting(self):
         """Whether this node knows too little to serve a request."""
-        return (
-            self.configuration_cache.configuration is None
-            or not any(True for _ in self.registry)
-            or not self._evidence.is_known
+        return self._lacks_servers() or not self._evidence.is_known
+
+    def _lacks_servers(self):
+        return self.configuration_cache.configuration is None or not any(
+            True for _ in self.registry
         )
 
     def _end_start_wait(self):
-        if not self.relay.start_wait.is_over and not self._is_starting():
-            self.relay.start_wait.end()
+        wait = self.relay.start_wait
+        if wait.is_over or self._lacks_servers():
+            return
+        if self._evidence.is_known:
+            wait.end()
+        else:
+            wait.await_evidence()
 
     def reload(self, load_settings, signalled):
         """Read the settings again, and apply the bounds if they have changed.
