Await the say of nodes that give no reply

Cause: a head is taken for dead once eight nodes, or all, were asked in vain. One that gives no reply, as it is paused or starts again, counted as asked in vain; those that are passed over as they have carried nothing were not counted at all, so that nobody at all had to be asked; and a node in doubt of its own path did not even try.

Evidence: 4 cases of test_presumed_dead.py and 1 of test_reach_witness.py fail before: a head that a paused node reaches is given up, and its members join another group.

Change: all known nodes count. One without a reply is asked again, and is not waited for after 6 s without any, as a lost VM stays on the list of nodes. A node in doubt tries the engine; an answer is an answer, silence still shows nothing.

Price: a dead head beside a lost VM waits up to 9 s instead of 4.5 in the test; without one nothing changes (1.8 to 4.5 s, as before).

Result: the 132 tests of witnesses, heads, takeovers, peers and cut paths pass.

--- a/balsamwind/node/_reach_opinions.py
+++ b/balsamwind/node/_reach_opinions.py
@@ -3,7 +3,8 @@
 Failure pattern: an engine that heads an open group is cut off from the store
 and has lost its paths to the leader and to some other nodes, but serves the
 requests of the rest. Neither its missing entry nor the opinion of a few nodes
-shows that its group is broken.
+shows that its group is broken. Those that reach it may be the ones that give
+no reply for a while, as they are paused or start again.
 """
 
 from balsamwind import relay
@@ -15,6 +16,14 @@
 OPINION_MEMORY = 6.0
 """Time for which opinions count (seconds)."""
 
+NO_REPLY_TIME = 6.0
+"""Time without any reply of a node after which it is not waited for (seconds).
+A node that is gone for good stays on the list of nodes."""
+
+NO_REPLY_MEMORY = 30.0
+"""Time after which a node that has given no reply is waited for anew
+(seconds)."""
+
 
 class ReachOpinions:
     """Asks one node after the other about engines, and remembers whom.
@@ -27,12 +36,13 @@
         Monotonic clock.
     """
 
-    __slots__ = ('_asked', '_clock', '_relay')
+    __slots__ = ('_asked', '_clock', '_no_replies', '_relay')
 
     def __init__(self, request_relay, clock):
         self._relay = request_relay
         self._clock = clock
         self._asked = {}
+        self._no_replies = {}
 
     async def ask(self, record):
         """Ask some nodes, those first that were not asked a moment ago.
@@ -55,9 +65,22 @@
             return reach
         now = self._clock.monotonic()
         asked = self._asked.setdefault(record.server_id, {})
-        asked.update(dict.fromkeys(opinions, now))
+        for address, opinion in opinions.items():
+            if self._may_count(address, opinion, now):
+                asked[address] = now
         return reach
 
+    def _may_count(self, address, opinion, now):
+        """Tell whether a node has had its say, or is not waited for."""
+        if opinion is not None:
+            self._no_replies.pop(address, None)
+            return True
+        first_at, last_at = self._no_replies.get(address, (now, now))
+        if now - last_at > NO_REPLY_MEMORY:
+            first_at = now
+        self._no_replies[address] = first_at, now
+        return now - first_at >= NO_REPLY_TIME
+
     def _find_asked(self, server_id):
         """Return the nodes that were asked, and got no answer, lately."""
         since = self._clock.monotonic() - OPINION_MEMORY
@@ -76,7 +99,7 @@
         -------
         bool
         """
-        known = self._relay.peers.count_witnesses(record.service)
+        known = self._relay.peers.count_witnesses()
         needed = min(WITNESSES_NEEDED, known)
         return len(self._find_asked(record.server_id)) >= needed
 
--- a/balsamwind/node/_reach_witness.py
+++ b/balsamwind/node/_reach_witness.py
@@ -10,8 +10,8 @@
 class ReachWitness:
     """Answers the questions of other nodes.
 
-    A node that reaches no server at all is no witness, unless it is asked
-    for refusals on any path.
+    That a node which reaches no server at all gets no answer shows nothing,
+    unless it is asked for refusals on any path. An answer always does.
 
     Parameters
     ----------
@@ -49,11 +49,12 @@
         if query.on_any_path:
             return await self._try_connecting(record)
         paths = self._relay.paths
-        if not paths.is_open(query.service):
-            return relay.Reach.UNKNOWN
+        was_open = paths.is_open(query.service)
         reach = await self._try(record, query.wants_report)
         if reach is relay.Reach.ANSWERS:
             return reach
+        if not was_open:
+            return relay.Reach.UNKNOWN
         now = self._relay.clock.monotonic()
         paths.record_unreachable(query.service, query.server_id, now)
         if await self._relay.settle_path(query.service):
--- a/balsamwind/node/tests/test_presumed_dead.py
+++ b/balsamwind/node/tests/test_presumed_dead.py
@@ -22,6 +22,10 @@
 ROUND_TIME = 0.1
 """Time between two rounds of the leader (seconds)."""
 
+ANSWERS = relay.Reach.ANSWERS
+SILENT = relay.Reach.SILENT
+GONE = exceptions.PeerUnavailable('gone')
+
 
 def _make_engine(name, rank, state=pool.MemberState.READY, number=1):
     membership = pool.Membership(f'm.z1.{number}', number, rank, state)
@@ -47,14 +51,28 @@
         return pool.ServerReport(record.born, 1, membership=record.membership)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Late:
+    """Opinion of a node that gives no reply for a while (seconds)."""
+
+    opinion: relay.Reach
+    silent_for: float
+
+
 class _Peers:
     """Other nodes, of which some reach the head."""
 
-    def __init__(self, opinions):
+    def __init__(self, opinions, clock):
         self.opinions = opinions
+        self.clock = clock
+        self._began_at = clock.now
 
     async def ask(self, address, query):
         opinion = self.opinions[address]
+        if isinstance(opinion, _Late):
+            if self.clock.now < self._began_at + opinion.silent_for:
+                raise GONE
+            return opinion.opinion
         if isinstance(opinion, Exception):
             raise opinion
         return opinion
@@ -79,8 +97,11 @@
         selector = relay.PeerSelector('z1', random.Random(1))
         selector.set_peers(relay.Peer(address, 'z1') for address in opinions)
         request_relay = types.SimpleNamespace(
-            peers=relay.PeerService(selector, _Peers(opinions), self.clock)
+            peers=relay.PeerService(
+                selector, _Peers(opinions, self.clock), self.clock
+            )
         )
+        self.selector = selector
         bounds = _settings.Bounds(stall=4.0, heartbeat=1.2)
         self.leader = _leader.ShardLeader(
             'z1',
@@ -119,11 +140,6 @@
         return found
 
 
-ANSWERS = relay.Reach.ANSWERS
-SILENT = relay.Reach.SILENT
-GONE = exceptions.PeerUnavailable('gone')
-
-
 def _make_opinions(*opinions):
     return {f'n{number}:1': item for number, item in enumerate(opinions)}
 
@@ -153,6 +169,62 @@
     assert asyncio.run(scenario()) == []
 
 
+@pytest.mark.parametrize(
+    'opinions',
+    [
+        pytest.param([_Late(ANSWERS, 5.0), *[SILENT] * 4], id='paused'),
+        pytest.param([_Late(ANSWERS, 2.0), *[SILENT] * 4], id='restarted'),
+        pytest.param(
+            [_Late(ANSWERS, 5.0), _Late(ANSWERS, 5.0), *[SILENT] * 3],
+            id='two are paused',
+        ),
+        pytest.param([_Late(ANSWERS, 5.0)], id='the only other node'),
+    ],
+)
+def test_node_that_gave_no_reply_was_taken_for_one_that_reaches_nothing(
+    monkeypatch, opinions
+):
+    # The head served it again a moment later, while its members were ordered
+    # to join another group (TWO).
+    async def scenario():
+        shard = _Shard(_make_opinions(*opinions), monkeypatch)
+        shard.registry.mark_unlisted('head', shard.clock.now - 10.0)
+        return await shard.run(12.0)
+
+    assert asyncio.run(scenario()) == []
+
+
+def test_nodes_that_carried_nothing_were_not_asked(monkeypatch):
+    # All were passed over, so that none was left who had to be asked (TWO).
+    async def scenario():
+        shard = _Shard(_make_opinions(*[ANSWERS] * 5), monkeypatch)
+        for address in _make_opinions(*[ANSWERS] * 5):
+            for _ in range(4):
+                shard.selector.record_not_carried(
+                    'llm', address, False, shard.clock.now
+                )
+        shard.registry.mark_unlisted('head', shard.clock.now - 10.0)
+        return await shard.run(6.0)
+
+    assert asyncio.run(scenario()) == []
+
+
+@pytest.mark.parametrize('silent', [1, 2, 5])
+def test_dead_head_waited_for_nodes_that_are_gone_for_good(
+    monkeypatch, silent
+):
+    # Its members would serve nothing for as long as a lost node is listed.
+    async def scenario():
+        opinions = _make_opinions(*[GONE] * silent, *[SILENT] * (5 - silent))
+        shard = _Shard(opinions, monkeypatch)
+        shard.registry.mark_unlisted('head', shard.clock.now)
+        return await shard.run(12.0)
+
+    times = asyncio.run(scenario())
+    assert 4.0 <= times[0] <= 9.0
+    assert times[-1] > 11.8
+
+
 @pytest.mark.parametrize('count', [0, 1, 5, 20])
 def test_head_that_no_node_reaches_is_taken_for_dead_in_time(
     monkeypatch, count
--- /dev/null
+++ b/balsamwind/node/tests/test_reach_witness.py
@@ -0,0 +1,58 @@
+"""What a node tells others that ask whether it reaches an engine."""
+
+import asyncio
+import types
+
+import pytest
+
+from balsamwind import exceptions
+from balsamwind.node import _reach_witness
+from balsamwind.node.tests import doubles
+from balsamwind import pool
+from balsamwind import relay
+
+RECORD = pool.ServerRecord('e1', 'llm', '127.0.0.1:1', 'z1')
+
+
+def _find(is_open, is_open_after, answers):
+    """Ask a node whose path is, and then turns out to be, open or not."""
+
+    async def fetch_report(record, timeout):
+        if not answers:
+            raise exceptions.AnswerTimeout('silent')
+
+    async def settle_path(service):
+        return is_open_after
+
+    registry = pool.ServerRegistry()
+    registry.apply_entry(RECORD, 0.0)
+    request_relay = types.SimpleNamespace(
+        clock=doubles.Clock(),
+        paths=types.SimpleNamespace(
+            is_open=lambda service: is_open,
+            record_unreachable=lambda service, server_id, now: None,
+        ),
+        settle_path=settle_path,
+    )
+    witness = _reach_witness.ReachWitness(
+        registry, request_relay, fetch_report
+    )
+    query = relay.ReachQuery('llm', 'e1', RECORD.born, True)
+    return asyncio.run(witness.find(query))
+
+
+@pytest.mark.parametrize(
+    ('is_open', 'is_open_after', 'answers', 'expected'),
+    [
+        (True, True, True, relay.Reach.ANSWERS),
+        (True, True, False, relay.Reach.SILENT),
+        (True, False, False, relay.Reach.UNKNOWN),
+        # It was not tried, and the head that answered was taken for dead.
+        (False, False, True, relay.Reach.ANSWERS),
+        (False, True, False, relay.Reach.UNKNOWN),
+    ],
+)
+def test_node_in_doubt_of_its_path_did_not_try_the_engine(
+    is_open, is_open_after, answers, expected
+):
+    assert _find(is_open, is_open_after, answers) is expected
--- a/balsamwind/relay/_attempt_sender.py
+++ b/balsamwind/relay/_attempt_sender.py
@@ -21,7 +21,7 @@
         """Return `Reach.UNKNOWN`: there is no node to ask."""
         return _carried_attempts.Reach.UNKNOWN
 
-    async def find_opinions(self, record, wants_report, asked=()):
+    async def find_opinions(self, record, wants_report, asked=None):
         """Return no opinions: there is no node to ask."""
         return {}
 
@@ -29,7 +29,7 @@
         """Return no opinions: there is no node to ask."""
         return []
 
-    def count_witnesses(self, service):
+    def count_witnesses(self):
         """Return 0: there is no node to ask."""
         return 0
 
--- a/balsamwind/relay/_peer_selection.py
+++ b/balsamwind/relay/_peer_selection.py
@@ -80,6 +80,11 @@
         """Whether any other node is known."""
         return bool(self._peers)
 
+    @property
+    def peer_count(self):
+        """Other nodes that are known (count)."""
+        return len(self._peers)
+
     def set_peers(self, peers):
         """Replace the nodes to choose from.
 
@@ -137,7 +142,7 @@
         pair = self._rng.sample(pool, min(2, len(pool)))
         return min(pair, key=lambda peer: self._in_flight[peer.address])
 
-    def choose_witnesses(self, service, count, now, asked=()):
+    def choose_witnesses(self, service, count, now, asked=None):
         """Choose nodes that are asked whether they reach a server.
 
         They are chosen at random over all data centres, as nodes of one often
@@ -151,16 +156,22 @@
             Nodes at most (count).
         now : float
             Current time.
-        asked : container of str
-            Addresses of nodes that were asked before; others come first.
+        asked : container of str or None
+            Addresses of nodes that were asked before. Others come first, also
+            those that are passed over for the service, which must have their
+            say; None to choose among the nodes that are not passed over.
 
         Returns
         -------
         list of Peer
         """
         usable = self._find_usable(service, (), now)
-        chosen = self._rng.sample(usable, len(usable))
-        chosen.sort(key=lambda peer: peer.address in asked)
+        if asked is None:
+            return self._rng.sample(usable, min(count, len(usable)))
+        chosen = self._rng.sample(self._peers, len(self._peers))
+        chosen.sort(
+            key=lambda peer: (peer.address in asked, peer not in usable)
+        )
         return chosen[:count]
 
     def choose_any(self, count):
@@ -177,22 +188,6 @@
         """
         return self._rng.sample(self._peers, min(count, len(self._peers)))
 
-    def count_usable(self, service, now):
-        """Count the nodes that are not passed over for a service.
-
-        Parameters
-        ----------
-        service : str
-            Name of the service.
-        now : float
-            Current time.
-
-        Returns
-        -------
-        int
-        """
-        return len(self._find_usable(service, (), now))
-
     def _find_usable(self, service, tried, now):
         return [
             peer
--- a/balsamwind/relay/_peer_service.py
+++ b/balsamwind/relay/_peer_service.py
@@ -113,21 +113,21 @@
         opinions = await self.find_opinions(record, wants_report)
         return _carried_attempts.combine_opinions(opinions.values())
 
-    async def find_opinions(self, record, wants_report, asked=()):
+    async def find_opinions(self, record, wants_report, asked=None):
         """Ask some other nodes whether they reach a server.
 
         Parameters
         ----------
         record, wants_report
             As for `ask`.
-        asked : container of str
-            Addresses of nodes that were asked before; others come first.
+        asked : container of str or None
+            Addresses of nodes that were asked before, see `choose_witnesses`.
 
         Returns
         -------
-        dict of str to Reach
-            Opinions by the address of the node; not of all that were asked
-            if one of them gets an answer.
+        dict of str to Reach or None
+            Opinions by the address of the node, None of one that gives no
+            reply; not of all that were asked if one of them gets an answer.
         """
         query = _carried_attempts.ReachQuery(
             record.service, record.server_id, record.born, wants_report
@@ -189,16 +189,16 @@
         except exceptions.PeerUnavailable:
             return _carried_attempts.Reach.UNKNOWN
 
-    def count_witnesses(self, service):
-        """Count the nodes that may be asked about servers of a service."""
-        return self._selector.count_usable(service, self._clock.monotonic())
+    def count_witnesses(self):
+        """Count the nodes that may be asked about servers."""
+        return self._selector.peer_count
 
     async def _ask_one(self, address, query):
         try:
             return address, await self._client.ask(address, query)
         except exceptions.PeerUnavailable as error:
             self._record_not_carried(query.service, address, error)
-            return address, _carried_attempts.Reach.UNKNOWN
+            return address, None
 
     async def _open_through(self, address, attempt, before_send):
         self._selector.record_start(address)
