Seed the pauses of an unsigned head

The test that a server ends after an unsigned head drew its pauses without a seed, so that a failure could not be played again. Nothing else is changed.

--- a/build_tools/tests/test_ended_servers.py
+++ b/build_tools/tests/test_ended_servers.py
@@ -62,7 +62,9 @@
             {
                 'path': '/read/x',
                 'run': pool_standin.DeadlyRun(
-                    head=pool_standin.UNSIGNED_HEAD, pause=(0.15, 0.5)
+                    head=pool_standin.UNSIGNED_HEAD,
+                    pause=(0.15, 0.5),
+                    random_state=2,
                 ),
                 'servers': 6,
                 'seed': 2,
