Sort the nodes to be asked by their addresses

Nodes without a reply are forgotten in one place. A test loses a condition that never held.

Result: lint, and the tests of budgets, witnesses, peers and the prober pass.

--- a/balsamwind/node/_reach_opinions.py
+++ b/balsamwind/node/_reach_opinions.py
@@ -75,9 +75,7 @@
         if opinion is not None:
             self._no_replies.pop(address, None)
             return True
-        first_at, last_at = self._no_replies.get(address, (now, now))
-        if now - last_at > NO_REPLY_MEMORY:
-            first_at = now
+        first_at, _ = self._no_replies.get(address, (now, now))
         self._no_replies[address] = first_at, now
         return now - first_at >= NO_REPLY_TIME
 
@@ -104,11 +102,18 @@
         return len(self._find_asked(record.server_id)) >= needed
 
     def keep_only(self, server_ids):
-        """Forget the engines that are not among `server_ids`."""
+        """Forget the engines that are not among `server_ids`.
+
+        Nodes that gave no reply are forgotten after a while.
+        """
         for server_id in [
             item for item in self._asked if item not in server_ids
         ]:
             del self._asked[server_id]
+        since = self._clock.monotonic() - NO_REPLY_MEMORY
+        for address, (_, last_at) in list(self._no_replies.items()):
+            if last_at < since:
+                del self._no_replies[address]
 
     def reset(self):
         """Forget all opinions."""
--- a/balsamwind/relay/_peer_selection.py
+++ b/balsamwind/relay/_peer_selection.py
@@ -168,9 +168,13 @@
         usable = self._find_usable(service, (), now)
         if asked is None:
             return self._rng.sample(usable, min(count, len(usable)))
+        in_use = {peer.address for peer in usable}
         chosen = self._rng.sample(self._peers, len(self._peers))
         chosen.sort(
-            key=lambda peer: (peer.address in asked, peer not in usable)
+            key=lambda peer: (
+                peer.address in asked,
+                peer.address not in in_use,
+            )
         )
         return chosen[:count]
 
--- a/balsamwind/relay/tests/test_restarted_budgets.py
+++ b/balsamwind/relay/tests/test_restarted_budgets.py
@@ -60,6 +60,4 @@
     )
     assert nodes * worst <= EXTRA
     # What is withheld after a start is there again later.
-    assert any(time > starts[-1] + WINDOW for time in spent_at) or (
-        EXTRA < nodes + _relay.NODE_COUNT_MARGIN
-    )
+    assert any(time > starts[-1] + WINDOW for time in spent_at)
