Let a simulated engine forget at each start

Traced in its events: e5 is born anew at 37.963 s and keeps the open group 300002. It now forgets when it starts, too.

--- a/balsamwind/node/tests/shard_simulation.py
+++ b/balsamwind/node/tests/shard_simulation.py
@@ -542,6 +542,7 @@
         engine.is_alive = False
         engine.reset()
         await asyncio.sleep(self.rng.uniform(0.5, 6.0))
+        engine.reset()
         engine.born += 1
         engine.is_alive = True
         self._write_entry(engine)
