--- a/balsamwind/adapters/tests/cut_heads.py
+++ b/balsamwind/adapters/tests/cut_heads.py
@@ -1,20 +1,4 @@
-"""Servers that stop in the head of an answer or right after it."""
-
-import asyncio
-import contextlib
-import socket
-import struct
-
-CLOSE = 'close'
-RESET = 'reset'
-BYTE_BY_BYTE = 'byte by byte'
-"""As `CLOSE`, after each byte was sent by itself."""
-
-ENDINGS = (CLOSE, RESET, BYTE_BY_BYTE)
-"""How a connection ends after what was sent of the answer."""
-
-ARRIVAL_TIME = 0.01
-"""Time in which bytes arrive before a reset (seconds)."""
+"""Answers that stop in their heads or right after them."""
 
 
 def make_cuts(fields, body, chunk):
@@ -66,67 +50,3 @@
         'early hints, no body': early + head + b'\r\n',
         'early hints cut': early[:-2],
     }
-
-
-class CuttingServer:
-    """Answers requests by the next script, and ends the connection.
-
-    Parameters
-    ----------
-    answers : list of bytes
-        What is sent of each answer; the last one is repeated.
-    ending : str
-        How the connection ends, see `ENDINGS`.
-
-    Attributes
-    ----------
-    requests : int
-        Requests received (count).
-    address : str
-        ``host:port``, set by `listen`.
-    """
-
-    def __init__(self, answers, ending):
-        self._answers = list(answers)
-        self._ending = ending
-        self.requests = 0
-        self.address = ''
-
-    @contextlib.asynccontextmanager
-    async def listen(self):
-        """Listen on the loopback interface until the block ends."""
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        self.address = '%s:%d' % server.sockets[0].getsockname()
-        try:
-            yield self
-        finally:
-            server.close()
-
-    async def _serve(self, reader, writer):
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            head = (await reader.readuntil(b'\r\n\r\n')).lower()
-            _, _, length = head.partition(b'content-length: ')
-            await reader.readexactly(int(length.split()[0] if length else 0))
-            self.requests += 1
-            await self._send(writer)
-        writer.close()
-
-    async def _send(self, writer):
-        answer = self._answers[0]
-        if len(self._answers) > 1:
-            del self._answers[0]
-        size = 1 if self._ending == BYTE_BY_BYTE else max(1, len(answer))
-        for start in range(0, len(answer), size):
-            writer.write(answer[start : start + size])
-            await writer.drain()
-            await asyncio.sleep(0)
-        if self._ending == RESET:
-            await asyncio.sleep(ARRIVAL_TIME)
-            _reset_on_close(writer)
-            writer.transport.abort()
-
-
-def _reset_on_close(writer):
-    sock = writer.get_extra_info('socket')
-    linger = struct.pack('ii', 1, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/balsamwind/adapters/tests/test_cut_heads.py
+++ b/balsamwind/adapters/tests/test_cut_heads.py
@@ -12,6 +12,7 @@
 from balsamwind import exceptions
 from balsamwind import ports
 from balsamwind.requests import _resume
+from standins import raw_server
 
 EVENTS = b''.join(
     b'data: %s\n\n' % json.dumps({**event, 'attempt': 'r.1'}).encode()
@@ -69,7 +70,7 @@
     """Describe the harm that a request comes to by each cut, if any."""
 
     async def play(cut):
-        server = cut_heads.CuttingServer([cut], ending)
+        server = raw_server.RawServer([cut], ending)
         async with server.listen():
             harm = await send(server)
         return harm if server.requests else 'was not sent'
@@ -83,7 +84,7 @@
     return asyncio.run(play_all())
 
 
-@pytest.mark.parametrize('ending', cut_heads.ENDINGS)
+@pytest.mark.parametrize('ending', raw_server.ENDINGS)
 @pytest.mark.parametrize('method', ['GET', 'POST'])
 @pytest.mark.parametrize(
     'cuts',
@@ -100,7 +101,7 @@
     assert harms == {}
 
 
-@pytest.mark.parametrize('ending', cut_heads.ENDINGS)
+@pytest.mark.parametrize('ending', raw_server.ENDINGS)
 def test_completion_whose_answer_was_cut_in_its_head_promises_nothing(
     monkeypatch, ending
 ):
@@ -108,7 +109,7 @@
     assert _find_harms(STREAM_CUTS, ending, _complete) == {}
 
 
-@pytest.mark.parametrize('ending', cut_heads.ENDINGS)
+@pytest.mark.parametrize('ending', raw_server.ENDINGS)
 def test_completion_whose_refusal_was_cut_promises_nothing(
     monkeypatch, ending
 ):
