Take only a final status for an answer

What callers saw: an engine in trouble answered with status 000, and the client got `HTTP/1.1 0 Unknown` with its fields and body (MIXED). So it was for 001 to 099; a POST that runs once also got 600 to 999. Such an answer with Not-Executed was believed: a request that runs once was sent again, or got 503, which promises that it did not run (TWICE, REFUSED).

Cause: the parser of tornado lets any three digits through, and each reader tests what it looks for; what falls between the tests is relayed and its fields are believed.

Evidence: a server that sends raw bytes, directly and through a peer.

Anything else is a BadAnswer, no field of it is read, and its connection is reset. 101 is one: nobody asks for it, and no HTTP follows.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -392,6 +392,11 @@
         except (OSError, iostream.StreamClosedError) as error:
             stream.close()
             raise exceptions.TransportError(f'{endpoint}: {error}') from None
+        except exceptions.MalformedValue as error:
+            _connection_pool.abandon(stream)
+            raise exceptions.BadAnswer(
+                f'{endpoint}: malformed answer: {error.message}'
+            ) from None
         except BaseException:
             _connection_pool.abandon(stream)
             raise
@@ -415,8 +420,7 @@
             receiver = _http_receiver.ResponseReceiver()
             reader = asyncio.ensure_future(connection.read_response(receiver))
             reader.add_done_callback(receiver.handle_reader_done)
-            await receiver.head
-            if exchange.accepts(receiver.head.result()[1]):
+            if exchange.accepts(await _wait_for_headers(receiver, reader)):
                 return _streamed_response.StreamedResponse(
                     self, exchange.endpoint, connection, receiver, reader
                 )
@@ -530,6 +534,16 @@
     return target if target.startswith('/') else f'/{target}'
 
 
+async def _wait_for_headers(receiver, reader):
+    """Return the headers of the final response; stop reading on a failure."""
+    try:
+        _, headers = await receiver.head
+    except BaseException:
+        reader.cancel()
+        raise
+    return headers
+
+
 def _make_connection(stream):
     return http1connection.HTTP1Connection(
         stream,
--- a/balsamwind/objects/__init__.py
+++ b/balsamwind/objects/__init__.py
@@ -10,6 +10,7 @@
         '_checks': [
             'MAX_NAME_LENGTH',
             'check_address',
+            'check_final_status',
             'check_integer',
             'check_list',
             'check_name',
--- a/balsamwind/objects/_checks.py
+++ b/balsamwind/objects/_checks.py
@@ -18,6 +18,9 @@
 MAX_REASON_LENGTH = 200
 """Longest reason of an error of the interpreter (characters)."""
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses of final HTTP responses, as of RFC 9110, section 15."""
+
 _CONTROL_CHARACTERS = re.compile(r'[\x00-\x1f\x7f\x85\u2028\u2029]')
 
 _HOST_NAME = re.compile(r'(?!-)[A-Za-z0-9-]{1,63}(\.[A-Za-z0-9-]{1,63}){0,15}')
@@ -122,6 +125,26 @@
     return float(_check_range(value, what, least))
 
 
+def check_final_status(value, what):
+    """Return the status of a final HTTP response as it is.
+
+    Of any other response nothing may be believed. RFC 9110 lets a client
+    treat some as errors of the server; which are, the server does not say.
+
+    Parameters
+    ----------
+    value : object
+        Value.
+    what : str
+        Name of the value.
+    """
+    if _check_type(value, int, what) not in FINAL_STATUSES:
+        raise exceptions.MalformedValue(
+            f'{what}: got {value}, expected 200 to 599'
+        )
+    return value
+
+
 def check_address(value, what, may_be_name=False):
     """Return an address ``host:port``.
 
