Refuse a carried answer whose status is none

What callers saw: where a node of an earlier build carries the attempt, it passes on the status of a broken answer, 0 or 600, and this node sent it on to the caller with its fields and body.

Cause: the status in AnswerHead was any int.

Evidence: 9 new cases of test_node_that_does_not_answer_properly_leaves_ the_outcome_unknown, frames as an earlier build writes them, each failed with `DID NOT RAISE PeerUnavailable` ('200' as text was refused before).

Change: AnswerHead takes the status of a final answer only, so that the decoder refuses such a frame like any other that is malformed. The node that sent it is passed over for a second or more, the outcome is unknown (502, or another try where it may run again), and its link is cut. The server is not blamed: this node can't tell which of both was wrong.

The frames written are the same as before.

--- a/balsamwind/node/tests/test_attempt_client.py
+++ b/balsamwind/node/tests/test_attempt_client.py
@@ -4,6 +4,7 @@
 import contextlib
 import types
 
+import cbor2
 import pytest
 import websockets
 from websockets.asyncio import server as ws_server
@@ -57,6 +58,19 @@
 HEAD = (relay.AttemptAccepted(), relay.AnswerHead(200, (('A', 'b'),), True))
 
 
+def _make_head(status):
+    """Make the head of an answer as a node of an earlier build passes it on.
+
+    It has read it from a server.
+    """
+    body = {
+        'status': status,
+        'headers': [['A', 'b']],
+        'has_marked_end': True,
+    }
+    return cbor2.dumps([3, body])
+
+
 def _open(connection, before_send=lambda: None):
     client = _attempt_client.AttemptClient(doubles.make_unknown_messages())
     client.put_back('peer:1', connection)
@@ -136,6 +150,10 @@
         pytest.param([HEAD[1]], id='head before it was accepted'),
         pytest.param([HEAD[0], relay.AnswerData(b'x')], id='no head'),
         pytest.param([HEAD[0], HEAD[0]], id='accepted twice'),
+        *(
+            pytest.param([HEAD[0], _make_head(status)], id=f'status {status}')
+            for status in (-1, 0, 99, 100, 101, 199, 600, 999, 2**40, '200')
+        ),
     ],
 )
 def test_node_that_does_not_answer_properly_leaves_the_outcome_unknown(
--- a/balsamwind/relay/_carried_attempts.py
+++ b/balsamwind/relay/_carried_attempts.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 
+from balsamwind import objects
 from balsamwind.relay import _placement
 
 MAX_COLD_CARRY_TIME = 0.1
@@ -121,7 +122,7 @@
     Parameters
     ----------
     status : int
-        HTTP status code.
+        HTTP status code of a final response; no other value can be made.
     headers : tuple of (str, str)
         All headers.
     has_marked_end : bool
@@ -132,6 +133,9 @@
     headers: tuple[tuple[str, ...], ...]
     has_marked_end: bool
 
+    def __post_init__(self):
+        objects.check_final_status(self.status, 'status')
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class AnswerData:
