Refuse a carried answer with an odd field

What callers saw: where another node carries the attempt and passes on a field whose name holds a blank or a control byte, or whose value holds a line end, the caller's connection was closed without an answer, and no other try was made.

Cause: HTTPHeaders refuses such a field with an error that is no TransportError, so nothing above took it for a failed attempt. A field that is no pair did the same.

Change: receive_head makes it the failure of the node that passed it on, with a bounded and escaped reason.

--- a/balsamwind/node/_attempt_client.py
+++ b/balsamwind/node/_attempt_client.py
@@ -24,6 +24,9 @@
 MAX_IDLE_CONNECTIONS = 16
 """Largest number of idle connections to one node (count)."""
 
+MAX_REASON_LENGTH = 200
+"""Longest description of a malformed header (characters)."""
+
 _ERRORS = {
     relay.CarryFailure.UNREACHABLE: exceptions.TransportError,
     relay.CarryFailure.BROKEN: exceptions.TransportError,
@@ -301,11 +304,22 @@
             ):
                 self.status = status
                 self.has_marked_end = marked
-                for name, value in headers:
-                    self.headers.add(name, value)
+                self._take_headers(headers)
                 return
         self._raise_failure(message)
 
+    def _take_headers(self, headers):
+        """Check the headers, which another node has read with its parser."""
+        try:
+            for name, value in headers:
+                self.headers.add(name, value)
+        except (ValueError, httputil.HTTPInputError) as error:
+            self.close()
+            raise exceptions.PeerUnavailable(
+                f'through {self._address}: malformed header:'
+                f' {error!r:.{MAX_REASON_LENGTH}}'
+            ) from None
+
     def _raise_failure(self, message, is_accepted=True):
         match message:
             case relay.AttemptFailed():
--- a/balsamwind/node/tests/test_attempt_client.py
+++ b/balsamwind/node/tests/test_attempt_client.py
@@ -58,14 +58,14 @@
 HEAD = (relay.AttemptAccepted(), relay.AnswerHead(200, (('A', 'b'),), True))
 
 
-def _make_head(status):
+def _make_head(status, headers=()):
     """Make the head of an answer as a node of an earlier build passes it on.
 
     It has read it from a server.
     """
     body = {
         'status': status,
-        'headers': [['A', 'b']],
+        'headers': [['A', 'b'], *headers],
         'has_marked_end': True,
     }
     return cbor2.dumps([3, body])
@@ -154,6 +154,18 @@
             pytest.param([HEAD[0], _make_head(status)], id=f'status {status}')
             for status in (-1, 0, 99, 100, 101, 199, 600, 999, 2**40, '200')
         ),
+        *(
+            pytest.param([HEAD[0], _make_head(200, [field])], id=str(field))
+            for field in (
+                ['X Name', 'a'],
+                ['X-Name ', 'a'],
+                ['X\x01Name', 'a'],
+                ['', 'a'],
+                ['X-Name', 'a\r\nSet-Cookie: b'],
+                ['X-Name', 'a', 'b'],
+                ['X-Name'],
+            )
+        ),
     ],
 )
 def test_node_that_does_not_answer_properly_leaves_the_outcome_unknown(
