Write only final statuses to callers

What callers saw: whatever status the inside asked for left the process, as `HTTP/1.1 0 Unknown` or `HTTP/1.1 600 Unknown`. The answers of servers no longer bring one; the record of a call under a key, written by an earlier build of the older interface, still could, and was repeated.

Cause: neither server for callers looked at the status that it wrote.

Evidence: with the two servers as before, all 9 cases of test_status_that_is_none_was_written_to_a_caller failed, as

assert b'HTTP/1.1 0 Unknown\r\n' == b'HTTP/1.1 502 Bad Gateway\r\n'

and all 6 of test_recorded_status_that_is_none_was_repeated.

Change: Responder.start and set_status of the handlers refuse a status that is not final, before anything is written. The caller gets 502, whose outcome is unknown: the call may have run, as the recorded one has. The record itself stays, so that its call is not run again. ResponseRelay counts as started only what has been written.

--- a/balsamwind/adapters/_caller_server.py
+++ b/balsamwind/adapters/_caller_server.py
@@ -7,6 +7,7 @@
 from tornado import iostream
 from tornado import web
 
+from balsamwind.adapters import _outgoing_status
 from balsamwind import exceptions
 from balsamwind import objects
 from balsamwind import ports
@@ -90,6 +91,17 @@
                 ) from None
         return self.entry.clock.monotonic() + timeout
 
+    def set_status(self, status_code, reason=None):
+        """Set the status, which must be that of a final response.
+
+        Raises
+        ------
+        balsamwind.exceptions.BadAnswer
+            It is not, as in the record of a call that an earlier build wrote.
+        """
+        _outgoing_status.check_outgoing_status(status_code)
+        super().set_status(status_code, reason)
+
     def write_error_response(self, error):
         """Send an error response; the headers must not have been sent."""
         self.set_status(error.status)
--- a/balsamwind/adapters/_relay_server.py
+++ b/balsamwind/adapters/_relay_server.py
@@ -12,6 +12,7 @@
 
 from balsamwind.adapters import _body_receiver
 from balsamwind.adapters import _connection_pool
+from balsamwind.adapters import _outgoing_status
 from balsamwind import admission
 from balsamwind import exceptions
 from balsamwind import relay
@@ -116,7 +117,13 @@
             HTTP status code.
         headers : iterable of (str, str)
             Names and values of all headers.
+
+        Raises
+        ------
+        balsamwind.exceptions.BadAnswer
+            The status is not that of a final response; nothing was written.
         """
+        _outgoing_status.check_outgoing_status(status)
         self.started = True
         self.status = status
         fields = httputil.HTTPHeaders()
--- a/balsamwind/adapters/tests/test_caller_server.py
+++ b/balsamwind/adapters/tests/test_caller_server.py
@@ -186,3 +186,19 @@
     with pytest.raises(exceptions.TransportError) as caught:
         asyncio.run(request)
     assert not caught.value.sent
+
+
+@pytest.mark.parametrize('status', [0, 99, 100, 199, 600, 999])
+def test_recorded_status_that_is_none_was_repeated(monkeypatch, status):
+    # An earlier build has recorded such answers; the call has run.
+    async def repeat(entry, contract, service, call, deadline):
+        return objects.Answer(status, 'text/plain', '')
+
+    monkeypatch.setattr(entry_package.Entry, 'call_service', repeat)
+    monkeypatch.setattr(
+        entry_package.Entry, 'find_service', lambda entry, *names: None
+    )
+    response = asyncio.run(send_request('POST', '/services/ledger/x', b'{}'))
+    error = json.loads(response.body)['error']
+    assert response.status == 502
+    assert error['run'] == exceptions.OUTCOME_UNKNOWN
--- a/balsamwind/adapters/tests/test_relay_server.py
+++ b/balsamwind/adapters/tests/test_relay_server.py
@@ -155,3 +155,29 @@
         b'Transfer-Encoding: chunked' in response
         and not response.endswith(b'0\r\n\r\n')
     )
+
+
+@pytest.mark.parametrize('status', [-1, 0, 20, 99, 100, 101, 199, 600, 999])
+def test_status_that_is_none_was_written_to_a_caller(status):
+    # Whoever asks for it: the caller gets an error in its place.
+    class Relay(_FakeRelay):
+        async def run(self, request, responder):
+            try:
+                responder.start(status, [('Content-Length', '0')])
+            except exceptions.BalsamwindError as error:
+                responder.fail(error)
+
+    async def scenario():
+        server = _relay_server.RelayServer(
+            Relay(), _FakeClock(), traffic.RequestLimits(), logging.getLogger()
+        )
+        port = ports.find_free_port()
+        server.listen(f'127.0.0.1:{port}')
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(REQUEST_FORMAT % 1)
+        line = await asyncio.wait_for(reader.readline(), 2.0)
+        writer.close()
+        await server.close()
+        return line
+
+    assert asyncio.run(scenario()) == b'HTTP/1.1 502 Bad Gateway\r\n'
--- a/balsamwind/relay/_response_relay.py
+++ b/balsamwind/relay/_response_relay.py
@@ -158,11 +158,11 @@
     def _start(self, response, with_content_length):
         if self.started:
             return
-        self.started = True
         headers = _header_filter.filter_response_headers(
             response.headers, with_content_length
         )
         self._responder.start(response.status, headers)
+        self.started = True
 
 
 def _get_media_type(headers):
