Show broken answers to all readers of answers

What callers saw, with the client as it was at: a call under a key whose answer had status 000 was answered, so that its record repeated it; a completion whose answer had status 000 and "not_run" was said not to have run; an era of the store, and that a server leaves, were believed from an answer that is none (the field is read before the status).

A status line that ends after the digits moves to the heads that the parser refuses, where it belongs.

--- a/balsamwind/adapters/tests/broken_answers.py
+++ b/balsamwind/adapters/tests/broken_answers.py
@@ -28,6 +28,8 @@
     b'http/1.1 200 OK',
     b'ICY 200 OK',
     b'200 OK',
+    b'HTTP/1.1 200',
+    b'HTTP/1.1 000',
     b'HTTP/1.1  200 OK',
     b'HTTP/1.1\t200 OK',
     b' HTTP/1.1 200 OK',
@@ -64,7 +66,6 @@
         f'status {status}': f'HTTP/1.1 {status} X\r\n'.encode() + rest
         for status in NO_FINAL_STATUS
     }
-    answers['status without a reason'] = b'HTTP/1.1 000\r\n' + rest
     answers['status of the older version'] = b'HTTP/1.0 000 X\r\n' + rest
     answers['status 000, then whole'] = answers['status 000'] + whole
     answers['status 000 alone, then whole'] = b'HTTP/1.1 000 X\r\n\r\n' + whole
--- a/balsamwind/adapters/tests/test_cut_heads.py
+++ b/balsamwind/adapters/tests/test_cut_heads.py
@@ -40,11 +40,11 @@
 }
 
 
-async def _call(server, method):
+async def call(server, method):
     client = adapters.HttpClient()
-    call = ports.ServiceCall(method, '/x', b'', 'text/plain', 'k', 'r')
+    sent = ports.ServiceCall(method, '/x', b'', 'text/plain', 'k', 'r')
     try:
-        await adapters.HttpPlainService(client).call(server.address, call, 1.0)
+        await adapters.HttpPlainService(client).call(server.address, sent, 1.0)
     except exceptions.TransportError as error:
         return '' if error.sent else 'is said not to have run'
     except exceptions.BackendRefused:
@@ -54,7 +54,7 @@
     return 'is not whole'
 
 
-async def _complete(server):
+async def complete(server):
     path = completion_helpers.CompletionPath([server.address])
     try:
         await path.collect()
@@ -66,7 +66,7 @@
     return 'is not whole'
 
 
-def _find_harms(cuts, ending, send):
+def find_harms(cuts, ending, send):
     """Describe the harm that a request comes to by each cut, if any."""
 
     async def play(cut):
@@ -97,7 +97,7 @@
     cuts, method, ending
 ):
     # Neither a success that is not whole, nor 'not run'.
-    harms = _find_harms(cuts, ending, lambda server: _call(server, method))
+    harms = find_harms(cuts, ending, lambda server: call(server, method))
     assert harms == {}
 
 
@@ -106,7 +106,7 @@
     monkeypatch, ending
 ):
     monkeypatch.setattr(_resume, 'MAX_GROUP_WAIT', 0.0)
-    assert _find_harms(STREAM_CUTS, ending, _complete) == {}
+    assert find_harms(STREAM_CUTS, ending, complete) == {}
 
 
 @pytest.mark.parametrize('ending', raw_server.ENDINGS)
@@ -114,4 +114,4 @@
     monkeypatch, ending
 ):
     monkeypatch.setattr(_resume, 'MAX_GROUP_WAIT', 0.0)
-    assert _find_harms(CUT_REFUSALS, ending, _complete) == {}
+    assert find_harms(CUT_REFUSALS, ending, complete) == {}
