Believe no head whose framing contradicts itself

What callers saw: a booking that ran was sent again, up to three times, where the answer said Not-Executed beside two lengths, a signed or empty one, an unknown coding, a length beside a coding, or a 204 with a length (TWICE; REFUSED after the last try).

Cause: the parser passes a head on before it looks at the framing of the body. The body was refused then, but what the head claimed (not run, load, leaving, limits) was believed already.

Evidence: all 4 cases of test_head_whose_framing_contradicts_itself_was_ believed fail with the receiver as before, each with 13 such heads:

Ruled out: heads with odd names, values and start lines, which never come this far.

Change: check_head says what the head of a final response is, its status and its framing, before anything reads a field of it. Equal lengths that stand there twice are one, as before.

Measured: the tests of broken answers, of cut heads, of all adapters and of the platform pass.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -18,6 +18,7 @@
 from balsamwind.adapters import _connection_pool
 from balsamwind.adapters import _http_receiver
 from balsamwind.adapters import _read_body
+from balsamwind.adapters import _response_head
 from balsamwind.adapters import _streamed_response
 from balsamwind import exceptions
 
@@ -392,7 +393,7 @@
         except (OSError, iostream.StreamClosedError) as error:
             stream.close()
             raise exceptions.TransportError(f'{endpoint}: {error}') from None
-        except exceptions.MalformedValue as error:
+        except _response_head.MalformedHead as error:
             _connection_pool.abandon(stream)
             raise exceptions.BadAnswer(
                 f'{endpoint}: malformed answer: {error.message}'
@@ -549,6 +550,6 @@
         stream,
         True,
         http1connection.HTTP1ConnectionParameters(
-            chunk_size=CHUNK_SIZE, max_body_size=1 << 40
+            chunk_size=CHUNK_SIZE, max_body_size=_response_head.MAX_LENGTH
         ),
     )
--- a/balsamwind/adapters/_http_receiver.py
+++ b/balsamwind/adapters/_http_receiver.py
@@ -6,16 +6,11 @@
 from tornado import httputil
 from tornado import iostream
 
-from balsamwind import exceptions
-from balsamwind import objects
+from balsamwind.adapters import _response_head
 
 MAX_BUFFERED_CHUNKS = 4
 """Body chunks that may wait for the consumer before reading stops (count)."""
 
-INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
-"""Statuses of responses that come before the final one, on its connection.
-After 101 no HTTP follows; no request here asks for it."""
-
 
 class ResponseReceiver(httputil.HTTPMessageDelegate):
     """Buffers the response that a connection reads, for one consumer.
@@ -24,7 +19,7 @@
     ----------
     head : asyncio.Future
         Resolves to the status code and the headers of the final response, or
-        to a `MalformedValue` if another kind of message comes in its place.
+        to a `MalformedHead` if something else comes in its place.
     chunks : collections.deque of bytes
         Body chunks that the consumer has not taken yet.
     finished : bool
@@ -51,15 +46,15 @@
         self._timer = None
 
     def headers_received(self, start_line, headers):
-        if start_line.code in INTERIM_STATUSES or self.head.done():
+        if _response_head.is_interim(start_line.code) or self.head.done():
             return None
         try:
-            status = objects.check_final_status(start_line.code, 'status')
-        except exceptions.MalformedValue as error:
+            _response_head.check_head(start_line.code, headers)
+        except _response_head.MalformedHead as error:
             self.head.set_exception(error)
             # Nothing that follows is read: the reader waits to be cancelled.
             return self._loop.create_future()
-        self.head.set_result((status, headers))
+        self.head.set_result((start_line.code, headers))
         return None
 
     def data_received(self, chunk):
--- a/balsamwind/adapters/tests/broken_answers.py
+++ b/balsamwind/adapters/tests/broken_answers.py
@@ -112,6 +112,13 @@
         answers[f'framing {framing!r}'] = (
             start + fields + framing + b'\r\n' + end
         )
+    # Its body holds no sizes of chunks.
+    answers['chunked without chunks'] = (
+        start + fields + b'Transfer-Encoding: chunked\r\n' + end
+    )
+    answers['no content, with a length'] = (
+        b'HTTP/1.1 204 X\r\n' + fields + b'Content-Length: 5\r\n' + end
+    )
     answers['many interim answers'] = (
         (_EARLY_HINTS + b'\r\n') * 1000 + start + fields + length + end
     )
@@ -149,7 +156,7 @@
         b'Transfer-Encoding: chunked, chunked',
         b'Transfer-Encoding: gzip',
         b'Transfer-Encoding: chunked\r\nContent-Length: %d' % size,
-        # The bodies that follow hold no sizes of chunks.
-        b'Transfer-Encoding: chunked',
+        b'Content-Length: %s' % (b'9' * 5000),
+        b'Content-Length: %d;' % size,
     ]
     return [line + b'\r\n' for line in lines]
--- a/balsamwind/node/tests/test_broken_answers.py
+++ b/balsamwind/node/tests/test_broken_answers.py
@@ -13,6 +13,14 @@
 STATUSES = broken_answers.make_statuses(harms.FIELDS, harms.BODY)
 REFUSALS = broken_answers.make_statuses(harms.ID + NOT_EXECUTED, b'')
 HEADS = broken_answers.make_other_heads(harms.FIELDS, harms.BODY)
+REFUSING_HEADS = {
+    name: answer.replace(b'200 OK', b'503 X')
+    for name, answer in broken_answers.make_other_heads(
+        harms.ID + NOT_EXECUTED, b'1'
+    ).items()
+    # This one is whole, and its body is cut.
+    if name != 'chunked without chunks'
+}
 
 
 def _find_harms(answers, rest, routes, ending, through_peer):
@@ -43,6 +51,18 @@
     assert _find_harms(answers, rest, routes, ending, through_peer) == {}
 
 
+@pytest.mark.parametrize('through_peer', [False, True])
+@pytest.mark.parametrize('ending', [raw_server.KEEP, raw_server.CLOSE])
+def test_head_whose_framing_contradicts_itself_was_believed(
+    ending, through_peer
+):
+    # A booking that ran was sent again, as such a head said it had not.
+    found = _find_harms(
+        REFUSING_HEADS, (), ['not idempotent'], ending, through_peer
+    )
+    assert found == {}
+
+
 @pytest.mark.parametrize('through_peer', [False, True])
 @pytest.mark.parametrize('rest', [(), (harms.WHOLE,)])
 def test_head_that_is_none_is_no_answer(rest, through_peer):
