Say which server sent a broken answer, and why

What operators saw of a broken answer: `attempt_failed` with a reason that did not say so. A head that the parser refuses looked like the end of a connection (`Stream is closed`), as tornado handles its own error.

Change: both clients of a node tell of each answer that is none. The node counts it by what was wrong (balsamwind_malformed_answers_total) and logs answer_malformed with the server's address, the request's id and the quoted, bounded reason; `attempt_failed` names it, too. The stream keeps the parser's reason as it is closed. What becomes of a request is the same: a head that the parser refuses stays a TransportError.

Measured: a node with real sockets, test_broken_answer_is_explained_to_ the_operator (6 cases): the client gets 502, both lines name the server, one is counted, the path stays open, nothing is suspected, and the next request at the same server gets its whole answer. An idempotent request gets the answer of another server 12 times of 12, and the broken one is passed over after some of them.

--- a/balsamwind/adapters/_connection_pool.py
+++ b/balsamwind/adapters/_connection_pool.py
@@ -4,8 +4,10 @@
 import select
 import socket
 import struct
+import sys
 import time
 
+from tornado import httputil
 from tornado import iostream
 
 MAX_IDLE_CONNECTIONS = 64
@@ -19,6 +21,9 @@
 MAX_TAGS = 16
 """Requests that a connection is known to have carried (count)."""
 
+MAX_REFUSAL_LENGTH = 200
+"""Longest reason of the parser that is kept (characters)."""
+
 
 class ClientStream(iostream.IOStream):
     """Stream that can tell whether unread bytes have arrived on it.
@@ -27,11 +32,24 @@
     ----------
     tags : collections.deque of str
         Tags of the last requests that it has carried.
+    refusal : str
+        Why the parser has refused what came; empty if it has not.
     """
 
     def __init__(self, *arguments, **values):
         super().__init__(*arguments, **values)
         self.tags = collections.deque(maxlen=MAX_TAGS)
+        self.refusal = ''
+
+    def close(self, exc_info=False):
+        """Close the stream, and keep the error of the parser, if any.
+
+        tornado handles that error itself, by this call, and tells nobody.
+        """
+        error = sys.exception()
+        if isinstance(error, httputil.HTTPInputError):
+            self.refusal = str(error)[:MAX_REFUSAL_LENGTH]
+        super().close(exc_info)
 
     @property
     def reusable(self):
@@ -79,6 +97,11 @@
         stream.tags.append(tag)
 
 
+def find_refusal(stream):
+    """Return why the parser has refused what came; not known with TLS."""
+    return getattr(stream, 'refusal', '')
+
+
 def _has_carried(stream, tag):
     return bool(tag) and tag in getattr(stream, 'tags', ())
 
--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -121,6 +121,9 @@
     on_dropped_response : callable
         Called with the ``host:port`` of the server and whether it may have
         been the right one, for each response that is skipped.
+    on_malformed_answer : callable
+        Called with the ``host:port`` of the server, the tag of the request,
+        a `HeadDefect` and the reason (str), for each answer that is none.
     """
 
     __slots__ = (
@@ -128,6 +131,7 @@
         '_ssl_context',
         '_user_agent',
         'on_dropped_response',
+        'on_malformed_answer',
         'opened_connections',
     )
 
@@ -137,6 +141,7 @@
         self._ssl_context = ssl_context
         self.opened_connections = 0
         self.on_dropped_response = lambda endpoint, is_doubtful: None
+        self.on_malformed_answer = lambda endpoint, tag, defect, reason: None
 
     async def fetch(
         self,
@@ -392,9 +397,13 @@
             ) from None
         except (OSError, iostream.StreamClosedError) as error:
             stream.close()
-            raise exceptions.TransportError(f'{endpoint}: {error}') from None
+            reason = self.report_refusal(endpoint, stream) or error
+            raise exceptions.TransportError(f'{endpoint}: {reason}') from None
         except _response_head.MalformedHead as error:
             _connection_pool.abandon(stream)
+            self.on_malformed_answer(
+                endpoint, request_tag, error.defect, error.message
+            )
             raise exceptions.BadAnswer(
                 f'{endpoint}: malformed answer: {error.message}'
             ) from None
@@ -482,6 +491,29 @@
         self.opened_connections += 1
         return stream
 
+    def report_refusal(self, endpoint, stream):
+        """Report why the parser has refused an answer, if it has.
+
+        Parameters
+        ----------
+        endpoint : str
+            ``host:port`` of the server.
+        stream : tornado.iostream.IOStream
+            Stream of the connection, which is closed.
+
+        Returns
+        -------
+        str
+            The reason, for an error; empty if the parser has refused nothing.
+        """
+        refusal = _connection_pool.find_refusal(stream)
+        if not refusal:
+            return ''
+        defect = _response_head.HeadDefect.SYNTAX
+        tag = stream.tags[-1] if stream.tags else ''
+        self.on_malformed_answer(endpoint, tag, defect, refusal)
+        return f'malformed answer: {refusal}'
+
     def return_connection(self, endpoint, connection, reader, keep_alive=None):
         """Return a connection to the pool once its response has been read.
 
--- a/balsamwind/adapters/_response_head.py
+++ b/balsamwind/adapters/_response_head.py
@@ -33,11 +33,14 @@
         It switches to another protocol, which no request has asked for.
     FRAMING
         What it says of the end of its body contradicts itself.
+    SYNTAX
+        The parser refuses the start line, a field or the start of the body.
     """
 
     STATUS = 'status'
     PROTOCOL = 'protocol'
     FRAMING = 'framing'
+    SYNTAX = 'syntax'
 
 
 class MalformedHead(exceptions.MalformedValue):
--- a/balsamwind/adapters/_streamed_response.py
+++ b/balsamwind/adapters/_streamed_response.py
@@ -129,9 +129,9 @@
         chunk = self._receiver.take_data()
         if chunk is None:
             self.close()
-            raise exceptions.TransportError(
-                f'{self._endpoint}: connection closed before end of body'
-            )
+            reason = self._client.report_refusal(self._endpoint, self._stream)
+            reason = reason or 'connection closed before end of body'
+            raise exceptions.TransportError(f'{self._endpoint}: {reason}')
         if not chunk:
             self._check_reset()
             self._return_connection()
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -157,6 +157,10 @@
         self._backend_client.on_dropped_response = (
             self._request_log.record_dropped_response
         )
+        for client in (self._backend_client, self._control_client):
+            client.on_malformed_answer = (
+                self._request_log.record_malformed_answer
+            )
         self._unknown_messages = _unknown_messages.UnknownMessages(
             self._log, self._request_log.metrics_registry
         )
--- a/balsamwind/node/_request_log.py
+++ b/balsamwind/node/_request_log.py
@@ -52,6 +52,7 @@
         '_excess_runs',
         '_failed_attempts',
         '_lines',
+        '_malformed_answers',
         '_rejections',
         '_repeats',
         '_requested_pauses',
@@ -118,6 +119,13 @@
             ('reason',),
             registry=self.metrics_registry,
         )
+        self._malformed_answers = prometheus_client.Counter(
+            'balsamwind_malformed_answers',
+            'Answers of backend servers and the store that are no HTTP'
+            ' responses.',
+            ('defect',),
+            registry=self.metrics_registry,
+        )
         self._durations = prometheus_client.Histogram(
             'balsamwind_answer_seconds',
             'Time to the end of the final answer.',
@@ -404,6 +412,30 @@
         if self._lines.take():
             self.log.info('response_dropped', server=endpoint, reason=reason)
 
+    def record_malformed_answer(self, endpoint, request_id, defect, reason):
+        """Record an answer that is no HTTP response.
+
+        Parameters
+        ----------
+        endpoint : str
+            ``host:port`` of the server.
+        request_id : str
+            Id of the request; empty if this node itself has asked.
+        defect : balsamwind.adapters.HeadDefect
+            What is wrong.
+        reason : str
+            Description, with what was got.
+        """
+        self._malformed_answers.labels(defect.value).inc()
+        if self._lines.take():
+            self.log.info(
+                'answer_malformed',
+                server=endpoint,
+                id=request_id,
+                defect=defect.value,
+                reason=reason,
+            )
+
     def record_requested_pause(self, backend, pause):
         """Record that a backend server wants no requests for a while.
 
--- a/balsamwind/node/tests/helpers.py
+++ b/balsamwind/node/tests/helpers.py
@@ -177,12 +177,13 @@
         ]
         for process in nodes:
             await wait_until(
-                lambda process=process: _is_serving(process, engines, servers)
+                lambda process=process: is_serving(process, engines, servers)
             )
         yield fake_platform, nodes
 
 
-def _is_serving(process, engines, servers):
+def is_serving(process, engines, servers):
+    """Tell whether a node would use all groups and plain servers."""
     if count_serving_groups(process) != engines // 2:
         return False
     ledger = process.configuration_cache.find_service('ledger')
--- a/balsamwind/node/tests/test_broken_answers.py
+++ b/balsamwind/node/tests/test_broken_answers.py
@@ -1,11 +1,15 @@
 """Servers whose answers are none, also behind another node."""
 
 import asyncio
+import contextlib
 
 import pytest
+from structlog import testing
 
 from balsamwind.adapters.tests import broken_answers
 from balsamwind.node.tests import harms
+from balsamwind.node.tests import helpers
+from balsamwind.node.tests import test_odd_entries
 from standins import raw_server
 
 NOT_EXECUTED = b'X-Balsamwind-Not-Executed: 1\r\nRetry-After: 1\r\n'
@@ -70,3 +74,127 @@
     assert (
         _find_harms(HEADS, rest, routes, raw_server.CLOSE, through_peer) == {}
     )
+
+
+def _make_configuration():
+    """Make a configuration with routes that run once, and may run again."""
+    configuration = test_odd_entries.make_configuration()
+    lookup = {
+        **configuration['Routes'][-1],
+        'Name': 'lookup',
+        'PathPrefix': '/lookup/',
+        'Kind': 'idempotent',
+    }
+    configuration['Routes'].append(lookup)
+    return configuration
+
+
+@contextlib.asynccontextmanager
+async def _open_node(servers):
+    """Run a node with plain servers until the block ends."""
+    async with (
+        helpers.open_platform(0) as fake_platform,
+        helpers.open_node(fake_platform) as process,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        fake_platform.store.put('config', 'main', _make_configuration())
+        for number, server in enumerate(servers):
+            await stack.enter_async_context(server.listen())
+            entry = {
+                'Service': 'ledger',
+                'Address': server.address,
+                'Zone': 'z1',
+                'State': 'ready',
+                'SlotCount': 6,
+            }
+            fake_platform.store.put('servers', f's{number}', entry)
+        await helpers.wait_until(
+            lambda: helpers.is_serving(process, 0, len(servers))
+        )
+        yield process
+
+
+def _make_answer(status, fields=b'', body=harms.BODY):
+    return b'HTTP/1.1 %s X\r\n%s%sContent-Length: %d\r\n\r\n%s' % (
+        status,
+        harms.FIELDS,
+        fields,
+        len(body),
+        body,
+    )
+
+
+@pytest.mark.parametrize(
+    ('answer', 'defect', 'code'),
+    [
+        (_make_answer(b'000'), 'status', b'bad_answer'),
+        (_make_answer(b'600', NOT_EXECUTED), 'status', b'bad_answer'),
+        (_make_answer(b'101'), 'protocol', b'bad_answer'),
+        (
+            _make_answer(b'503', NOT_EXECUTED + b'Content-Length: 1\r\n'),
+            'framing',
+            b'bad_answer',
+        ),
+        (_make_answer(b'200', b'X Na\x01me: 1\r\n'), 'syntax', b'transport_'),
+        (
+            b'HTTP/1.1 200 X\r\n%sTransfer-Encoding: chunked\r\n\r\nx\r\n'
+            % harms.FIELDS,
+            'syntax',
+            b'transport_',
+        ),
+    ],
+)
+def test_broken_answer_is_explained_to_the_operator(answer, defect, code):
+    async def scenario():
+        server = raw_server.RawServer([answer, harms.WHOLE])
+        async with _open_node([server]) as process:
+            with testing.capture_logs() as rows:
+                request = helpers.make_request('/balance/x')
+                broken = await helpers.send_request(process, request)
+                whole = await helpers.send_request(process, request)
+            count = process._request_log.metrics_registry.get_sample_value(
+                'balsamwind_malformed_answers_total', {'defect': defect}
+            )
+            facts = (
+                count,
+                process.relay.paths.is_open('ledger'),
+                process.relay.crash_quarantine.has_suspects,
+                server.requests,
+            )
+            return broken, whole, rows, facts, server.address
+
+    broken, whole, rows, facts, address = asyncio.run(scenario())
+    assert broken.startswith(b'HTTP/1.1 502 ')
+    assert code in broken
+    assert whole.startswith(b'HTTP/1.1 200 ')
+    assert whole.endswith(harms.BODY)
+    assert facts == (1.0, True, False, 2)
+    (row,) = [row for row in rows if row['event'] == 'answer_malformed']
+    assert (row['server'], row['id']) == (address, 'r1')
+    assert row['defect'] == defect
+    (row,) = [row for row in rows if row['event'] == 'attempt_failed']
+    assert (row['server'], row['id'], row['fault']) == ('s0', 'r1', 'server')
+    assert 'malformed answer' in row['reason']
+
+
+def test_idempotent_request_goes_on_after_a_broken_answer():
+    async def scenario():
+        servers = [raw_server.RawServer([_make_answer(b'000')])]
+        servers.append(raw_server.RawServer([harms.WHOLE]))
+        async with _open_node(servers) as process:
+            answers = [
+                await helpers.send_request(
+                    process, helpers.make_request('/lookup/x')
+                )
+                for _ in range(12)
+            ]
+            return answers, servers[0].requests
+
+    answers, asked = asyncio.run(scenario())
+    assert asked > 0
+    # A server that fails each time is soon passed over.
+    assert asked < 12
+    assert all(
+        answer.startswith(b'HTTP/1.1 200 ') and answer.endswith(harms.BODY)
+        for answer in answers
+    )
