Let the reader of a refused head end quietly

Change: the reader waits for end_refused, which takes the stream away from it, so that tornado ends without reading on. The stream is reset as before. Where nobody waits for the head any more, the reader does not wait either.

--- a/balsamwind/adapters/_http_client.py
+++ b/balsamwind/adapters/_http_client.py
@@ -430,7 +430,11 @@
             receiver = _http_receiver.ResponseReceiver()
             reader = asyncio.ensure_future(connection.read_response(receiver))
             reader.add_done_callback(receiver.handle_reader_done)
-            if exchange.accepts(await _wait_for_headers(receiver, reader)):
+            try:
+                _, headers = await receiver.head
+            finally:
+                receiver.end_refused(connection)
+            if exchange.accepts(headers):
                 return _streamed_response.StreamedResponse(
                     self, exchange.endpoint, connection, receiver, reader
                 )
@@ -567,16 +571,6 @@
     return target if target.startswith('/') else f'/{target}'
 
 
-async def _wait_for_headers(receiver, reader):
-    """Return the headers of the final response; stop reading on a failure."""
-    try:
-        _, headers = await receiver.head
-    except BaseException:
-        reader.cancel()
-        raise
-    return headers
-
-
 def _make_connection(stream):
     return http1connection.HTTP1Connection(
         stream,
--- a/balsamwind/adapters/_http_receiver.py
+++ b/balsamwind/adapters/_http_receiver.py
@@ -42,6 +42,7 @@
         self.on_finish = None
         self._data_waiter = None
         self._drain_waiter = None
+        self._refusal = None
         self._deadline = 0.0
         self._timer = None
 
@@ -52,11 +53,24 @@
             _response_head.check_head(start_line.code, headers)
         except _response_head.MalformedHead as error:
             self.head.set_exception(error)
-            # Nothing that follows is read: the reader waits to be cancelled.
-            return self._loop.create_future()
+            # The reader waits for `end_refused`, and reads nothing further.
+            self._refusal = self._loop.create_future()
+            return self._refusal
         self.head.set_result((start_line.code, headers))
         return None
 
+    def end_refused(self, connection):
+        """Let the reader end if it has read a head that is malformed.
+
+        Parameters
+        ----------
+        connection : tornado.http1connection.HTTP1Connection
+            Connection that it reads from; it leaves its stream alone then.
+        """
+        if self._refusal is not None and not self._refusal.done():
+            connection.detach()
+            self._refusal.set_result(None)
+
     def data_received(self, chunk):
         if self.discarding:
             return None
--- a/balsamwind/adapters/tests/test_broken_answers.py
+++ b/balsamwind/adapters/tests/test_broken_answers.py
@@ -91,3 +91,26 @@
                 client.close()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('name', ANSWERS)
+def test_refused_head_leaves_no_traceback_and_no_task(caplog, name):
+    async def scenario():
+        client = adapters.HttpClient()
+        server = raw_server.RawServer([ANSWERS[name]])
+        async with server.listen():
+            with pytest.raises(exceptions.BadAnswer):
+                await client.open(
+                    'POST', f'http://{server.address}/x', timeout=1.0
+                )
+            await asyncio.sleep(0.01)
+            tasks = [
+                task.get_coro().__qualname__ for task in asyncio.all_tasks()
+            ]
+        client.close()
+        return tasks, server.requests, server.connections
+
+    tasks, requests, connections = asyncio.run(scenario())
+    assert not [name for name in tasks if 'HTTP1Connection' in name]
+    assert (requests, connections) == (1, 1)
+    assert caplog.records == []
