--- a/balsamwind/node/tests/test_broken_answers.py
+++ b/balsamwind/node/tests/test_broken_answers.py
@@ -7,9 +7,12 @@
 from structlog import testing
 
 from balsamwind.adapters.tests import broken_answers
+from balsamwind import exceptions
+from balsamwind.node.tests import carrying
 from balsamwind.node.tests import harms
 from balsamwind.node.tests import helpers
 from balsamwind.node.tests import test_odd_entries
+from balsamwind.relay.tests import forwarding
 from standins import raw_server
 
 NOT_EXECUTED = b'X-Balsamwind-Not-Executed: 1\r\nRetry-After: 1\r\n'
@@ -198,3 +201,127 @@
         answer.startswith(b'HTTP/1.1 200 ') and answer.endswith(harms.BODY)
         for answer in answers
     )
+
+
+def _answer(request_id, body):
+    answer = _make_answer(b'200', body=body)
+    return answer.replace(harms.ID, harms.ID.replace(b'r1', request_id))
+
+
+@pytest.mark.parametrize('through_peer', [False, True])
+@pytest.mark.parametrize('is_early', [True, False])
+@pytest.mark.parametrize('route', ['idempotent', 'not idempotent'])
+@pytest.mark.parametrize('name', STATUSES)
+def test_bytes_after_an_answer_are_not_those_of_the_next_request(
+    name, route, is_early, through_peer
+):
+    # They come with the answer before, or as the next request is under way.
+    first, second = _answer(b'a', b'first'), _answer(b'b', b'second')
+    answers = [first + STATUSES[name], second]
+    if not is_early:
+        answers = [first, STATUSES[name] + second, second]
+
+    async def scenario():
+        server = raw_server.RawServer(answers)
+        async with server.listen():
+            addresses = [server.address] * 2
+            async with carrying.open_relay(addresses, through_peer) as own:
+                for request_id in ('a', 'b'):
+                    responder = forwarding.Responder()
+                    error = await forwarding.send_one(
+                        own,
+                        responder,
+                        route=harms.ROUTES[route],
+                        request_id=request_id,
+                    )
+                    yield responder, error
+
+    (first, no_error), (second, error) = asyncio.run(_collect(scenario()))
+    assert (no_error, first.body) == (None, b'first')
+    if error is None:
+        assert (second.status, second.body) == (200, b'second')
+        return
+    # It has run, and its own answer may be lost.
+    assert (is_early, route) == (False, 'not idempotent')
+    assert (error.status, second.starts) == (502, 0)
+
+
+async def _collect(results):
+    return [result async for result in results]
+
+
+@pytest.mark.parametrize('through_peer', [False, True])
+@pytest.mark.parametrize('is_resumed', [True, False])
+@pytest.mark.parametrize('name', STATUSES)
+def test_resumed_stream_holds_nothing_of_a_broken_answer(
+    name, is_resumed, through_peer
+):
+    events = [forwarding.make_event(number) for number in range(3)]
+    begun = b'HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%s' % (
+        harms.FIELDS,
+        forwarding.make_chunk(events[0]),
+    )
+    broken = broken_answers.make_statuses(harms.FIELDS, b''.join(events[1:]))
+    answers = [begun, broken[name]]
+    if is_resumed:
+        answers.append(_make_answer(b'200', body=b''.join(events[1:])))
+
+    async def scenario():
+        server = raw_server.RawServer(answers, raw_server.BYTE_BY_BYTE)
+        responder = forwarding.Responder()
+        async with server.listen():
+            addresses = [server.address] * 4
+            async with carrying.open_relay(addresses, through_peer) as own:
+                error = await forwarding.send_one(
+                    own, responder, route=forwarding.make_route(3)
+                )
+        return responder, error
+
+    responder, error = asyncio.run(scenario())
+    assert (responder.starts, responder.status) == (1, 200)
+    assert responder.complete is is_resumed
+    if is_resumed:
+        assert error is None
+        assert responder.body == harms.BODY
+    else:
+        assert error.run != exceptions.NOT_RUN
+        assert responder.body == events[0]
+
+
+def _make_bare_answer(status, framing):
+    return b'HTTP/1.1 %s X\r\n%s%s\r\n' % (status, harms.FIELDS, framing)
+
+
+@pytest.mark.parametrize(
+    ('method', 'answer'),
+    [
+        ('GET', _make_bare_answer(b'304', b'Content-Length: 5\r\n')),
+        ('GET', _make_bare_answer(b'304', b'Transfer-Encoding: chunked\r\n')),
+        ('GET', _make_bare_answer(b'304', b'')),
+        ('GET', _make_bare_answer(b'204', b'')),
+        ('GET', _make_bare_answer(b'204', b'Content-Length: 0\r\n')),
+        ('HEAD', _make_bare_answer(b'200', b'Content-Length: 5\r\n')),
+        ('HEAD', _make_bare_answer(b'200', b'Transfer-Encoding: chunked\r\n')),
+        ('HEAD', _make_bare_answer(b'404', b'Content-Length: 5\r\n')),
+    ],
+)
+def test_no_body_follows_where_there_is_none(method, answer):
+    # Whatever the fields say, and whatever the server sends behind the head.
+    async def scenario():
+        server = raw_server.RawServer(
+            [answer + b'5\r\nhello\r\n0\r\n\r\n', _answer(b'b', b'next')]
+        )
+        async with _open_node([server]) as process:
+            host, port = process.settings.callers.rsplit(':', 1)
+            reader, writer = await asyncio.open_connection(host, int(port))
+            request = helpers.make_request('/lookup/x', 'r1')
+            writer.write(request.replace(b'POST', method.encode(), 1))
+            head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 4.0)
+            writer.write(helpers.make_request('/lookup/x', 'b'))
+            following = await asyncio.wait_for(reader.readuntil(b'next'), 4.0)
+            writer.close()
+            return head, following
+
+    head, following = asyncio.run(scenario())
+    assert head.split()[1] == answer.split()[1]
+    assert following.startswith(b'HTTP/1.1 200 ')
