Play fleets whose engines break some heads

The fake platform can send a broken head, and then an empty answer, in place of a share of the answers of its engines and plain servers.

--- a/balsamwind/node/tests/test_broken_answers.py
+++ b/balsamwind/node/tests/test_broken_answers.py
@@ -79,7 +79,7 @@
     )
 
 
-def _make_configuration():
+def make_configuration():
     """Make a configuration with routes that run once, and may run again."""
     configuration = test_odd_entries.make_configuration()
     lookup = {
@@ -100,7 +100,7 @@
         helpers.open_node(fake_platform) as process,
         contextlib.AsyncExitStack() as stack,
     ):
-        fake_platform.store.put('config', 'main', _make_configuration())
+        fake_platform.store.put('config', 'main', make_configuration())
         for number, server in enumerate(servers):
             await stack.enter_async_context(server.listen())
             entry = {
--- a/standins/pool/_platform.py
+++ b/standins/pool/_platform.py
@@ -60,6 +60,10 @@
         Bodies of requests under which each server crashes that runs them.
     deadly_run : DeadlyRun
         How a plain server does; by default without an answer.
+    broken_heads : list of bytes
+        What engines and plain servers send in front of an empty answer.
+    broken_share : float
+        Share of the answers to requests to which that happens.
     crash_time : float
         Time until a crashed server has started again (seconds).
     crashes : list of str
@@ -85,6 +89,8 @@
         self.deadly_ending = _deadly.DeadlyEnding()
         self.deadly_bodies = set()
         self.deadly_run = _deadly.DeadlyRun()
+        self.broken_heads = []
+        self.broken_share = 0.0
         self.crash_time = CRASH_TIME
         self.deadly_arrivals = []
         self.crashes = []
@@ -293,6 +299,24 @@
         if stored['Version'] < newest['Version']:
             self.store.put('config', 'main', newest)
 
+    def may_break_head(self, handler):
+        """Send a broken head and an empty answer, or do nothing.
+
+        Parameters
+        ----------
+        handler : tornado.web.RequestHandler
+            Handler of a request that has run.
+
+        Raises
+        ------
+        tornado.web.Finish
+            It was sent; the handler finishes, and its connection is kept.
+        """
+        if self.broken_heads and self.draw_bernoulli(self.broken_share):
+            stream = handler.request.connection.stream
+            stream.write(random.choice(self.broken_heads))
+            raise web.Finish
+
     def has_deadly_body(self, request):
         """Return whether a request crashes the server that runs it.
 
--- a/standins/pool/_services.py
+++ b/standins/pool/_services.py
@@ -139,6 +139,7 @@
             self._platform.trace.end_run(run, 'whole')
         if self._platform.draw_bernoulli(server.lose_answers):
             self._reset()
+        self._platform.may_break_head(self)
         self.set_header('X-Balsamwind-Request-Id', request_id)
         self.set_header('X-Balsamwind-Response-Stamp', server.server_id)
         return self.finish(f'{server.service} ran {request_id}')
