--- a/balsamwind/node/tests/test_broken_engines.py
+++ b/balsamwind/node/tests/test_broken_engines.py
@@ -36,6 +36,12 @@
 HEADS = broken_answers.make_other_heads(EVENT_STREAM, BROKEN_EVENT)
 
 
+def _set_share(fake_platform, share):
+    servers = {**fake_platform.engines, **fake_platform.services}
+    for server in servers.values():
+        server.broken_share = share
+
+
 async def _play(process):
     """Send requests of each path; return the answers by path and id."""
     limit = asyncio.Semaphore(MAX_CONCURRENT_REQUESTS)
@@ -100,9 +106,9 @@
             configuration=test_broken_answers.make_configuration(),
         ) as (fake_platform, (process,)):
             fake_platform.broken_heads = list(heads.values())
-            fake_platform.broken_share = SHARE
+            _set_share(fake_platform, SHARE)
             answers = await _play(process)
-            fake_platform.broken_share = 0.0
+            _set_share(fake_platform, 0.0)
             await _wait_until_served(process)
             return (
                 _find_harms(answers, fake_platform.trace),
--- a/build_tools/pool_soak/__main__.py
+++ b/build_tools/pool_soak/__main__.py
@@ -180,6 +180,11 @@
             fleet, checker, 'restores', arguments.seed
         )
         faults.append(injector.run_store_restores(arguments.seconds))
+    if arguments.broken_heads:
+        injector = _faults.FaultInjector(
+            fleet, checker, 'broken heads', arguments.seed
+        )
+        faults.append(injector.run_broken_heads(arguments.seconds))
     if arguments.old:
         faults.append(_replace_nodes(fleet, checker, observer, arguments.seed))
     await asyncio.gather(*faults)
@@ -271,6 +276,11 @@
         action='store_true',
         help='restore the store from older copies as well',
     )
+    parser.add_argument(
+        '--broken-heads',
+        action='store_true',
+        help='let servers send answers that have no status as well',
+    )
     parser.add_argument(
         '--old',
         metavar='COMMIT',
--- a/build_tools/pool_soak/_checks.py
+++ b/build_tools/pool_soak/_checks.py
@@ -101,6 +101,8 @@
         self.outcomes[f'{call.kind.name} {call.outcome}'] += 1
         if call.error.startswith('malformed'):
             self.violate('MIXED', f'{call.request_id}: {call.error}')
+        if call.headers and not 200 <= call.status <= 599:
+            self.violate('MIXED', f'no status: {self._describe(call)}')
         if call.status in DENIAL_STATUSES and not self._may_be_denied(call):
             self.violate('DENIED', self._describe(call))
         if call.status == 200:
--- a/build_tools/pool_soak/_faults.py
+++ b/build_tools/pool_soak/_faults.py
@@ -105,6 +105,26 @@
             )
             await self._sleep_random(9.0, 16.0)
 
+    async def run_broken_heads(self, seconds):
+        """Let one server after the other break some heads of its answers.
+
+        Parameters
+        ----------
+        seconds : float
+            Time after which no other server does (seconds).
+        """
+        started_at = time.monotonic()
+        names = [*self._fleet.engine_names, *self._fleet.service_names]
+        while (elapsed := time.monotonic() - started_at) < seconds:
+            name = self._rng.choice(names)
+            share = self._rng.choice((0.1, 0.5, 1.0))
+            await self._set_server_state(name, broken_share=share)
+            await self._sleep_random(0.3, 2.0)
+            await self._set_server_state(name, broken_share=0.0)
+            print(
+                f'{elapsed:6.1f} s  {name} broke heads ({share})', flush=True
+            )
+
     async def replace_node(self, node, build):
         """Replace a node by one of another build, as an operator does.
 
--- a/build_tools/tests/test_pool_soak.py
+++ b/build_tools/tests/test_pool_soak.py
@@ -43,6 +43,10 @@
     assert 'pay whole' in _run_soak(SHORT_RUN)
 
 
+def test_broken_heads_of_servers_reach_no_caller():
+    assert 'broke heads' in _run_soak([*SHORT_RUN, '--broken-heads'])
+
+
 def test_planned_work_and_silent_engines_cut_no_request():
     assert 'was stopped and started again' in _run_soak(PLANNED_RUN)
 
--- a/standins/pool/_engine.py
+++ b/standins/pool/_engine.py
@@ -69,6 +69,8 @@
         Time between two events (seconds).
     late_orders : float
         Share of orders that get no answer and are carried out later.
+    broken_share : float
+        Share of streams whose answer has a broken head.
     order_count : int
         Accepted orders that started work or left a group (count); reported as
         ``Seq``.
@@ -109,6 +111,7 @@
         self.event_count = 6
         self.event_interval = 0.01
         self.late_orders = 0.0
+        self.broken_share = 0.0
         self._reset_state()
 
     def _reset_state(self):
--- a/standins/pool/_engine_handlers.py
+++ b/standins/pool/_engine_handlers.py
@@ -159,7 +159,7 @@
             event_time = self._platform.deadly_ending.draw_event_time()
             ends_at = time.monotonic() + event_time
         try:
-            self._platform.may_break_head(self)
+            self._platform.may_break_head(engine, self)
             for number in range(first_event, engine.event_count + 1):
                 if is_deadly and time.monotonic() >= ends_at:
                     silence = self._platform.deadly_ending.draw_silence()
--- a/standins/pool/_platform.py
+++ b/standins/pool/_platform.py
@@ -24,6 +24,13 @@
 MAX_MISSED_HEARTBEATS = 3
 """Missed heartbeats after which an entry is removed (count)."""
 
+BROKEN_HEAD = (
+    b'HTTP/1.1 000 X\r\nContent-Type: text/event-stream\r\n'
+    b'X-Balsamwind-Response-Stamp: s\r\nX-Balsamwind-Not-Executed: 1\r\n'
+    b'Content-Length: 2\r\n\r\nno'
+)
+"""Head of an answer that is none, and claims what is not so."""
+
 
 def _make_http_server(routes):
     application = web.Application(routes, log_function=lambda handler: None)
@@ -61,9 +68,7 @@
     deadly_run : DeadlyRun
         How a plain server does; by default without an answer.
     broken_heads : list of bytes
-        What engines and plain servers send in front of an empty answer.
-    broken_share : float
-        Share of the answers to requests to which that happens.
+        What servers with a ``broken_share`` send in front of empty answers.
     crash_time : float
         Time until a crashed server has started again (seconds).
     crashes : list of str
@@ -89,8 +94,7 @@
         self.deadly_ending = _deadly.DeadlyEnding()
         self.deadly_bodies = set()
         self.deadly_run = _deadly.DeadlyRun()
-        self.broken_heads = []
-        self.broken_share = 0.0
+        self.broken_heads = [BROKEN_HEAD]
         self.crash_time = CRASH_TIME
         self.deadly_arrivals = []
         self.crashes = []
@@ -299,11 +303,13 @@
         if stored['Version'] < newest['Version']:
             self.store.put('config', 'main', newest)
 
-    def may_break_head(self, handler):
+    def may_break_head(self, server, handler):
         """Send a broken head and an empty answer, or do nothing.
 
         Parameters
         ----------
+        server : Engine or PlainServer
+            Server of the handler.
         handler : tornado.web.RequestHandler
             Handler of a request that has run.
 
@@ -312,7 +318,7 @@
         tornado.web.Finish
             It was sent; the handler finishes, and its connection is kept.
         """
-        if self.broken_heads and self.draw_bernoulli(self.broken_share):
+        if self.draw_bernoulli(server.broken_share):
             stream = handler.request.connection.stream
             stream.write(random.choice(self.broken_heads))
             raise web.Finish
--- a/standins/pool/_services.py
+++ b/standins/pool/_services.py
@@ -39,6 +39,8 @@
         Time that a request takes (seconds).
     lose_answers : float
         Share of requests that run and whose connection is then closed.
+    broken_share : float
+        Share of requests that run and whose answer has a broken head.
     running : int
         Requests that run (count).
     incarnation : int
@@ -58,6 +60,7 @@
         self.cut_from_store = False
         self.processing_time = 0.02
         self.lose_answers = 0.0
+        self.broken_share = 0.0
         self.running = 0
         self.incarnation = 1700000000000 + port
 
@@ -139,7 +142,7 @@
             self._platform.trace.end_run(run, 'whole')
         if self._platform.draw_bernoulli(server.lose_answers):
             self._reset()
-        self._platform.may_break_head(self)
+        self._platform.may_break_head(server, self)
         self.set_header('X-Balsamwind-Request-Id', request_id)
         self.set_header('X-Balsamwind-Response-Stamp', server.server_id)
         return self.finish(f'{server.service} ran {request_id}')
