--- a/balsamwind/node/tests/test_broken_answers.py
+++ b/balsamwind/node/tests/test_broken_answers.py
@@ -325,3 +325,31 @@
     head, following = asyncio.run(scenario())
     assert head.split()[1] == answer.split()[1]
     assert following.startswith(b'HTTP/1.1 200 ')
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Content-Length: +5\r\n',
+        b'Content-Length: 5\r\nContent-Length: 6\r\n',
+        b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n',
+    ],
+)
+@pytest.mark.parametrize(
+    ('method', 'status'), [('GET', b'304'), ('HEAD', b'200')]
+)
+def test_malformed_length_of_an_answer_without_a_body_was_passed_on(
+    method, status, framing
+):
+    async def scenario():
+        answer = _make_bare_answer(status, framing)
+        async with _open_node([raw_server.RawServer([answer])]) as process:
+            host, port = process.settings.callers.rsplit(':', 1)
+            reader, writer = await asyncio.open_connection(host, int(port))
+            request = helpers.make_request('/balance/x')
+            writer.write(request.replace(b'POST', method.encode(), 1))
+            head = await asyncio.wait_for(reader.readuntil(b'\r\n\r\n'), 4.0)
+            writer.close()
+            return head
+
+    assert asyncio.run(scenario()).startswith(b'HTTP/1.1 502 ')
