Believe no carried head with an odd framing

What callers saw: as in, where a node of an earlier build carries the attempt: it passes a head on before it finds that the framing of the body contradicts itself, and its Not-Executed was believed (TWICE).

Evidence: 3 new cases of test_node_that_does_not_answer_properly_leaves_ the_outcome_unknown failed with `DID NOT RAISE PeerUnavailable`.

Change: the head that another node passes on is checked like one that this node reads itself. Measured: the tests of the client, of broken answers, of carried attempts and of mixed builds pass.

--- a/balsamwind/adapters/__init__.py
+++ b/balsamwind/adapters/__init__.py
@@ -20,7 +20,7 @@
         '_platform': ['HttpVmList', 'HttpWeightStore'],
         '_read_body': ['read_body'],
         '_relay_server': ['RelayServer', 'Responder'],
-        '_response_head': ['HeadDefect'],
+        '_response_head': ['HeadDefect', 'check_head'],
         '_tls': ['TlsContexts', 'make_tls_contexts'],
         '_update_link': [
             'UpdateServer',
--- a/balsamwind/node/_attempt_client.py
+++ b/balsamwind/node/_attempt_client.py
@@ -313,6 +313,7 @@
         try:
             for name, value in headers:
                 self.headers.add(name, value)
+            adapters.check_head(self.status, self.headers)
         except (ValueError, httputil.HTTPInputError) as error:
             self.close()
             raise exceptions.PeerUnavailable(
--- a/balsamwind/node/tests/test_attempt_client.py
+++ b/balsamwind/node/tests/test_attempt_client.py
@@ -164,6 +164,9 @@
                 ['X-Name', 'a\r\nSet-Cookie: b'],
                 ['X-Name', 'a', 'b'],
                 ['X-Name'],
+                ['Content-Length', '+5'],
+                ['Content-Length', '5, 6'],
+                ['Transfer-Encoding', 'gzip'],
             )
         ),
     ],
