Cut a path while a request is under way

Cause: the test. The three requests of a node go in step, so that all are between two servers at the same moment, and a cut then breaks off none. With three cuts the test fails where all of them miss.

Change: each cut waits until a server runs a request of each node that is cut. No check is loosened; each cut now finds what it is to break off.

All three cases pass.

--- a/balsamwind/node/tests/test_cut_refusals.py
+++ b/balsamwind/node/tests/test_cut_refusals.py
@@ -20,10 +20,20 @@
     number = 0
     while asyncio.get_running_loop().time() < ends_at:
         number += 1
-        request = helpers.make_request('/balance/x', f'r{number}')
+        request_id = f'{process.settings.name}-{number}'
+        request = helpers.make_request('/balance/x', request_id)
         await helpers.send_request(process, request)
 
 
+def _is_run(platform, process):
+    """Tell whether a server runs a request that a node has received."""
+    return any(
+        run.ended_at is None
+        and run.request_id.startswith(process.settings.name)
+        for run in platform.trace.runs
+    )
+
+
 @pytest.mark.parametrize(
     'cut_names',
     [
@@ -59,6 +69,13 @@
             ]
             for _ in range(CUTS):
                 await asyncio.sleep(0.6)
+                # The requests of a node go in step, so that there are
+                # moments without any.
+                await helpers.wait_until(
+                    lambda: all(
+                        _is_run(platform, process) for process in cut_nodes
+                    )
+                )
                 for process in cut_nodes:
                     paths.cut_paths(process, paths.RESET)
                 await asyncio.sleep(0.6)
