Look for empty streams beside broken heads

Change: a 200 must hold what an engine or a server has given.

Measured: at the case of statuses fails, first with ('/once/x3', 'is served, and empty') of 34 requests.

--- a/balsamwind/node/tests/test_broken_engines.py
+++ b/balsamwind/node/tests/test_broken_engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import re
 
 import pytest
 
@@ -24,6 +25,9 @@
 ONCE = ('/once/x', '/balance/x')
 PATHS = (*ONCE, '/ask/x', '/lookup/x')
 
+SERVED = re.compile(rb'token 1 |ledger ran ')
+"""What each answer holds that an engine or a server has given."""
+
 EVENT_STREAM = (
     b'Content-Type: text/event-stream\r\nX-Balsamwind-Response-Stamp: s\r\n'
 )
@@ -72,6 +76,8 @@
             harms.append((request_id, answer[:40]))
         elif b'broken' in answer:
             harms.append((request_id, 'holds a broken answer'))
+        elif status == b'200' and not SERVED.search(answer):
+            harms.append((request_id, 'is served, and empty'))
         elif status == b'503' and runs[request_id]:
             harms.append((request_id, 'is said not to have run'))
         elif path in ONCE and runs[request_id] > 1:
