Let run.sh pass TROUBLE and the record's path

Cause: the scripts of cases 6 to 10 left TROUBLE and record.txt to the shared code, so that they could not be seen in run.sh. An exception that a case did not expect ended it with 1, as if the rule were broken.

Not run yet: cases 6 and 7 in this form, and the new exit with 2.

--- a/review/shared-2/fleet.py
+++ b/review/shared-2/fleet.py
@@ -4,6 +4,7 @@
 are started with the command of the deploy file.
 """
 
+import argparse
 import asyncio
 import json
 import os
@@ -16,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 DEPENDENCIES = ROOT / 'target' / 'deps'
@@ -65,13 +67,13 @@
 
     Parameters
     ----------
-    folder : pathlib.Path
-        Folder of the case.
+    path : pathlib.Path
+        The file, which is written anew.
     """
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self._started_at = time.monotonic()
-        self._file = open(folder / 'record.txt', 'w', encoding='utf-8')
+        self._file = open(path, 'w', encoding='utf-8')
 
     def write(self, text):
         """Write one line."""
@@ -85,9 +87,17 @@
         print(text, flush=True)
 
 
+def read_arguments():
+    """Read what `run.sh` passes on."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--trouble', default='1')
+    parser.add_argument('--record', type=pathlib.Path, required=True)
+    return parser.parse_args()
+
+
 def read_trouble():
     """Tell whether the disruption is to be made."""
-    return os.environ.get('TROUBLE', '1') != '0'
+    return read_arguments().trouble != '0'
 
 
 def find_free_port(host='127.0.0.1'):
@@ -298,12 +308,12 @@
 
     Parameters
     ----------
-    folder : pathlib.Path
-        Folder of the case.
+    record_path : pathlib.Path
+        File of the record.
     """
 
-    def __init__(self, folder):
-        self.record = Record(folder)
+    def __init__(self, record_path):
+        self.record = Record(record_path)
         self._temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self._temporary.name)
         self.nodes = []
@@ -337,7 +347,7 @@
     limit : float
         Longest time (seconds).
     """
-    fleet = Fleet(folder)
+    fleet = Fleet(folder / read_arguments().record)
 
     async def run_limited():
         async with asyncio.timeout(limit):
@@ -351,6 +361,10 @@
     except TimeoutError:
         fleet.record.say('could not run: out of time')
         code = 2
+    except Exception as error:
+        traceback.print_exc()
+        fleet.record.say(f'could not run: {error!r}')
+        code = 2
     else:
         for text in broken:
             fleet.record.say(f'broken: {text}')
