Hold members whose head was never heard of

Cause: a group without a known head counted as released once the process was old enough, or at any time after a first start. A head that came and went while the node heard nothing was never known to it. What the node doesn't know was taken for what isn't so.

Ruled out: that a longer time would do. A head that is cut off from the store, or that leaves, serves on for a time that nothing bounds.

Change: one place, pool/_reuse.py, says on what evidence a member may be reused, with a type for each kind. A head whose id is known has moved on or ended when its own later entry or report shows so (HeadHistory). Where nobody knows the head, its members are held for 5 s of unbroken news, then ordered to leave, and held for the stall bound from then on: a group that lacks a member breaks, whoever heads it. Reuse and holding back are logged.

test_members_of_an_unknown_head_wait_for_a_long_watch asserted the fault (free members of an unknown head, by age); a table of the kinds of evidence replaces it. Earlier seeds of the simulation keep drawing from the kinds of trouble that they drew from before.

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -64,6 +64,9 @@
     ----------
     forming : dict of str to int
         Engines of the groups that are being formed, by model (count).
+    break_time : float
+        Time after which the head of an open group that has lost a member has
+        broken it (seconds).
     """
 
     def __init__(self, shard, platform, registry, lease, prober, clock, log):
@@ -80,6 +83,7 @@
         self._closed_groups = set()
         self._actions_in_progress = collections.Counter()
         self.forming = {}
+        self.break_time = float('inf')
 
     @property
     def busy(self):
@@ -92,7 +96,8 @@
         Parameters
         ----------
         order_type : type
-            `balsamwind.pool.Join` or `balsamwind.pool.Open`.
+            `balsamwind.pool.Join`, `balsamwind.pool.Open` or
+            `balsamwind.pool.Leave`.
 
         Returns
         -------
@@ -114,7 +119,7 @@
 
         Parameters
         ----------
-        action : CloseGroup, OpenGroup, FormGroup or StageModel
+        action : CloseGroup, OpenGroup, FormGroup, StageModel or DisbandGroup
             Action of the planner, from :mod:`balsamwind.pool`.
         engine_profile : balsamwind.traffic.EngineProfile
             Profile of the engines of the service.
@@ -131,6 +136,8 @@
             case pool.StageModel(engine=engine, model=model):
                 members = (engine,)
                 coroutine = self._stage_model(engine, model)
+            case pool.DisbandGroup(members=members):
+                coroutine = self._disband_group(action)
         ids = {member.server_id for member in members}
         self._actions_in_progress.update(ids)
         asyncio.ensure_future(self._run_action(coroutine, ids, action))
@@ -221,8 +228,8 @@
         """
         server_id = record.server_id
         if result is pool.OrderResult.BEGUN:
-            self._unanswered.pop((server_id, pool.Join), None)
-            self._unanswered.pop((server_id, pool.Open), None)
+            for order_type in (pool.Join, pool.Open, pool.Leave):
+                self._unanswered.pop((server_id, order_type), None)
         elif result is pool.OrderResult.UNKNOWN:
             self._unanswered[server_id, type(order)] = (
                 self._clock.monotonic() + LATE_ORDER_TIME
@@ -240,6 +247,7 @@
             members=ids,
             was=[member.model for member in members],
         )
+        self._log_reuse(action)
         member_count = len(ids)
         self.forming[action.model] = (
             self.forming.get(action.model, 0) + member_count
@@ -263,6 +271,53 @@
         finally:
             self.forming[action.model] -= member_count
 
+    def _log_reuse(self, action):
+        """Log what shows that the last groups of members are not open.
+
+        A head that says itself that it does not serve is the usual case.
+        """
+        for member in action.members:
+            match action.evidence.get(member.server_id):
+                case None | pool.HeadNotServing():
+                    continue
+                case evidence:
+                    self._log.info(
+                        'member_reused',
+                        engine=member.server_id,
+                        group=member.membership.group,
+                        evidence=repr(evidence),
+                    )
+
+    async def _disband_group(self, action):
+        """Order members to leave, and hold them until no head can be open.
+
+        Other members than those that have left do not matter: a group that
+        lacks one moves nothing, and is broken after the stall bound.
+        """
+        group = action.group
+        self._log.info(
+            'group_disbanding',
+            group=group.name,
+            members=[member.server_id for member in action.members],
+            reason='its head is not known',
+        )
+        order = pool.Leave(group.name, group.epoch)
+        results = await asyncio.gather(
+            *(self._order_to_leave(member, order) for member in action.members)
+        )
+        await asyncio.sleep(self.break_time)
+        self._log.info('group_disbanded', group=group.name, left=results)
+
+    async def _order_to_leave(self, member, order):
+        """Order one engine to leave; whether it has."""
+        for _ in range(MAX_ATTEMPTS):
+            result = await self._send_order(member, order)
+            if result.accepted:
+                return True
+            if result is not pool.OrderResult.UNKNOWN:
+                return False
+        return False
+
     async def _release(self, members):
         """See to it that the members' last groups are not open, and stay so.
 
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -54,10 +54,6 @@
 """Least time since the last heartbeat of a backend server when its entry
 expires (heartbeat intervals)."""
 
-HEAD_DISCOVERY_TIME = 10.0
-"""Time after its start in which a node has seen the head of each open group
-(seconds)."""
-
 STAGING_MARGIN = 4.0
 """Time added to the configured load time of a model when it is staged on a
 host (seconds)."""
@@ -149,6 +145,8 @@
         self._next_conversion_at = 0.0
         self._platform = platform
         self._listed_fencing = None
+        self._heads = pool.HeadHistory(data_centre, registry, clock)
+        self._held_groups = {}
         self.lease = _lease.ShardLease(
             data_centre,
             settings.name,
@@ -181,6 +179,11 @@
         """Ids of the engines that do not answer this node."""
         return self._prober.down
 
+    @property
+    def _break_time(self):
+        """Time after which a head that lost a member has broken (seconds)."""
+        return self.settings.bounds.stall + BREAK_MARGIN
+
     @property
     def _max_silence(self):
         """Time for which a sound member may be silent (seconds)."""
@@ -257,6 +260,7 @@
         configuration = self._configuration_cache.configuration
         if configuration is None:
             return
+        self.executor.break_time = self._break_time
         records_by_service = [
             (service, self._find_own_engines(service))
             for service in configuration.services
@@ -285,10 +289,31 @@
 
     def _plan_service(self, service, records):
         self._update_demand(service, records)
+        held = {}
         for action in pool.plan_pool(self._build_view(service, records)):
+            if isinstance(action, pool.HoldMembers):
+                held[action.group.key] = action
+                continue
             self._record_loads(action)
             self._record_action(action, service)
             self.executor.start(action, service.engine)
+        self._log_held(service, held)
+
+    def _log_held(self, service, held):
+        """Log the groups whose members are held, at changes of the reason."""
+        before = self._held_groups.get(service.name, {})
+        reasons = {key: action.reason for key, action in held.items()}
+        self._held_groups[service.name] = reasons
+        for key, reason in reasons.items():
+            if before.get(key) != reason:
+                group = held[key].group
+                self._log.info(
+                    'members_held',
+                    group=group.name,
+                    head=group.head and group.head.server_id,
+                    members=[member.server_id for member in group.members],
+                    reason=reason,
+                )
 
     def _update_demand(self, service, records):
         """Average the running and waiting requests that the heads report.
@@ -356,15 +381,16 @@
                 for server_id in down
                 if self._prober.is_lost(server_id, self._max_silence, now)
             ),
-            presumed_dead=frozenset(
-                record.server_id
+            silent_heads={
+                record.server_id: self._describe_silence(record, now)
                 for record in records
                 if record.server_id in down
                 and self._cannot_head_open_group(record, now)
-            ),
+            },
             busy=frozenset(self.executor.busy),
             late_joiners=self.executor.find_unanswered(pool.Join),
             late_openers=self.executor.find_unanswered(pool.Open),
+            late_leavers=self.executor.find_unanswered(pool.Leave),
             forming_engines=dict(self.executor.forming),
             before_traffic=before_traffic,
             growing_domains=frozenset(
@@ -378,8 +404,9 @@
                 if min(listed, self._prober.answering_for(server_id, now))
                 < RECOVERY_PERIOD
             ),
-            knows_all_heads=now - self._started_at > HEAD_DISCOVERY_TIME
-            or self.settings.first_start,
+            former_heads=self._heads.find_former_heads(
+                records, self.heard_of_entries_for()
+            ),
             loads_allowed=self._count_loads_allowed(service, now),
             max_concurrent_loads=service.engine.max_full_speed_loads
             // len(self.settings.data_centres),
@@ -390,6 +417,13 @@
             evacuated=self.evacuations.forbids(self._data_centre, now),
         )
 
+    def _describe_silence(self, record, now):
+        return pool.HeadSilent(
+            record.server_id,
+            self._prober.silent_for(record.server_id, now),
+            self._opinions.count_asked(record),
+        )
+
     def _cannot_head_open_group(self, record, now):
         """Whether an engine can't be the head of an open group any more.
 
@@ -406,7 +440,7 @@
             return False
         server_id = record.server_id
         bounds = self.settings.bounds
-        stall = bounds.stall + BREAK_MARGIN
+        stall = self._break_time
         if self._prober.silent_for(server_id, now) > stall:
             return True
         unlisted_for = self._registry.unlisted_for(server_id, now)
--- a/balsamwind/node/_reach_opinions.py
+++ b/balsamwind/node/_reach_opinions.py
@@ -99,7 +99,21 @@
         """
         known = self._relay.peers.count_witnesses()
         needed = min(WITNESSES_NEEDED, known)
-        return len(self._find_asked(record.server_id)) >= needed
+        return self.count_asked(record) >= needed
+
+    def count_asked(self, record):
+        """Count the nodes that have had their say lately.
+
+        Parameters
+        ----------
+        record : balsamwind.pool.ServerRecord
+            Entry of the engine.
+
+        Returns
+        -------
+        int
+        """
+        return len(self._find_asked(record.server_id))
 
     def keep_only(self, server_ids):
         """Forget the engines that are not among `server_ids`.
--- a/balsamwind/node/tests/shard_simulation.py
+++ b/balsamwind/node/tests/shard_simulation.py
@@ -2,7 +2,8 @@
 
 The leaders are real; what they order and hear passes through faults: orders
 that are carried out late, answers that are lost, engines that crash or are
-cut off from the store or from a leader, leaders that stop or start again.
+cut off from the store or from a leader, leaders that stop or start again,
+engines that leave unannounced or fall silent, and nodes that hear nothing.
 """
 
 import asyncio
@@ -42,6 +43,19 @@
 OPEN_TIME = 0.05
 """Time from an order to open until the head accepts requests (seconds)."""
 
+DRAIN_TIME = 3.5
+"""Time for which an engine that leaves serves on (seconds)."""
+
+LEASE_TIME = 1.7
+"""Time for which a leader without the store goes on leading (seconds)."""
+
+TROUBLE_KINDS = 12
+"""Kinds of trouble (count)."""
+
+EARLIER_KINDS = 9
+"""Those that earlier seeds draw from: without engines that leave unannounced
+or fall silent, and gaps in the news (count)."""
+
 HEAD_STATES = (pool.MemberState.OPEN, pool.MemberState.CLOSING)
 
 PROFILE = traffic.EngineProfile(
@@ -70,6 +84,8 @@
         self.reaches_store = True
         self.reaches_leader = True
         self.is_draining = False
+        self.is_leaving = False
+        self.is_dark = False
         self.staged = staged
         self.unseen_since = None
         self.reset()
@@ -102,6 +118,14 @@
         pass
 
 
+@dataclasses.dataclass(slots=True)
+class _News:
+    """Whether a node hears of the entries, and since when (seconds)."""
+
+    since: float
+    is_heard: bool = True
+
+
 class Simulation:
     """One shard, and the rules that its engines watch over.
 
@@ -113,6 +137,8 @@
         Engines, in two domains (count).
     hosts_keep : int
         Models that a host keeps (count).
+    trouble_kinds : int
+        Kinds of trouble that are drawn (count), see `TROUBLE_KINDS`.
 
     Attributes
     ----------
@@ -120,17 +146,27 @@
         Joins of engines whose old group may still be served.
     opened : int
         Groups that were opened (count).
+    engines : dict of str to _Engine
+        Engines by name.
+    leaders : list of balsamwind.node.ShardLeader
+        Nodes that may lead.
+    left : int
+        Orders to leave a group that were carried out (count).
     """
 
-    def __init__(self, seed, engine_count=8, hosts_keep=2):
+    def __init__(
+        self, seed, engine_count=8, hosts_keep=2, trouble_kinds=TROUBLE_KINDS
+    ):
         self._hosts_keep = hosts_keep
+        self._trouble_kinds = trouble_kinds
         self.rng = random.Random(seed)
         self.violations = []
         self.opened = 0
+        self.left = 0
         self.late_share = 0.0
         self.lost_share = 0.0
         self.hot_model = 'm'
-        self._engines = {
+        self.engines = {
             f'e{number}': _Engine(
                 f'e{number}', f'd{number % 2}', ('m', 'n')[-hosts_keep:]
             )
@@ -138,34 +174,59 @@
         }
         self._entries = {}
         self._revision = 0
-        self._leaders = []
+        self.leaders = []
+        self._news = {}
         self._fencing = 0
         self._tasks = set()
         self.store = None
 
-    def run(self, seconds):
-        """Let the shard live for some virtual time."""
+    def run(self, seconds, play=None):
+        """Let the shard live for some virtual time.
+
+        Parameters
+        ----------
+        seconds : float
+            How long (seconds).
+        play : callable or None
+            Coroutine function that causes trouble; takes the simulation. None
+            for trouble that is drawn at random.
+        """
         with replay.open_virtual_loop() as loop:
             self._loop = loop
             self._clock = replay.VirtualClock(loop, 0.0)
-            loop.run_until_complete(self._run(seconds))
+            loop.run_until_complete(self._run(seconds, play))
 
-    async def _run(self, seconds):
-        for engine in self._engines.values():
+    async def _run(self, seconds, play):
+        for engine in self.engines.values():
             self._write_entry(engine)
-        self._lead(self._make_leader())
-        self._spawn(self._watch_engines())
-        self._spawn(self._make_trouble())
+        self.lead(self.add_leader())
+        self.spawn(self._watch_engines())
+        if play is None:
+            self.spawn(self._make_trouble())
+        else:
+            await play(self)
         await asyncio.sleep(seconds)
 
-    def _spawn(self, coroutine):
+    def find_open_heads(self):
+        """Find the engines that head an open group."""
+        return [
+            engine
+            for engine in self.engines.values()
+            if engine.is_alive
+            and engine.membership is not None
+            and engine.membership.state is pool.MemberState.OPEN
+        ]
+
+    def spawn(self, coroutine):
+        """Run a coroutine beside the others."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     # Leaders.
 
-    def _make_leader(self, first_start=True):
+    def add_leader(self, first_start=True):
+        """Start a node that may lead; it knows what is listed now."""
         cache = traffic.ConfigurationCache(1e9)
         service = traffic.Service('llm', engine=PROFILE)
         cache.accept(
@@ -201,16 +262,34 @@
         )
         leader.lease = _Lease()
         leader.executor._lease = leader.lease
-        self._leaders.append(leader)
+        news = self._news[leader] = _News(self._loop.time())
+        leader.heard_of_entries_for = lambda: (
+            self._loop.time() - news.since if news.is_heard else 0.0
+        )
+        self.leaders.append(leader)
         return leader
 
-    def _lead(self, leader):
-        for other in self._leaders:
+    def lose_news(self, leader):
+        """Let a node hear nothing of the entries."""
+        self._news[leader].is_heard = False
+
+    def regain_news(self, leader):
+        """Let a node read the list of entries again."""
+        news = self._news[leader]
+        news.is_heard = True
+        news.since = self._loop.time()
+        leader._registry.apply_full_list(
+            list(self._entries.values()), self._loop.time(), self._revision
+        )
+
+    def lead(self, leader):
+        """Let a node take the lease."""
+        for other in self.leaders:
             other.lease.held = False
         self._fencing += 1
         leader.lease.fencing = self._fencing
         leader.lease.held = True
-        self._spawn(self._run_leader(leader, self._fencing))
+        self.spawn(self._run_leader(leader, self._fencing))
 
     async def _run_leader(self, leader, fencing):
         while leader.lease.held and leader.lease.fencing == fencing:
@@ -221,14 +300,17 @@
 
     async def _take_over(self, restarts):
         """Let another leader take over after a while, or a new one."""
-        for leader in self._leaders:
+        for leader in self.leaders:
             leader.lease.held = False
         await asyncio.sleep(self.rng.uniform(0.0, 2.5))
-        if restarts or len(self._leaders) < 2:
-            leader = self._make_leader(first_start=False)
+        if restarts or len(self.leaders) < 2:
+            leader = self.add_leader(first_start=False)
         else:
-            leader = self.rng.choice(self._leaders)
-        self._lead(leader)
+            leader = self.rng.choice(
+                [item for item in self.leaders if self._news[item].is_heard]
+                or [self.add_leader(first_start=False)]
+            )
+        self.lead(leader)
 
     # The platform, as leaders see it.
 
@@ -239,8 +321,8 @@
 
     async def fetch_engine_report(self, record, timeout):
         """Return the report of an engine."""
-        engine = self._engines[record.server_id]
-        if not engine.reaches_leader:
+        engine = self.engines[record.server_id]
+        if not engine.reaches_leader or engine.is_dark:
             await asyncio.sleep(timeout)
             raise exceptions.AnswerTimeout('silent')
         await asyncio.sleep(self.rng.uniform(0.001, 0.005))
@@ -259,10 +341,10 @@
 
     async def send_order(self, record, order, fencing, sequence, timeout):
         """Send an order, which may come late or lose its answer."""
-        engine = self._engines[record.server_id]
+        engine = self.engines[record.server_id]
         order_arguments = (engine, record.born, order, fencing, sequence)
         await asyncio.sleep(self.rng.uniform(0.001, 0.005))
-        if not engine.reaches_leader:
+        if not engine.reaches_leader or engine.is_dark:
             await asyncio.sleep(timeout)
             return pool.OrderResult.UNKNOWN
         if self.rng.random() < self.late_share:
@@ -279,7 +361,9 @@
     async def ask(self, record, wants_report):
         """Tell what other nodes reach, whose paths are sound."""
         await asyncio.sleep(self.rng.uniform(0.002, 0.01))
-        engine = self._engines[record.server_id]
+        engine = self.engines[record.server_id]
+        if engine.is_dark:
+            return relay.Reach.SILENT
         if engine.is_alive and engine.born == record.born:
             return relay.Reach.ANSWERS
         return relay.Reach.REFUSES
@@ -295,7 +379,7 @@
     # Engines.
 
     def _execute(self, engine, born, order, fencing, sequence):
-        if not engine.is_alive:
+        if not engine.is_alive or engine.is_dark:
             return pool.OrderResult.UNKNOWN
         if engine.born != born:
             return pool.OrderResult.OTHER_SERVER
@@ -358,7 +442,7 @@
         known = engine.membership
         if known is None:
             return
-        for head in self._engines.values():
+        for head in self.engines.values():
             if (
                 head.is_alive
                 and head.membership is not None
@@ -380,6 +464,7 @@
         match order:
             case pool.Leave():
                 engine.membership = None
+                self.left += 1
                 return pool.OrderResult.BEGUN
             case pool.Open() if known.rank == 0:
                 if known.state is states.OPEN:
@@ -416,6 +501,8 @@
     def _write_entry(self, engine):
         if not (engine.is_alive and engine.reaches_store):
             return
+        if engine.is_leaving or engine.is_dark:
+            return
         self._revision += 1
         record = pool.ServerRecord(
             engine.name,
@@ -439,32 +526,36 @@
 
     def _publish(self, change):
         """Let all leaders learn of a change of the store a little later."""
-        for leader in self._leaders:
+        for leader in self.leaders:
             delay = self.rng.uniform(0.005, 0.05)
-            self._loop.call_later(
-                delay,
-                lambda leader=leader: change(
-                    leader._registry, self._loop.time()
-                ),
-            )
+            self._loop.call_later(delay, self._tell, leader, change)
+
+    def _tell(self, leader, change):
+        if self._news[leader].is_heard:
+            change(leader._registry, self._loop.time())
 
     async def _watch_engines(self):
         """Let entries lapse, and groups with a lost member break."""
         while True:
             await asyncio.sleep(0.1)
             now = self._loop.time()
-            for engine in self._engines.values():
+            for engine in self.engines.values():
                 self._watch_entry(engine, now)
                 self._watch_group(engine, now)
 
     def _watch_entry(self, engine, now):
-        if engine.is_alive and engine.reaches_store:
+        if engine.is_leaving:
+            self._remove_entry(engine)
+            return
+        if engine.is_alive and engine.reaches_store and not engine.is_dark:
             engine.unseen_since = None
             return
         if engine.unseen_since is None:
             engine.unseen_since = now
-        if now - engine.unseen_since < EXPIRY_TIME:
-            return
+        if now - engine.unseen_since >= EXPIRY_TIME:
+            self._remove_entry(engine)
+
+    def _remove_entry(self, engine):
         record = self._entries.pop(engine.name, None)
         if record is not None:
             self._revision += 1
@@ -482,9 +573,10 @@
             or known.state not in HEAD_STATES
         ):
             return
-        members = [self._engines[name] for name in engine.members]
+        members = [self.engines[name] for name in engine.members]
         is_whole = all(
             member.is_alive
+            and not member.is_dark
             and member.membership is not None
             and member.membership.key == known.key
             for member in members
@@ -503,14 +595,14 @@
         await asyncio.sleep(3.0)
         while True:
             await asyncio.sleep(self.rng.uniform(0.2, 2.0))
-            self._spawn(self._cause(self.rng.randrange(9)))
+            self.spawn(self._cause(self.rng.randrange(self._trouble_kinds)))
 
     async def _cause(self, kind):
-        engine = self.rng.choice(list(self._engines.values()))
+        engine = self.rng.choice(list(self.engines.values()))
         duration = self.rng.uniform(0.5, 8.0)
         match kind:
             case 0:
-                await self._crash(engine)
+                await self.crash(engine)
             case 1 | 2:
                 engine.reaches_store = False
                 await asyncio.sleep(duration)
@@ -538,7 +630,43 @@
                 engine.is_draining = False
                 self._write_entry(engine)
 
-    async def _crash(self, engine):
+            case 9:
+                await self.leave_unannounced(engine)
+            case 10:
+                self.spawn(self.leave_unannounced(engine))
+                await asyncio.sleep(self.rng.choice((0.0, 0.05, 0.5)))
+                await self.fall_silent(engine, duration)
+            case 11:
+                await self._miss_news(self.rng.choice(self.leaders), duration)
+
+    async def leave_unannounced(self, engine):
+        """Let an engine leave: it serves on without an entry, and exits."""
+        born = engine.born
+        engine.is_leaving = True
+        self._remove_entry(engine)
+        await asyncio.sleep(DRAIN_TIME)
+        engine.is_leaving = False
+        if engine.born == born:
+            await self.crash(engine)
+
+    async def fall_silent(self, engine, seconds):
+        """Let the host of an engine fall silent for a while."""
+        engine.is_dark = True
+        await asyncio.sleep(seconds)
+        engine.is_dark = False
+        self._write_entry(engine)
+
+    async def _miss_news(self, leader, seconds):
+        """Let a node hear nothing for a while; it loses the lease."""
+        self.lose_news(leader)
+        await asyncio.sleep(LEASE_TIME)
+        if leader.lease.held:
+            await self._take_over(restarts=False)
+        await asyncio.sleep(seconds)
+        self.regain_news(leader)
+
+    async def crash(self, engine):
+        """Let an engine end, and start again."""
         engine.is_alive = False
         engine.reset()
         await asyncio.sleep(self.rng.uniform(0.5, 6.0))
--- a/balsamwind/node/tests/test_takeover_simulation.py
+++ b/balsamwind/node/tests/test_takeover_simulation.py
@@ -10,7 +10,9 @@
 
 @pytest.mark.parametrize('seed', range(12))
 def test_no_engine_is_taken_from_a_group_that_is_served(seed):
-    simulation = shard_simulation.Simulation(seed)
+    simulation = shard_simulation.Simulation(
+        seed, trouble_kinds=shard_simulation.EARLIER_KINDS
+    )
     simulation.run(SECONDS)
     assert simulation.violations == []
     assert simulation.opened >= 4
@@ -20,7 +22,9 @@
 def test_engine_that_was_staged_was_taken_from_a_group_that_forms(seed):
     # The copy of a model ended while its engine still joined a group: it
     # passed for free, and the group was opened a moment later (TWO).
-    simulation = shard_simulation.Simulation(seed, hosts_keep=1)
+    simulation = shard_simulation.Simulation(
+        seed, hosts_keep=1, trouble_kinds=shard_simulation.EARLIER_KINDS
+    )
     simulation.run(SECONDS)
     assert simulation.violations == []
     assert simulation.opened >= 4
--- a/balsamwind/pool/__init__.py
+++ b/balsamwind/pool/__init__.py
@@ -1,7 +1,9 @@
 """Replica groups that are formed from a pool of engines."""
 
 from balsamwind.pool._actions import CloseGroup
+from balsamwind.pool._actions import DisbandGroup
 from balsamwind.pool._actions import FormGroup
+from balsamwind.pool._actions import HoldMembers
 from balsamwind.pool._actions import OpenGroup
 from balsamwind.pool._actions import StageModel
 from balsamwind.pool._groups import find_groups
@@ -9,6 +11,7 @@
 from balsamwind.pool._groups import make_group_name
 from balsamwind.pool._groups import parse_model_name
 from balsamwind.pool._groups import PoolGroup
+from balsamwind.pool._head_history import HeadHistory
 from balsamwind.pool._orders import Close
 from balsamwind.pool._orders import Join
 from balsamwind.pool._orders import Leave
@@ -25,12 +28,27 @@
 from balsamwind.pool._records import ServerReport
 from balsamwind.pool._records import ServerState
 from balsamwind.pool._registry import ServerRegistry
+from balsamwind.pool._reuse import HEAD_SEARCH_TIME
+from balsamwind.pool._reuse import HeadEnded
+from balsamwind.pool._reuse import HeadMovedOn
+from balsamwind.pool._reuse import HeadNotServing
+from balsamwind.pool._reuse import HeadSilent
+from balsamwind.pool._reuse import HeadUnknown
 
 __all__ = [
     'GroupIndex',
     'Close',
     'CloseGroup',
+    'DisbandGroup',
     'FormGroup',
+    'HEAD_SEARCH_TIME',
+    'HeadEnded',
+    'HeadHistory',
+    'HeadMovedOn',
+    'HeadNotServing',
+    'HeadSilent',
+    'HeadUnknown',
+    'HoldMembers',
     'Join',
     'Leave',
     'MAX_COLD_LEFT',
--- a/balsamwind/pool/_actions.py
+++ b/balsamwind/pool/_actions.py
@@ -56,10 +56,46 @@
         Model that the group serves.
     members : tuple of ServerRecord
         Members in the order of their ranks; the first is the head.
+    evidence : dict of str to object
+        What shows that the last group of a member is not open, by the
+        member's id; see `judge_reuse`.
     """
 
     model: str
     members: tuple
+    evidence: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DisbandGroup:
+    """Let members leave a group whose head is not known, and wait.
+
+    Parameters
+    ----------
+    group : PoolGroup
+        Group to disband.
+    members : tuple of ServerRecord
+        Members that are ordered to leave.
+    """
+
+    group: _groups.PoolGroup
+    members: tuple
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HoldMembers:
+    """Keep the members of a group, as its head may be open unseen.
+
+    Parameters
+    ----------
+    group : PoolGroup
+        Group whose head is not known or does not answer.
+    reason : str
+        What is not known, for the log.
+    """
+
+    group: _groups.PoolGroup
+    reason: str
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -12,6 +12,7 @@
 from balsamwind.pool import _groups
 from balsamwind.pool import _model_capacity
 from balsamwind.pool import _records
+from balsamwind.pool import _reuse
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -29,9 +30,9 @@
     lost : frozenset of str
         Ids of those engines that will not go on: they have ended, or have not
         answered for longer than a sound engine may be silent.
-    presumed_dead : frozenset of str
-        Ids of engines that are no longer listed and have not answered for so
-        long that none of them can be the head of an open group any more.
+    silent_heads : dict of str to HeadSilent
+        Engines that are no longer listed and have not answered for so long
+        that none of them can be the head of an open group any more, by id.
     busy : frozenset of str
         Ids of engines that an action in progress affects.
     late_joiners : frozenset of str
@@ -40,6 +41,8 @@
     late_openers : frozenset of str
         Ids of heads that may still carry out an order to open that they have
         not answered.
+    late_leavers : frozenset of str
+        Ids of engines that may still carry out an order to leave their group.
     forming_engines : dict of str to int
         Number of engines in groups that are being formed, by model (count).
     before_traffic : bool
@@ -51,9 +54,9 @@
         may follow.
     recently_returned : frozenset of str
         Ids of engines that were first seen, or answered again, a moment ago.
-    knows_all_heads : bool
-        Whether this node has watched the shard for long enough to know the
-        head of every group that may still be open.
+    former_heads : dict of (str, int) to HeadMovedOn, HeadEnded or HeadUnknown
+        What has become of the heads of groups that no engine reports to head,
+        by the name and the epoch of the group.
     loads_allowed : int
         Number of loads from the weight store that may begin now (count).
     max_concurrent_loads : int
@@ -78,15 +81,16 @@
     terms: object
     down: frozenset = frozenset()
     lost: frozenset = frozenset()
-    presumed_dead: frozenset = frozenset()
+    silent_heads: dict = dataclasses.field(default_factory=dict)
     busy: frozenset = frozenset()
     late_joiners: frozenset = frozenset()
     late_openers: frozenset = frozenset()
+    late_leavers: frozenset = frozenset()
     forming_engines: dict = dataclasses.field(default_factory=dict)
     before_traffic: bool = False
     growing_domains: frozenset = frozenset()
     recently_returned: frozenset = frozenset()
-    knows_all_heads: bool = True
+    former_heads: dict = dataclasses.field(default_factory=dict)
     loads_allowed: int = 0
     max_concurrent_loads: int = 0
     staging: dict = dataclasses.field(default_factory=dict)
@@ -106,7 +110,8 @@
 
     Returns
     -------
-    list of CloseGroup, OpenGroup, FormGroup or StageModel
+    list of CloseGroup, OpenGroup, FormGroup, StageModel, DisbandGroup or \
+HoldMembers
         Actions in the order in which they are to be started.
     """
     groups = _groups.find_groups(view.records, view.terms)
@@ -119,7 +124,10 @@
         for action in openings
         for member in action.group.members
     }
-    free_engines = _find_free_engines(view, groups, opening_ids)
+    verdicts = {
+        key: _reuse.judge_reuse(view, group) for key, group in groups.items()
+    }
+    free_engines = _find_free_engines(view, groups, verdicts, opening_ids)
     group_counts = _count_groups(view, groups)
     conversions = []
     if view.may_convert:
@@ -134,7 +142,7 @@
         for engine in free_engines
         if engine.domain not in converting_domains
     ]
-    formations = _plan_formations(view, available, group_counts)
+    formations = _plan_formations(view, available, group_counts, verdicts)
     forming_ids = {
         member.server_id for action in formations for member in action.members
     }
@@ -142,7 +150,14 @@
         record for record in available if record.server_id not in forming_ids
     ]
     stagings = _plan_staging(view, idle_engines, group_counts)
-    return [*closings, *openings, *formations, *stagings, *conversions]
+    return [
+        *closings,
+        *openings,
+        *formations,
+        *stagings,
+        *conversions,
+        *_plan_lost_groups(view, groups, verdicts),
+    ]
 
 
 def _plan_existing_groups(view, groups):
@@ -217,11 +232,40 @@
     return None
 
 
-def _find_free_engines(view, groups, opening_ids):
+def _plan_lost_groups(view, groups, verdicts):
+    """Hold the members of groups whose heads are out of sight, or free them.
+
+    They are free some time after they have left their group.
+    """
+    actions = []
+    for key, verdict in verdicts.items():
+        group = groups[key]
+        if {member.server_id for member in group.members} & view.busy:
+            continue
+        members = _find_leavers(view, group)
+        if members and _reuse.must_disband(view, group):
+            actions.append(_actions.DisbandGroup(group, members))
+        elif isinstance(verdict, _reuse.Held) and (
+            group.head is None or group.head.server_id in view.down
+        ):
+            actions.append(_actions.HoldMembers(group, verdict.reason))
+    return actions
+
+
+def _find_leavers(view, group):
+    """Find the members that can be ordered to leave."""
+    return tuple(
+        member
+        for member in group.members
+        if member.usable and member.server_id not in view.down
+    )
+
+
+def _find_free_engines(view, groups, verdicts, opening_ids):
     """Find engines that may join a new group."""
-    taken_ids = set(opening_ids)
-    for group in groups.values():
-        if not _is_released(view, group):
+    taken_ids = set(opening_ids) | view.late_leavers
+    for key, group in groups.items():
+        if isinstance(verdicts[key], _reuse.Held):
             taken_ids.update(member.server_id for member in group.members)
     return [
         record
@@ -233,32 +277,6 @@
     ]
 
 
-def _is_released(view, group):
-    """Whether the head of a group can't be open any more.
-
-    Only then may the members of the group join another one. A head that has
-    not answered the order to open may carry it out later. One that does not
-    answer at all may have been opened since its entry was written. After an
-    outage of a domain its engines come back one after another, so the head of
-    a group whose member has just come back may still be open, although it has
-    not been seen again yet. A head without any entry may be open as well,
-    unless this node has watched for long enough to know all open heads.
-    """
-    head = group.head
-    if head is None or head.server_id in view.presumed_dead:
-        member_ids = {member.server_id for member in group.members}
-        settled = not member_ids & view.recently_returned
-        return settled and (head is not None or view.knows_all_heads)
-    if head.server_id in view.late_openers:
-        return False
-    if head.server_id in view.down:
-        return group.state is _records.MemberState.BROKEN
-    return group.state not in (
-        _records.MemberState.OPEN,
-        _records.MemberState.CLOSING,
-    )
-
-
 def _count_groups(view, groups):
     """Count the groups of each model that serve or are being formed."""
     group_counts = {model.name: 0 for model in view.terms.models}
@@ -271,7 +289,7 @@
     return group_counts
 
 
-def _plan_formations(view, available, group_counts):
+def _plan_formations(view, available, group_counts, verdicts):
     """Plan new groups; no group spans several domains.
 
     `group_counts` is updated with the groups that are planned.
@@ -287,13 +305,22 @@
             action = _plan_formation(view, domain, engines, group_counts)
             if action is None:
                 break
-            actions.append(action)
+            evidence = _find_evidence(action.members, verdicts)
+            actions.append(dataclasses.replace(action, evidence=evidence))
             group_counts[action.model] += 1
             for member in action.members:
                 engines.remove(member)
     return actions
 
 
+def _find_evidence(members, verdicts):
+    return {
+        member.server_id: verdicts[member.membership.key]
+        for member in members
+        if member.membership is not None
+    }
+
+
 def _plan_formation(view, domain, engines, group_counts):
     """Form one group from free engines of a domain, or return None.
 
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -21,6 +21,9 @@
 MAX_LEAVING = 4096
 """Servers that are remembered as leaving (count)."""
 
+MAX_ENDED = 4096
+"""Servers of which a start is remembered that has ended (count)."""
+
 
 class ServerRegistry:
     """Newest known entry of each backend server.
@@ -43,6 +46,7 @@
     """
 
     __slots__ = (
+        '_ended_starts',
         '_grace_until',
         '_leaving',
         '_listed_since',
@@ -61,6 +65,7 @@
         self._records_by_service = {}
         self._listeners = []
         self._leaving = {}
+        self._ended_starts = {}
         self._unlisted_since = {}
         self._listed_since = {}
         self._grace_until = float('-inf')
@@ -236,6 +241,31 @@
             return record
         return dataclasses.replace(record, state=_records.ServerState.DRAINING)
 
+    def has_ended(self, server_id, born):
+        """Tell whether a later start of a server has shown itself.
+
+        Parameters
+        ----------
+        server_id : str
+            Id of the server.
+        born : int
+            Start that may have ended.
+
+        Returns
+        -------
+        bool
+        """
+        return born <= self._ended_starts.get(server_id, born - 1)
+
+    def _note_start(self, known, born):
+        """Note that a later start than the known one has shown itself."""
+        if known is None or born <= known.born:
+            return
+        self._ended_starts.pop(known.server_id, None)
+        self._ended_starts[known.server_id] = known.born
+        while len(self._ended_starts) > MAX_ENDED:
+            del self._ended_starts[next(iter(self._ended_starts))]
+
     def start_relisting_grace(self, failed_at):
         """Note that the store answers again after an outage.
 
@@ -358,6 +388,7 @@
         known = self._records.get(record.server_id)
         if known is not None and known.revision > record.revision:
             return False
+        self._note_start(known, record.born)
         if known != record:
             self._set_record(record.server_id, record)
         self._missing.discard(record.server_id)
@@ -442,6 +473,7 @@
         if record is None:
             return False
         if report.born != record.born:
+            self._note_start(record, report.born)
             if not record.listed:
                 self._set_record(server_id, None)
                 self._unlisted_since.pop(server_id, None)
--- a/balsamwind/pool/tests/test_planner.py
+++ b/balsamwind/pool/tests/test_planner.py
@@ -70,6 +70,9 @@
                 rows.append(('form', model, ids))
             case pool.StageModel(engine=engine, model=model):
                 rows.append(('stage', engine.server_id, model))
+            case pool.DisbandGroup(group=group, members=members):
+                ids = tuple(member.server_id for member in members)
+                rows.append(('disband', group.name, ids))
     return rows
 
 
@@ -185,7 +188,7 @@
     records = _replace_fields(PAIR, 'a', listed=False)
     return [*records, _make_engine('c', 'small', ('large', 'small'))], {
         'down': frozenset('a'),
-        'presumed_dead': frozenset('a'),
+        'silent_heads': {'a': pool.HeadSilent('a', 4.3, 2)},
         **extra,
     }
 
@@ -195,7 +198,7 @@
     [
         pytest.param({}, True, id='head is gone'),
         pytest.param(
-            {'presumed_dead': frozenset()},
+            {'silent_heads': {}},
             False,
             id='head does not answer but may be open',
         ),
@@ -217,15 +220,59 @@
     assert bool(formed) is forms
 
 
-def test_members_of_an_unknown_head_wait_for_a_long_watch():
-    member = PAIR[1:]
-    spare = [_make_engine('c', 'small', ('small',))]
-    for knows_all_heads in (True, False):
-        view = _make_view([*member, *spare], knows_all_heads=knows_all_heads)
-        formed = [
-            row for row in _summarise(pool.plan_pool(view)) if row[0] == 'form'
-        ]
-        assert bool(formed) is knows_all_heads
+SEARCHED = pool.HEAD_SEARCH_TIME
+DISBAND = [('disband', PAIR_NAME, ('b',))]
+FORM = [('form', 'small', ('b', 'c'))]
+
+
+@pytest.mark.parametrize(
+    ('head', 'extra', 'expected'),
+    [
+        pytest.param(None, {}, [], id='nothing is known of the group'),
+        pytest.param(pool.HeadUnknown(), {}, [], id='heard of just now'),
+        pytest.param(pool.HeadUnknown(SEARCHED - 0.1), {}, [], id='searched'),
+        pytest.param(
+            pool.HeadUnknown(SEARCHED), {}, DISBAND, id='searched for long'
+        ),
+        pytest.param(
+            pool.HeadUnknown(1e6),
+            {'recently_returned': frozenset('b')},
+            [],
+            id='the member has just come back',
+        ),
+        pytest.param(
+            pool.HeadUnknown(1e6), {'busy': frozenset('b')}, [], id='busy'
+        ),
+        pytest.param(
+            pool.HeadUnknown(1e6), {'down': frozenset('b')}, [], id='down'
+        ),
+        pytest.param(
+            pool.HeadMovedOn('a', 'small.dc.8'), {}, FORM, id='in a later one'
+        ),
+        pytest.param(pool.HeadEnded('a'), {}, FORM, id='started again'),
+        pytest.param(
+            pool.HeadEnded('a'),
+            {'recently_returned': frozenset('b')},
+            [],
+            id='started again, the member has just come back',
+        ),
+        pytest.param(
+            pool.HeadEnded('a'),
+            {'late_leavers': frozenset('b')},
+            [],
+            id='the member may yet leave a later group',
+        ),
+    ],
+)
+def test_members_of_an_unknown_head_were_taken_without_evidence(
+    head, extra, expected
+):
+    # The head served on, out of sight of the leader (TWO).
+    records = [*PAIR[1:], _make_engine('c', 'small', ('large', 'small'))]
+    if head is not None:
+        extra = {'former_heads': {(PAIR_NAME, 7): head}, **extra}
+    view = _make_view(records, **extra)
+    assert _summarise(pool.plan_pool(view)) == expected
 
 
 def test_unlisted_record_of_the_same_rank_is_not_the_head():
