Count the silence of a head from failed tries

Cause: a removed entry counted as a sign of two heartbeats of silence. It is one only if the entry expired; it is removed at once when an engine leaves without saying so.

Ruled out: a fault of the take-over alone (the same leader does it).

Change: silence counts from the first of an unbroken row of this node's own failed tries; a gap over 0.9 s, as of a paused node, starts it anew. So that repair after a change of the leader is not slower, the first two nodes of a data centre watch heads that are out of sight, or that others have asked about in vain, while they do not lead.

test_head_that_no_node_reaches_is_taken_for_dead_in_time allowed 1.8 s, which is the fault; it now demands the stall bound as the others do.

What a node has seen of heads has a module of its own, out of the leader.

--- a/balsamwind/node/_engine_health.py
+++ b/balsamwind/node/_engine_health.py
@@ -25,6 +25,10 @@
 engine is always probed beside one that fails; beyond it this node saw nothing
 meanwhile (seconds)."""
 
+MAX_PROBE_GAP = 0.9
+"""Longest time between two failed probes of an engine in which it has
+certainly not answered (seconds). Beyond it this node may have been paused."""
+
 WITNESS_MEMORY = 1.0
 """Time for which answers are remembered as witnesses (seconds)."""
 
@@ -45,6 +49,7 @@
     __slots__ = (
         '_answers',
         '_ended',
+        '_failed_at',
         '_failures',
         '_pending',
         '_silent_since',
@@ -58,6 +63,7 @@
         self._answers = collections.deque()
         self._ended = set()
         self._failures = {}
+        self._failed_at = {}
         self._pending = {}
         self._silent_since = {}
         self._unopened = {}
@@ -99,7 +105,12 @@
         return since is not None and now - since >= BLIND_TIME
 
     def silent_for(self, server_id, now):
-        """Return how long an engine has certainly not answered (seconds)."""
+        """Return how long an engine has certainly not answered (seconds).
+
+        The row of failed probes has no gap in which it may have done so.
+        """
+        if now - self._failed_at.get(server_id, now) > MAX_PROBE_GAP:
+            return 0.0
         return now - self._silent_since.get(server_id, now)
 
     def has_ended(self, server_id):
@@ -198,6 +209,7 @@
 
     def _list_known(self):
         return (
+            self._failed_at,
             self._failures,
             self._pending,
             self._silent_since,
@@ -241,7 +253,11 @@
 
     def _count(self, server_id, sent_at, count):
         self._failures[server_id] = self._failures.get(server_id, 0) + count
+        failed_at = self._failed_at.get(server_id, sent_at)
+        if sent_at - failed_at > MAX_PROBE_GAP:
+            self._silent_since[server_id] = sent_at
         self._silent_since.setdefault(server_id, sent_at)
+        self._failed_at[server_id] = max(failed_at, sent_at)
 
     def forget_failures(self):
         """Forget all failures, as this node sees nothing.
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -9,6 +9,7 @@
 
 from balsamwind import exceptions
 from balsamwind.node import _action_executor
+from balsamwind.node import _head_evidence
 from balsamwind.node import _lease
 from balsamwind.node import _lease_records
 from balsamwind.node import _prober
@@ -50,10 +51,6 @@
 of the stall bound (ratio). A sound engine may fall silent for a second; a head
 that has lost a member breaks its group after the bound."""
 
-MIN_SILENT_HEARTBEATS = 2.0
-"""Least time since the last heartbeat of a backend server when its entry
-expires (heartbeat intervals)."""
-
 STAGING_MARGIN = 4.0
 """Time added to the configured load time of a model when it is staged on a
 host (seconds)."""
@@ -110,9 +107,8 @@
         Executes the planned actions.
     demand : dict of str to float
         Moving average of the running and waiting requests, by model (count).
-    heard_of_entries_for : callable
-        Returns for how long this node has heard of the entries without a gap
-        (seconds).
+    heads : HeadEvidence
+        What this node has seen of the heads of the shard.
     """
 
     def __init__(
@@ -129,7 +125,6 @@
     ):
         self._publish_changes = publish_changes
         self.evacuations = servers.Evacuations(None)
-        self.heard_of_entries_for = lambda: float('inf')
         self._data_centre = data_centre
         self.settings = settings
         self._configuration_cache = configuration_cache
@@ -145,8 +140,6 @@
         self._next_conversion_at = 0.0
         self._platform = platform
         self._listed_fencing = None
-        self._heads = pool.HeadHistory(data_centre, registry, clock)
-        self._held_groups = {}
         self.lease = _lease.ShardLease(
             data_centre,
             settings.name,
@@ -159,6 +152,14 @@
         self._prober = _prober.Prober(
             platform, registry, clock, self._log, self._opinions
         )
+        self.heads = _head_evidence.HeadEvidence(
+            data_centre,
+            registry,
+            self._prober,
+            self._opinions,
+            clock,
+            self._log,
+        )
         self.executor = _action_executor.ActionExecutor(
             data_centre,
             platform,
@@ -197,7 +198,7 @@
                     self.lease.defer()
                 await self.lease.step()
                 if not self.lease.held:
-                    self._prober.reset()
+                    self._watch_as_standby()
                 elif await self._has_listed_since_takeover():
                     self._run_round()
                     await self._yield_if_blind()
@@ -207,6 +208,22 @@
                 ROUND_INTERVAL if self.lease.held else self._find_idle_time()
             )
 
+    def _watch_as_standby(self):
+        """Watch the heads that are out of sight, if this node may soon lead.
+
+        Whoever takes over then knows since when they are silent.
+        """
+        suspects = []
+        if self.lease.is_standby:
+            records = self._find_own_engines()
+            suspects = self.heads.find_suspects(records)
+        if not suspects:
+            self._prober.reset()
+            return
+        self._prober.forget_opinions()
+        others = [record for record in records if record not in suspects]
+        self._prober.probe_due(suspects, others, asks_others=False)
+
     def _lacks_path(self):
         """Tell whether this node reaches no engine, by its own requests."""
         lost_services = self._relay.paths.lost_services
@@ -261,11 +278,7 @@
         if configuration is None:
             return
         self.executor.break_time = self._break_time
-        records_by_service = [
-            (service, self._find_own_engines(service))
-            for service in configuration.services
-            if service.engine is not None
-        ]
+        records_by_service = self._find_engines_by_service(configuration)
         # One call for all services: engines that it does not name are
         # forgotten.
         engines = [
@@ -280,40 +293,41 @@
         for service, records in records_by_service:
             self._plan_service(service, records)
 
-    def _find_own_engines(self, service):
-        return tuple(
+    def _find_engines_by_service(self, configuration):
+        return [
+            (
+                service,
+                tuple(
+                    record
+                    for record in self._registry.get_by_service(service.name)
+                    if record.data_centre == self._data_centre
+                ),
+            )
+            for service in configuration.services
+            if service.engine is not None
+        ]
+
+    def _find_own_engines(self):
+        configuration = self._configuration_cache.configuration
+        if configuration is None:
+            return []
+        return [
             record
-            for record in self._registry.get_by_service(service.name)
-            if record.data_centre == self._data_centre
-        )
+            for _, records in self._find_engines_by_service(configuration)
+            for record in records
+        ]
 
     def _plan_service(self, service, records):
         self._update_demand(service, records)
-        held = {}
+        held = []
         for action in pool.plan_pool(self._build_view(service, records)):
             if isinstance(action, pool.HoldMembers):
-                held[action.group.key] = action
+                held.append(action)
                 continue
             self._record_loads(action)
             self._record_action(action, service)
             self.executor.start(action, service.engine)
-        self._log_held(service, held)
-
-    def _log_held(self, service, held):
-        """Log the groups whose members are held, at changes of the reason."""
-        before = self._held_groups.get(service.name, {})
-        reasons = {key: action.reason for key, action in held.items()}
-        self._held_groups[service.name] = reasons
-        for key, reason in reasons.items():
-            if before.get(key) != reason:
-                group = held[key].group
-                self._log.info(
-                    'members_held',
-                    group=group.name,
-                    head=group.head and group.head.server_id,
-                    members=[member.server_id for member in group.members],
-                    reason=reason,
-                )
+        self.heads.log_held(service.name, held)
 
     def _update_demand(self, service, records):
         """Average the running and waiting requests that the heads report.
@@ -381,12 +395,9 @@
                 for server_id in down
                 if self._prober.is_lost(server_id, self._max_silence, now)
             ),
-            silent_heads={
-                record.server_id: self._describe_silence(record, now)
-                for record in records
-                if record.server_id in down
-                and self._cannot_head_open_group(record, now)
-            },
+            silent_heads=self.heads.find_silent_heads(
+                records, self._break_time
+            ),
             busy=frozenset(self.executor.busy),
             late_joiners=self.executor.find_unanswered(pool.Join),
             late_openers=self.executor.find_unanswered(pool.Open),
@@ -404,9 +415,7 @@
                 if min(listed, self._prober.answering_for(server_id, now))
                 < RECOVERY_PERIOD
             ),
-            former_heads=self._heads.find_former_heads(
-                records, self.heard_of_entries_for()
-            ),
+            former_heads=self.heads.find_former_heads(records),
             loads_allowed=self._count_loads_allowed(service, now),
             max_concurrent_loads=service.engine.max_full_speed_loads
             // len(self.settings.data_centres),
@@ -417,40 +426,6 @@
             evacuated=self.evacuations.forbids(self._data_centre, now),
         )
 
-    def _describe_silence(self, record, now):
-        return pool.HeadSilent(
-            record.server_id,
-            self._prober.silent_for(record.server_id, now),
-            self._opinions.count_asked(record),
-        )
-
-    def _cannot_head_open_group(self, record, now):
-        """Whether an engine can't be the head of an open group any more.
-
-        A head that nobody reaches has lost its members as well: it stalls,
-        and breaks its group after the stall bound. Until enough other nodes
-        were asked, it may serve the requests of some.
-
-        A leader that has just taken over knows only for how long the entry
-        has been missing, which expires after a silence of at least two
-        heartbeat intervals. That shows nothing if it may have been missing
-        because the store was away.
-        """
-        if record.listed or not self._opinions.are_enough(record):
-            return False
-        server_id = record.server_id
-        bounds = self.settings.bounds
-        stall = self._break_time
-        if self._prober.silent_for(server_id, now) > stall:
-            return True
-        unlisted_for = self._registry.unlisted_for(server_id, now)
-        if self._prober.has_answered_within(server_id, unlisted_for, now):
-            return False
-        silence = MIN_SILENT_HEARTBEATS * bounds.heartbeat
-        if self.heard_of_entries_for() < unlisted_for + silence:
-            return False
-        return unlisted_for + silence > stall
-
     def _count_loads_allowed(self, service, now):
         bounds = self.settings.bounds
         while (
--- a/balsamwind/node/_lease.py
+++ b/balsamwind/node/_lease.py
@@ -54,6 +54,10 @@
 RENEWAL_RETRY_INTERVAL = 0.25
 """Wait after a renewal that failed (seconds)."""
 
+STANDBY_COUNT = 2
+"""Nodes of a data centre, first by rank, that are ready to take over its
+lease (count)."""
+
 DISCOVERY_TIME = 2.0
 """Time after the start in which a node waits for its rank (seconds)."""
 
@@ -124,6 +128,11 @@
         """Whether this node holds the lease and may act for the shard now."""
         return self._manager.holds(self._clock.monotonic())
 
+    @property
+    def is_standby(self):
+        """Whether this node is among those that take the lease first."""
+        return self._local and self._rank < STANDBY_COUNT
+
     @property
     def fencing(self):
         """Fencing number of the lease that is held, or was held last."""
--- a/balsamwind/node/_prober.py
+++ b/balsamwind/node/_prober.py
@@ -58,6 +58,7 @@
         self._health = _engine_health.EngineHealth()
         self._was_blind = False
         self._opinions = opinions
+        self._asks_others = True
         self._asking = set()
         self._next_ask_at = {}
         self._confirmed = set()
@@ -115,7 +116,7 @@
         answered_at = self._health.answered_at
         return now - answered_at.get(server_id, float('-inf')) < seconds
 
-    def probe_due(self, records, witnesses=()):
+    def probe_due(self, records, witnesses=(), asks_others=True):
         """Probe the engines that are due; forget those not in `records`.
 
         Beside engines that have failed, another one is probed, which shows
@@ -127,7 +128,10 @@
             Engines to watch.
         witnesses : iterable of balsamwind.pool.ServerRecord
             Engines that are only probed beside others.
+        asks_others : bool
+            Whether other nodes are asked about engines that have failed.
         """
+        self._asks_others = asks_others
         now = self._clock.monotonic()
         due = [record for record in records if self._is_due(record, now)]
         suspects = self._health.suspects
@@ -184,6 +188,10 @@
     def reset(self):
         """Forget what was seen, as this node no longer leads the shard."""
         self._health.reset()
+        self.forget_opinions()
+
+    def forget_opinions(self):
+        """Forget all but what this node has seen of silent engines itself."""
         self._confirmed.clear()
         self._next_ask_at.clear()
         if self._opinions is not None:
@@ -250,6 +258,7 @@
         now = self._clock.monotonic()
         if (
             self._opinions is None
+            or not self._asks_others
             or not self._health.has_failed(server_id)
             or server_id in self._asking
             or (
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -338,7 +338,7 @@
         ]
         for leader in self._leaders:
             leader.evacuations = self._evacuations
-            leader.heard_of_entries_for = contact.find_time_heard
+            leader.heads.heard_of_entries_for = contact.find_time_heard
         self._restored_store = _restored_store.RestoredStoreHandler(
             settings.bounds,
             self.registry,
@@ -421,13 +421,23 @@
         )
         self._attempt_server = _attempt_server.AttemptServer(
             self._attempt_carrier,
-            _reach_witness.ReachWitness(
-                self.registry, self.relay, self.platform.fetch_engine_report
-            ),
+            self._make_witness(),
             self._unknown_messages,
             self._log,
         )
 
+    def _make_witness(self):
+        witness = _reach_witness.ReachWitness(
+            self.registry, self.relay, self.platform.fetch_engine_report
+        )
+        witness.on_silent = self._record_silent_engine
+        return witness
+
+    def _record_silent_engine(self, record):
+        for leader in self._leaders:
+            if leader.lease.shard == record.data_centre:
+                leader.heads.record_question(record.server_id)
+
     def _find_usable_servers(self, service):
         return [
             record
--- a/balsamwind/node/_reach_witness.py
+++ b/balsamwind/node/_reach_witness.py
@@ -22,14 +22,21 @@
     fetch_report : callable
         Coroutine function that takes the entry of an engine and a timeout
         (seconds), and returns its report.
+
+    Attributes
+    ----------
+    on_silent : callable
+        Called with the entry of an engine that does not answer this node
+        either, while others do.
     """
 
-    __slots__ = ('_fetch_report', '_registry', '_relay')
+    __slots__ = ('_fetch_report', '_registry', '_relay', 'on_silent')
 
     def __init__(self, registry, request_relay, fetch_report):
         self._registry = registry
         self._relay = request_relay
         self._fetch_report = fetch_report
+        self.on_silent = lambda record: None
 
     async def find(self, query):
         """Find whether this node reaches a server.
@@ -58,6 +65,8 @@
         now = self._relay.clock.monotonic()
         paths.record_unreachable(query.service, query.server_id, now)
         if await self._relay.settle_path(query.service):
+            if query.wants_report:
+                self.on_silent(record)
             return reach
         return relay.Reach.UNKNOWN
 
--- a/balsamwind/node/tests/shard_simulation.py
+++ b/balsamwind/node/tests/shard_simulation.py
@@ -106,6 +106,7 @@
 
     shard: str = 'z1'
     held: bool = False
+    is_standby: bool = True
     fencing: int = 0
 
     def step_down(self, reason):
@@ -263,7 +264,7 @@
         leader.lease = _Lease()
         leader.executor._lease = leader.lease
         news = self._news[leader] = _News(self._loop.time())
-        leader.heard_of_entries_for = lambda: (
+        leader.heads.heard_of_entries_for = lambda: (
             self._loop.time() - news.since if news.is_heard else 0.0
         )
         self.leaders.append(leader)
--- a/balsamwind/node/tests/test_presumed_dead.py
+++ b/balsamwind/node/tests/test_presumed_dead.py
@@ -114,7 +114,7 @@
             doubles.Log(),
             lambda changed, removed: None,
         )
-        self.leader.heard_of_entries_for = self.contact.find_time_heard
+        self.leader.heads.heard_of_entries_for = self.contact.find_time_heard
         monkeypatch.setattr(
             self.leader, '_plan_service', lambda *arguments: None
         )
@@ -122,8 +122,8 @@
     def is_presumed_dead(self):
         """Whether the members of the head's group may join another one."""
         record = self.registry.get('head')
-        return 'head' in self.leader._prober.down and (
-            self.leader._cannot_head_open_group(record, self.clock.now)
+        return 'head' in self.leader.heads.find_silent_heads(
+            [record], self.leader._break_time
         )
 
     async def run(self, seconds):
@@ -235,8 +235,9 @@
         return await shard.run(8.0)
 
     times = asyncio.run(scenario())
-    # Two heartbeats before its entry went it may have been alive.
-    assert 1.8 <= times[0] <= 4.5
+    # The stall bound, from the first probe that failed: its entry is removed
+    # when it leaves, too, while it serves on.
+    assert 4.0 <= times[0] <= 4.5
     assert times[-1] > 7.8
 
 
--- a/balsamwind/node/tests/test_unknown_heads.py
+++ b/balsamwind/node/tests/test_unknown_heads.py
@@ -38,6 +38,33 @@
     simulation.lead(first)
 
 
+async def _leave_and_fall_silent(simulation, pause, takes_over):
+    """Let a head leave unannounced, and its host fall silent at once."""
+    second = simulation.add_leader()
+    await asyncio.sleep(12.0)
+    head = simulation.find_open_heads()[0]
+    simulation.spawn(simulation.leave_unannounced(head))
+    if takes_over:
+        simulation.lead(second)
+    await asyncio.sleep(pause)
+    simulation.spawn(simulation.fall_silent(head, 4.5))
+
+
+@pytest.mark.parametrize('takes_over', [False, True])
+@pytest.mark.parametrize('pause', [0.0, 0.05, 0.1, 0.5])
+def test_removal_of_a_head_was_taken_for_its_silence(pause, takes_over):
+    # Its members were reused 1.8 s after its entry was removed, as if it had
+    # been silent for two heartbeats by then; it was open (TWO).
+    simulation = shard_simulation.Simulation(3, engine_count=10)
+    simulation.run(
+        SECONDS,
+        lambda simulation: _leave_and_fall_silent(
+            simulation, pause, takes_over
+        ),
+    )
+    assert simulation.violations == []
+
+
 @pytest.mark.parametrize('seed', range(5))
 def test_returning_leader_took_members_of_a_head_it_never_heard_of(seed):
     # The head had no entry any more when the leader heard of entries again;
@@ -45,3 +72,13 @@
     simulation = shard_simulation.Simulation(seed, engine_count=10)
     simulation.run(SECONDS, _return_to_an_unknown_head)
     assert simulation.violations == []
+
+
+@pytest.mark.parametrize('seed', [3, 28, 37, 48, 60, 85, 113, 128, 171])
+def test_member_was_taken_while_its_head_was_out_of_sight(seed):
+    # Engines that leave unannounced or fall silent, nodes that hear nothing,
+    # late orders and changes of the leader, drawn together (TWO).
+    simulation = shard_simulation.Simulation(seed, engine_count=10)
+    simulation.run(60.0)
+    assert simulation.violations == []
+    assert simulation.opened >= 4
