Take no say of a node that knows nothing

Cause: "unknown", the answer of a node that does not know the entry or has lost its own path, counted as "I don't reach it". A path also counted as open where no other server was known to show it.

Change: the question names the server's address, so that a node that has just started tries it; a node that knows no other server of the service has no opinion on silence; "unknown" is none. Members of a head that is silent, but of which not enough nodes can say so, are not held for good: they are ordered to leave, and held for the stall bound.

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -299,7 +299,7 @@
             'group_disbanding',
             group=group.name,
             members=[member.server_id for member in action.members],
-            reason='its head is not known',
+            reason=action.reason,
         )
         order = pool.Leave(group.name, group.epoch)
         results = await asyncio.gather(
--- a/balsamwind/node/_head_evidence.py
+++ b/balsamwind/node/_head_evidence.py
@@ -113,24 +113,30 @@
 
         Returns
         -------
-        dict of str to balsamwind.pool.HeadSilent
-            By the id of the engine.
+        (dict of str to balsamwind.pool.HeadSilent, frozenset of str)
+            By the id of the engine; and ids of those of which not enough other
+            nodes could say whether they reach them.
         """
         down = self._prober.down
         found = {}
+        doubtful = set()
         for record in records:
             if record.server_id not in down or record.listed:
                 continue
             silent_for = self._prober.silent_for(
                 record.server_id, self._clock.monotonic()
             )
-            if silent_for > break_time and self._opinions.are_enough(record):
-                found[record.server_id] = pool.HeadSilent(
-                    record.server_id,
-                    silent_for,
-                    self._opinions.count_asked(record),
-                )
-        return found
+            if silent_for <= break_time:
+                continue
+            if not self._opinions.are_enough(record):
+                doubtful.add(record.server_id)
+                continue
+            found[record.server_id] = pool.HeadSilent(
+                record.server_id,
+                silent_for,
+                self._opinions.count_asked(record),
+            )
+        return found, frozenset(doubtful)
 
     def find_former_heads(self, records):
         """Find what has become of heads that no engine reports to be.
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -377,6 +377,9 @@
     def _build_view(self, service, records):
         now = self._clock.monotonic()
         down = self._prober.down
+        silent_heads, doubtful_heads = self.heads.find_silent_heads(
+            records, self._break_time
+        )
         before_traffic = (
             self.settings.first_start
             and not self._relay.requests_received
@@ -395,9 +398,8 @@
                 for server_id in down
                 if self._prober.is_lost(server_id, self._max_silence, now)
             ),
-            silent_heads=self.heads.find_silent_heads(
-                records, self._break_time
-            ),
+            silent_heads=silent_heads,
+            doubtful_heads=doubtful_heads,
             busy=frozenset(self.executor.busy),
             late_joiners=self.executor.find_unanswered(pool.Join),
             late_openers=self.executor.find_unanswered(pool.Open),
--- a/balsamwind/node/_reach_opinions.py
+++ b/balsamwind/node/_reach_opinions.py
@@ -4,7 +4,8 @@
 and has lost its paths to the leader and to some other nodes, but serves the
 requests of the rest. Neither its missing entry nor the opinion of a few nodes
 shows that its group is broken. Those that reach it may be the ones that give
-no reply for a while, as they are paused or start again.
+no reply for a while, as they are paused or start again, and those that start
+again know nothing.
 """
 
 from balsamwind import relay
@@ -71,10 +72,13 @@
         return reach
 
     def _may_count(self, address, opinion, now):
-        """Tell whether a node has had its say, or is not waited for."""
+        """Tell whether a node has had its say, or is not waited for.
+
+        One that does not know has not had its say.
+        """
         if opinion is not None:
             self._no_replies.pop(address, None)
-            return True
+            return opinion is not relay.Reach.UNKNOWN
         first_at, _ = self._no_replies.get(address, (now, now))
         self._no_replies[address] = first_at, now
         return now - first_at >= NO_REPLY_TIME
--- a/balsamwind/node/_reach_witness.py
+++ b/balsamwind/node/_reach_witness.py
@@ -1,6 +1,7 @@
 """Whether this node reaches a server that another one does not reach."""
 
 from balsamwind import exceptions
+from balsamwind import pool
 from balsamwind import relay
 
 TIMEOUT = 0.2
@@ -50,7 +51,7 @@
         -------
         balsamwind.relay.Reach
         """
-        record = self._registry.get(query.server_id)
+        record = self._find_record(query)
         if record is None or record.born != query.born:
             return relay.Reach.UNKNOWN
         if query.on_any_path:
@@ -60,7 +61,7 @@
         reach = await self._try(record, query.wants_report)
         if reach is relay.Reach.ANSWERS:
             return reach
-        if not was_open:
+        if not was_open or not self._knows_others(query):
             return relay.Reach.UNKNOWN
         now = self._relay.clock.monotonic()
         paths.record_unreachable(query.service, query.server_id, now)
@@ -70,6 +71,33 @@
             return reach
         return relay.Reach.UNKNOWN
 
+    def _find_record(self, query):
+        """Find the entry of a server, or make one from the question.
+
+        A node that has just started does not know a server that is cut off
+        from the store, but it may reach it.
+        """
+        known = self._registry.get(query.server_id)
+        if not query.address or (
+            known is not None and known.born >= query.born
+        ):
+            return known
+        return pool.ServerRecord(
+            query.server_id,
+            query.service,
+            query.address,
+            '',
+            born=query.born,
+            listed=False,
+        )
+
+    def _knows_others(self, query):
+        """Tell whether other servers can show that the path is open."""
+        return any(
+            record.usable and record.server_id != query.server_id
+            for record in self._registry.get_by_service(query.service)
+        )
+
     async def _try(self, record, wants_report):
         if wants_report:
             return await self._try_report(record)
--- a/balsamwind/node/tests/test_presumed_dead.py
+++ b/balsamwind/node/tests/test_presumed_dead.py
@@ -24,6 +24,7 @@
 
 ANSWERS = relay.Reach.ANSWERS
 SILENT = relay.Reach.SILENT
+UNKNOWN = relay.Reach.UNKNOWN
 GONE = exceptions.PeerUnavailable('gone')
 
 
@@ -122,9 +123,11 @@
     def is_presumed_dead(self):
         """Whether the members of the head's group may join another one."""
         record = self.registry.get('head')
-        return 'head' in self.leader.heads.find_silent_heads(
+        silent, doubtful = self.leader.heads.find_silent_heads(
             [record], self.leader._break_time
         )
+        self.is_doubtful = 'head' in doubtful
+        return 'head' in silent
 
     async def run(self, seconds):
         """Play rounds; the times after which the head was taken for dead."""
@@ -194,6 +197,23 @@
     assert asyncio.run(scenario()) == []
 
 
+@pytest.mark.parametrize('others', [[], [SILENT] * 4, [UNKNOWN] * 4])
+def test_node_that_knows_nothing_was_taken_for_one_that_reaches_nothing(
+    monkeypatch, others
+):
+    # It had just started, or its own path was lost. The head was sound, and
+    # its members were ordered to join another group (TWO).
+    async def scenario():
+        shard = _Shard(_make_opinions(UNKNOWN, *others), monkeypatch)
+        shard.registry.mark_unlisted('head', shard.clock.now - 10.0)
+        return await shard.run(12.0), shard.is_doubtful
+
+    times, is_doubtful = asyncio.run(scenario())
+    assert times == []
+    # Its members are not held for good: they leave, and wait.
+    assert is_doubtful
+
+
 def test_nodes_that_carried_nothing_were_not_asked(monkeypatch):
     # All were passed over, so that none was left who had to be asked (TWO).
     async def scenario():
--- a/balsamwind/pool/_actions.py
+++ b/balsamwind/pool/_actions.py
@@ -76,10 +76,13 @@
         Group to disband.
     members : tuple of ServerRecord
         Members that are ordered to leave.
+    reason : str
+        Reason for the log.
     """
 
     group: _groups.PoolGroup
     members: tuple
+    reason: str
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/pool/_planner.py
+++ b/balsamwind/pool/_planner.py
@@ -33,6 +33,9 @@
     silent_heads : dict of str to HeadSilent
         Engines that are no longer listed and have not answered for so long
         that none of them can be the head of an open group any more, by id.
+    doubtful_heads : frozenset of str
+        Ids of engines of which the same is true but that not enough other
+        nodes could say whether they reach them.
     busy : frozenset of str
         Ids of engines that an action in progress affects.
     late_joiners : frozenset of str
@@ -82,6 +85,7 @@
     down: frozenset = frozenset()
     lost: frozenset = frozenset()
     silent_heads: dict = dataclasses.field(default_factory=dict)
+    doubtful_heads: frozenset = frozenset()
     busy: frozenset = frozenset()
     late_joiners: frozenset = frozenset()
     late_openers: frozenset = frozenset()
@@ -243,8 +247,9 @@
         if {member.server_id for member in group.members} & view.busy:
             continue
         members = _find_leavers(view, group)
-        if members and _reuse.must_disband(view, group):
-            actions.append(_actions.DisbandGroup(group, members))
+        reason = _reuse.find_disband_reason(view, group)
+        if members and reason:
+            actions.append(_actions.DisbandGroup(group, members, reason))
         elif isinstance(verdict, _reuse.Held) and (
             group.head is None or group.head.server_id in view.down
         ):
--- a/balsamwind/pool/_reuse.py
+++ b/balsamwind/pool/_reuse.py
@@ -170,11 +170,13 @@
     return None
 
 
-def must_disband(view, group):
-    """Tell whether the members of a group must leave it to be reused.
+def find_disband_reason(view, group):
+    """Find why the members of a group must leave it to be reused.
 
     A group that a member leaves moves nothing any more, and its head breaks
-    it after the stall bound, whoever the head is and whoever reaches it.
+    it after the stall bound, whoever the head is and whoever reaches it. That
+    ends a group which may be sound, so it is for heads that are lost as far
+    as can be known.
 
     Parameters
     ----------
@@ -185,11 +187,16 @@
 
     Returns
     -------
-    bool
+    str
+        For the log; empty if they need not, or may not yet.
     """
-    if group.head is not None or _hold_if_returning(view, group):
-        return False
+    if _hold_if_returning(view, group) is not None:
+        return ''
+    if group.head is not None:
+        if group.head.server_id in view.doubtful_heads:
+            return 'not enough nodes know whether its head is silent'
+        return ''
     match view.former_heads.get(group.key, HeadUnknown()):
-        case HeadUnknown(searched_for=seconds):
-            return seconds >= HEAD_SEARCH_TIME
-    return False
+        case HeadUnknown(searched_for=seconds) if seconds >= HEAD_SEARCH_TIME:
+            return 'its head is not known'
+    return ''
--- a/balsamwind/pool/tests/test_planner.py
+++ b/balsamwind/pool/tests/test_planner.py
@@ -275,6 +275,29 @@
     assert _summarise(pool.plan_pool(view)) == expected
 
 
+@pytest.mark.parametrize(
+    ('values', 'expected'),
+    [
+        ({}, []),
+        ({'doubtful_heads': frozenset('a')}, DISBAND),
+        (
+            {
+                'doubtful_heads': frozenset('a'),
+                'recently_returned': frozenset('b'),
+            },
+            [],
+        ),
+    ],
+)
+def test_members_of_a_doubtful_head_leave_their_group(values, expected):
+    records = [
+        *_replace_fields(PAIR, 'a', listed=False),
+        _make_engine('c', 'small', ('large', 'small')),
+    ]
+    view = _make_view(records, down=frozenset('a'), **values)
+    assert _summarise(pool.plan_pool(view)) == expected
+
+
 def test_unlisted_record_of_the_same_rank_is_not_the_head():
     """An engine that restarts under a new id leaves an unlisted record.
 
--- a/balsamwind/relay/_carried_attempts.py
+++ b/balsamwind/relay/_carried_attempts.py
@@ -185,6 +185,7 @@
         The server does not answer, while others do.
     UNKNOWN
         The node reaches no server of the service, or does not know this one.
+        That is no opinion.
     """
 
     ANSWERS = 'answers'
@@ -230,6 +231,9 @@
         it accepts a connection.
     on_any_path : bool
         Whether a refusal counts although the node reaches no other server.
+    address : str
+        Address of the server, for nodes that don't know it; empty if an
+        earlier build asks.
     """
 
     service: str
@@ -237,6 +241,7 @@
     born: int
     wants_report: bool = False
     on_any_path: bool = False
+    address: str = ''
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/balsamwind/relay/_peer_service.py
+++ b/balsamwind/relay/_peer_service.py
@@ -130,7 +130,11 @@
             reply; not of all that were asked if one of them gets an answer.
         """
         query = _carried_attempts.ReachQuery(
-            record.service, record.server_id, record.born, wants_report
+            record.service,
+            record.server_id,
+            record.born,
+            wants_report,
+            address=record.address,
         )
         witnesses = self._selector.choose_witnesses(
             record.service, WITNESS_COUNT, self._clock.monotonic(), asked
