--- a/review/11/case.py
+++ b/review/11/case.py
@@ -52,6 +52,9 @@
 EXIT_AFTER = 6.0
 """Time for which a server serves on after its entry was removed (seconds)."""
 
+HELD, NOT_RUN, BROKEN = 0, 2, 3
+"""Exit codes; ``run.sh`` makes 1 of the last one and 2 of all others."""
+
 CALLERS_PER_NODE = 6
 BUDGET = 4.0
 
@@ -138,14 +141,14 @@
         last.start()
         if not await last.wait_until_ready(15.0):
             self.note(f'{last.name} is not ready')
-            return 2
+            return NOT_RUN
         await asyncio.sleep(3.0)
         for node in others:
             node.start()
         for node in others:
             if not await node.wait_until_ready(15.0):
                 self.note(f'{node.name} is not ready')
-                return 2
+                return NOT_RUN
         await asyncio.sleep(3.0)
         # Callers come to two nodes that nothing happens to.
         callers = [
@@ -215,6 +218,13 @@
                 if ended_at is None and status != 200:
                     lost.append(request_id)
             self._lines.append(line)
+        ran = {request_id for _, _, request_id, _ in self._runs}
+        for request_id, (name, sent_at, status) in self._sent.items():
+            if request_id not in ran:
+                self._lines.append(
+                    f'{sent_at - self._began_at:8.3f} no run of {request_id},'
+                    f' sent to {name}, answered {status}'
+                )
         self._lines.sort()
         servers = {server_id for _, server_id in late}
         self.note(
@@ -226,7 +236,7 @@
             ' exited'
         )
         print(self._lines[-1])
-        return 1 if late else 0
+        return BROKEN if late else HELD
 
     def end(self):
         """End all processes, and write the record."""
@@ -246,7 +256,10 @@
                 return await case.run()
         except TimeoutError:
             case.note('the case did not end in time')
-            return 2
+            return NOT_RUN
+        except Exception as error:
+            case.note(f'the case could not run: {error!r}')
+            return NOT_RUN
         finally:
             case.end()
 
