Send orders from a module of their own

The executor had 588 lines, of which a quarter sends orders: their numbers, and what engines have left unanswered.

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -4,11 +4,9 @@
 import collections
 
 from balsamwind import exceptions
+from balsamwind.node import _order_sender
 from balsamwind import pool
 
-ORDER_TIMEOUT = 0.5
-"""Timeout of one order to an engine (seconds)."""
-
 MAX_ATTEMPTS = 3
 """Number of attempts at a join or an opening before it is given up (count)."""
 
@@ -31,10 +29,6 @@
 CUT_TIMEOUT = 1.0
 """Time that a group has to close when its requests are aborted (seconds)."""
 
-LATE_ORDER_TIME = 13.0
-"""Time within which an engine may still carry out an order that it has not
-answered (seconds)."""
-
 EPOCHS_PER_LEASE = 100000
 """Epochs reserved for one holder of a lease (count). Epochs of a later holder
 are larger, because they begin at the fencing number times this number."""
@@ -62,6 +56,8 @@
 
     Attributes
     ----------
+    orders : OrderSender
+        Sends the orders.
     forming : dict of str to int
         Engines of the groups that are being formed, by model (count).
     break_time : float
@@ -75,13 +71,11 @@
         self._registry = registry
         self._lease = lease
         self._prober = prober
-        self._clock = clock
         self._log = log
-        self._unanswered = {}
         self._epoch_count = 0
-        self._sequences = {}
         self._closed_groups = set()
         self._actions_in_progress = collections.Counter()
+        self.orders = _order_sender.OrderSender(platform, lease, clock, log)
         self.forming = {}
         self.break_time = float('inf')
 
@@ -90,30 +84,6 @@
         """Ids of the engines that an action in progress deals with."""
         return self._actions_in_progress.keys()
 
-    def find_unanswered(self, order_type):
-        """Find the engines that may still carry out an unanswered order.
-
-        Parameters
-        ----------
-        order_type : type
-            `balsamwind.pool.Join`, `balsamwind.pool.Open` or
-            `balsamwind.pool.Leave`.
-
-        Returns
-        -------
-        frozenset of str
-            Ids of the engines.
-        """
-        now = self._clock.monotonic()
-        for key, expires_at in list(self._unanswered.items()):
-            if now >= expires_at:
-                del self._unanswered[key]
-        return frozenset(
-            server_id
-            for server_id, found_type in self._unanswered
-            if found_type is order_type
-        )
-
     def start(self, action, engine_profile):
         """Start executing an action concurrently with those in progress.
 
@@ -162,79 +132,6 @@
         self._epoch_count += 1
         return self._lease.fencing * EPOCHS_PER_LEASE + self._epoch_count
 
-    async def _send_order(self, record, order):
-        """Send one order once and return its result.
-
-        Raises
-        ------
-        balsamwind.exceptions.Conflict
-            The lease is no longer held.
-        """
-        if not self._lease.held:
-            raise exceptions.Conflict('the lease is no longer held')
-        sequence = await self._find_sequence(record, order)
-        if not self._lease.held:
-            raise exceptions.Conflict('the lease is no longer held')
-        result = await self._platform.send_order(
-            record, order, self._lease.fencing, sequence, ORDER_TIMEOUT
-        )
-        self._record_result(record, sequence, result)
-        self._record_answer(record, order, result)
-        if result is pool.OrderResult.FENCED:
-            self._lease.step_down(f'{record.server_id}: {order}')
-        self._log.debug(
-            'order',
-            engine=record.server_id,
-            order=repr(order),
-            result=result.value,
-        )
-        return result
-
-    async def _find_sequence(self, record, order):
-        """Return the number of orders that the engine has accepted so far.
-
-        Orders are counted from the start of the engine's process. The engine
-        may have carried out a late order since its group was checked: one
-        that heads an open group by now must not join another.
-
-        Raises
-        ------
-        balsamwind.exceptions.Conflict
-            The order is to join, and the engine heads an open group.
-        """
-        incarnation = (record.server_id, record.born)
-        sequence = self._sequences.get(incarnation)
-        if sequence is None:
-            report = await self._platform.fetch_engine_report(
-                record, ORDER_TIMEOUT
-            )
-            if isinstance(order, pool.Join):
-                _check_not_serving(record, report)
-            sequence = self._sequences[incarnation] = report.sequence
-        return sequence
-
-    def _record_result(self, record, sequence, result):
-        incarnation = (record.server_id, record.born)
-        if result is pool.OrderResult.BEGUN:
-            self._sequences[incarnation] = sequence + 1
-        elif result is not pool.OrderResult.DONE:
-            self._sequences.pop(incarnation, None)
-
-    def _record_answer(self, record, order, result):
-        """Note an order without an answer until the engine can't begin it.
-
-        The engine counts its orders, so an order that it has begun since
-        makes the earlier ones fail.
-        """
-        server_id = record.server_id
-        if result is pool.OrderResult.BEGUN:
-            for order_type in (pool.Join, pool.Open, pool.Leave):
-                self._unanswered.pop((server_id, order_type), None)
-        elif result is pool.OrderResult.UNKNOWN:
-            self._unanswered[server_id, type(order)] = (
-                self._clock.monotonic() + LATE_ORDER_TIME
-            )
-
     async def _form_group(self, action, engine_profile):
         members = action.members
         epoch = self._next_epoch()
@@ -311,7 +208,7 @@
     async def _order_to_leave(self, member, order):
         """Order one engine to leave; whether it has."""
         for _ in range(MAX_ATTEMPTS):
-            result = await self._send_order(member, order)
+            result = await self.orders.send(member, order)
             if result.accepted:
                 return True
             if result is not pool.OrderResult.UNKNOWN:
@@ -338,12 +235,14 @@
         heads = self._find_last_heads(members)
         reports = await asyncio.gather(
             *(
-                self._platform.fetch_engine_report(head, ORDER_TIMEOUT)
+                self._platform.fetch_engine_report(
+                    head, _order_sender.ORDER_TIMEOUT
+                )
                 for head in heads
             )
         )
         for head, report in zip(heads, reports, strict=True):
-            _check_not_serving(head, report)
+            _order_sender.check_not_serving(head, report)
         member_ids = {member.server_id for member in members}
         await asyncio.gather(
             *(
@@ -370,7 +269,7 @@
         if membership.state is pool.MemberState.BROKEN:
             return
         order = pool.Leave(membership.group, membership.epoch)
-        result = await self._send_order(head, order)
+        result = await self.orders.send(head, order)
         if not result.accepted:
             raise exceptions.Conflict(
                 f'{head.server_id} does not leave its group: {result.value}'
@@ -410,7 +309,7 @@
 
     async def _join_member(self, member, order):
         for _ in range(MAX_ATTEMPTS):
-            result = await self._send_order(member, order)
+            result = await self.orders.send(member, order)
             if result.accepted:
                 return True
             if result not in (
@@ -470,7 +369,7 @@
     async def _open_group(self, head, name, epoch, engine_profile):
         self._closed_groups.discard((name, epoch))
         for _ in range(MAX_ATTEMPTS):
-            result = await self._send_order(head, pool.Open(name, epoch))
+            result = await self.orders.send(head, pool.Open(name, epoch))
             if result.accepted:
                 break
             if result is pool.OrderResult.FENCED:
@@ -518,7 +417,7 @@
         states = {pool.MemberState.OPEN, pool.MemberState.CLOSING}
         for timeout in (CUT_TIMEOUT if cut else CLOSE_TIMEOUT, CUT_TIMEOUT):
             order = pool.Close(group.name, group.epoch, cut)
-            result = await self._send_order(group.head, order)
+            result = await self.orders.send(group.head, order)
             if result is pool.OrderResult.FENCED:
                 return
             state = await self._wait_state(
@@ -537,7 +436,7 @@
         )
 
     async def _stage_model(self, engine, model):
-        result = await self._send_order(engine, pool.Stage(model))
+        result = await self.orders.send(engine, pool.Stage(model))
         self._log.info(
             'model_staging',
             engine=engine.server_id,
@@ -552,28 +451,6 @@
                 await asyncio.sleep(POLL_INTERVAL)
 
 
-def _check_not_serving(record, report):
-    """Check that an engine is not the head of an open group.
-
-    Raises
-    ------
-    balsamwind.exceptions.Conflict
-        Its report says that it is.
-    """
-    membership = report.membership
-    if (
-        report.born == record.born
-        and membership is not None
-        and membership.rank == 0
-        and membership.state
-        in (pool.MemberState.OPEN, pool.MemberState.CLOSING)
-    ):
-        raise exceptions.Conflict(
-            f'{record.server_id} is still the head of an open group: '
-            f'{membership}'
-        )
-
-
 def _estimate_join_time(members, model, engine_profile):
     """Return the longest duration of the joins of these members (seconds)."""
     model_profile = engine_profile.find_model(model)
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -401,9 +401,9 @@
             silent_heads=silent_heads,
             doubtful_heads=doubtful_heads,
             busy=frozenset(self.executor.busy),
-            late_joiners=self.executor.find_unanswered(pool.Join),
-            late_openers=self.executor.find_unanswered(pool.Open),
-            late_leavers=self.executor.find_unanswered(pool.Leave),
+            late_joiners=self.executor.orders.find_unanswered(pool.Join),
+            late_openers=self.executor.orders.find_unanswered(pool.Open),
+            late_leavers=self.executor.orders.find_unanswered(pool.Leave),
             forming_engines=dict(self.executor.forming),
             before_traffic=before_traffic,
             growing_domains=frozenset(
--- a/balsamwind/node/tests/shard_simulation.py
+++ b/balsamwind/node/tests/shard_simulation.py
@@ -263,6 +263,7 @@
         )
         leader.lease = _Lease()
         leader.executor._lease = leader.lease
+        leader.executor.orders._lease = leader.lease
         news = self._news[leader] = _News(self._loop.time())
         leader.heads.heard_of_entries_for = lambda: (
             self._loop.time() - news.since if news.is_heard else 0.0
--- a/balsamwind/node/tests/test_late_orders.py
+++ b/balsamwind/node/tests/test_late_orders.py
@@ -81,22 +81,22 @@
 
     async def send_orders():
         for order in orders:
-            await executor._send_order(record, order)
+            await executor.orders.send(record, order)
 
     asyncio.run(send_orders())
     clock.now += wait
-    found = executor.find_unanswered(pool.Join)
+    found = executor.orders.find_unanswered(pool.Join)
     assert found == frozenset({'e1'} if late else ())
 
 
 def test_unanswered_open_is_remembered_apart_from_a_join():
     clock = doubles.Clock()
     executor, record = _make_executor([UNKNOWN, BEGUN], clock)
-    asyncio.run(executor._send_order(record, pool.Open('m.z1.1', 1)))
-    assert executor.find_unanswered(pool.Open) == {'e1'}
-    assert executor.find_unanswered(pool.Join) == frozenset()
-    asyncio.run(executor._send_order(record, CLOSE))
-    assert executor.find_unanswered(pool.Open) == frozenset()
+    asyncio.run(executor.orders.send(record, pool.Open('m.z1.1', 1)))
+    assert executor.orders.find_unanswered(pool.Open) == {'e1'}
+    assert executor.orders.find_unanswered(pool.Join) == frozenset()
+    asyncio.run(executor.orders.send(record, CLOSE))
+    assert executor.orders.find_unanswered(pool.Open) == frozenset()
 
 
 def test_head_of_a_group_that_was_opened_again_is_asked():
--- a/balsamwind/node/tests/test_takeover.py
+++ b/balsamwind/node/tests/test_takeover.py
@@ -77,7 +77,7 @@
                 for server_id in fake_platform.engines
             ]
             [leader] = process._leaders
-            leader.executor._sequences.clear()
+            leader.executor.orders._sequences.clear()
             service = process.configuration_cache.find_service('llm')
             action = pool.FormGroup(helpers.MODEL, tuple(records))
             leader.executor.start(action, service.engine)
