Judge joins by the engine's own report

A leader that was cut off from the store for 9 s took an engine for the spare it had been and ordered it out of the open group that it was a member of by then; streams of that group stood still. Cause: before a join the engine's report was read for the number of its orders only, unless it named an open head. Its group, newer than any entry, was not compared with the entry that the plan stood on. Ruled out: the remembered number alone (the engine refuses it, the second try reads a new one), plans from before the outage (their epoch is too old). Change: all members are asked before the first is moved. The order holds the number of the same report, so nothing can overtake it. Price: an entry that lags costs a sound reuse one round (0.1 s).

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -75,7 +75,9 @@
         self._epoch_count = 0
         self._closed_groups = set()
         self._actions_in_progress = collections.Counter()
-        self.orders = _order_sender.OrderSender(platform, lease, clock, log)
+        self.orders = _order_sender.OrderSender(
+            platform, registry, lease, clock, log
+        )
         self.forming = {}
         self.break_time = float('inf')
 
@@ -150,6 +152,7 @@
             self.forming.get(action.model, 0) + member_count
         )
         try:
+            await self.orders.check_members(members, order)
             await self._release(members)
             if not await self._join_members(members, order):
                 return
@@ -257,7 +260,7 @@
         keys -= self._closed_groups
         return [
             record
-            for record in self._registry
+            for record in map(self.orders.reported.correct, self._registry)
             if record.membership is not None
             and record.membership.rank == 0
             and record.membership.key in keys
--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -298,7 +298,7 @@
             (
                 service,
                 tuple(
-                    record
+                    self.executor.orders.reported.correct(record)
                     for record in self._registry.get_by_service(service.name)
                     if record.data_centre == self._data_centre
                 ),
--- a/balsamwind/node/_order_sender.py
+++ b/balsamwind/node/_order_sender.py
@@ -1,4 +1,11 @@
-"""Orders to the engines of a shard, each on what the engine has accepted."""
+"""Orders to the engines of a shard, each on what the engine has accepted.
+
+An entry may be older than what the engine does: it is kept through an outage
+of the store. An order to join stands on the engine's own report, and the order
+is void if the engine has begun another one since that report.
+"""
+
+import asyncio
 
 from balsamwind import exceptions
 from balsamwind import pool
@@ -18,16 +25,25 @@
     ----------
     platform : balsamwind.platform.PlatformClient
         Client of the engines.
+    registry : balsamwind.pool.ServerRegistry
+        Entries of the backend servers.
     lease : ShardLease
         Lease of the shard.
     clock : balsamwind.ports.Clock
         Monotonic clock.
     log : structlog logger
         Logger of the shard.
+
+    Attributes
+    ----------
+    reported : balsamwind.pool.ReportedMemberships
+        Corrects the entries that reports have refuted.
     """
 
-    def __init__(self, platform, lease, clock, log):
+    def __init__(self, platform, registry, lease, clock, log):
+        self.reported = pool.ReportedMemberships(clock)
         self._platform = platform
+        self._registry = registry
         self._lease = lease
         self._clock = clock
         self._log = log
@@ -58,13 +74,30 @@
             if found_type is order_type
         )
 
+    async def check_members(self, members, order):
+        """Check that the engines that are to join are what entries say.
+
+        None of them is moved if one is not.
+
+        Raises
+        ------
+        balsamwind.exceptions.Conflict
+            One of them is in another group, or has started again.
+        balsamwind.exceptions.TransportError
+            One of them does not answer.
+        """
+        await asyncio.gather(
+            *(self._find_sequence(member, order) for member in members)
+        )
+
     async def send(self, record, order):
         """Send one order once and return its result.
 
         Raises
         ------
         balsamwind.exceptions.Conflict
-            The lease is no longer held.
+            The lease is no longer held, or the order is to join and the
+            engine is not what its entry says.
         """
         if not self._lease.held:
             raise exceptions.Conflict('the lease is no longer held')
@@ -90,13 +123,14 @@
         """Return the number of orders that the engine has accepted so far.
 
         Orders are counted from the start of the engine's process. The engine
-        may have carried out a late order since its group was checked: one
-        that heads an open group by now must not join another.
+        may have carried out other orders since its entry was written: one
+        that is in another group by now, or heads an open one, must not join
+        until the planner has judged that group.
 
         Raises
         ------
         balsamwind.exceptions.Conflict
-            The order is to join, and the engine heads an open group.
+            The order is to join, and the engine is not what its entry says.
         """
         incarnation = (record.server_id, record.born)
         sequence = self._sequences.get(incarnation)
@@ -105,10 +139,41 @@
                 record, ORDER_TIMEOUT
             )
             if isinstance(order, pool.Join):
+                self._check_membership(record, report, order)
                 check_not_serving(record, report)
             sequence = self._sequences[incarnation] = report.sequence
         return sequence
 
+    def _check_membership(self, record, report, order):
+        """Check that the engine is in no other group than the entry says.
+
+        That it has joined the group of the order already is no conflict.
+        """
+        reported = report.membership
+        if (
+            report.born == record.born
+            and reported is not None
+            and reported.key == (order.group, order.epoch)
+        ) or not pool.is_refuted(record, report):
+            return
+        self.reported.record(record, report)
+        self._registry.apply_report(record.server_id, report)
+        now = self._clock.monotonic()
+        self._log.info(
+            'order_refuted',
+            engine=record.server_id,
+            order=repr(order),
+            entry=repr(record.membership),
+            entry_age=round(
+                self._registry.confirmed_for(record.server_id, now), 3
+            ),
+            report=repr(reported),
+            restarted=report.born != record.born,
+        )
+        raise exceptions.Conflict(
+            f'{record.server_id} is not what its entry says: {reported}'
+        )
+
     def _record_result(self, record, sequence, result):
         incarnation = (record.server_id, record.born)
         if result is pool.OrderResult.BEGUN:
--- a/balsamwind/node/tests/test_takeover.py
+++ b/balsamwind/node/tests/test_takeover.py
@@ -5,6 +5,9 @@
 """
 
 import asyncio
+import dataclasses
+
+import pytest
 
 from balsamwind.node.tests import helpers
 from balsamwind import pool
@@ -85,3 +88,73 @@
             return fake_platform.trace.violations
 
     assert asyncio.run(body()) == []
+
+
+def _find_members(fake_platform):
+    """Find the engines that are in a group and don't head it."""
+    return [
+        engine
+        for engine in fake_platform.engines.values()
+        if engine.group is not None and engine.group['rank'] > 0
+    ]
+
+
+def _make_outdated(record, knows):
+    """Make the entry that a node had of an engine before it joined."""
+    match knows:
+        case 'a spare':
+            return dataclasses.replace(record, membership=None)
+        case 'an earlier life':
+            return dataclasses.replace(
+                record, membership=None, born=record.born - 1
+            )
+        case 'an earlier group':
+            rank = 1
+        case 'the head of an earlier group':
+            rank = 0
+    earlier = pool.Membership('small.z1.1', 1, rank, pool.MemberState.READY)
+    return dataclasses.replace(record, membership=earlier)
+
+
+@pytest.mark.parametrize('counted', ['not', 'before the outage'])
+@pytest.mark.parametrize(
+    'knows',
+    [
+        'a spare',
+        'an earlier group',
+        'the head of an earlier group',
+        'an earlier life',
+    ],
+)
+def test_member_with_an_old_entry_was_taken_from_an_open_group(knows, counted):
+    # The leader had kept the entry through an outage of the store, in which
+    # another one had formed the group (TWO, review/12).
+
+    async def body():
+        async with (
+            helpers.open_platform(4) as fake_platform,
+            helpers.open_node(fake_platform) as process,
+        ):
+            await helpers.wait_until(
+                lambda: helpers.count_serving_groups(process) == 2
+            )
+            records = [
+                _make_outdated(process.registry.get(engine.server_id), knows)
+                for engine in _find_members(fake_platform)
+            ]
+            [leader] = process._leaders
+            leader.executor.orders._sequences = {
+                (record.server_id, record.born): 0
+                for record in records
+                if counted != 'not'
+            }
+            service = process.configuration_cache.find_service('llm')
+            action = pool.FormGroup(helpers.MODEL, tuple(records))
+            leader.executor.start(action, service.engine)
+            await asyncio.sleep(0.5)
+            return (
+                fake_platform.trace.violations,
+                helpers.count_serving_groups(process),
+            )
+
+    assert asyncio.run(body()) == ([], 2)
--- a/balsamwind/pool/__init__.py
+++ b/balsamwind/pool/__init__.py
@@ -28,6 +28,8 @@
 from balsamwind.pool._records import ServerReport
 from balsamwind.pool._records import ServerState
 from balsamwind.pool._registry import ServerRegistry
+from balsamwind.pool._reported_memberships import is_refuted
+from balsamwind.pool._reported_memberships import ReportedMemberships
 from balsamwind.pool._reuse import HEAD_SEARCH_TIME
 from balsamwind.pool._reuse import HeadEnded
 from balsamwind.pool._reuse import HeadMovedOn
@@ -60,6 +62,7 @@
     'PoolGroup',
     'PoolView',
     'RemovedServer',
+    'ReportedMemberships',
     'ServerRecord',
     'ServerRegistry',
     'ServerReport',
@@ -67,6 +70,7 @@
     'Stage',
     'StageModel',
     'find_groups',
+    'is_refuted',
     'make_group_name',
     'parse_model_name',
     'plan_pool',
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -46,6 +46,7 @@
     """
 
     __slots__ = (
+        '_confirmed_at',
         '_ended_starts',
         '_grace_until',
         '_leaving',
@@ -68,6 +69,7 @@
         self._ended_starts = {}
         self._unlisted_since = {}
         self._listed_since = {}
+        self._confirmed_at = {}
         self._grace_until = float('-inf')
         self._restored_until = float('-inf')
         self._missing = set()
@@ -385,6 +387,7 @@
 
     def _accept(self, record, now):
         """Store an entry unless a newer one is known; whether it is new."""
+        self._confirmed_at[record.server_id] = now
         known = self._records.get(record.server_id)
         if known is not None and known.revision > record.revision:
             return False
@@ -507,6 +510,7 @@
                 del self._unlisted_since[server_id]
                 self._set_record(server_id, None)
                 self._listed_since.pop(server_id, None)
+                self._confirmed_at.pop(server_id, None)
 
     def listed_for(self, server_id, now):
         """Return the time since an entry was last added to the list.
@@ -525,6 +529,23 @@
         """
         return now - self._listed_since.get(server_id, now)
 
+    def confirmed_for(self, server_id, now):
+        """Return the time since the store was last heard to hold an entry.
+
+        Parameters
+        ----------
+        server_id : str
+            Id of the server.
+        now : float
+            Current monotonic time (seconds).
+
+        Returns
+        -------
+        float
+            Time (seconds); 0 if the registry holds no such time.
+        """
+        return now - self._confirmed_at.get(server_id, now)
+
     def unlisted_for(self, server_id, now):
         """Return the time since an entry ceased to be listed.
 
