Tell what the store has said, until it is told

Nodes that nothing happened to went on to send requests to a server that had left, until it exited; what ran there got 502. Cause: the registry held what a node uses and was the source of what others are told. For 2.85 s after an outage the two differ: any list but the first told nobody what it lacked, under a revision that claims to lack nothing. Change: StoreListing holds what the store has said, brought up to date at once, and keeps what has changed until that is published. Lists, watches, a new leader's list and updates of other publishers are one way. Updates state a digest of the listing; a node that differs at the same revision asks for the whole list (feature 'listing'; earlier builds ignore it). Tests: publish_changes and publish_whole are publish_news, which takes what has changed from the listing; the checks ask for the same entries.

--- a/balsamwind/node/_leader.py
+++ b/balsamwind/node/_leader.py
@@ -91,9 +91,8 @@
         Monotonic clock.
     log : structlog logger
         Logger of the node.
-    publish_changes : callable
-        Takes the changed and the removed entries of a list and publishes them
-        to the subscribers of this node.
+    publish_news : callable
+        Publishes what a list has changed to the subscribers of this node.
 
     Attributes
     ----------
@@ -121,9 +120,9 @@
         relay,
         clock,
         log,
-        publish_changes,
+        publish_news,
     ):
-        self._publish_changes = publish_changes
+        self._publish_news = publish_news
         self.evacuations = servers.Evacuations(None)
         self._data_centre = data_centre
         self.settings = settings
@@ -264,12 +263,10 @@
             return False
         # A watch may have told more since the list was read.
         if not self._registry.is_outdated(revision):
-            changed, removed = self._registry.apply_full_list(
+            self._registry.apply_full_list(
                 records, self._clock.monotonic(), revision
             )
-            # The next regular list finds nothing new, so nobody else would
-            # tell the subscribers of this node.
-            self._publish_changes(changed, removed)
+            self._publish_news()
         self._listed_fencing = fencing
         return self.lease.held
 
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -239,7 +239,7 @@
             updater,
             self._clock,
             self._log,
-            self._publisher.publish,
+            self._publisher.forward,
             _find_reliance_time(settings.bounds),
             settings.bounds.drain_time,
             link,
@@ -332,7 +332,7 @@
                 self.relay,
                 self._clock,
                 self._log,
-                self._publisher.publish_changes,
+                self._publisher.publish_news,
             )
             for data_centre in settings.data_centres
         ]
--- a/balsamwind/node/_server_watcher.py
+++ b/balsamwind/node/_server_watcher.py
@@ -88,7 +88,6 @@
             'servers', clock, log
         )
         self._next_list_at = 0.0
-        self._may_lack_changes = False
         self._sent_at = clock.monotonic()
 
     async def run(self):
@@ -102,7 +101,7 @@
                 )
                 continue
             try:
-                await self._watch()
+                await self._follow()
             except exceptions.HistoryGone as error:
                 self._log.info('watch_restarted', reason=str(error))
             except exceptions.StoreError as error:
@@ -120,38 +119,19 @@
             self._subscriber.has_fresh_servers() and not self._is_leader()
         )
 
-    async def _watch(self):
-        """Read the list and watch it until the next list is due."""
-        try:
-            await self._follow()
-        except (exceptions.HistoryGone, exceptions.StoreError):
-            raise
-        except Exception:
-            self._may_lack_changes = True
-            raise
-
     async def _follow(self):
+        """Read the list and watch it until the next list is due."""
         self._sent_at = self._clock.monotonic()
         revision, records = await self._platform.list_servers(CALL_TIMEOUT)
         now = self._clock.monotonic()
         self._next_list_at = now + RELIST_INTERVAL
         if now < self._registry.restored_until:
             self._next_list_at = self._registry.restored_until
-        if self._record_answer(now):
-            # Subscribers that were not cut off learn what has left meanwhile,
-            # also if this node keeps using it for a moment.
-            self._may_lack_changes = True
-        changed, removed = self._registry.apply_full_list(
-            records, now, revision
-        )
+        self._record_answer(now)
+        _, removed = self._registry.apply_full_list(records, now, revision)
         log_removed(self._log, removed, revision, 'store')
         self._registry.evict_expired(now)
-        if self._may_lack_changes:
-            self._publisher.publish_whole()
-            self._may_lack_changes = False
-        else:
-            # Subscribers have the rest since they connected.
-            self._publisher.publish_changes(changed, removed)
+        self._publisher.publish_news()
         while self._clock.monotonic() < self._next_list_at:
             await asyncio.sleep(
                 LEADER_WATCH_INTERVAL
@@ -169,28 +149,26 @@
             self._apply(changes, now, revision)
 
     def _record_answer(self, now):
-        """Record an answer; whether it comes after an outage."""
+        """Record an answer; after an outage, the list is read again soon."""
         self._availability.record_answer()
-        if not self._contact.record_answer():
-            return False
-        self._next_list_at = now + RELIST_DELAY_AFTER_OUTAGE
-        return True
+        if self._contact.record_answer():
+            self._next_list_at = now + RELIST_DELAY_AFTER_OUTAGE
 
     def _apply(self, changes, now, revision):
-        records = []
-        removed = []
-        for change in changes:
-            if isinstance(change, pool.RemovedServer):
-                self._registry.apply_removal(change, now)
-                removed.append(change)
-            else:
-                change = self._registry.correct(change)
-                previous = self._registry.apply_entry(change, now)
-                self._log_change(previous, change)
-                records.append(change)
-        log_removed(self._log, removed, revision, 'store')
-        self._registry.revision = revision
-        self._publisher.publish_changes(records, removed)
+        """Apply changes, unless the list of a leader has overtaken them."""
+        if not self._registry.is_outdated(revision):
+            removed = []
+            for change in changes:
+                if isinstance(change, pool.RemovedServer):
+                    self._registry.apply_removal(change, now)
+                    removed.append(change)
+                else:
+                    change = self._registry.correct(change)
+                    previous = self._registry.apply_entry(change, now)
+                    self._log_change(previous, change)
+            log_removed(self._log, removed, revision, 'store')
+            self._registry.revision = revision
+        self._publisher.publish_news()
 
     def _log_change(self, previous, record):
         """Log a restart, a change of state, or a group opened or closed."""
@@ -212,7 +190,7 @@
         )
 
 
-def log_removed(log, removed, revision, source):
+def log_removed(log, removed, revision, source, silence=None):
     """Log which servers are no longer listed, and who says so.
 
     Parameters
@@ -225,6 +203,9 @@
         Store revision up to which the source knows all changes.
     source : str
         The store, or the address of a publisher.
+    silence : float or None
+        Time since the source was last heard, which bounds how late this is
+        (seconds); None if it is not known.
     """
     if removed:
         log.info(
@@ -233,6 +214,7 @@
             revision=revision,
             servers=[item.server_id for item in removed[:MAX_LOGGED_SERVERS]],
             count=len(removed),
+            silence=silence and round(min(silence, 1e6), 3),
         )
 
 
--- a/balsamwind/node/_subscriber_session.py
+++ b/balsamwind/node/_subscriber_session.py
@@ -91,6 +91,8 @@
             case _updates.ClockRequest() as request:
                 self._features = frozenset(request.features)
                 return self._publisher.answer_clock_request(request)
+            case _updates.ListingRequest():
+                return self._publisher.answer_listing_request()
             case _updates.PlacementRequest() as request:
                 return _updates.encode_frame(self._place(request, now))
             case _updates.PlacementStall(number=number):
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -81,6 +81,7 @@
         self._registry = registry
         self._configuration_cache = configuration_cache
         self.clock = self._clock = clock
+        self._log = log
         self._open_placement_session = open_placement_session
         self.evidence = None
         self.leaving_servers = None
@@ -120,11 +121,21 @@
             return None
         return _updates.encode_frame(self._make_snapshot())
 
+    def answer_listing_request(self):
+        """Make the answer to a `ListingRequest`.
+
+        Returns
+        -------
+        bytes
+            Frame to send: snapshot of the listing.
+        """
+        return _updates.encode_frame(self._make_snapshot())
+
     def _make_snapshot(self):
         return self._add_evacuations(
             _updates.ServerUpdate(
                 whole=True,
-                records=self._registry.find_listed(),
+                records=self._registry.correct_all(self._registry.listing),
                 revision=self._registry.revision,
                 grace=self._registry.find_grace_left(self._clock.monotonic()),
             )
@@ -138,35 +149,69 @@
             notice = self.evacuations.make_notice()
         return dataclasses.replace(update, evacuations=notice)
 
-    def publish_changes(self, records, removed):
-        """Publish changed entries; without any, a sign of life."""
-        self.publish(
-            _updates.ServerUpdate(
-                False,
-                tuple(records),
-                tuple(removed),
-                revision=self._registry.revision,
-            )
-        )
+    def publish_news(self, states_revision=True):
+        """Publish what has changed in the listing; else a sign of life.
 
-    def publish_whole(self):
-        """Publish all listed entries, as subscribers may lack changes."""
-        self._owes_whole = True
-        self.publish(_updates.ServerUpdate(revision=self._registry.revision))
+        Parameters
+        ----------
+        states_revision : bool
+            Whether this node knows all changes up to its revision. It does
+            not while it hears from a node that states none.
+        """
+        self._last_publish_at = self._clock.monotonic()
+        listing = self._registry.listing
+        if self.server.subscriber_count:
+            update = self._make_update(states_revision)
+            self.server.broadcast(_updates.encode_frame(update))
+            self._log_told(update)
+        # An error leaves the news to the next publication.
+        listing.clear_news()
+        self._owes_whole = False
 
-    def publish_leaving(self, record):
-        """Publish that a server says that it leaves; no sign of life."""
-        self.broadcast(_updates.ServerUpdate(records=(record,)))
+    def forward(self, update):
+        """Publish what this node has learned from an update.
 
-    def publish(self, update):
-        """Send one `ServerUpdate` of the store to all subscribers."""
-        self._last_publish_at = self._clock.monotonic()
+        Parameters
+        ----------
+        update : ServerUpdate
+            Update that its registry has taken over.
+        """
+        self.publish_news(states_revision=bool(update.revision))
+
+    def _make_update(self, states_revision):
+        registry = self._registry
         if self._owes_whole:
-            self._owes_whole = False
             update = self._make_snapshot()
-        if self.server.subscriber_count:
-            update = self._add_evacuations(update)
-            self.server.broadcast(_updates.encode_frame(update))
+        else:
+            update = self._add_evacuations(
+                _updates.ServerUpdate(
+                    False,
+                    registry.correct_all(registry.listing.changed),
+                    registry.listing.removed,
+                    revision=registry.revision,
+                    grace=registry.find_grace_left(self._last_publish_at),
+                    digest=registry.listing.digest,
+                )
+            )
+        if states_revision:
+            return update
+        return dataclasses.replace(update, revision=0, digest=None)
+
+    def _log_told(self, update):
+        """Log that servers have left, as the subscribers were told."""
+        if update.removed or update.whole:
+            self._log.info(
+                'entries_told',
+                whole=update.whole,
+                listed=len(self._registry.listing),
+                removed=len(update.removed),
+                revision=update.revision,
+                subscribers=self.server.subscriber_count,
+            )
+
+    def publish_leaving(self, record):
+        """Publish that a server says that it leaves; no sign of life."""
+        self.broadcast(_updates.ServerUpdate(records=(record,)))
 
     def publish_configuration(
         self, previous, configuration, revision, proved_at
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import dataclasses
 
 from balsamwind import adapters
 from balsamwind import exceptions
@@ -55,6 +54,9 @@
 """Time in which a node that has lost its publishers reads the entries and
 applies them (seconds)."""
 
+LISTING_REQUEST_INTERVAL = 8.0
+"""Least time between two requests for the whole list (seconds)."""
+
 MAX_SUCCESSION_TIME = 1.5
 """Longest time that a node leaves to the second publisher before it reads the
 entries itself (seconds)."""
@@ -177,6 +179,7 @@
         self._request_number = 0
         self._pending_requests = {}
         self._clock_offset = None
+        self._next_request_at = float('-inf')
 
     @property
     def _is_root(self):
@@ -403,19 +406,44 @@
             self._log_outdated(message)
             self._note_leaving(message.records)
             return
-        message = self._correct(message)
         if self._is_complete and not message.revision:
             # It tells of a server that leaves, or of an evacuation.
-            self._apply_servers(message, now)
+            for record in message.records:
+                self._registry.mark_leaving(record.server_id, record.born)
             if message.records:
                 self.forward_notice(message)
             return
+        silence = now - self._last_update_at
         self._contact.record_news(message.grace)
-        self._apply_servers(message, now)
+        self._apply_servers(message, now, silence)
         if not self._is_missing_update:
             self._last_update_at = now
+            self._check_listing(message, now)
             self._forward(message)
 
+    def _check_listing(self, message, now):
+        """Ask for the whole list if this node lists other entries.
+
+        A change that was never told shows itself here, whatever the cause.
+        """
+        listing = self._registry.listing
+        if (
+            message.digest in (None, listing.digest)
+            or not self._is_complete
+            or now < self._registry.restored_until
+            or now < self._next_request_at
+            or _updates.LISTING not in self._link.features
+        ):
+            return
+        self._next_request_at = now + LISTING_REQUEST_INTERVAL
+        self._log.warning(
+            'entries_differ',
+            source=self._source,
+            revision=message.revision,
+            listed=len(listing),
+        )
+        self._link.send(_updates.ListingRequest())
+
     def _note_leaving(self, records):
         """Take over that servers say that they leave, which no revision shows.
 
@@ -527,18 +555,13 @@
             return float('-inf')
         return publisher_time + self._clock_offset
 
-    def _correct(self, message):
-        """Correct entries of servers that are known here to be leaving."""
-        records = tuple(map(self._registry.correct, message.records))
-        return dataclasses.replace(message, records=records)
-
     def _receive_evacuations(self, notice):
         if notice is not None and self.evacuations is not None:
             self.evacuations.receive(
                 notice, self.convert_time(notice.confirmed_at)
             )
 
-    def _apply_servers(self, message, now):
+    def _apply_servers(self, message, now, silence):
         records = message.records
         if not message.revision:
             records = self._registry.leave_out_unlisted(records)
@@ -552,7 +575,7 @@
             if self._is_complete and message.revision:
                 self._registry.revision = message.revision
         _server_watcher.log_removed(
-            self._log, removed, message.revision, self._source
+            self._log, removed, message.revision, self._source, silence
         )
 
     def _apply_changes(self, records, removed, now):
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -18,7 +18,10 @@
 PROGRESS = 'progress'
 """Feature that `PlacementProgress` needs."""
 
-FEATURES = ('waiting', PROGRESS)
+LISTING = 'listing'
+"""Feature that `ListingRequest` needs."""
+
+FEATURES = ('waiting', PROGRESS, LISTING)
 """Features of this build that others may lack, as nodes announce them to each
 other. A message that needs one is sent only to a node that has announced it.
 """
@@ -63,6 +66,9 @@
         Time for which the publisher itself goes on using servers that the
         store lacks after an outage, and that are not among `records`
         (seconds). Only subscribers that were cut off as well do so.
+    digest : int or None
+        Digest of all entries that the publisher lists after this update, see
+        `balsamwind.pool.StoreListing`; None if it does not state any.
     """
 
     whole: bool = False
@@ -71,6 +77,7 @@
     evacuations: EvacuationNotice | None = None
     revision: int = 0
     grace: float = 0.0
+    digest: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -300,6 +307,11 @@
     evidence: relay.CrashEvidence = relay.CrashEvidence()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListingRequest:
+    """Asks a publisher for all listed entries, as the own ones differ."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ServerLeaving:
     """Tells a publisher that a backend server says it is leaving.
@@ -359,10 +371,11 @@
         15: ServerLimits,
         16: PlacementWaiting,
         17: PlacementProgress,
+        18: ListingRequest,
     }
 )
 """Messages by type tag; 2 and 3 were used by earlier versions. 16
-needs the feature 'waiting', 17 the feature 'progress'."""
+needs the feature 'waiting', 17 the feature 'progress', 18 'listing'."""
 
 encode_frame = _CODEC.encode
 decode_frame = _CODEC.decode
--- a/balsamwind/node/tests/shard_simulation.py
+++ b/balsamwind/node/tests/shard_simulation.py
@@ -259,7 +259,7 @@
             ),
             self._clock,
             doubles.Log(),
-            lambda changed, removed: None,
+            lambda: None,
         )
         leader.lease = _Lease()
         leader.executor._lease = leader.lease
--- a/balsamwind/node/tests/test_ended_tasks.py
+++ b/balsamwind/node/tests/test_ended_tasks.py
@@ -116,16 +116,17 @@
                 if process.subscriber.reads_store_first
                 and not process.subscriber.has_publishers
             )
-            publish = publisher._publisher.publish_changes
+            publish = publisher._publisher.publish_news
             failed = []
 
-            def fail(records, removed):
-                if records and not failed:
-                    failed.append(records)
+            def fail():
+                changed = publisher.registry.listing.changed
+                if changed and not failed:
+                    failed.append(changed)
                     raise ZeroDivisionError
-                publish(records, removed)
+                publish()
 
-            monkeypatch.setattr(publisher._publisher, 'publish_changes', fail)
+            monkeypatch.setattr(publisher._publisher, 'publish_news', fail)
             fake_platform.add_engine('e9', 'llm', 'z1', 'd1')
             for process in nodes:
                 await helpers.wait_until(
--- a/balsamwind/node/tests/test_mixed_builds.py
+++ b/balsamwind/node/tests/test_mixed_builds.py
@@ -20,7 +20,7 @@
     (pathlib.Path(record.__file__).parent / 'ca111ba.json').read_text('utf-8')
 )
 
-ANNOUNCED_TAGS = {16, 17}
+ANNOUNCED_TAGS = {16, 17, 18}
 """Type tags of updates that only go to nodes that have announced them."""
 
 CODECS = {'updates': _updates._CODEC, 'attempts': _attempt_frames.CODEC}
--- a/balsamwind/node/tests/test_paused_members.py
+++ b/balsamwind/node/tests/test_paused_members.py
@@ -88,7 +88,7 @@
             ),
             clock,
             doubles.Log(),
-            lambda changed, removed: None,
+            lambda: None,
         )
         closings = []
 
--- a/balsamwind/node/tests/test_presumed_dead.py
+++ b/balsamwind/node/tests/test_presumed_dead.py
@@ -113,7 +113,7 @@
             request_relay,
             self.clock,
             doubles.Log(),
-            lambda changed, removed: None,
+            lambda: None,
         )
         self.leader.heads.heard_of_entries_for = self.contact.find_time_heard
         monkeypatch.setattr(
--- a/balsamwind/node/tests/test_prober.py
+++ b/balsamwind/node/tests/test_prober.py
@@ -63,7 +63,7 @@
         types.SimpleNamespace(peers=_attempt_sender.NoPeerService()),
         clock,
         doubles.Log(),
-        lambda changed, removed: None,
+        lambda: None,
     )
     monkeypatch.setattr(leader, '_plan_service', lambda *arguments: None)
 
@@ -102,12 +102,14 @@
         None,
         clock,
         doubles.Log(),
-        lambda changed, removed: published.append((changed, removed)),
+        lambda: published.append(
+            (registry.listing.changed, registry.listing.removed)
+        ),
     )
     asyncio.run(leader._has_listed_since_takeover())
-    assert published == [
-        ([_make_engine('llm-1', 'llm')], [pool.RemovedServer('llm-2', 1)])
-    ]
+    [(changed, removed)] = published
+    assert changed == (_make_engine('llm-1', 'llm'),)
+    assert [item.server_id for item in removed] == ['llm-2']
 
 
 def test_counts_of_an_earlier_lease_are_forgotten():
--- a/balsamwind/node/tests/test_removed_servers.py
+++ b/balsamwind/node/tests/test_removed_servers.py
@@ -296,16 +296,20 @@
     publisher, registry = _make_publisher(clock)
     records = [_make_record('e1', 7), _make_record('e2', 8)]
     registry.apply_full_list(records, clock.now, 10)
+    publisher.publish_news()
     contact = _entry_contact.EntryContact(registry, clock)
     clock.now += 4.0
     contact.record_failure(clock.now)
     assert contact.record_answer()
     registry.apply_full_list(records[:1], clock.now, 20)
-    publisher.publish_whole()
-    (update,) = publisher.server.sent
+    publisher.publish_news()
+    _, update = publisher.server.sent
     assert registry.get('e2').listed
     assert update == _updates.ServerUpdate(
-        True, (records[0],), revision=20, grace=update.grace
+        removed=(pool.RemovedServer('e2', 20),),
+        revision=20,
+        grace=update.grace,
+        digest=registry.listing.digest,
     )
     assert update.grace == pytest.approx(_registry.RELISTING_GRACE)
     clock.now += _registry.RELISTING_GRACE + 0.1
@@ -319,6 +323,6 @@
     publisher, registry = _make_publisher(clock)
     assert publisher._make_first_frame() is None
     registry.apply_full_list([_make_record('e1', 7)], clock.now, 9)
-    publisher.publish_changes([], [])
-    publisher.publish_changes([], [])
+    publisher.publish_news()
+    publisher.publish_news()
     assert [update.whole for update in publisher.server.sent] == [True, False]
--- a/balsamwind/node/tests/test_updates.py
+++ b/balsamwind/node/tests/test_updates.py
@@ -154,11 +154,11 @@
     # Its time is that of another clock.
     foreign = dataclasses.replace(NOTICE, confirmed_at=99999.0)
     publisher = _update_publisher.UpdatePublisher(
-        (), None, doubles.Clock(), doubles.Log(), None
+        pool.ServerRegistry(), None, doubles.Clock(), doubles.Log(), None
     )
     publisher.server = _Server()
     publisher.evacuations = types.SimpleNamespace(make_notice=lambda: own)
-    publisher.publish(_updates.ServerUpdate(evacuations=foreign))
+    publisher.forward(_updates.ServerUpdate(evacuations=foreign))
     (sent,) = publisher.server.sent
     assert sent.evacuations == own
 
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from balsamwind.pool import _listing
 from balsamwind.pool import _records
 
 RELISTING_GRACE = 2.85
@@ -38,6 +39,8 @@
 
     Attributes
     ----------
+    listing : StoreListing
+        What the store has said.
     change_count : int
         Number of changes to the entries so far (count). Readers compare it to
         tell whether what they derived from the entries is still current.
@@ -58,6 +61,7 @@
         '_restored_until',
         '_unlisted_since',
         'change_count',
+        'listing',
         'revision',
     )
 
@@ -74,6 +78,7 @@
         self._restored_until = float('-inf')
         self._missing = set()
         self.change_count = 0
+        self.listing = _listing.StoreListing()
         self.revision = 0
 
     def __iter__(self):
@@ -108,19 +113,19 @@
         """
         return list(self._records_by_service.get(service, {}).values())
 
-    def find_listed(self):
-        """Return the entries that the store has, as far as it was heard.
+    def correct_all(self, records):
+        """Correct entries, see `correct`.
+
+        Parameters
+        ----------
+        records : iterable of ServerRecord
+            Entries as they were read or received.
 
         Returns
         -------
         tuple of ServerRecord
-            Without those that are only kept after an outage.
         """
-        return tuple(
-            record
-            for record in self
-            if record.listed and record.server_id not in self._missing
-        )
+        return tuple(map(self.correct, records))
 
     def is_outdated(self, revision):
         """Tell whether something newer is known than a list or a change.
@@ -356,12 +361,17 @@
             Entries that were not known like this, and those that became
             unlisted.
         """
+        records = self.correct_all(records)
+        is_restored = now < self._restored_until and bool(self._records)
+        if is_restored:
+            self.listing.rebase(records)
+        else:
+            self.listing.replace(records, revision)
         if revision is not None:
             self.revision = revision
-        if now < self._restored_until and self._records:
+        if is_restored:
             self._rebase(records)
             return [], []
-        records = [self.correct(record) for record in records]
         changed = [record for record in records if self._accept(record, now)]
         missing = self._find_missing(records, revision)
         if now < self._grace_until:
@@ -417,6 +427,8 @@
         """
         record = self.correct(record)
         known = self._records.get(record.server_id)
+        if known is None or known.revision <= record.revision:
+            self.listing.put(record)
         self._accept(record, now)
         return known
 
@@ -430,6 +442,7 @@
         now : float
             Current monotonic time (seconds).
         """
+        self.listing.remove(removed)
         known = self._records.get(removed.server_id)
         if known is not None and known.revision <= removed.revision:
             self.mark_unlisted(removed.server_id, now)
