State how old the news in a first list are

Cause: a publisher sends its list to a new subscriber for 1.3 s after its last news, and the subscriber counted its own 1.3 s from then: one that came late relied on a publisher without the store for up to 2.6 s. Ruled out: the listing (it was told whole), a grace of the subscribers. Change: updates state their age; subscribers, and those who forward them, count from when the store said it. Measured: test_list_of_a_silent_publisher_passed_for_news, both cases, failed before and pass now.

--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -138,9 +138,13 @@
                 records=self._registry.correct_all(self._registry.listing),
                 revision=self._registry.revision,
                 grace=self._registry.find_grace_left(self._clock.monotonic()),
+                age=self._find_age(),
             )
         )
 
+    def _find_age(self):
+        return self._clock.monotonic() - self._last_publish_at
+
     def _add_evacuations(self, update):
         """Put the notice of this node into an update, in its own boot time."""
         if self.evacuations is None:
@@ -149,7 +153,7 @@
             notice = self.evacuations.make_notice()
         return dataclasses.replace(update, evacuations=notice)
 
-    def publish_news(self, states_revision=True):
+    def publish_news(self, states_revision=True, age=0.0):
         """Publish what has changed in the listing; else a sign of life.
 
         Parameters
@@ -157,8 +161,12 @@
         states_revision : bool
             Whether this node knows all changes up to its revision. It does
             not while it hears from a node that states none.
+        age : float
+            Time since the store has said this (seconds).
         """
-        self._last_publish_at = self._clock.monotonic()
+        self._last_publish_at = max(
+            self._last_publish_at, self._clock.monotonic() - age
+        )
         listing = self._registry.listing
         if self.server.subscriber_count:
             update = self._make_update(states_revision)
@@ -176,7 +184,7 @@
         update : ServerUpdate
             Update that its registry has taken over.
         """
-        self.publish_news(states_revision=bool(update.revision))
+        self.publish_news(bool(update.revision), update.age)
 
     def _make_update(self, states_revision):
         registry = self._registry
@@ -189,7 +197,8 @@
                     registry.correct_all(registry.listing.changed),
                     registry.listing.removed,
                     revision=registry.revision,
-                    grace=registry.find_grace_left(self._last_publish_at),
+                    grace=registry.find_grace_left(self._clock.monotonic()),
+                    age=self._find_age(),
                     digest=registry.listing.digest,
                 )
             )
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -417,7 +417,7 @@
         self._contact.record_news(message.grace)
         self._apply_servers(message, now, silence)
         if not self._is_missing_update:
-            self._last_update_at = now
+            self._last_update_at = max(self._last_update_at, now - message.age)
             self._check_listing(message, now)
             self._forward(message)
 
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -66,6 +66,9 @@
         Time for which the publisher itself goes on using servers that the
         store lacks after an outage, and that are not among `records`
         (seconds). Only subscribers that were cut off as well do so.
+    age : float
+        Time since the publisher, or those before it, heard this from the
+        store (seconds); 0 from earlier builds.
     digest : int or None
         Digest of all entries that the publisher lists after this update, see
         `balsamwind.pool.StoreListing`; None if it does not state any.
@@ -77,6 +80,7 @@
     evacuations: EvacuationNotice | None = None
     revision: int = 0
     grace: float = 0.0
+    age: float = 0.0
     digest: int | None = None
 
 
--- a/balsamwind/node/tests/test_removed_servers.py
+++ b/balsamwind/node/tests/test_removed_servers.py
@@ -326,3 +326,30 @@
     publisher.publish_news()
     publisher.publish_news()
     assert [update.whole for update in publisher.server.sent] == [True, False]
+
+
+@pytest.mark.parametrize('forwards', [False, True])
+def test_list_of_a_silent_publisher_passed_for_news(forwards):
+    # Each new subscriber got it for 1.3 s after the last news, and relied on
+    # the publisher for as long again (DRAIN).
+    clock = doubles.Clock()
+    publisher, registry = _make_publisher(clock)
+    subscriber, _, _ = test_updates._make_subscriber(clock, rank=1)
+    second, _ = _make_publisher(clock)
+    subscriber._forward = second.forward
+    registry.apply_full_list([_make_record('e1', 7)], clock.now, 9)
+    publisher.publish_news()
+    clock.now += 1.25
+    frame = publisher._make_first_frame()
+    if forwards:
+        subscriber._handle(_updates.decode_frame(frame))
+        clock.now += 0.04
+        subscriber, _, _ = test_updates._make_subscriber(
+            doubles.Clock(), rank=1
+        )
+        subscriber._clock = clock
+        frame = second._make_first_frame()
+    subscriber._handle(_updates.decode_frame(frame))
+    assert subscriber.has_fresh_servers()
+    clock.now += 0.06
+    assert not subscriber.has_fresh_servers()
