Count what a node reads of an endless report

Change: it counts what the node reads, and allows the largest report, the chunk that shows that it is larger and the one read ahead, 1,179,696 bytes. Stricter than before, and no longer about the kernel.

--- a/balsamwind/platform/tests/test_endless_reports.py
+++ b/balsamwind/platform/tests/test_endless_reports.py
@@ -4,29 +4,42 @@
 import contextlib
 
 import pytest
+from tornado import iostream
 
 from balsamwind import adapters
+from balsamwind.adapters import _http_client
 from balsamwind import exceptions
 from balsamwind.node.tests import helpers
 from balsamwind import platform
+from balsamwind.platform import _client
 from balsamwind import pool
 
-MAX_TAKEN = 4 << 20
-"""Bytes that may leave the engine, with what waits in the kernel (bytes)."""
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n'
 
+MAX_READ = len(HEAD) + _client.MAX_ENGINE_ANSWER + 2 * _http_client.CHUNK_SIZE
+"""Bytes that a node may read of a report: the largest one, the chunk that
+shows that it is larger, and the one that is read ahead (bytes)."""
 
-def test_report_without_end_was_kept_up_to_32_mib():
+
+def test_report_without_end_was_kept_up_to_32_mib(monkeypatch):
     taken = 0
+    read_from_fd = iostream.IOStream.read_from_fd
 
-    async def handle(reader, writer):
+    def count_read(stream, buffer):
         nonlocal taken
+        count = read_from_fd(stream, buffer)
+        taken += count or 0
+        return count
+
+    monkeypatch.setattr(iostream.IOStream, 'read_from_fd', count_read)
+
+    async def handle(reader, writer):
         await reader.readuntil(b'\r\n\r\n')
-        writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n')
+        writer.write(HEAD)
         with contextlib.suppress(OSError):
             while True:
                 writer.write(b'x' * (1 << 16))
                 await writer.drain()
-                taken += 1 << 16
 
     async def scenario():
         client = adapters.HttpClient()
@@ -41,4 +54,4 @@
         client.close()
 
     asyncio.run(scenario())
-    assert taken <= MAX_TAKEN
+    assert _client.MAX_ENGINE_ANSWER < taken <= MAX_READ
