Ask heads that were closed under another lease

Cause: heads of groups that a leader has closed are not asked before their members are moved. That was remembered after the lease was lost; another leader opened the group again, and the entry kept through the outage still said that its head was ready. Ruled out: numbers of orders (they were new). Change: what was closed under another lease is forgotten. Measured: the test failed before.

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -74,6 +74,7 @@
         self._log = log
         self._epoch_count = 0
         self._closed_groups = set()
+        self._closed_under = lease.fencing
         self._actions_in_progress = collections.Counter()
         self.orders = _order_sender.OrderSender(
             platform, registry, lease, clock, log
@@ -224,8 +225,8 @@
         A late order of an earlier holder of the lease may open a group after
         its head was asked. A head that is not among the members leaves its
         group; one that is among them joins first. Heads of groups that this
-        executor has closed are not asked, because their reports may lag
-        behind; they refuse older orders already.
+        executor has closed under its present lease are not asked, because
+        their reports may lag behind; they refuse older orders already.
 
         Raises
         ------
@@ -257,6 +258,10 @@
 
     def _find_last_heads(self, members):
         keys = {item.membership.key for item in members if item.membership}
+        if self._closed_under != self._lease.fencing:
+            # Another leader may have opened them again.
+            self._closed_under = self._lease.fencing
+            self._closed_groups.clear()
         keys -= self._closed_groups
         return [
             record
--- a/balsamwind/node/tests/test_late_orders.py
+++ b/balsamwind/node/tests/test_late_orders.py
@@ -1,6 +1,8 @@
 """Orders that engines leave unanswered and may carry out late."""
 
 import asyncio
+import dataclasses
+import types
 
 import pytest
 
@@ -12,6 +14,10 @@
 
 JOIN = pool.Join('m.z1.2', 2, 'm', ('e1', 'e2'))
 
+GROUP = ('m.z1.1', 1)
+
+READY = pool.MemberState.READY
+
 CLOSE = pool.Close('m.z1.1', 1, True)
 
 
@@ -150,3 +156,22 @@
         return busy
 
     assert asyncio.run(scenario()) == [True, False]
+
+
+def test_head_closed_under_an_earlier_lease_was_not_asked_again():
+    # Another leader had opened its group again; the entry that this one had
+    # kept said otherwise, and a member was ordered elsewhere (TWO).
+    executor, record = _make_executor([], doubles.Clock())
+    executor._prober = types.SimpleNamespace(down=frozenset())
+    head = dataclasses.replace(
+        record, membership=pool.Membership(*GROUP, 0, READY)
+    )
+    member = dataclasses.replace(
+        record, server_id='e2', membership=pool.Membership(*GROUP, 1, READY)
+    )
+    for entry in (head, member):
+        executor._registry.apply_entry(entry, 0.0)
+    executor._closed_groups.add(GROUP)
+    assert executor._find_last_heads([member]) == []
+    executor._lease.fencing += 2
+    assert executor._find_last_heads([member]) == [head]
