Send no order of a plan of an earlier lease

Cause: an action went on while the node had lost its lease and got it back. What its plan stands on, such as the answer of a head, was judged before another leader led. Ruled out: the epoch of the plan as a guard; it is old, but engines that the other leader did not move accept it. Change: an action sends nothing once the lease that it was planned under is lost, also if this node leads again; nor does it count a group as closed.

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -113,9 +113,12 @@
                 coroutine = self._disband_group(action)
         ids = {member.server_id for member in members}
         self._actions_in_progress.update(ids)
-        asyncio.ensure_future(self._run_action(coroutine, ids, action))
+        asyncio.ensure_future(
+            self._run_action(coroutine, ids, action, self._lease.fencing)
+        )
 
-    async def _run_action(self, coroutine, ids, action):
+    async def _run_action(self, coroutine, ids, action, fencing):
+        _order_sender.PLANNED_UNDER.set(fencing)
         try:
             await coroutine
         except exceptions.BalsamwindError as error:
@@ -431,7 +434,10 @@
             state = await self._wait_state(
                 group.head, group.key, states, timeout
             )
-            if state == pool.MemberState.READY.value:
+            if (
+                state == pool.MemberState.READY.value
+                and self.orders.is_plan_current
+            ):
                 self._closed_groups.add(group.key)
             if state != 'late':
                 break
--- a/balsamwind/node/_order_sender.py
+++ b/balsamwind/node/_order_sender.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextvars
 
 from balsamwind import exceptions
 from balsamwind import pool
@@ -17,6 +18,10 @@
 """Time within which an engine may still carry out an order that it has not
 answered (seconds)."""
 
+PLANNED_UNDER = contextvars.ContextVar('planned_under', default=None)
+"""Fencing number of the lease under which the running action was planned; None
+outside of actions."""
+
 
 class OrderSender:
     """Sends orders while the lease of the shard is held.
@@ -91,20 +96,35 @@
             *(self._find_sequence(member, order) for member in members)
         )
 
+    @property
+    def is_plan_current(self):
+        """Whether the lease of the running action's plan is still held.
+
+        What the plan stands on was judged before another node may have led.
+        """
+        return self._lease.held and PLANNED_UNDER.get() in (
+            None,
+            self._lease.fencing,
+        )
+
+    def _check_lease(self):
+        if not self.is_plan_current:
+            raise exceptions.Conflict(
+                'the lease of the plan is no longer held'
+            )
+
     async def send(self, record, order):
         """Send one order once and return its result.
 
         Raises
         ------
         balsamwind.exceptions.Conflict
-            The lease is no longer held, or the order is to join and the
-            engine is not what its entry says.
+            The lease of the plan is no longer held, or the order is to join
+            and the engine is not what its entry says.
         """
-        if not self._lease.held:
-            raise exceptions.Conflict('the lease is no longer held')
+        self._check_lease()
         sequence = await self._find_sequence(record, order)
-        if not self._lease.held:
-            raise exceptions.Conflict('the lease is no longer held')
+        self._check_lease()
         result = await self._platform.send_order(
             record, order, self._lease.fencing, sequence, ORDER_TIMEOUT
         )
--- a/balsamwind/node/tests/test_late_orders.py
+++ b/balsamwind/node/tests/test_late_orders.py
@@ -175,3 +175,25 @@
     assert executor._find_last_heads([member]) == []
     executor._lease.fencing += 2
     assert executor._find_last_heads([member]) == [head]
+
+
+@pytest.mark.parametrize('order', [JOIN, CLOSE, pool.Open(*GROUP)])
+def test_plan_of_an_earlier_lease_was_carried_out_under_a_later_one(order):
+    # What it stood on was judged before another leader led (TWO).
+    executor, record = _make_executor([BEGUN], doubles.Clock())
+    executor._form_group = lambda action, profile: lose_lease()
+    failures = []
+    executor._log = types.SimpleNamespace(
+        warning=lambda event, **fields: failures.append(event)
+    )
+
+    async def lose_lease():
+        executor._lease.fencing += 2
+        await executor.orders.send(record, order)
+
+    async def scenario():
+        executor.start(pool.FormGroup('m', (record,)), None)
+        await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
+    assert failures == ['action_failed']
