Apply entries that come without a revision

A node that hears from an earlier build passes entries on without a revision; its subscribers took each of them for a server that says it leaves, for good.

--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from balsamwind import adapters
 from balsamwind import exceptions
@@ -408,10 +409,12 @@
             return
         if self._is_complete and not message.revision:
             # It tells of a server that leaves, or of an evacuation.
-            for record in message.records:
-                self._registry.mark_leaving(record.server_id, record.born)
-            if message.records:
-                self.forward_notice(message)
+            records = self._registry.correct_all(message.records)
+            self._apply_servers(message, now, None)
+            if records:
+                self.forward_notice(
+                    dataclasses.replace(message, records=records)
+                )
             return
         silence = now - self._last_update_at
         self._contact.record_news(message.grace)
--- a/balsamwind/node/tests/test_removed_servers.py
+++ b/balsamwind/node/tests/test_removed_servers.py
@@ -270,6 +270,17 @@
     assert registry.revision == 9
 
 
+def test_entry_without_a_revision_was_taken_for_a_leaving_server():
+    # Its publisher heard it from an earlier build, which states none.
+    clock = doubles.Clock()
+    subscriber, _, _ = test_updates._make_subscriber(clock)
+    record = _make_record('e1', 7)
+    subscriber._handle(_updates.ServerUpdate(True, (record,), revision=9))
+    newer = _make_record('e1', 10)
+    subscriber._handle(_updates.ServerUpdate(records=(newer,)))
+    assert subscriber._registry.get('e1') == newer
+
+
 class _Server:
     """Connection of a subscriber."""
 
