Look at the group in a report before each join

Cause: the report that is read for an engine's number of orders was judged only if it was read for a join. One read to stage a model, or to close a group, left its number behind, and a join that followed was sent with it unjudged. Change: a remembered number counts for a join only if the report it comes from was judged for one. The lease of the plan is checked before that, too. Price: one report more for an engine that is staged first.

--- a/balsamwind/node/_order_sender.py
+++ b/balsamwind/node/_order_sender.py
@@ -54,6 +54,7 @@
         self._log = log
         self._unanswered = {}
         self._sequences = {}
+        self._judged = set()
         self._counted_under = lease.fencing
 
     def find_unanswered(self, order_type):
@@ -148,7 +149,8 @@
         that is in another group by now, or heads an open one, must not join
         until the planner has judged that group. A number that was counted
         under an earlier lease says nothing: another leader may have opened
-        the group that an engine joined then.
+        the group that an engine joined then. Nor does one that was read for
+        an order of another kind, without a look at the group.
 
         Raises
         ------
@@ -158,15 +160,19 @@
         if self._counted_under != self._lease.fencing:
             self._counted_under = self._lease.fencing
             self._sequences.clear()
+            self._judged.clear()
         incarnation = (record.server_id, record.born)
+        is_join = isinstance(order, pool.Join)
         sequence = self._sequences.get(incarnation)
-        if sequence is None:
+        if sequence is None or (is_join and incarnation not in self._judged):
             report = await self._platform.fetch_engine_report(
                 record, ORDER_TIMEOUT
             )
-            if isinstance(order, pool.Join):
+            self._check_lease()
+            if is_join:
                 self._check_membership(record, report, order)
                 check_not_serving(record, report)
+                self._judged.add(incarnation)
             sequence = self._sequences[incarnation] = report.sequence
         return sequence
 
@@ -206,6 +212,7 @@
             self._sequences[incarnation] = sequence + 1
         elif result is not pool.OrderResult.DONE:
             self._sequences.pop(incarnation, None)
+            self._judged.discard(incarnation)
 
     def _record_answer(self, record, order, result):
         """Note an order without an answer until the engine can't begin it.
--- a/balsamwind/node/tests/test_late_orders.py
+++ b/balsamwind/node/tests/test_late_orders.py
@@ -123,6 +123,19 @@
         asyncio.run(orders.send(record, later))
 
 
+@pytest.mark.parametrize('first', [pool.Stage('m'), CLOSE])
+def test_report_read_for_another_order_stood_for_a_join(first):
+    # Its number was remembered, and what else it said was not looked at: a
+    # spare by its entry was ordered out of the group that it was in (TWO).
+    executor, record = _make_executor([BEGUN, BEGUN], doubles.Clock())
+    executor.orders._platform.membership = pool.Membership(
+        'm.z1.1', 1, 1, READY
+    )
+    asyncio.run(executor.orders.send(record, first))
+    with pytest.raises(exceptions.Conflict):
+        asyncio.run(executor.orders.send(record, JOIN))
+
+
 def test_head_of_a_group_that_was_opened_again_is_asked():
     """Its entry may be out of date for as long as it is cut off."""
     clock = doubles.Clock()
