Ask a head that fell silent after the plan

Cause: members may be reused when their head says that it does not serve, by its entry or its report. A head that is down at the moment of the order was not asked. Here it was down, for a moment not, and down again between plan and order; its entry was older than its opening, as it was leaving unannounced. Ruled out: late orders; the entries of the members (they were new). Change: a head that is down is passed over only if the plan stands on evidence that it no longer answers, or has broken its group. Price: none where it answers; the planner holds members of a head that is down already.

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -157,7 +157,7 @@
         )
         try:
             await self.orders.check_members(members, order)
-            await self._release(members)
+            await self._release(members, action.evidence)
             if not await self._join_members(members, order):
                 return
             timeout = (
@@ -222,7 +222,7 @@
                 return False
         return False
 
-    async def _release(self, members):
+    async def _release(self, members, evidence):
         """See to it that the members' last groups are not open, and stay so.
 
         A late order of an earlier holder of the lease may open a group after
@@ -239,7 +239,7 @@
         balsamwind.exceptions.TransportError
             A head does not answer.
         """
-        heads = self._find_last_heads(members)
+        heads = self._find_last_heads(members, evidence)
         reports = await asyncio.gather(
             *(
                 self._platform.fetch_engine_report(
@@ -259,20 +259,33 @@
             )
         )
 
-    def _find_last_heads(self, members):
+    def _find_last_heads(self, members, evidence):
+        """Find the heads that must answer before the members are moved.
+
+        One that does not answer need not only if the plan stands on evidence
+        for that: its entry may lag behind its opening.
+        """
         keys = {item.membership.key for item in members if item.membership}
         if self._closed_under != self._lease.fencing:
             # Another leader may have opened them again.
             self._closed_under = self._lease.fencing
             self._closed_groups.clear()
         keys -= self._closed_groups
+        answering_keys = {
+            item.membership.key
+            for item in members
+            if item.membership and _needs_answer(evidence.get(item.server_id))
+        }
         return [
             record
             for record in map(self.orders.reported.correct, self._registry)
             if record.membership is not None
             and record.membership.rank == 0
             and record.membership.key in keys
-            and record.server_id not in self._prober.down
+            and (
+                record.server_id not in self._prober.down
+                or record.membership.key in answering_keys
+            )
         ]
 
     async def _make_leave(self, head):
@@ -465,6 +478,14 @@
                 await asyncio.sleep(POLL_INTERVAL)
 
 
+def _needs_answer(evidence):
+    """Whether evidence on a head holds only while the head answers."""
+    return (
+        isinstance(evidence, pool.HeadNotServing)
+        and evidence.state is not pool.MemberState.BROKEN
+    )
+
+
 def _estimate_join_time(members, model, engine_profile):
     """Return the longest duration of the joins of these members (seconds)."""
     model_profile = engine_profile.find_model(model)
--- a/balsamwind/node/tests/test_late_orders.py
+++ b/balsamwind/node/tests/test_late_orders.py
@@ -185,9 +185,39 @@
     for entry in (head, member):
         executor._registry.apply_entry(entry, 0.0)
     executor._closed_groups.add(GROUP)
-    assert executor._find_last_heads([member]) == []
+    assert executor._find_last_heads([member], {}) == []
     executor._lease.fencing += 2
-    assert executor._find_last_heads([member]) == [head]
+    assert executor._find_last_heads([member], {}) == [head]
+
+
+@pytest.mark.parametrize(
+    ('evidence', 'is_asked'),
+    [
+        pytest.param(pool.HeadNotServing('e1', READY), True, id='ready'),
+        pytest.param(
+            pool.HeadNotServing('e1', pool.MemberState.BROKEN),
+            False,
+            id='broken',
+        ),
+        pytest.param(pool.HeadSilent('e1', 5.0, 3), False, id='silent'),
+    ],
+)
+def test_head_that_fell_silent_after_the_plan_was_not_asked(
+    evidence, is_asked
+):
+    # Its entry said that it was ready; it had been opened a moment before,
+    # and its member was ordered into another group (TWO).
+    executor, record = _make_executor([], doubles.Clock())
+    executor._prober = types.SimpleNamespace(down=frozenset({'e1'}))
+    head = dataclasses.replace(
+        record, membership=pool.Membership(*GROUP, 0, READY)
+    )
+    member = dataclasses.replace(
+        record, server_id='e2', membership=pool.Membership(*GROUP, 1, READY)
+    )
+    executor._registry.apply_entry(head, 0.0)
+    found = executor._find_last_heads([member], {'e2': evidence})
+    assert found == ([head] if is_asked else [])
 
 
 @pytest.mark.parametrize('order', [JOIN, CLOSE, pool.Open(*GROUP)])
