Ask no head again that has obeyed this leader

Cause: a head that this leader has just closed was asked again before its next join. Ruled out: updates of entries (no line of a difference or an outdated one). Change: an accepted order that names the group of the entry shows that the engine is in it; its number counts for a join. Measured: the test failed before.

--- a/balsamwind/node/_order_sender.py
+++ b/balsamwind/node/_order_sender.py
@@ -129,7 +129,7 @@
         result = await self._platform.send_order(
             record, order, self._lease.fencing, sequence, ORDER_TIMEOUT
         )
-        self._record_result(record, sequence, result)
+        self._record_result(record, order, sequence, result)
         self._record_answer(record, order, result)
         if result is pool.OrderResult.FENCED:
             self._lease.step_down(f'{record.server_id}: {order}')
@@ -206,13 +206,16 @@
             f'{record.server_id} is not what its entry says: {reported}'
         )
 
-    def _record_result(self, record, sequence, result):
+    def _record_result(self, record, order, sequence, result):
         incarnation = (record.server_id, record.born)
         if result is pool.OrderResult.BEGUN:
             self._sequences[incarnation] = sequence + 1
         elif result is not pool.OrderResult.DONE:
             self._sequences.pop(incarnation, None)
             self._judged.discard(incarnation)
+        if result.accepted and _names_group_of(order, record):
+            # It is in that group, so its reports, which lag, need not say so.
+            self._judged.add(incarnation)
 
     def _record_answer(self, record, order, result):
         """Note an order without an answer until the engine can't begin it.
@@ -230,6 +233,15 @@
             )
 
 
+def _names_group_of(order, record):
+    """Whether an order names the group that the engine's entry does."""
+    return (
+        not isinstance(order, pool.Stage)
+        and record.membership is not None
+        and record.membership.key == (order.group, order.epoch)
+    )
+
+
 def check_not_serving(record, report):
     """Check that an engine is not the head of an open group.
 
--- a/balsamwind/node/tests/test_late_orders.py
+++ b/balsamwind/node/tests/test_late_orders.py
@@ -136,6 +136,20 @@
         asyncio.run(executor.orders.send(record, JOIN))
 
 
+def test_head_that_this_leader_has_closed_was_asked_again():
+    # Its report is some hundred ms old: it still said that the group was
+    # open, and the members waited for the next plans.
+    executor, record = _make_executor([BEGUN, BEGUN], doubles.Clock())
+    executor.orders._platform.membership = pool.Membership(
+        *GROUP, 0, pool.MemberState.OPEN
+    )
+    head = dataclasses.replace(
+        record, membership=pool.Membership(*GROUP, 0, READY)
+    )
+    asyncio.run(executor.orders.send(head, CLOSE))
+    assert asyncio.run(executor.orders.send(head, JOIN)) is BEGUN
+
+
 def test_head_of_a_group_that_was_opened_again_is_asked():
     """Its entry may be out of date for as long as it is cut off."""
     clock = doubles.Clock()
