Remember closed groups from the lease's first on

What callers saw: slower repair, an error of "Ask heads that were closed under another lease": what a leader closed before its first formation was forgotten with it, so the head was asked, and its report, which lags, refused the plan. Change: what another lease knew is forgotten when anything is remembered or looked up. Measured: the test, which closes a group under the present lease as well, failed before.

--- a/balsamwind/node/_action_executor.py
+++ b/balsamwind/node/_action_executor.py
@@ -73,7 +73,7 @@
         self._prober = prober
         self._log = log
         self._epoch_count = 0
-        self._closed_groups = set()
+        self._known_closed = set()
         self._closed_under = lease.fencing
         self._actions_in_progress = collections.Counter()
         self.orders = _order_sender.OrderSender(
@@ -82,6 +82,17 @@
         self.forming = {}
         self.break_time = float('inf')
 
+    @property
+    def _closed_groups(self):
+        """Keys of groups that were closed under the present lease (set).
+
+        Another leader may have opened earlier ones again.
+        """
+        if self._closed_under != self._lease.fencing:
+            self._closed_under = self._lease.fencing
+            self._known_closed.clear()
+        return self._known_closed
+
     @property
     def busy(self):
         """Ids of the engines that an action in progress deals with."""
@@ -266,10 +277,6 @@
         for that: its entry may lag behind its opening.
         """
         keys = {item.membership.key for item in members if item.membership}
-        if self._closed_under != self._lease.fencing:
-            # Another leader may have opened them again.
-            self._closed_under = self._lease.fencing
-            self._closed_groups.clear()
         keys -= self._closed_groups
         answering_keys = {
             item.membership.key
--- a/balsamwind/node/tests/test_late_orders.py
+++ b/balsamwind/node/tests/test_late_orders.py
@@ -198,6 +198,8 @@
     )
     for entry in (head, member):
         executor._registry.apply_entry(entry, 0.0)
+    # Under its present lease, a head that it has closed is not asked.
+    executor._lease.fencing += 2
     executor._closed_groups.add(GROUP)
     assert executor._find_last_heads([member], {}) == []
     executor._lease.fencing += 2
