Let tests of broken answers outlast a pause

Cause: both nodes and the server of this test live in the test's own process. A node waits 0.25 s for a connection to another one and then passes it over: right for a node, but when the whole process stands still for longer, the attempt goes straight to the server, and the test cannot judge what it is for. Ruled out: an attempt that another node refused or lost after it was sent ends in an error, not in a direct attempt; each case has a fresh pair of nodes, so no idle connection had ended.

Change: a fixture sets the waits for connections to 30 s in this file. How long a node waits is checked by test_attempt_client.py.

--- a/balsamwind/node/tests/test_broken_answers.py
+++ b/balsamwind/node/tests/test_broken_answers.py
@@ -15,6 +15,8 @@
 from balsamwind.relay.tests import forwarding
 from standins import raw_server
 
+pytestmark = pytest.mark.usefixtures('patient_relays')
+
 NOT_EXECUTED = b'X-Balsamwind-Not-Executed: 1\r\nRetry-After: 1\r\n'
 
 STATUSES = broken_answers.make_statuses(harms.FIELDS, harms.BODY)
