Write evidence that a lost publisher has not

Cause: only the node without a publisher writes evidence. The others drop what is due to be written as they learn it. A publisher that is killed, or turned away by the store, before its write has succeeded left its successor with nothing due, though that knew the evidence. Ruled out: a successor that hears it for the first time as nodes connect to it, which writes it as news; the loss of one write, which is tried again.

Change: the list that a node reads as it begins to watch the store shows whether evidence of its own data centre is missing there. Then it is written; if it is not, nothing more is called than before.

--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -171,6 +171,12 @@
     def _make_snapshot(self):
         return self._quarantine.make_snapshot(self._clock.monotonic())
 
+    def _make_own_snapshot(self):
+        """Make what other data centres must know of this one."""
+        return self._quarantine.make_snapshot(
+            self._clock.monotonic(), self._data_centre
+        )
+
     async def run(self):
         """Exchange evidence with other data centres; never returns."""
         async with asyncio.TaskGroup() as tasks:
@@ -192,6 +198,7 @@
 
     async def _watch(self):
         revision, items = await self._records.list(CALL_TIMEOUT)
+        self._find_unwritten(items)
         while True:
             for evidence in items:
                 self._receive_stored(evidence)
@@ -207,6 +214,25 @@
                 revision, wait, wait + WATCH_MARGIN
             )
 
+    def _find_unwritten(self, items):
+        """Write what a publisher before this node was told, and did not.
+
+        Parameters
+        ----------
+        items : list of balsamwind.relay.CrashEvidence
+            All evidence in the store.
+        """
+        pairs = set().union(*map(_find_pairs, items))
+        sound = set().union(*map(_find_sound_pairs, items))
+        own = self._make_own_snapshot()
+        if (
+            _find_pairs(own) <= pairs
+            and _find_sound_pairs(own) & pairs <= sound
+        ):
+            return
+        self._log.info('evidence_unwritten', reports=len(own.reports))
+        self._write_due.set()
+
     def _receive_stored(self, evidence):
         self._stored_pairs |= _find_pairs(evidence)
         self.receive(evidence)
@@ -234,9 +260,7 @@
             self._data_centre, CALL_TIMEOUT
         )
         self._receive_stored(stored)
-        evidence = self._quarantine.make_snapshot(
-            self._clock.monotonic(), self._data_centre
-        )
+        evidence = self._make_own_snapshot()
         if _find_pairs(evidence) == _find_pairs(stored) and _find_sound_pairs(
             evidence
         ) == _find_sound_pairs(stored):
