Tell again which servers say that they leave

What callers saw: in an outage of the store, nodes went on choosing an engine that had told another node of the data centre that it leaves; what still ran there as it exited was cut. Cause: a node reports a leaving server once, over the connection that it has at that moment. In an outage there mostly is none: subscribers give up a publisher that hears nothing after 1.3 s, and try the next one. Nor does a node that knows tell those that connect to it, as the first frame waits for the store. Evidence: test_notices_in_outages.py, 18 of 20 cases (four nodes that learn it, 2.1 to 5.1 s into the outage) fail before: 8 s into the outage some nodes still use the server. Ruled out: limits, evidence of crashes (exchanged at each new connection), evacuations and proofs (repeated, with their times).

Change: a node tells each new publisher of all servers that say that they leave, and a publisher that does not hear from the store tells new subscribers, if they know notices (feature 'notices').

Measured: 20 of 20 hold; the tests of updates, mixed builds, unknown messages and the pool pass.

--- a/balsamwind/node/_leaving_servers.py
+++ b/balsamwind/node/_leaving_servers.py
@@ -28,6 +28,13 @@
         self._link = link
         self._log = log
 
+    def start(self):
+        """Tell the publisher of a new connection of all such servers."""
+        for record in self._registry.list_leaving():
+            self._link.send(
+                _updates.ServerLeaving(record.server_id, record.born)
+            )
+
     def report(self, server_id, born):
         """Report that a server is leaving; known ones are ignored.
 
--- a/balsamwind/node/_process.py
+++ b/balsamwind/node/_process.py
@@ -263,6 +263,7 @@
             self.registry, self._publisher, link, self._log
         )
         self._publisher.leaving_servers = leaving_servers
+        self.subscriber.leaving_servers = leaving_servers
         self.relay.server_statements.on_leaving = leaving_servers.report
         platform.on_server_leaving = leaving_servers.report
         self._limit_shares = _limit_shares.LimitShares(
--- a/balsamwind/node/_subscriber_session.py
+++ b/balsamwind/node/_subscriber_session.py
@@ -90,6 +90,7 @@
         match _updates.decode_frame(data):
             case _updates.ClockRequest() as request:
                 self._features = frozenset(request.features)
+                self._tell_leaving()
                 return self._publisher.answer_clock_request(request)
             case _updates.ListingRequest():
                 return self._publisher.answer_listing_request()
@@ -125,6 +126,12 @@
                 self._unknown_messages.add(message)
         return None
 
+    def _tell_leaving(self):
+        """Tell a subscriber what it would learn of with the first frame."""
+        notice = self._publisher.make_leaving_notice()
+        if notice is not None and _updates.NOTICES in self._features:
+            self._send(notice)
+
     def _place(self, request, now):
         service = self._configuration_cache.find_service(request.service)
         if service is None:
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -116,11 +116,31 @@
             Snapshot of the registry; None while the store does not answer,
             and all subscribers get one with its next answer.
         """
-        if self._clock.monotonic() - self._last_publish_at > PUBLISHER_TIMEOUT:
+        if not self._hears_store:
             self._owes_whole = True
             return None
         return _updates.encode_frame(self._make_snapshot())
 
+    @property
+    def _hears_store(self):
+        return self._find_age() <= PUBLISHER_TIMEOUT
+
+    def make_leaving_notice(self):
+        """Make the notice of leaving servers for a new subscriber.
+
+        Returns
+        -------
+        bytes or None
+            Frame to send; None if there are none, or if the subscriber has
+            been told by the first frame.
+        """
+        records = self._registry.list_leaving()
+        if self._hears_store or not records:
+            return None
+        return _updates.encode_frame(
+            _updates.ServerUpdate(records=records, notice=True)
+        )
+
     def answer_listing_request(self):
         """Make the answer to a `ListingRequest`.
 
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -125,6 +125,8 @@
         Exchanges evidence of crashes with the publisher.
     limit_exchange : LimitExchange
         Exchanges limits of backend servers with the publisher.
+    leaving_servers : LeavingServers
+        Tells the publisher of servers that say that they are leaving.
     evacuations : EvacuationWatcher or None
         Takes the publisher's notices of evacuated data centres.
     unknown_messages : UnknownMessages
@@ -160,6 +162,7 @@
         self.forward_notice = lambda message: None
         self.evidence = None
         self.limit_exchange = None
+        self.leaving_servers = None
         self.evacuations = None
         self.unknown_messages = None
         self._unknown_from_publisher = None
@@ -308,6 +311,7 @@
             self._placement.reset()
             self.evidence.start()
             self.limit_exchange.start()
+            self.leaving_servers.start()
             last_update_at = self._clock.monotonic()
             request_task = asyncio.ensure_future(
                 self._request_clock(connection)
--- a/balsamwind/node/_updates.py
+++ b/balsamwind/node/_updates.py
@@ -21,7 +21,10 @@
 LISTING = 'listing'
 """Feature that `ListingRequest` needs."""
 
-FEATURES = ('waiting', PROGRESS, LISTING)
+NOTICES = 'notices'
+"""Feature that a `ServerUpdate` needs which is a notice in an outage."""
+
+FEATURES = ('waiting', PROGRESS, LISTING, NOTICES)
 """Features of this build that others may lack, as nodes announce them to each
 other. A message that needs one is sent only to a node that has announced it.
 """
--- a/balsamwind/node/tests/test_notices_in_outages.py
+++ b/balsamwind/node/tests/test_notices_in_outages.py
@@ -46,3 +46,19 @@
             assert {len(node.listed) for node in nodes} == {
                 len(untold.SERVER_IDS)
             }
+
+
+@pytest.mark.parametrize('teller', untold.NODES)
+@pytest.mark.parametrize('told_after', [0.1, 0.7, 1.4, 2.2, 3.1])
+def test_node_was_not_told_in_an_outage_that_a_server_leaves(
+    teller, told_after
+):
+    # It was told once, when there mostly was no connection between nodes.
+    with untold._open_fleet() as fleet:
+        _set_paths(fleet, 'refused')
+        untold._run(fleet, 2.0 + told_after)
+        leaving_servers = fleet.nodes[teller].leaving_servers
+        fleet.loop.call_soon(leaving_servers.report, 's0', 0)
+        untold._run(fleet, 6.0)
+        for node in fleet.nodes.values():
+            assert not node.registry.get('s0').usable
--- a/balsamwind/node/tests/test_unknown_messages.py
+++ b/balsamwind/node/tests/test_unknown_messages.py
@@ -131,9 +131,11 @@
         self.ended.append((number, outcome))
 
 
-def _open_session(counted, placement_session=None):
+def _open_session(counted, placement_session=None, notice=None, send=None):
     publisher = types.SimpleNamespace(
-        clock=doubles.Clock(), answer_clock_request=lambda request: b''
+        clock=doubles.Clock(),
+        answer_clock_request=lambda request: b'',
+        make_leaving_notice=lambda: notice,
     )
     return _subscriber_session.SubscriberSession(
         publisher,
@@ -143,6 +145,7 @@
         None,
         None,
         counted.messages.open_connection('publisher'),
+        send,
     )
 
 
@@ -176,6 +179,18 @@
     assert session.features == features
 
 
+@pytest.mark.parametrize(
+    ('features', 'sent'),
+    [([], []), (['waiting'], []), (['waiting', 'notices'], [b'n'])],
+)
+def test_earlier_build_gets_no_notice_in_an_outage(features, sent):
+    """Guards against a notice that is taken for news of the store."""
+    frames = []
+    session = _open_session(_Counted(), notice=b'n', send=frames.append)
+    session.handle(cbor2.dumps([4, {'number': 1, 'features': features}]))
+    assert frames == sent
+
+
 def test_each_connection_starts_without_features():
     """Guards against features of the publisher before."""
     link = _publisher_link.PublisherLink()
--- a/balsamwind/node/tests/test_untold_removals.py
+++ b/balsamwind/node/tests/test_untold_removals.py
@@ -19,6 +19,7 @@
 
 from balsamwind import exceptions
 from balsamwind.node import _entry_contact
+from balsamwind.node import _leaving_servers
 from balsamwind.node import _ranking
 from balsamwind.node import _server_watcher
 from balsamwind.node import _update_publisher
@@ -157,16 +158,13 @@
 
     def __init__(self, publisher):
         self.frames = asyncio.Queue()
-        self._publisher = publisher
+        self._session = publisher.open_session(self.frames.put_nowait)
 
     async def send(self, frame):
         """Take a frame of the subscriber."""
-        match _updates.decode_frame(frame):
-            case _updates.ClockRequest() as request:
-                reply = self._publisher.answer_clock_request(request)
-            case _updates.ListingRequest():
-                reply = self._publisher.answer_listing_request()
-        self.frames.put_nowait(reply)
+        reply = self._session.handle(frame)
+        if reply is not None:
+            self.frames.put_nowait(reply)
 
 
 async def _receive_frame(connection, timeout):
@@ -194,9 +192,10 @@
         self.features = features
 
     def send(self, message):
-        asyncio.ensure_future(
-            self._connection.send(_updates.encode_frame(message))
-        )
+        if self._connection is not None:
+            asyncio.ensure_future(
+                self._connection.send(_updates.encode_frame(message))
+            )
 
 
 class _Node:
@@ -211,9 +210,15 @@
         contact = _entry_contact.EntryContact(self.registry, clock)
         contact.on_grace = self._end_grace_later
         self.publisher = _update_publisher.UpdatePublisher(
-            self.registry, None, clock, doubles.Log(), None
+            self.registry, None, clock, doubles.Log(), lambda: None
         )
         self.publisher.server = _Server()
+        self.publisher.unknown_messages = doubles.make_unknown_messages()
+        link = _Link()
+        self.leaving_servers = _leaving_servers.LeavingServers(
+            self.registry, self.publisher, link, doubles.Log()
+        )
+        self.publisher.leaving_servers = self.leaving_servers
         unused = types.SimpleNamespace(
             reset=lambda: None, handle_loss=lambda: None, start=lambda: None
         )
@@ -226,13 +231,14 @@
             self.publisher.forward,
             2.0,
             DRAIN_TIME,
-            _Link(),
+            link,
             unused,
             False,
             contact,
         )
         self.subscriber.forward_notice = self.publisher.broadcast
         self.subscriber.evidence = self.subscriber.limit_exchange = unused
+        self.subscriber.leaving_servers = self.leaving_servers
         self.subscriber.unknown_messages = types.SimpleNamespace(
             open_connection=lambda *names: None
         )
--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -232,6 +232,21 @@
             self._set_record(server_id, self.correct(record))
         return True
 
+    def list_leaving(self):
+        """Return the entries of servers that say that they are leaving.
+
+        Returns
+        -------
+        tuple of ServerRecord
+        """
+        records = (self._records.get(server_id) for server_id in self._leaving)
+        return tuple(
+            record
+            for record in records
+            if record is not None
+            and self._leaving[record.server_id] >= record.born
+        )
+
     def correct(self, record):
         """Correct the entry of a server that said itself that it is leaving.
 
