--- a/balsamwind/node/tests/test_untold_removals.py
+++ b/balsamwind/node/tests/test_untold_removals.py
@@ -96,6 +96,31 @@
         )
 
 
+@pytest.mark.parametrize('learned_after', [0.6, 1.5, 3.0])
+@pytest.mark.parametrize('changed_after', [0.0, 0.4, 1.2, 2.4])
+@pytest.mark.parametrize('change', ['put', 'removed'])
+def test_change_of_a_publisher_that_is_not_believed_was_lost(
+    learned_after, changed_after, change
+):
+    # Nodes ignore its updates for as long as it distrusts a restored store
+    # and they no longer do.
+    with update_fleet.open_fleet() as fleet:
+        fleet.nodes['n0'].path.fault = 'refused'
+        update_fleet.run(fleet, 0.2)
+        fleet.restore()
+        update_fleet.run(fleet, learned_after)
+        fleet.nodes['n0'].path.fault = ''
+        distrust_left = update_fleet.RESTORE_GRACE - learned_after
+        update_fleet.run(fleet, distrust_left + changed_after)
+        if change == 'put':
+            fleet.store.put('s9')
+        else:
+            fleet.store.remove('s0', fleet.clock.monotonic())
+        update_fleet.run(fleet, update_fleet.DRAIN_TIME)
+        for node in fleet.nodes.values():
+            assert node.listed == set(fleet.store.entries)
+
+
 class _UntoldRemovals(stateful.RuleBasedStateMachine):
     """Trouble in any order; what it drops must be told all the same."""
 
