--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -99,14 +99,24 @@
     @property
     def relying_subscriber_count(self):
         """Subscribers that rely on the updates of this node (count)."""
-        age = self._clock.monotonic() - self._last_publish_at
-        return self.server.subscriber_count if age <= FRESH_TIME else 0
+        if self._age > FRESH_TIME:
+            return 0
+        return self.server.subscriber_count
 
     @property
     def last_publish_at(self):
         """When this node last learned of entries (seconds, boot clock)."""
         return self._last_publish_at
 
+    @property
+    def _age(self):
+        """Time since this node last learned of entries (seconds)."""
+        return self._clock.monotonic() - self._last_publish_at
+
+    @property
+    def _hears_store(self):
+        return self._age <= PUBLISHER_TIMEOUT
+
     def _make_first_frame(self):
         """Make the first frame for a new subscriber.
 
@@ -121,10 +131,6 @@
             return None
         return _updates.encode_frame(self._make_snapshot())
 
-    @property
-    def _hears_store(self):
-        return self._find_age() <= PUBLISHER_TIMEOUT
-
     def make_leaving_notice(self):
         """Make the notice of leaving servers for a new subscriber.
 
@@ -152,29 +158,28 @@
         return _updates.encode_frame(self._make_snapshot())
 
     def _make_snapshot(self):
-        return self._add_evacuations(
-            _updates.ServerUpdate(
-                whole=True,
-                records=self._registry.correct_all(self._registry.listing),
-                revision=self._registry.revision,
-                grace=self._registry.find_grace_left(self._clock.monotonic()),
-                age=self._find_age(),
-                distrust=self._registry.find_distrust_left(
-                    self._clock.monotonic()
-                ),
-            )
+        return self._make_server_update(
+            whole=True,
+            records=self._registry.correct_all(self._registry.listing),
         )
 
-    def _find_age(self):
-        return self._clock.monotonic() - self._last_publish_at
+    def _make_server_update(self, **content):
+        """Make an update that says as of when its content holds."""
+        now = self._clock.monotonic()
+        return _updates.ServerUpdate(
+            evacuations=self._make_evacuation_notice(),
+            revision=self._registry.revision,
+            grace=self._registry.find_grace_left(now),
+            age=self._age,
+            distrust=self._registry.find_distrust_left(now),
+            **content,
+        )
 
-    def _add_evacuations(self, update):
-        """Put the notice of this node into an update, in its own boot time."""
+    def _make_evacuation_notice(self):
+        """Make the notice of this node, in its own boot time."""
         if self.evacuations is None:
-            notice = None
-        else:
-            notice = self.evacuations.make_notice()
-        return dataclasses.replace(update, evacuations=notice)
+            return None
+        return self.evacuations.make_notice()
 
     def publish_news(self, states_revision=True, age=0.0):
         """Publish what has changed in the listing; else a sign of life.
@@ -210,23 +215,14 @@
         self.publish_news(bool(update.revision), update.age)
 
     def _make_update(self, states_revision):
-        registry = self._registry
+        listing = self._registry.listing
         if self._owes_whole:
             update = self._make_snapshot()
         else:
-            update = self._add_evacuations(
-                _updates.ServerUpdate(
-                    False,
-                    registry.correct_all(registry.listing.changed),
-                    registry.listing.removed,
-                    revision=registry.revision,
-                    grace=registry.find_grace_left(self._clock.monotonic()),
-                    age=self._find_age(),
-                    distrust=registry.find_distrust_left(
-                        self._clock.monotonic()
-                    ),
-                    digest=registry.listing.digest,
-                )
+            update = self._make_server_update(
+                records=self._registry.correct_all(listing.changed),
+                removed=listing.removed,
+                digest=listing.digest,
             )
         if states_revision:
             return update
