--- a/balsamwind/pool/_registry.py
+++ b/balsamwind/pool/_registry.py
@@ -222,7 +222,7 @@
         bool
             Whether this was not known.
         """
-        if self._leaving.get(server_id, born - 1) >= born:
+        if self._says_leaving(server_id, born):
             return False
         self._leaving[server_id] = born
         while len(self._leaving) > MAX_LEAVING:
@@ -239,14 +239,18 @@
         -------
         tuple of ServerRecord
         """
-        records = (self._records.get(server_id) for server_id in self._leaving)
+        records = map(self._records.get, self._leaving)
         return tuple(
             record
             for record in records
             if record is not None
-            and self._leaving[record.server_id] >= record.born
+            and self._says_leaving(record.server_id, record.born)
         )
 
+    def _says_leaving(self, server_id, born):
+        """Whether this start of a server, or a later one, has said so."""
+        return self._leaving.get(server_id, born - 1) >= born
+
     def correct(self, record):
         """Correct the entry of a server that said itself that it is leaving.
 
@@ -259,7 +263,7 @@
         -------
         ServerRecord
         """
-        if self._leaving.get(record.server_id, record.born - 1) < record.born:
+        if not self._says_leaving(record.server_id, record.born):
             return record
         return dataclasses.replace(record, state=_records.ServerState.DRAINING)
 
