--- a/balsamwind/node/_evidence_exchange.py
+++ b/balsamwind/node/_evidence_exchange.py
@@ -198,7 +198,7 @@
 
     async def _watch(self):
         revision, items = await self._records.list(CALL_TIMEOUT)
-        self._find_unwritten(items)
+        self._check_written(items)
         while True:
             for evidence in items:
                 self._receive_stored(evidence)
@@ -214,8 +214,8 @@
                 revision, wait, wait + WATCH_MARGIN
             )
 
-    def _find_unwritten(self, items):
-        """Write what a publisher before this node was told, and did not.
+    def _check_written(self, items):
+        """Have written what an earlier publisher was told, and did not write.
 
         Parameters
         ----------
--- a/balsamwind/node/_subscriber_session.py
+++ b/balsamwind/node/_subscriber_session.py
@@ -128,8 +128,10 @@
 
     def _tell_leaving(self):
         """Tell a subscriber what it would learn of with the first frame."""
+        if _updates.NOTICES not in self._features:
+            return
         notice = self._publisher.make_leaving_notice()
-        if notice is not None and _updates.NOTICES in self._features:
+        if notice is not None:
             self._send(notice)
 
     def _place(self, request, now):
--- a/balsamwind/node/_update_publisher.py
+++ b/balsamwind/node/_update_publisher.py
@@ -140,8 +140,10 @@
             Frame to send; None if there are none, or if the subscriber has
             been told by the first frame.
         """
+        if self._hears_store:
+            return None
         records = self._registry.list_leaving()
-        if self._hears_store or not records:
+        if not records:
             return None
         return _updates.encode_frame(
             _updates.ServerUpdate(records=records, notice=True)
--- a/balsamwind/node/_update_subscriber.py
+++ b/balsamwind/node/_update_subscriber.py
@@ -439,10 +439,11 @@
         One that missed that the store came back from an older copy holds to
         what it knew before, at the newest revision.
         """
-        if message.distrust and self._registry.knows_restored_store(now):
-            return True
-        if message.distrust and not self._registry.find_distrust_left(now):
-            self._registry.start_restore_grace(now + message.distrust)
+        if message.distrust:
+            if self._registry.knows_restored_store(now):
+                return True
+            if not self._registry.find_distrust_left(now):
+                self._registry.start_restore_grace(now + message.distrust)
         return self._registry.is_outdated(message.revision)
 
     def _check_listing(self, message, now):
@@ -454,7 +455,7 @@
         if (
             message.digest in (None, listing.digest)
             or not self._is_complete
-            or now < self._registry.restored_until
+            or self._registry.find_distrust_left(now)
             or now < self._next_request_at
             or _updates.LISTING not in self._link.features
         ):
